--- /dev/null
+++ b/cmd/woodpick-sim/main.go
@@ -0,0 +1,64 @@
+// Command woodpick-sim hosts Balancers on the simulator's wire: batches of events on standard
+// input, one reply for each on standard output.
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/wire"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintf(os.Stderr, "woodpick-sim: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// run serves batches until the input ends. A reply is written whole or not at all.
+func run(in io.Reader, out io.Writer) error {
+	dec := wire.NewDecoder(in)
+	var reply bytes.Buffer
+	enc := wire.NewEncoder(&reply)
+	hosted := map[int]*woodpick.Balancer{}
+	var now time.Duration
+	for {
+		m, err := dec.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		switch m.Kind {
+		case wire.Sync:
+			now = m.Now
+		case wire.Hello:
+			b, err := woodpick.New(m.Settings, m.Seed)
+			if err != nil {
+				return fmt.Errorf("instance %d: %w", m.Instance, err)
+			}
+			hosted[m.Instance] = b
+		case wire.Stop:
+			delete(hosted, m.Instance)
+		case wire.Event:
+			if b := hosted[m.Instance]; b != nil {
+				for _, a := range b.Handle(now, m.Event) {
+					enc.Action(m.Instance, a)
+				}
+			}
+		case wire.End:
+			if err := enc.Flush(); err != nil {
+				return err
+			}
+			if _, err := reply.WriteTo(out); err != nil {
+				return err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,105 @@
+package wire
+
+import (
+	"bytes"
+	"io"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"woodpick"
+)
+
+const sample = "sync\t8412.25\nabout\t3\nlist\t0\t1\nitem\ts:1\tz\tk\t4\t2\t1.5\t6100.5\nannounce\t2\t0\t41\n" +
+	"job_in\tid\t8652.25\t-\tget\t3\t-\t12.0\noutcome\tid\ts:1\t18.5\t1\t0\tsuccess\tbusy_reqs:3,odd:1\neob\n"
+
+func all(t *testing.T, text string) ([]Message, error) {
+	t.Helper()
+	d := NewDecoder(strings.NewReader(text))
+	var l []Message
+	for {
+		m, err := d.Next()
+		if err == io.EOF {
+			return l, nil
+		}
+		if err != nil {
+			return l, err
+		}
+		l = append(l, m)
+	}
+}
+
+func TestDecode(t *testing.T) {
+	l, err := all(t, sample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []Message{
+		{Kind: Sync, Instance: -1, Now: 8412250 * time.Microsecond},
+		{Kind: Event, Instance: 3, Event: woodpick.ServerList{Full: true, Cached: true,
+			Servers: []woodpick.Server{{ID: "s:1", Zone: "z", Cell: 4, Size: 1.5, Boot: 6100500 * time.Microsecond}}}},
+		{Kind: Event, Instance: 3, Event: woodpick.Request{ID: "id", Class: "get", Repeat: true,
+			Deadline: 8652250 * time.Microsecond}},
+		{Kind: Event, Instance: 3, Event: woodpick.Outcome{ID: "id", Server: "s:1", Ended: true,
+			Latency: 18500 * time.Microsecond, Load: &woodpick.Load{Busy: 3, Service: -1}}},
+		{Kind: End, Instance: 3},
+	}
+	if !reflect.DeepEqual(l, want) {
+		t.Fatalf("got %+v\nwant %+v", l, want)
+	}
+}
+
+func TestBadInputIsNamed(t *testing.T) {
+	for text, want := range map[string]string{
+		"eob\n":                                "line 1: \"eob\" outside a batch",
+		"sync\tx\n":                            "line 1: sync: value 1 is no time",
+		"sync\t1\nhuh\t1\n":                    "line 2: \"huh\" before any about",
+		"sync\t1\nabout\t1\nhuh\t1\n":          "line 3: unknown message \"huh\"",
+		"sync\t1\nabout\t1\njob_in\ta\n":       "line 3: job_in: value 2",
+		"sync\t1\nlist\t0\t2\nitem\ta\tb\n":    "value 4 is missing",
+		"sync\t1\nlist\t77\t2\n":               "out of range",
+		"sync\t1\n":                            "input ends inside a batch",
+		"sync\t1\nabout\t1\nhello\t5\t{bad\n":  "settings",
+		"sync\t1\nabout\t1\nannounce\t9\t0\t0": "input ends inside a batch",
+	} {
+		if _, err := all(t, text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: got %v, want %q", text, err, want)
+		}
+	}
+}
+
+func TestUnknownEffectIsUnsafe(t *testing.T) {
+	s, err := ParseSettings([]byte(`{"lanes":[{"name":"a","effect":"odd"},{"name":"b","effect":"read_like"}],"new":1}`))
+	if err != nil || s.Classes[0].Effect != woodpick.Unsafe || s.Classes[1].Effect != woodpick.Safe {
+		t.Fatalf("got %+v, %v", s, err)
+	}
+}
+
+func TestEncode(t *testing.T) {
+	var out bytes.Buffer
+	e := NewEncoder(&out)
+	e.Action(3, woodpick.Send{ID: "a", Server: "s", Timeout: 80500 * time.Microsecond})
+	e.Action(3, woodpick.Cancel{ID: "a", Attempt: 1})
+	e.Action(5, woodpick.Refuse{ID: "b"})
+	if err := e.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	want := "instance\t3\nforward\ta\ts\t80.5\nretract\ta\t1\ninstance\t5\nturn_away\tb\t0\nyield\n"
+	if out.String() != want {
+		t.Fatalf("got %q, want %q", out.String(), want)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(sample)
+	f.Add("sync\t1\nabout\t0\ncrash_now\neob\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		d := NewDecoder(strings.NewReader(text))
+		for range 1000 {
+			if _, err := d.Next(); err != nil {
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/policy.go
@@ -0,0 +1,917 @@
+// Every decision of woodpick. The interface (settings, events, actions) is in woodpick.go.
+//
+// Sections: constants, state, events, discovery, requests, the pick, eligibility, health,
+// slow start, further attempts, admission, answers.
+
+package woodpick
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Constants are shares, ratios or counts; every length of time is a setting or was observed.
+const (
+	alpha       = 0.5    // share of the list in the left group
+	memory      = 0.06   // weight of a new sample in pooled averages (about 16 samples)
+	ownMemory   = 0.25   // weight of a new sample in a single server's averages
+	chance      = 0.08   // a run of bad endings likelier than this by the share of them among all is luck
+	tailSpread  = 3.0    // deviations above the mean at which a wait counts as overlong
+	minSamples  = 3      // good endings that take one doubling of a later ejection back
+	mostOut     = 0.2    // share of the list that health may exclude; beyond that all are drawn
+	slowWeight  = 1.0    // power of a server's latency, against its peers', by which it is drawn less
+	poolLeast   = 3      // servers that any node draws from, so that a few may be lost
+	poolPerCall = 1.5    // servers drawn from for each own call in flight
+	poolOverlap = 2      // nodes that draw from the same server at least
+	ejection    = 12     // mean latencies that a first ejection, or a lack of room, lasts
+	maxLevel    = 5      // doublings of an ejection
+	windowFloor = 5.0    // own calls a server that are always admitted
+	retryEarn   = 0.15   // further attempts earned by a success
+	unsentCost  = 0.1    // what a further attempt costs when the last one never ran
+	retryPurse  = 10     // most that can be saved up
+	targetShare = 0.75   // part of the mean, by ratio, of base latency and aim that is steered to
+	targetLeast = 1.35   // times the base latency that is steered to at least
+	baseRise    = 0.0005 // weight of a new sample in a class's base latency when it lies above
+	leanness    = 0.3    // part of the target given up when all is shed
+	windowSlack = 2      // times the calls out on average up to which the window grows
+	windowGain  = 0.1    // window moved by an answer, for each target that it came under or over
+	windowFirst = 3.0    // own calls admitted before anything is known, and
+	windowStart = 5.0    // as many more for each server a node
+)
+
+// ---- State ----
+
+// Balancer decides for one node. See the package comment for its contract.
+type Balancer struct {
+	set      Settings
+	rng      *rand.Rand
+	now      time.Duration
+	out      []Action
+	servers  map[string]*server
+	ready    []*server // ready servers in the shared order
+	whole    groups    // the two groups of the design
+	pool     groups    // the part of each that this node draws from
+	width    int       // servers in the pool
+	busy     float64   // calls in flight, averaged over sends
+	requests map[string]*request
+	held     []*request
+	classes  map[string]*class
+	order    []*class // every class in the order of the settings, then the unknown one
+
+	errors    float64 // share of bad endings, overlong answers among them, of all attempts
+	lastOK    time.Duration
+	tokens    float64 // retry budget
+	window    float64 // own calls admitted at once (first tier)
+	inFlight  int
+	shed      float64 // share of requests answered without an attempt
+	subFails  int
+	subWanted time.Duration
+}
+
+// class holds what was learned of a class.
+type class struct {
+	Class
+	mean, dev     float64 // latency of successes, in ns
+	base          float64 // what mean was when there was most room
+	samples       int
+	arrive, serve float64 // decayed counts
+	longestTry    time.Duration
+}
+
+// server is a listed server, or one that left with calls of ours still out.
+type server struct {
+	Server
+	listed bool
+	calls  int        // own calls in flight
+	open   []*attempt // the same calls in order of sending
+
+	streak   int // bad endings in a row
+	level    int // doublings of the next ejection
+	goods    int // good endings in a row
+	until    time.Duration
+	slow     float64 // mean log of latency over the class mean
+	samples  int
+	lastOK   time.Duration
+	room     int           // own calls that it had taken when it refused one more
+	full     time.Duration // no more than room until then
+	refusals int           // in a row
+	out      bool          // ruled out for the request at hand
+}
+
+// groups are the left and the right group, or a part of each.
+type groups struct{ left, right []*server }
+
+// request is an accepted request, kept until it is answered and its attempts have ended.
+type request struct {
+	id        string
+	class     *class
+	arrived   time.Duration
+	deadline  time.Duration
+	attempts  []*attempt
+	out       int
+	repeat    bool // by the client, where clients say so
+	held      bool
+	answered  bool
+	streaming bool
+	wake      time.Duration
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	req    *request
+	srv    *server
+	n      int
+	sent   time.Duration
+	zone   string
+	cell   int
+	ended  bool
+	unsent bool // proven never to have run
+}
+
+// New returns a Balancer that knows no servers yet. The error names the setting at fault.
+func New(set Settings, seed uint64) (*Balancer, error) {
+	if err := validate(set); err != nil {
+		return nil, err
+	}
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
+		servers: map[string]*server{}, requests: map[string]*request{},
+		classes: map[string]*class{}, errors: 0.02, tokens: retryPurse / 2}
+	longest := set.Classes[0]
+	for _, c := range set.Classes {
+		b.addClass(c)
+		if c.Deadline > longest.Deadline {
+			longest = c
+		}
+	}
+	b.addClass(Class{Aim: longest.Aim, Deadline: longest.Deadline, Worth: longest.Worth})
+	return b, nil
+}
+
+func (b *Balancer) addClass(c Class) {
+	k := &class{Class: c, mean: float64(c.Aim) / 4, dev: float64(c.Aim) / 8, base: float64(c.Aim) / 4}
+	b.classes[c.Name] = k
+	b.order = append(b.order, k)
+}
+
+// ---- Events ----
+
+// Handle takes one event at the clock time now and returns what to do, in order.
+func (b *Balancer) Handle(now time.Duration, e Event) []Action {
+	b.now = max(b.now, now)
+	b.out = nil
+	switch e := e.(type) {
+	case ServerList:
+		b.takeList(e)
+	case ListFailed:
+		b.subFails++
+		b.askAgain()
+	case Request:
+		b.accept(e)
+	case Outcome:
+		b.takeOutcome(e)
+	case Started:
+		if r := b.requests[e.ID]; r != nil {
+			r.streaming = true
+		}
+	case ClientGone:
+		if r := b.requests[e.ID]; r != nil {
+			b.close(r)
+		}
+	case Timer:
+		b.takeTimer(e)
+	}
+	return b.out
+}
+
+func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
+
+func (b *Balancer) takeTimer(e Timer) {
+	if e.Token == "list" {
+		if b.subWanted > 0 && b.now+b.set.Tick >= b.subWanted {
+			b.subWanted = 0
+			b.do(Subscribe{})
+		}
+		return
+	}
+	if len(e.Token) < 2 || e.Token[:2] != "r:" {
+		return
+	}
+	// A host may round a time down, so a timer can come a hair early: nothing relies on its being
+	// late enough, and a review that finds nothing due yet asks for another.
+	if r := b.requests[e.Token[2:]]; r != nil {
+		if b.now+b.set.Tick >= r.wake {
+			r.wake = 0
+		}
+		b.review(r)
+	}
+}
+
+// wakeAt asks for a review of a request, unless one is due by then already.
+func (b *Balancer) wakeAt(r *request, at time.Duration) {
+	at = max(at, b.now+1)
+	if r.wake > b.now && r.wake <= at {
+		return
+	}
+	r.wake = at
+	b.do(Wake{At: at, Token: "r:" + r.id})
+}
+
+// ---- Discovery ----
+
+// takeList applies news of the servers. A new boot time resets what is known of a server.
+func (b *Balancer) takeList(e ServerList) {
+	if e.Full {
+		for _, s := range b.servers {
+			s.listed = false
+		}
+	}
+	for _, n := range e.Servers {
+		s := b.servers[n.ID]
+		if s == nil {
+			s = &server{}
+			b.servers[n.ID] = s
+		} else if s.Boot != n.Boot {
+			*s = server{calls: s.calls, open: s.open}
+		}
+		s.Server = n
+		s.listed = n.State != Gone
+	}
+	b.ready = b.ready[:0]
+	for id, s := range b.servers {
+		if !s.listed && s.calls == 0 {
+			delete(b.servers, id)
+		} else if s.listed && s.State == Ready {
+			b.ready = append(b.ready, s)
+		}
+	}
+	// The shared order: every copy sorts by id, which all see alike.
+	sort.Slice(b.ready, func(i, j int) bool { return b.ready[i].ID < b.ready[j].ID })
+	cut := int(math.Ceil(alpha * float64(len(b.ready))))
+	b.whole = groups{b.ready[:cut], b.ready[cut:]}
+	b.width = 0
+	if b.window == 0 {
+		b.window = windowFirst + windowStart*b.fairServers()
+	}
+	if e.Cached {
+		b.askAgain()
+	} else {
+		b.subFails = 0
+	}
+	b.release()
+}
+
+// askAgain plans a Subscribe where the list must be asked for. Jitter keeps copies that start, or
+// lose their subscription, together from swamping discovery; the wait doubles with each failure
+// but leaves time for two tries before the copy counts as told what it never heard.
+func (b *Balancer) askAgain() {
+	if !b.set.AskDiscovery {
+		return
+	}
+	most := b.set.AskWithin / 4
+	wait := min(most, most/16<<min(b.subFails, 4))
+	b.subWanted = b.now + time.Duration(b.rng.Float64()*float64(wait)) + 1
+	b.do(Wake{At: b.subWanted, Token: "list"})
+}
+
+// ---- Requests ----
+
+func (b *Balancer) accept(e Request) {
+	if b.requests[e.ID] != nil {
+		return
+	}
+	c := b.classes[e.Class]
+	if c == nil {
+		c = b.order[len(b.order)-1] // unknown: unsafe
+	}
+	r := &request{id: e.ID, class: c, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat}
+	b.requests[e.ID] = r
+	b.backdate(r)
+	for _, k := range b.order {
+		k.arrive *= 0.99
+		k.serve *= 0.99
+	}
+	c.arrive++
+	b.place(r)
+}
+
+// backdate finds when the client first asked. Tries are all given the same time unless the class's
+// deadline, which runs over all of them, ends sooner: a shorter one tells how much is over already.
+func (b *Balancer) backdate(r *request) {
+	left := r.deadline - b.now
+	r.class.longestTry = max(r.class.longestTry, left)
+	if b.set.Tier == 0 && float64(left) < 0.95*float64(r.class.longestTry) {
+		r.arrived = min(b.now, r.deadline-r.class.Deadline)
+		r.repeat = true
+	}
+}
+
+// place sends a request, or holds it while no server may take it.
+func (b *Balancer) place(r *request) {
+	if !b.full(r) {
+		if s := b.choose(r); s != nil {
+			b.send(r, s)
+			return
+		}
+	}
+	b.hold(r)
+}
+
+func (b *Balancer) send(r *request, s *server) {
+	a := &attempt{req: r, srv: s, n: len(r.attempts), sent: b.now, zone: s.Zone, cell: s.Cell}
+	if a.n == 0 {
+		b.shed -= memory / 4 * b.shed
+	}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	b.unhold(r)
+	s.calls++
+	s.open = append(s.open, a)
+	b.inFlight++
+	b.busy += memory * (float64(b.inFlight) - b.busy)
+	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.useless(r)-b.now, b.set.Tick)})
+}
+
+// useless is when an answer stops being worth anything: work that goes on after it takes the room of
+// answers in time. Below the first tier only the deadline is known.
+func (b *Balancer) useless(r *request) time.Duration {
+	if b.set.Tier > 0 || r.class.LateShare > 0 || r.repeat {
+		return r.deadline
+	}
+	return min(r.deadline, r.arrived+r.class.Aim-2*b.set.Tick)
+}
+
+// overlong is the wait for an answer that most of a class's answers stay well under.
+func (b *Balancer) overlong(c *class) time.Duration {
+	return time.Duration(c.mean + tailSpread*c.dev)
+}
+
+// review does whatever has come due for a request.
+func (b *Balancer) review(r *request) {
+	switch {
+	case r.answered || r.streaming:
+	case r.held && b.now >= b.holdUntil(r):
+		b.answer(r)
+	case r.held:
+		b.wakeAt(r, b.holdUntil(r))
+		b.release()
+	}
+}
+
+// hold keeps a request back; its timer makes sure that it is answered.
+func (b *Balancer) hold(r *request) {
+	if b.now >= b.holdUntil(r) {
+		b.answer(r)
+		return
+	}
+	if !r.held {
+		r.held = true
+		b.held = append(b.held, r)
+	}
+	b.wakeAt(r, b.holdUntil(r))
+}
+
+func (b *Balancer) unhold(r *request) {
+	if !r.held {
+		return
+	}
+	r.held = false
+	for i, h := range b.held {
+		if h == r {
+			b.held = append(b.held[:i], b.held[i+1:]...)
+			return
+		}
+	}
+}
+
+// holdUntil is how long holding makes sense: until an answer may well miss the aim, for late answers
+// take the room of those in time. With no server at all a late answer is the best there can be, so
+// then almost until the deadline.
+func (b *Balancer) holdUntil(r *request) time.Duration {
+	last := r.deadline - 2*b.set.Tick
+	if len(b.ready) == 0 {
+		return last
+	}
+	aim := r.class.Aim
+	hold := max(aim/4, aim-time.Duration(r.class.mean+2*r.class.dev))
+	return min(last, r.arrived+hold)
+}
+
+// release sends held requests while there is room, the most valuable first.
+func (b *Balancer) release() {
+	for tries := len(b.held); tries > 0 && len(b.held) > 0; tries-- {
+		best := b.held[0]
+		for _, r := range b.held[1:] {
+			if b.value(r) >= b.value(best) { // equal: the youngest has most time left
+				best = r
+			}
+		}
+		if b.full(best) {
+			return
+		}
+		s := b.choose(best)
+		if s == nil {
+			return
+		}
+		b.send(best, s)
+	}
+}
+
+func (b *Balancer) cancel(a *attempt) {
+	if !a.ended && b.set.MayCancel {
+		b.do(Cancel{ID: a.req.id, Attempt: a.n})
+	}
+}
+
+func (b *Balancer) takeOutcome(e Outcome) {
+	r := b.requests[e.ID]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].ended {
+		return
+	}
+	a := r.attempts[e.Attempt]
+	a.ended = true
+	a.unsent = e.Ending == Overloaded || e.Ending == Unreachable || e.Ending == Void
+	r.out--
+	b.inFlight--
+	a.srv.calls--
+	for i, o := range a.srv.open {
+		if o == a {
+			// A hung server's waits tell nothing of how crowded the others are.
+			if !b.silent(a.srv) {
+				b.steer(r, e)
+			}
+			a.srv.open = append(a.srv.open[:i], a.srv.open[i+1:]...)
+			break
+		}
+	}
+	b.judge(a, e)
+	if !a.srv.listed && a.srv.calls == 0 && b.servers[a.srv.ID] == a.srv {
+		delete(b.servers, a.srv.ID)
+	}
+	switch {
+	case e.Ended:
+		if e.Ending == Success && !r.answered && b.now <= r.arrived+r.class.Aim {
+			r.class.serve++
+		}
+		b.close(r)
+	case !r.answered && r.out == 0:
+		b.further(r)
+	}
+	b.forget(r)
+	b.release()
+}
+
+// ---- The pick ----
+
+// pick is the design's rule: one server drawn from each group, the fewer own calls win, equal
+// counts above zero go left, and at zero the side is drawn by the groups' shares. Draws and shares
+// go by weight, which is alike for all while nothing tells the servers apart.
+// An empty group leaves the draw to the other.
+func (b *Balancer) pick(left, right []*server) *server {
+	l, leftWeight := b.draw(left)
+	r, rightWeight := b.draw(right)
+	switch {
+	case r == nil || l != nil && l.calls < r.calls:
+		return l
+	case l == nil || r.calls < l.calls:
+		return r
+	case l.calls > 0 || b.rng.Float64()*(leftWeight+rightWeight) < leftWeight:
+		return l
+	}
+	return r
+}
+
+// draw takes one server by weight and tells the weight of its group.
+func (b *Balancer) draw(group []*server) (pick *server, total float64) {
+	for _, s := range group {
+		w := b.weight(s)
+		total += w
+		if b.rng.Float64()*total < w {
+			pick = s
+		}
+	}
+	return pick, total
+}
+
+// weight is what a server can carry against its peers: its listed size, corrected by how its
+// latency stands to theirs. Uniform draws over unequal servers crowd the slow ones at loads that
+// the fleet could carry, and a node's own counts are too small to show it. One node's samples are
+// few, but the errors of many nodes cancel out.
+func (b *Balancer) weight(s *server) float64 {
+	w := math.Exp(-slowWeight * max(s.slow, -1))
+	if s.Size > 0 {
+		w *= min(s.Size, 1e6) // an infinite weight would draw nobody
+	}
+	return w
+}
+
+// choose draws from the node's pool and, when nobody there may be drawn, from the whole groups.
+func (b *Balancer) choose(r *request) *server {
+	b.fitPool()
+	if s := b.chooseFrom(b.pool, r, false); s != nil {
+		return s
+	}
+	return b.chooseFrom(b.whole, r, true)
+}
+
+// fitPool cuts the node's pool from each group: a run of the shared order that starts at the node's
+// place among the copies, so that all pools together cover the groups evenly. Over the whole list a
+// node of many meets each server too seldom to tell the slow and the silent, and connections grow
+// with nodes times servers. A busy node takes a wider pool: its counts tell more, and its traffic
+// would be too much for a few. Only halving shrinks it, so that it keeps still.
+func (b *Balancer) fitPool() {
+	n := float64(len(b.ready))
+	want := max(poolLeast, poolPerCall*b.busy, poolOverlap*b.fairServers())
+	if b.width > 0 && want <= float64(b.width) && want > float64(b.width)/3 {
+		return
+	}
+	b.width = int(math.Ceil(min(1.25*want, n)))
+	part := func(group []*server) []*server {
+		size := int(math.Ceil(float64(b.width) * float64(len(group)) / max(n, 1)))
+		start := b.set.Index * len(group) / max(1, b.set.Balancers)
+		var run []*server
+		for i := range min(size, len(group)) {
+			run = append(run, group[(start+i)%len(group)])
+		}
+		return run
+	}
+	b.pool = groups{part(b.whole.left), part(b.whole.right)}
+}
+
+// ---- Eligibility ----
+
+// chooseFrom picks among those servers that a request may go to: in its scope, not tried by it, fit,
+// warm enough and, as long as that leaves any, with room and not crowded with own calls. Only where
+// anyCold is set may all of them be cold, and may a first try go to an idle cold one whatever the
+// thinning: a pool may be cold as a whole, and would take a warm one's calls, while the rest is warm.
+func (b *Balancer) chooseFrom(g groups, r *request, anyCold bool) *server {
+	b.ruleOut(g, r)
+	for _, limit := range []func(*server) int{b.crowded, b.roomy, unlimited} {
+		left, idleLeft := b.narrow(g.left, r, limit)
+		right, idleRight := b.narrow(g.right, r, limit)
+		isWarm := func(s *server) bool { return b.warmth(s) == 1 }
+		if anyCold && len(left)+len(right) > 0 || slices.ContainsFunc(append(left, right...), isWarm) {
+			return b.pick(left, right)
+		}
+		if anyCold && len(idleLeft)+len(idleRight) > 0 {
+			return b.pick(idleLeft, idleRight)
+		}
+	}
+	return nil
+}
+
+// ruleOut marks the servers that health keeps out. When many look bad to one node, the fault is
+// likelier its own or the tier below's, and those left would take all the load: only the worst are
+// kept out, up to a set share of the list, and fewer the more is shed: in overload every server is
+// missed, and time-outs show load rather than ill health.
+func (b *Balancer) ruleOut(g groups, r *request) {
+	var sick []*server
+	for _, group := range [][]*server{g.left, g.right} {
+		for _, s := range group {
+			if s.out = b.unfit(s, r); s.out {
+				sick = append(sick, s)
+			}
+		}
+	}
+	most := int(mostOut * (1 - b.shed) * float64(len(b.ready)))
+	if len(sick) > most {
+		sort.SliceStable(sick, func(i, j int) bool { return sick[i].streak > sick[j].streak })
+		for _, s := range sick[most:] {
+			s.out = false
+		}
+	}
+}
+
+// narrow lists the servers of a group that pass, and the cold ones that would but for the thinning.
+func (b *Balancer) narrow(group []*server, r *request, limit func(*server) int) (warm, idle []*server) {
+	for _, s := range group {
+		switch {
+		case s.out || s.calls >= limit(s) || !b.inScope(r, s) || tried(r, s):
+		case b.warmEnough(s):
+			warm = append(warm, s)
+		case s.calls == 0 && len(r.attempts) == 0:
+			idle = append(idle, s)
+		}
+	}
+	return warm, idle
+}
+
+// crowded is the count of own calls at which a server is passed over: uniform draws now and then
+// meet the same few servers twice, and a crowd of several nodes' calls there chokes it.
+func (b *Balancer) crowded(s *server) int {
+	return min(b.roomy(s), 1+b.inFlight/max(1, b.width))
+}
+
+// roomy is the count of own calls at which a server is passed over because it refused one more a
+// while ago: its queue or its connections, which other copies hold idle, are full, and refusals
+// come at once and drain its count. It is not ill, so the cap on those ruled out does not apply.
+func (b *Balancer) roomy(s *server) int {
+	if b.now < s.full {
+		return s.room
+	}
+	return math.MaxInt
+}
+
+func unlimited(*server) int { return math.MaxInt }
+
+// tried says that the request has been to the server before.
+func tried(r *request, s *server) bool {
+	for _, a := range r.attempts {
+		if a.srv == s {
+			return true
+		}
+	}
+	return false
+}
+
+// inScope keeps a keyed request that may have run to the servers that discard its repeats.
+func (b *Balancer) inScope(r *request, s *server) bool {
+	if r.class.Effect != Keyed {
+		return true
+	}
+	for _, a := range r.attempts {
+		if a.unsent {
+			continue
+		}
+		if r.class.Scope == ScopeZone && a.zone != s.Zone {
+			return false
+		}
+		if r.class.Scope == ScopeCell && (a.cell != s.Cell || a.zone != s.Zone) {
+			return false
+		}
+	}
+	return true
+}
+
+// ---- Health ----
+
+// unfit says that a server should not be drawn now for its health.
+func (b *Balancer) unfit(s *server, r *request) bool {
+	if b.now < s.until || b.silent(s) {
+		return true
+	}
+	// After an ejection one safe trial at a time decides: a bad server must not eat a request that
+	// cannot be repeated, nor many at once.
+	return s.level > 0 && s.goods == 0 && (r.class.Effect == Unsafe || s.calls > 0)
+}
+
+// silent says that an old call to the server is unanswered while a younger one was answered
+// elsewhere: a machine gone quiet, hung or pausing shows nothing else until time-outs end.
+func (b *Balancer) silent(s *server) bool {
+	if len(s.open) == 0 {
+		return false
+	}
+	a := s.open[0]
+	wait := b.overlong(a.req.class)
+	return b.now-a.sent > wait && b.lastOK > a.sent+wait/2 && s.lastOK < a.sent+wait/2
+}
+
+// judge learns from an ending: the class's latency, the server's health relative to its peers.
+func (b *Balancer) judge(a *attempt, e Outcome) {
+	s, c := a.srv, a.req.class
+	took := max(1, float64(b.now-a.sent)) // a coarse clock may show none, and its logarithm no server
+	late, bad := took > c.mean+tailSpread*c.dev, false
+	switch e.Ending {
+	case Success:
+		b.tokens = min(retryPurse, b.tokens+retryEarn)
+		b.lastOK, s.lastOK = b.now, b.now
+		// The first samples replace the guess, or who answers first would look fast against it.
+		c.samples++
+		share := max(memory, 1/float64(c.samples))
+		c.dev += share * (math.Abs(took-c.mean) - c.dev)
+		c.mean += share * (took - c.mean)
+		c.base = min(c.mean, c.base+baseRise*(c.mean-c.base))
+		if c.samples < 8 {
+			c.base, late = c.mean, false
+		}
+		bad, s.refusals = late, 0
+	case Overloaded, Unreachable:
+		s.room = s.calls
+		s.full = b.now + time.Duration((0.5+b.rng.Float64())*ejection*c.mean)<<s.refusals
+		s.refusals = min(s.refusals+1, maxLevel)
+		return
+	case Failure, Broken, TimedOut:
+		bad = true
+	case Withdrawn:
+		if bad = late; !late {
+			return
+		}
+	default:
+		return
+	}
+	if late || e.Ending == Success {
+		s.samples++
+		s.slow += max(ownMemory, 1/float64(s.samples+1)) * (math.Log(took/c.mean) - s.slow)
+	}
+	if !bad {
+		s.streak = 0
+		if s.goods++; s.goods >= minSamples && s.level > 0 {
+			s.level, s.goods = s.level-1, 1
+		}
+		b.errors = max(0.01, b.errors-memory*b.errors)
+		return
+	}
+	s.streak++
+	s.goods = 0
+	// Trouble that strikes everywhere comes from the tier below or from the load; ejecting on it would
+	// leave nobody. A run counts only if the peers' share of bad endings makes it unlikely.
+	if math.Pow(b.errors, float64(s.streak)) < chance {
+		b.eject(s, c)
+	}
+	b.errors += memory * (1 - b.errors)
+}
+
+// eject keeps a server out for a time that doubles while its trials fail.
+func (b *Balancer) eject(s *server, c *class) {
+	if b.now < s.until {
+		return
+	}
+	s.until = b.now + time.Duration(ejection*c.mean)<<s.level
+	s.level = min(s.level+1, maxLevel)
+}
+
+// ---- Slow start ----
+
+// warmth is the share of its capacity that a server surely has.
+func (b *Balancer) warmth(s *server) float64 {
+	age := b.now - s.Boot
+	if s.Boot <= 0 || age >= b.set.WarmAfter {
+		return 1
+	}
+	grown := max(0, float64(age)/float64(b.set.WarmAfter))
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*grown
+}
+
+// warmEnough thins the draw of a cold server to its share of a warm one's, and keeps it to one
+// own call at a time: many nodes that each send a little would push it over together.
+func (b *Balancer) warmEnough(s *server) bool {
+	w := b.warmth(s)
+	return w == 1 || (s.calls == 0 && b.rng.Float64() < w)
+}
+
+// ---- Further attempts ----
+
+// maySendAgain says that the class's effect and the limits allow one more attempt now.
+func (b *Balancer) maySendAgain(r *request) bool {
+	if r.answered || r.streaming || len(r.attempts) >= max(1, b.set.MaxAttempts) {
+		return false
+	}
+	for _, a := range r.attempts {
+		if a.unsent {
+			continue
+		}
+		last := a.sent + r.class.Window - 2*b.set.Tick
+		if r.class.Effect == Unsafe || r.class.Effect == Keyed && b.now >= last {
+			return false
+		}
+	}
+	return true
+}
+
+// further decides what follows when no attempt is left out: another within the budget and with
+// time for an answer, or the final answer. Without the budget, retries of every tier multiply.
+func (b *Balancer) further(r *request) {
+	left := float64(b.useless(r) - b.now)
+	cost := 1.0
+	if r.attempts[len(r.attempts)-1].unsent {
+		cost = unsentCost
+	}
+	if b.maySendAgain(r) && b.tokens >= cost && left >= r.class.mean/2 {
+		if s := b.choose(r); s != nil {
+			b.tokens -= cost
+			b.send(r, s)
+			return
+		}
+	}
+	b.answer(r)
+}
+
+// ---- Admission ----
+
+// full says that the node has as many calls out as the tiers below answer in good time. Only the
+// first tier holds back: a call refused further down wastes what was done above it. A client's repeat,
+// whose aim is mostly over, must leave half of the room to first tries, or repeats feed a jam.
+func (b *Balancer) full(r *request) bool {
+	calls := float64(b.inFlight)
+	if r.repeat {
+		calls *= 2
+	}
+	return len(b.ready) == 0 || b.set.Tier == 0 && calls >= b.window*b.standing(r)
+}
+
+// standing is the part of the window that a request may fill, by its value against the others': the more
+// is shed, the more room is kept for what is worth most. A hold alone is too short to wait for that, for
+// at a node of few calls seldom two requests wait at once. No class loses more than half of the window,
+// so that none starves.
+func (b *Balancer) standing(r *request) float64 {
+	var sum, n float64
+	for _, c := range b.order {
+		sum += c.arrive * b.value(&request{class: c})
+		n += c.arrive
+	}
+	return min(2, max(0.5, 1+b.shed*(b.value(r)*n/max(sum, 1e-9)-1)))
+}
+
+// fairServers is how many servers there are for each copy of this tier.
+func (b *Balancer) fairServers() float64 {
+	return float64(len(b.ready)) / float64(max(1, b.set.Balancers))
+}
+
+// target is the latency that admission steers to, a little under half way in ratio between a class's
+// latency when there is room and its aim: work that fills much of the aim by itself is no crowd, and
+// work that fills little of it waits in long queues, which choke servers, well before its aim is near.
+func (c *class) target() float64 {
+	return min(float64(c.Aim), max(targetLeast*c.base, targetShare*math.Sqrt(c.base*float64(c.Aim))))
+}
+
+// steer moves the window so that latencies stay at their target: crowded servers choke and stay slow,
+// so the crowd must wait or be refused here. Slow answers shrink it and good ones open it alike, up to
+// a multiple of the calls out: growing only while nearly full, it would sink by chance at a node whose
+// few calls seldom fill it.
+func (b *Balancer) steer(r *request, e Outcome) {
+	if b.set.Tier > 0 || e.Ending == Withdrawn || e.Ending == Void || e.Ending == Failure {
+		return
+	}
+	over := float64(b.now-r.attempts[e.Attempt].sent) / r.class.target()
+	if e.Ending != Success {
+		over = max(over, 2)
+	}
+	// The more is shed, the surer it is that some servers choke: then leaner is better. A small window
+	// moves by up to one call a round of answers, or a node of many would take a day to open it.
+	step := max(windowGain, 1/b.window) * (1 - leanness*b.shed - min(over, 2))
+	if step < 0 || b.window < windowSlack*(b.busy+1) {
+		b.window += step
+	}
+	b.window = max(b.window, 1, windowFloor*b.fairServers())
+}
+
+// value is what an answer in a class adds to the result for the time it takes, so that shedding
+// hits what is worth least; the class served worst counts extra, so none starves.
+func (b *Balancer) value(r *request) float64 {
+	c := r.class
+	var total float64
+	worst := c
+	for _, k := range b.order {
+		total += k.Worth * k.arrive
+		if k.arrive > 1 && k.serve*worst.arrive < worst.serve*k.arrive {
+			worst = k
+		}
+	}
+	v := b.set.WholeWeight * c.Worth / max(total, 1e-9)
+	if worst == c {
+		v += b.set.ClassWeight / max(c.arrive, 1e-9)
+	}
+	if r.repeat { // its aim runs from the client's first try and is mostly over
+		v *= c.LateShare
+	}
+	return v / c.mean
+}
+
+// ---- Answers ----
+
+// answer gives the final answer: a refusal where the rules let it promise that a retry is
+// harmless, else a failure. With an attempt still out it waits for that.
+func (b *Balancer) answer(r *request) {
+	if r.answered || r.streaming {
+		return
+	}
+	harmless := true
+	for _, a := range r.attempts {
+		if !a.unsent && (r.class.Effect == Unsafe || r.class.Effect == Keyed && r.class.Scope != ScopeAll) {
+			harmless = false
+		}
+	}
+	if len(r.attempts) == 0 {
+		b.shed += memory / 4 * (1 - b.shed)
+	}
+	if harmless {
+		// A client sent away for long comes back when its aim is mostly over, and its late answer
+		// takes the room of one in time; the window, not the clients' absence, holds the load off.
+		b.do(Refuse{ID: r.id, RetryAfter: min(b.set.MaxRetryAfter, b.set.Tick)})
+	} else {
+		b.do(Fail{ID: r.id})
+	}
+	b.close(r)
+}
+
+// close ends a request and calls off what is still out for it.
+func (b *Balancer) close(r *request) {
+	if r.answered {
+		return
+	}
+	r.answered = true
+	b.unhold(r)
+	for _, a := range r.attempts {
+		b.cancel(a)
+	}
+	b.forget(r)
+}
+
+// forget drops a request once nothing of it is left.
+func (b *Balancer) forget(r *request) {
+	if r.answered && r.out == 0 {
+		delete(b.requests, r.id)
+	}
+}
--- /dev/null
+++ b/policy_test.go
@@ -0,0 +1,634 @@
+package woodpick
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+)
+
+const msec = time.Millisecond
+
+// testSettings has one class of each effect.
+func testSettings() Settings {
+	return Settings{
+		Classes: []Class{
+			{Name: "get", Effect: Safe, Scope: ScopeAll, Aim: 500 * msec, Deadline: 1500 * msec, Worth: 1},
+			{Name: "post", Effect: Keyed, Scope: ScopeCell, Window: 900 * msec, Aim: 500 * msec,
+				Deadline: 1500 * msec, Worth: 2},
+			{Name: "pay", Effect: Unsafe, Aim: 500 * msec, Deadline: 1500 * msec, Worth: 3},
+		},
+		Balancers: 2, Tier: 0, WholeWeight: 0.6, ClassWeight: 0.3,
+		MaxAttempts: 5, MayCancel: true, Tick: 2 * msec,
+		AskWithin: 10 * time.Second, MaxRetryAfter: 2 * time.Second,
+		ColdFrom: 0.2, WarmAfter: 10 * time.Second,
+	}
+}
+
+func newBalancer(t testing.TB, change func(*Settings)) *Balancer {
+	t.Helper()
+	s := testSettings()
+	if change != nil {
+		change(&s)
+	}
+	b, err := New(s, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func servers(n int) []Server {
+	var l []Server
+	for i := range n {
+		l = append(l, Server{ID: fmt.Sprintf("s%02d", i), Zone: "z", Cell: i % 2})
+	}
+	return l
+}
+
+// sends returns the Send actions among acts.
+func sends(acts []Action) []Send {
+	var l []Send
+	for _, a := range acts {
+		if s, ok := a.(Send); ok {
+			l = append(l, s)
+		}
+	}
+	return l
+}
+
+func TestPickFollowsTheDesign(t *testing.T) {
+	mk := func(calls ...int) []*server {
+		var l []*server
+		for i, c := range calls {
+			l = append(l, &server{Server: Server{ID: fmt.Sprint(i, c)}, calls: c})
+		}
+		return l
+	}
+	b := newBalancer(t, nil)
+	const n = 20000
+	shareLeft := func(left, right []*server) float64 {
+		got := 0
+		for range n {
+			s := b.pick(left, right)
+			for _, l := range left {
+				if s == l {
+					got++
+				}
+			}
+		}
+		return float64(got) / n
+	}
+	for _, c := range []struct {
+		name        string
+		left, right []*server
+		want        float64
+	}{
+		{"fewer left", mk(1), mk(2), 1},
+		{"fewer right", mk(2), mk(1), 0},
+		{"zero beats one", mk(1), mk(0), 0},
+		{"nonzero tie goes left", mk(3), mk(3), 1},
+		{"zero tie by shares", mk(0, 0, 0), mk(0), 0.75},
+		{"left empty", nil, mk(1), 0},
+		{"right empty", mk(5), nil, 1},
+	} {
+		if got := shareLeft(c.left, c.right); math.Abs(got-c.want) > 0.02 {
+			t.Errorf("%s: left share %.3f, want %.2f", c.name, got, c.want)
+		}
+	}
+	if b.pick(nil, nil) != nil {
+		t.Error("picked from nothing")
+	}
+	left, count := mk(0, 0, 0, 0), map[*server]int{}
+	for range n {
+		count[b.pick(left, nil)]++
+	}
+	for _, s := range left {
+		if got := float64(count[s]) / n; math.Abs(got-0.25) > 0.02 {
+			t.Errorf("uniform draw gave a server %.3f", got)
+		}
+	}
+}
+
+func TestCopiesShareTheOrder(t *testing.T) {
+	a, b := newBalancer(t, nil), newBalancer(t, nil)
+	l := servers(7)
+	a.Handle(0, ServerList{Full: true, Servers: l})
+	for i := len(l) - 1; i >= 0; i-- {
+		b.Handle(0, ServerList{Servers: l[i : i+1]})
+	}
+	for i := range l {
+		if a.ready[i].ID != b.ready[i].ID {
+			t.Fatalf("order differs at %d: %s, %s", i, a.ready[i].ID, b.ready[i].ID)
+		}
+	}
+}
+
+// A host rounds times; a timer that comes a fraction early must still lead to an answer in time.
+func TestHeldRequestIsAnsweredThoughTimersComeEarly(t *testing.T) {
+	b := newBalancer(t, nil)
+	acts := b.Handle(0, Request{ID: "a", Class: "get", Deadline: 1000 * msec})
+	for now := time.Duration(0); now < 1000*msec; {
+		var next Wake
+		for _, a := range acts {
+			switch a := a.(type) {
+			case Wake:
+				next = a
+			case Refuse:
+				return
+			}
+		}
+		if next.Token == "" {
+			t.Fatalf("at %v neither an answer nor a timer", now)
+		}
+		now = max(now+2*msec, next.At-500) // half a microsecond early
+		acts = b.Handle(now, Timer{Token: next.Token})
+	}
+	t.Fatal("no final answer in time")
+}
+
+// settle answers the single attempt of a request.
+func settle(b *Balancer, now time.Duration, id string, s Send, e Ending) []Action {
+	return b.Handle(now, Outcome{ID: id, Server: s.Server, Ending: e, Ended: e == Success})
+}
+
+// traffic sends n requests one after another; fate decides how attempts at a server end. It
+// returns how many first tries each server got in the second half.
+func traffic(b *Balancer, n int, class string, fate func(server string) Ending) map[string]int {
+	got := map[string]int{}
+	for i := range n {
+		id, now := fmt.Sprint(class, i), b.now+20*msec
+		for _, s := range sends(b.Handle(now, Request{ID: id, Class: class, Deadline: now + time.Second})) {
+			if i >= n/2 {
+				got[s.Server]++
+			}
+			for k := 0; k < 5; k++ {
+				e := fate(s.Server)
+				now += 10 * msec
+				again := sends(b.Handle(now, Outcome{ID: id, Attempt: k, Server: s.Server, Ending: e, Ended: e == Success}))
+				if len(again) == 0 {
+					break
+				}
+				s = again[0]
+			}
+		}
+	}
+	return got
+}
+
+// A server that errs at once drains its count; without ejection it would win every draw.
+func TestFastErrorsAreEjected(t *testing.T) {
+	for _, e := range []Ending{Failure, Unreachable, Broken} {
+		b := newBalancer(t, nil)
+		b.Handle(0, ServerList{Full: true, Servers: servers(10)})
+		got := traffic(b, 600, "get", func(s string) Ending {
+			if s == "s03" {
+				return e
+			}
+			return Success
+		})
+		if got["s03"] > 10 {
+			t.Errorf("ending %d: the bad server got %d of 300 first tries", e, got["s03"])
+		}
+	}
+}
+
+// When every server fails alike the trouble is below them: nobody may be starved of calls.
+func TestFailuresEverywhereEjectFew(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(10)})
+	got := traffic(b, 800, "get", func(string) Ending { return Failure })
+	if len(got) < 8 {
+		t.Errorf("only %d of 10 servers are still used", len(got))
+	}
+}
+
+// A machine gone quiet shows nothing but an old unanswered call while others answer.
+func TestSilentServerIsPassedOver(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(10)})
+	stuck, now := 0, time.Duration(0)
+	for i := range 600 {
+		id := fmt.Sprint(i)
+		now += 20 * msec
+		for _, s := range sends(b.Handle(now, Request{ID: id, Class: "get", Deadline: now + time.Minute})) {
+			if s.Server == "s03" {
+				stuck++
+			} else {
+				settle(b, now+10*msec, id, s, Success)
+			}
+		}
+	}
+	if stuck == 0 || stuck > 6 {
+		t.Errorf("the silent server holds %d calls", stuck)
+	}
+}
+
+// After an ejection the first trial must not be a request that cannot be repeated.
+func TestTrialIsNeverUnsafe(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(10)})
+	s := b.servers["s03"]
+	s.level, s.until = 1, 0
+	if got := traffic(b, 400, "pay", func(string) Ending { return Success }); got["s03"] != 0 {
+		t.Errorf("a server on trial got %d unsafe requests", got["s03"])
+	}
+	if got := traffic(b, 400, "get", func(string) Ending { return Success }); got["s03"] == 0 {
+		t.Error("the server was never tried again")
+	}
+}
+
+// Below the first tier a server that holds several of our calls is passed over while others idle.
+func TestCrowdedServerIsPassedOver(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.Tier = 1 })
+	b.Handle(0, ServerList{Full: true, Servers: servers(6)})
+	b.servers["s00"].calls, b.inFlight = 2, 2
+	got := traffic(b, 300, "get", func(string) Ending { return Success })
+	if got["s00"] != 0 || len(got) != 5 {
+		t.Errorf("draws: %v", got)
+	}
+}
+
+// In overload the window must shrink, and never under its floor.
+func TestWindowFollowsLatency(t *testing.T) {
+	for _, tc := range []struct {
+		took time.Duration
+		grow bool
+	}{{450 * msec, false}, {40 * msec, true}} {
+		b := newBalancer(t, nil)
+		b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+		c := b.classes["get"] // known to answer in 40 ms when there is room
+		c.samples, c.mean, c.base = 100, float64(40*msec), float64(40*msec)
+		start, now := b.window, time.Duration(0)
+		var open []Send
+		for i := range 3000 {
+			now += 4 * msec
+			open = append(open, sends(b.Handle(now, Request{ID: fmt.Sprint(i), Class: "get", Deadline: now + time.Second}))...)
+			for len(open) > 0 && b.requests[open[0].ID].attempts[0].sent+tc.took <= now {
+				s := open[0]
+				open = append(open[1:], sends(settle(b, now, s.ID, s, Success))...)
+			}
+		}
+		if grew := b.window > start; grew != tc.grow && tc.grow || b.window < windowFloor*b.fairServers() {
+			t.Errorf("answers after %v: window %.1f from %.1f", tc.took, b.window, start)
+		}
+		if !tc.grow && b.window > windowFloor*b.fairServers()+1 {
+			t.Errorf("late answers left the window at %.1f", b.window)
+		}
+	}
+}
+
+func TestSettingsErrorsNameTheField(t *testing.T) {
+	for want, change := range map[string]func(*Settings){
+		"Classes is empty":  func(s *Settings) { s.Classes = nil },
+		"Classes[0].Name":   func(s *Settings) { s.Classes[0].Name = "" },
+		"Classes[1].Window": func(s *Settings) { s.Classes[1].Window = -1 },
+		"Classes[2].Name":   func(s *Settings) { s.Classes[2].Name = "get" },
+		"Worth":             func(s *Settings) { s.Classes[0].Worth = math.Inf(1) },
+		"WholeWeight":       func(s *Settings) { s.WholeWeight = math.NaN() },
+		"Index":             func(s *Settings) { s.Index = -1 },
+		"ColdFrom":          func(s *Settings) { s.ColdFrom = 1.5 },
+		"WarmAfter":         func(s *Settings) { s.WarmAfter = -1 },
+		"LateShare":         func(s *Settings) { s.Classes[0].LateShare = 2 },
+	} {
+		s := testSettings()
+		change(&s)
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
+
+// A marked repeat is mostly past its aim already: while there is little room, first tries go first.
+func TestFirstTriesGoBeforeRepeats(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(1)})
+	b.window = 1
+	first := sends(b.Handle(0, Request{ID: "a", Class: "get", Deadline: time.Second}))
+	b.Handle(msec, Request{ID: "new", Class: "get", Deadline: time.Second})
+	b.Handle(2*msec, Request{ID: "repeat", Class: "get", Deadline: time.Second, Repeat: true})
+	b.classes["get"].LateShare = 0.5
+	b.inFlight = int(windowFloor*b.fairServers()) + 2
+	b.window = float64(b.inFlight) // one comes free by the next answer
+	next := sends(settle(b, 10*msec, "a", first[0], Success))
+	if len(next) == 0 || next[0].ID != "new" {
+		t.Errorf("after an answer %v was sent", next)
+	}
+}
+
+// An unmarked repeat shows by a deadline shorter than other tries have.
+func TestShortDeadlineTellsARepeat(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, Request{ID: "first", Class: "get", Deadline: 1500 * msec})
+	b.Handle(5*time.Second, Request{ID: "again", Class: "get", Deadline: 5*time.Second + 900*msec})
+	if r := b.requests["first"]; r == nil || r.repeat || r.arrived != 0 {
+		t.Errorf("a first try was taken for a repeat: %+v", r)
+	}
+	// The repeat's aim of 500 ms ended 100 ms before it came: without a server it is still held.
+	r := b.requests["again"]
+	if r == nil || !r.repeat || r.arrived != 5*time.Second-600*msec {
+		t.Errorf("the repeat was not seen: %+v", r)
+	}
+}
+
+// In overload every server is missed: the more is shed, the fewer may be ruled out for their health.
+func TestSheddingLeavesMoreServersIn(t *testing.T) {
+	for _, c := range []struct {
+		shed float64
+		want int
+	}{{0, 4}, {0.5, 2}, {0.9, 0}} {
+		b := newBalancer(t, nil)
+		b.Handle(msec, ServerList{Full: true, Servers: servers(20)})
+		for _, s := range b.ready[:10] {
+			s.until = time.Minute
+		}
+		b.shed = c.shed
+		out := 0
+		b.ruleOut(b.whole, &request{class: b.classes["get"]})
+		for _, s := range b.ready {
+			if s.out {
+				out++
+			}
+		}
+		if out != c.want {
+			t.Errorf("shed %.1f: %d ruled out, want %d", c.shed, out, c.want)
+		}
+	}
+}
+
+// Connection tables filled by other copies refuse at once: a server that refused gets no more own
+// calls than it had, however many others refuse too, and is tried again later.
+func TestRefusingServerKeepsOnlyWhatItHad(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.Tier, s.Balancers = 1, 1 })
+	b.Handle(msec, ServerList{Full: true, Servers: servers(10)})
+	now, id := msec, 0
+	full := map[string]bool{"s00": true, "s02": true, "s03": true, "s05": true, "s06": true, "s08": true}
+	refused := func(n int) (count int) {
+		for range n {
+			now += 5 * msec
+			id++
+			todo := sends(b.Handle(now, Request{ID: fmt.Sprint(id), Class: "get", Deadline: now + time.Second}))
+			for try := 0; len(todo) > 0; try++ {
+				end := Success
+				if full[todo[0].Server] {
+					end = Unreachable
+					count++
+				}
+				now += 20 * msec
+				todo = sends(b.Handle(now, Outcome{ID: fmt.Sprint(id), Attempt: try, Server: todo[0].Server,
+					Ending: end, Ended: end == Success}))
+			}
+		}
+		return count
+	}
+	// Six of ten are full: without memory each request meets more than one refusal.
+	if got := refused(24); got < 3 || got > 16 {
+		t.Errorf("%d refusals of 24 requests: full servers are still drawn, or none was found", got)
+	}
+	now += time.Minute
+	if refused(20) == 0 {
+		t.Error("full servers were never tried again")
+	}
+}
+
+// While much is shed some servers choke for certain, so the window gets leaner.
+func TestWindowIsLeanerWhileMuchIsShed(t *testing.T) {
+	window := func(shed float64) float64 {
+		b := newBalancer(t, nil)
+		b.Handle(msec, ServerList{Full: true, Servers: servers(10)})
+		b.window, b.busy = 100, 100
+		r := &request{class: b.classes["get"], attempts: []*attempt{{sent: 0}}}
+		for range 50 {
+			b.shed = shed
+			b.now, b.inFlight = time.Duration(0.8*r.class.target()), int(b.window)
+			b.steer(r, Outcome{Ending: Success})
+		}
+		return b.window
+	}
+	if calm, shedding := window(0), window(0.8); calm <= 100 || shedding >= 100 {
+		t.Errorf("window from 100: nothing shed %.1f, want growth; much shed %.1f, want shrinking", calm, shedding)
+	}
+}
+
+// A refused client is not sent away for long: it would come back when its aim is mostly over.
+func TestRefusalsBringClientsBackSoon(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(msec, ServerList{Full: true, Servers: servers(2)})
+	b.window, b.inFlight = 1, 1
+	r := Request{ID: "a", Class: "get", Deadline: time.Second}
+	b.Handle(2*msec, r)
+	for _, a := range b.Handle(600*msec, Timer{Token: "r:a"}) {
+		if f, ok := a.(Refuse); ok {
+			if limit := b.set.Classes[0].Aim / 10; f.RetryAfter > limit {
+				t.Errorf("RetryAfter %v, want at most %v", f.RetryAfter, limit)
+			}
+			return
+		}
+	}
+	t.Error("not refused")
+}
+
+// Slow servers of the fleet are drawn less, though each node's own counts sit at zero.
+func TestDrawsFollowSizeAndLatency(t *testing.T) {
+	list := servers(4)
+	for i := range list {
+		list[i].Size = 1
+	}
+	list[0].Size = 2
+	b := newBalancer(t, func(s *Settings) { s.Tier, s.Balancers = 1, 1 })
+	b.Handle(msec, ServerList{Full: true, Servers: list})
+	b.servers["s02"].slow = math.Log(2)
+	got := map[string]int{}
+	for range 9000 {
+		got[b.choose(&request{class: b.classes["get"]}).ID]++
+	}
+	// A pair's other side is drawn alike, so the zero tie leaves each its share of all weights.
+	total := 2 + math.Pow(2, -slowWeight)/2
+	for id, weight := range map[string]float64{"s00": 1, "s01": 0.5, "s02": math.Pow(2, -slowWeight) / 2, "s03": 0.5} {
+		if f := float64(got[id]) / 9000; math.Abs(f-weight/total) > 0.02 {
+			t.Errorf("%s got %.3f of the draws, want %.3f", id, f, weight/total)
+		}
+	}
+}
+
+// The pools of many nodes cover each group evenly, and a busy node takes a wider one.
+func TestPoolsCoverTheGroupsEvenly(t *testing.T) {
+	count := map[string]int{}
+	const nodes = 60
+	for i := range nodes {
+		b := newBalancer(t, func(s *Settings) { s.Tier, s.Balancers, s.Index = 1, nodes, i })
+		b.Handle(msec, ServerList{Full: true, Servers: servers(40)})
+		b.choose(&request{class: b.classes["get"]})
+		for _, s := range append(append([]*server{}, b.pool.left...), b.pool.right...) {
+			count[s.ID]++
+		}
+		if idle := b.width; idle >= 20 {
+			t.Fatalf("an idle node's pool has %d servers", idle)
+		}
+		b.busy = 8
+		if b.fitPool(); b.width < 12 {
+			t.Fatalf("a busy node's pool has %d servers", b.width)
+		}
+	}
+	least, most := nodes, 0
+	for _, s := range servers(40) {
+		least, most = min(least, count[s.ID]), max(most, count[s.ID])
+	}
+	if least < 4 || most-least > 3 {
+		t.Errorf("servers are in %d to %d pools", least, most)
+	}
+}
+
+// What answers first must not look fast against a guess of the latency, and then win every draw.
+func TestFirstAnswersDoNotLookFast(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.Tier = 1 })
+	b.Handle(msec, ServerList{Full: true, Servers: servers(8)})
+	s := sends(b.Handle(msec, Request{ID: "a", Class: "get", Deadline: time.Second}))[0]
+	settle(b, 3*msec, "a", s, Success)
+	if got := b.servers[s.Server].slow; got < -0.1 {
+		t.Errorf("the first answer made its server look %.1f in log latency", got)
+	}
+}
+
+// With hundreds of nodes a share of the servers is one call or less: a window that starts or stays
+// there refuses requests that the fleet could carry, so it must open within seconds of good answers.
+func TestWindowOpensAtANodeOfMany(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.Balancers = 300 })
+	b.Handle(0, ServerList{Full: true, Servers: servers(60)})
+	var open []Send
+	for i := range 150 { // thirty a second, answered in 100 ms: three in flight
+		now := time.Duration(i) * 33 * msec
+		for len(open) > 0 && b.requests[open[0].ID].attempts[0].sent+100*msec <= now {
+			s := open[0]
+			open = append(open[1:], sends(settle(b, now, s.ID, s, Success))...)
+		}
+		open = append(open, sends(b.Handle(now, Request{ID: fmt.Sprint(i), Class: "get", Deadline: now + time.Second}))...)
+	}
+	if b.window < 3 {
+		t.Errorf("the window is %.1f after five seconds", b.window)
+	}
+}
+
+// Work on an answer that comes too late to be worth anything takes the room of answers in time.
+func TestAttemptsEndWhenTheirAnswerIsWorthless(t *testing.T) {
+	for _, c := range []struct {
+		tier int
+		late float64
+		want time.Duration
+	}{{0, 0, 500*msec - 4*msec}, {0, 0.5, 1500 * msec}, {1, 0, 1500 * msec}} {
+		b := newBalancer(t, func(s *Settings) { s.Tier, s.Classes[0].LateShare = c.tier, c.late })
+		b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+		s := sends(b.Handle(0, Request{ID: "a", Class: "get", Deadline: 1500 * msec}))[0]
+		if s.Timeout != c.want {
+			t.Errorf("tier %d, late share %v: time-out %v, want %v", c.tier, c.late, s.Timeout, c.want)
+		}
+		acts := b.Handle(c.want, Outcome{ID: "a", Ending: TimedOut})
+		if _, refused := acts[0].(Refuse); len(acts) != 1 || !refused {
+			t.Errorf("tier %d, late share %v: after the time-out %v", c.tier, c.late, acts)
+		}
+	}
+}
+
+// Repeats by clients make a jam last: they get only half of the window.
+func TestRepeatsLeaveRoomForFirstTries(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	b.window, b.inFlight = 10, 6
+	repeat := sends(b.Handle(msec, Request{ID: "again", Class: "get", Deadline: time.Second, Repeat: true}))
+	first := sends(b.Handle(msec, Request{ID: "first", Class: "get", Deadline: time.Second}))
+	if len(repeat) != 0 || len(first) != 1 {
+		t.Errorf("sent %v for a repeat and %v for a first try", repeat, first)
+	}
+}
+
+// A choked server answers, but late: one overlong answer must be enough to pass it over for a while,
+// for a node of many calls it too seldom to wait for a mean. Where overlong answers are common none is.
+func TestOverlongAnswerEjects(t *testing.T) {
+	for _, c := range []struct {
+		common float64
+		want   bool
+	}{{0.02, true}, {0.5, false}} {
+		b := newBalancer(t, func(s *Settings) { s.Tier = 1 })
+		b.Handle(msec, ServerList{Full: true, Servers: servers(10)})
+		traffic(b, 40, "get", func(string) Ending { return Success })
+		b.errors = c.common
+		now := b.now
+		s := sends(b.Handle(now, Request{ID: "slow", Class: "get", Deadline: now + time.Second}))[0]
+		settle(b, now+400*msec, "slow", s, Success)
+		if out := b.servers[s.Server].until > b.now; out != c.want {
+			t.Errorf("with %.2f of answers overlong: ejected %v, want %v", c.common, out, c.want)
+		}
+	}
+}
+
+// After a loss a node's whole pool may come back cold. That must not set the thinning aside while the
+// rest of the list is warm: many such nodes would push the cold servers over.
+func TestColdPoolLeavesTheThinningOn(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.Tier, s.Balancers = 1, 50 })
+	list := servers(40)
+	b.Handle(msec, ServerList{Full: true, Servers: list})
+	b.choose(&request{class: b.classes["get"]})
+	for _, s := range append(append([]*server{}, b.pool.left...), b.pool.right...) {
+		for i := range list {
+			if list[i].ID == s.ID {
+				list[i].Boot = time.Second
+			}
+		}
+	}
+	b.Handle(time.Second, ServerList{Full: true, Servers: list})
+	cold := 0
+	for range 1000 {
+		if s := b.choose(&request{class: b.classes["get"]}); s.Boot > 0 {
+			cold++
+		}
+	}
+	if got := float64(cold) / 1000; got > 0.05 { // thinned to a fifth, and a few of forty
+		t.Errorf("%.2f of the calls went to the cold pool", got)
+	}
+}
+
+// Sizes that a host took from elsewhere may be odd: nobody is left without a draw for it.
+func TestOddSizesDraw(t *testing.T) {
+	list := servers(4)
+	for i, size := range []float64{math.NaN(), math.Inf(1), -1, 0} {
+		list[i].Size = size
+	}
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: list})
+	if got := sends(b.Handle(0, Request{ID: "a", Class: "get", Deadline: time.Second})); len(got) != 1 {
+		t.Errorf("sent %v", got)
+	}
+}
+
+// In overload what is worth least is refused first, also where too few wait for the hold to choose;
+// with nothing shed every class may fill the window, and no class loses more than half of it.
+func TestWindowKeepsRoomForWorth(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.Classes[0].Worth, s.Classes[2].Worth, s.ClassWeight = 1, 12, 0 })
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	for _, c := range b.order {
+		c.arrive, c.serve = 10, 5
+	}
+	low, high := &request{class: b.classes["get"]}, &request{class: b.classes["pay"]}
+	if l, h := b.standing(low), b.standing(high); l != 1 || h != 1 {
+		t.Errorf("nothing shed: parts of the window %.2f and %.2f, want 1", l, h)
+	}
+	b.shed = 0.6
+	if l, h := b.standing(low), b.standing(high); l > 0.7 || l < 0.5 || h < 1.3 || h > 2 {
+		t.Errorf("much shed: parts of the window %.2f for low worth and %.2f for high", l, h)
+	}
+}
+
+// A coarse clock shows answers in no time at all: that must not make every server weigh nothing.
+func TestInstantAnswersLeaveServersToDraw(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(msec, ServerList{Full: true, Servers: servers(4)})
+	for i := range 50 {
+		id := fmt.Sprint(i)
+		got := sends(b.Handle(msec, Request{ID: id, Class: "get", Deadline: time.Second}))
+		if len(got) != 1 {
+			t.Fatalf("request %d: sent %v", i, got)
+		}
+		settle(b, msec, id, got[0], Success)
+	}
+}
--- /dev/null
+++ b/woodpick.go
@@ -0,0 +1,239 @@
+// Package woodpick decides where a load balancer sends each request, when it tries again and
+// when it gives up. It does no I/O: the host feeds events to a Balancer and carries out the
+// actions it returns. This file is the whole interface; every decision is in policy.go.
+//
+// A Balancer belongs to one goroutine. Its only clock is the now given to Handle, which must
+// never go back, and its only randomness is the seed given to New, so the same events always
+// give the same actions. Balancers share nothing. Memory is held for each request until it is
+// answered and its attempts have ended, and for each server until it has left the list and its
+// attempts have ended.
+package woodpick
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Effect says what happens when a request runs more than once.
+type Effect int
+
+// The zero Effect is the careful one.
+const (
+	Unsafe Effect = iota // must never run twice
+	Keyed                // the servers of one scope discard repeats for a while
+	Safe                 // may run any number of times
+)
+
+// Scope names the servers that discard the repeats of a keyed request.
+type Scope int
+
+// Scopes, from the narrowest.
+const (
+	ScopeCell Scope = iota
+	ScopeZone
+	ScopeAll
+)
+
+// Class describes one class of requests.
+type Class struct {
+	Name      string
+	Effect    Effect
+	Scope     Scope         // for Keyed
+	Window    time.Duration // for Keyed: how long repeats are discarded, from the first send
+	Aim       time.Duration // answers within it earn full worth
+	Deadline  time.Duration // how long a client waits over all its tries
+	LateShare float64       // share of the worth that an answer after the aim earns
+	Worth     float64
+}
+
+// Settings are fixed for the life of a Balancer.
+type Settings struct {
+	Classes     []Class
+	Balancers   int     // copies that place calls on this tier
+	Index       int     // this copy's number among them, from 0
+	Tier        int     // the tier sent to, 0 being the clients' first
+	WholeWeight float64 // how much the whole of the worth counts when shedding
+	ClassWeight float64 // how much the worst-served class counts when shedding
+
+	MaxAttempts   int
+	MayCancel     bool
+	AskDiscovery  bool          // the list follows only a Subscribe
+	AskWithin     time.Duration // an unsubscribed copy must ask at least this often
+	Tick          time.Duration // events come no more often than this
+	MaxRetryAfter time.Duration // longest advice that clients heed
+
+	ColdFrom  float64       // share of its capacity that a fresh server has at least
+	WarmAfter time.Duration // time after which it has all of it
+}
+
+// validate names the first setting that is out of range.
+func validate(s Settings) error {
+	if len(s.Classes) == 0 {
+		return fmt.Errorf("woodpick: Classes is empty")
+	}
+	seen := map[string]bool{}
+	for i, c := range s.Classes {
+		field := func(name string) error {
+			return fmt.Errorf("woodpick: Classes[%d].%s (class %q) is out of range", i, name, c.Name)
+		}
+		switch {
+		case c.Name == "":
+			return fmt.Errorf("woodpick: Classes[%d].Name is empty", i)
+		case seen[c.Name]:
+			return fmt.Errorf("woodpick: Classes[%d].Name %q is used twice", i, c.Name)
+		case c.Aim <= 0:
+			return field("Aim")
+		case c.Deadline <= 0:
+			return field("Deadline")
+		case c.Window < 0:
+			return field("Window")
+		case !(c.Worth >= 0 && c.Worth <= math.MaxFloat64):
+			return field("Worth")
+		case !(c.LateShare >= 0 && c.LateShare <= 1):
+			return field("LateShare")
+		}
+		seen[c.Name] = true
+	}
+	for _, f := range []struct {
+		name       string
+		value, max float64
+	}{{"Tier", float64(s.Tier), math.MaxInt32}, {"Index", float64(s.Index), math.MaxInt32},
+		{"Balancers", float64(s.Balancers), math.MaxInt32}, {"MaxAttempts", float64(s.MaxAttempts), math.MaxInt32},
+		{"WholeWeight", s.WholeWeight, math.MaxFloat64}, {"ClassWeight", s.ClassWeight, math.MaxFloat64},
+		{"ColdFrom", s.ColdFrom, 1}, {"AskWithin", float64(s.AskWithin), math.MaxInt64},
+		{"Tick", float64(s.Tick), math.MaxInt64}, {"MaxRetryAfter", float64(s.MaxRetryAfter), math.MaxInt64},
+		{"WarmAfter", float64(s.WarmAfter), math.MaxInt64}} {
+		if !(f.value >= 0 && f.value <= f.max) { // NaN fails too
+			return fmt.Errorf("woodpick: %s is out of range: %v", f.name, f.value)
+		}
+	}
+	return nil
+}
+
+// ServerState is what discovery says of a server.
+type ServerState int
+
+// Server states.
+const (
+	Ready ServerState = iota
+	Draining
+	Gone
+)
+
+// Server is an entry of the discovery list.
+type Server struct {
+	ID    string
+	Zone  string
+	Cell  int
+	State ServerState
+	Size  float64       // what it can carry against others, as listed; 0: not told
+	Boot  time.Duration // clock time of its last start; 0: long ago
+}
+
+// Ending says how an attempt ended.
+type Ending int
+
+// Endings. Overloaded, Unreachable and Void prove that the attempt never ran.
+const (
+	Success Ending = iota
+	Failure
+	Overloaded
+	TimedOut
+	Unreachable
+	Broken
+	Withdrawn
+	Void
+)
+
+// Load is a server's own report, late and noisy. Absent values are negative.
+type Load struct {
+	Busy    float64       // requests it holds
+	Service time.Duration // recent service time without waiting
+}
+
+// Event is something that happened: one of the types below.
+type Event interface{ event() }
+
+type (
+	// ServerList brings news from discovery. Full: the complete list, absent servers are gone.
+	// Otherwise only changed entries. Asked marks an answer to Subscribe.
+	ServerList struct {
+		Full    bool
+		Cached  bool // last held before a restart, possibly out of date
+		Servers []Server
+	}
+	// ListFailed says that a Subscribe failed or that the subscription broke.
+	ListFailed struct{}
+	// Request is a client's request; the Balancer owes it one final answer by Deadline.
+	Request struct {
+		ID       string
+		Class    string
+		Deadline time.Duration // clock time
+		Repeat   bool          // the client marked it as a repeat
+	}
+	// Outcome ends one attempt. Ended: the request has its final answer.
+	Outcome struct {
+		ID      string
+		Attempt int
+		Server  string
+		Ending  Ending
+		Latency time.Duration
+		Ended   bool
+		Load    *Load
+	}
+	// Started says that a streamed answer has begun: the attempt is the client's from here on.
+	Started struct {
+		ID      string
+		Attempt int
+	}
+	// ClientGone says that the client left; nothing more is owed.
+	ClientGone struct{ ID string }
+	// Timer is a Wake come due.
+	Timer struct{ Token string }
+)
+
+func (ServerList) event() {}
+func (ListFailed) event() {}
+func (Request) event()    {}
+func (Outcome) event()    {}
+func (Started) event()    {}
+func (ClientGone) event() {}
+func (Timer) event()      {}
+
+// Action is something the host must do, in the order given: one of the types below.
+type Action interface{ action() }
+
+type (
+	// Send starts the next attempt of a request (numbered from 0); it times out after Timeout.
+	Send struct {
+		ID, Server string
+		Timeout    time.Duration
+	}
+	// Cancel stops waiting for an attempt; its Outcome still comes.
+	Cancel struct {
+		ID      string
+		Attempt int
+	}
+	// Refuse is a final answer that promises that a retry does no harm.
+	Refuse struct {
+		ID         string
+		RetryAfter time.Duration // advice; 0: none
+	}
+	// Fail is a final answer that promises nothing.
+	Fail struct{ ID string }
+	// Wake asks for a Timer with this token at the clock time At.
+	Wake struct {
+		At    time.Duration
+		Token string
+	}
+	// Subscribe asks discovery for the list and its changes.
+	Subscribe struct{}
+)
+
+func (Send) action()      {}
+func (Cancel) action()    {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (Wake) action()      {}
+func (Subscribe) action() {}
