Put a node on sockets round the module

The module could only be run on the simulator. cmd/damsontrestle and internal/node carry out its decisions on HTTP/1.1: a loop that alone touches the Balancer, a net/http front end, a pool of watched connections to the servers, and a watch on discovery.

Tested so far: both programs start, a request is passed through, SIGTERM with one in flight, and bad configurations.

--- /dev/null
+++ b/cmd/damsontrestle/main.go
@@ -0,0 +1,38 @@
+// Command damsontrestle is one load-balancing node on real sockets, told all by BALANCER_CONFIG.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"woodpick/internal/node"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintf(os.Stderr, "damsontrestle: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// run serves until SIGTERM or SIGINT and the end of what was taken.
+func run() error {
+	cfg, err := node.LoadConfig()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	node.Limit(cfg)
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name, "zone", cfg.Zone)
+	n, err := node.New(cfg, log)
+	if err != nil {
+		return err
+	}
+	log.Info("serving", "address", n.Addr())
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/cmd/damsontrestle/main_test.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// limit is how long a test waits for what must come; only a failing one waits so long.
+const limit = 60 * time.Second
+
+const settings = `{"lanes":[{"name":"view","effect":"read_like","target-ms":20000,"deadline-ms":40000}],
+	"limits":{"max-attempts":3,"conn-idle-ms":60000,"connect-timeout-ms":20000,"cancelling":true,
+	"retry-after":true,"max-retry-after-ms":2000},"tick-ms":5,"balancers":1,"registry-mode":"pushed"}`
+
+// build makes what deploy/balancer.toml builds, in a folder of the test's own, and returns the
+// commands that it names as run and sim.
+func build(t *testing.T) (dir, run, sim string) {
+	t.Helper()
+	deploy, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := func(key string) string {
+		m := regexp.MustCompile(`(?m)^` + key + ` = "(.*)"`).FindSubmatch(deploy)
+		if m == nil {
+			t.Fatalf("deploy/balancer.toml has no %s", key)
+		}
+		return string(m[1])
+	}
+	dir = t.TempDir()
+	out, err := exec.Command("go", "build", "-o", filepath.Join(dir, "bin")+"/", "../...").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return dir, command("run"), command("sim")
+}
+
+func TestSimStarts(t *testing.T) {
+	dir, _, sim := build(t)
+	cmd := exec.Command("/bin/sh", "-c", sim)
+	cmd.Dir, cmd.Stdin = dir, strings.NewReader("sync\t1\neob\n")
+	out, err := cmd.CombinedOutput()
+	if err != nil || string(out) != "yield\n" {
+		t.Fatalf("%v, output %q", err, out)
+	}
+}
+
+// start runs the node with a configuration and returns its first log lines until it serves.
+func start(t *testing.T, dir, run, config string) (cmd *exec.Cmd, address string) {
+	t.Helper()
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd = exec.Command("/bin/sh", "-c", run)
+	cmd.Dir, cmd.Env = dir, append(os.Environ(), "BALANCER_CONFIG="+path)
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	found := make(chan string, 1)
+	go func() {
+		lines := bufio.NewScanner(stderr)
+		for lines.Scan() {
+			if m := regexp.MustCompile(`address=(\S+)`).FindStringSubmatch(lines.Text()); m != nil {
+				found <- m[1]
+			}
+		}
+	}()
+	select {
+	case address = <-found:
+	case <-time.After(limit):
+		t.Fatal("the node does not serve")
+	}
+	return cmd, address
+}
+
+// TestRunServesAndEndsOnSIGTERM runs the real program: it serves a request, is told to end while
+// another is out, answers that one too, and exits with 0.
+func TestRunServesAndEndsOnSIGTERM(t *testing.T) {
+	dir, run, _ := build(t)
+	hold, got := make(chan struct{}), make(chan struct{}, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/slow") {
+			got <- struct{}{}
+			<-hold
+		}
+		fmt.Fprint(w, "made by the server for ", r.Header.Get("X-Request-Id"))
+	}))
+	defer server.Close()
+	endpoint := strings.TrimPrefix(server.URL, "http://")
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done() // nothing new
+	}))
+	defer discovery.Close()
+	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"rev":1,"all":true,"targets":[
+		{"uid":"s-1","endpoint":%q,"az":"a","model":"m","pod_group":0,"state":"in_service",
+		"capacity_hint":1,"boot_ms":0}]},"settings":%s}`,
+		strings.TrimPrefix(discovery.URL, "http://"), endpoint, settings)
+	cmd, address := start(t, dir, run, config)
+	ask := func(id, key string) (string, error) {
+		req, _ := http.NewRequest("GET", "http://"+address+"/view/"+key, nil)
+		req.Header.Set("X-Request-Id", id)
+		req.Header.Set("X-Deadline", "40")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return "", err
+		}
+		defer resp.Body.Close()
+		var body bytes.Buffer
+		_, err = body.ReadFrom(resp.Body)
+		return body.String(), err
+	}
+	if body, err := ask("one", "fast"); err != nil || body != "made by the server for one" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	type reply struct {
+		body string
+		err  error
+	}
+	slow := make(chan reply, 1)
+	go func() {
+		body, err := ask("two", "slow")
+		slow <- reply{body, err}
+	}()
+	<-got
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(limit); ; { // it keeps accepting, and says that it is not ready
+		resp, err := http.Get("http://" + address + "/health/ready")
+		if err != nil {
+			t.Fatalf("right after SIGTERM: %v", err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("still ready after SIGTERM")
+		}
+	}
+	close(hold)
+	if r := <-slow; r.err != nil || r.body != "made by the server for two" {
+		t.Fatalf("the request in flight: %q, %v", r.body, r.err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("exit: %v", err)
+	}
+	if c, err := net.Dial("tcp", address); err == nil {
+		c.Close()
+		t.Fatal("still listening after its end")
+	}
+}
+
+func TestBadConfigExitsWithOneLine(t *testing.T) {
+	dir, run, _ := build(t)
+	for name, text := range map[string]string{"missing": "", "cut": `{"listen":`, "empty": `{}`} {
+		path := filepath.Join(dir, name)
+		if text != "" {
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		cmd := exec.Command("/bin/sh", "-c", run)
+		cmd.Dir, cmd.Env = dir, append(os.Environ(), "BALANCER_CONFIG="+path)
+		out, err := cmd.CombinedOutput()
+		if err == nil || !strings.HasPrefix(string(out), "damsontrestle: config: ") ||
+			strings.Count(string(out), "\n") != 1 {
+			t.Errorf("%s: %v, output %q", name, err, out)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"woodpick"
+)
+
+// How a node ends: it accepts for a while after it was told to, and is done before it would be killed.
+const (
+	drainAccept = 600 * time.Millisecond
+	drainMost   = 3500 * time.Millisecond
+)
+
+// reserved descriptors are for the listener, discovery, the log, the runtime, and callers whose
+// requests are read only to be refused.
+const reserved = 48
+
+// Node is one load balancer on sockets.
+type Node struct {
+	loop      *loop
+	frontend  *frontend
+	backend   *backend
+	discovery *discovery
+	listener  net.Listener
+	push      bool
+	log       *slog.Logger
+}
+
+// Limit keeps the process within its core and its memory.
+func Limit(cfg Config) {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+}
+
+// New puts a node together and begins to listen. Nothing is served before Run.
+func New(cfg Config, log *slog.Logger) (*Node, error) {
+	balancer, err := woodpick.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	room := cfg.Sockets - reserved
+	clock := newClock()
+	l := newLoop(balancer, clock, log)
+	n := &Node{loop: l, log: log, push: !cfg.Settings.AskDiscovery,
+		backend:  newBackend(cfg, clock, room/2),
+		frontend: newFrontend(cfg, clock, room-room/2, l.post, l.ready.Load, log)}
+	l.start = func(a *attempt) {
+		go func() {
+			r := n.backend.run(a)
+			a.cancel()
+			l.post(ended{a, r})
+		}()
+	}
+	l.servers = n.backend.servers
+	known, err := parseList(cfg.Known)
+	rev := int64(-1)
+	if err != nil {
+		log.Warn("the known list is dropped", "error", err)
+		known = list{full: true}
+	} else {
+		rev = known.rev
+	}
+	n.discovery = newDiscovery(cfg, rev, l.post, log)
+	l.subscribe = n.discovery.subscribe
+	l.takeList(known, true)
+	if n.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	return n, nil
+}
+
+// Addr is where the node listens.
+func (n *Node) Addr() string { return n.listener.Addr().String() }
+
+// Run serves until ctx ends, and then until all that was taken is answered.
+func (n *Node) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	go n.loop.run(inner)
+	go n.backend.sweep(inner)
+	if n.push {
+		go n.discovery.push(inner)
+	} else {
+		go n.discovery.ask(inner)
+	}
+	gone := make(chan error, 1)
+	go func() { gone <- n.frontend.server.Serve(n.listener) }()
+	select {
+	case err := <-gone:
+		return fmt.Errorf("node: %w", err)
+	case <-ctx.Done():
+	}
+	n.log.Info("draining")
+	limit, cancel := context.WithTimeout(inner, drainMost)
+	defer cancel()
+	if err := n.frontend.drain(limit, drainAccept); err != nil {
+		return fmt.Errorf("node: drain: %w", err)
+	}
+	if err := <-gone; !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("node: %w", err)
+	}
+	return nil
+}
