Show the node's promises over loopback sockets; never wait for an unread body

Cause: before an answer that leaves a body unread, net/http reads the rest of it first, without limit, unless the answer closes the connection. Such answers now do.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -189,9 +189,14 @@
 		}
 		return nil, fmt.Errorf("connect: %w", err)
 	}
+	return b.watch(nc, endpoint, waiter), nil
+}
+
+// watch starts the reader of a connection that an attempt is about to use.
+func (b *backend) watch(nc net.Conn, endpoint string, waiter chan reply) *conn {
 	c := &conn{Conn: nc, endpoint: endpoint, br: bufio.NewReader(nc), waiter: waiter, writing: true}
 	go b.read(c)
-	return c, nil
+	return c
 }
 
 // take returns an idle connection, or nil once there is room to open one. When short, idle
--- /dev/null
+++ b/internal/node/config_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodConfig = `{"name":"n3","listen":"127.0.0.1:7070","discovery":"127.0.0.1:8500",
+	"seed":"fc1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+	"known":{"rev":41,"all":true,"targets":[]},
+	"settings":{"lanes":[{"name":"view","effect":"read_like","target-ms":500,"deadline-ms":900}],
+	"limits":{"conn-idle-ms":60000.0,"connect-timeout-ms":250.0,"max-attempts":4},"zone":"chavara","tick-ms":5}}`
+
+func TestConfig(t *testing.T) {
+	c, err := ParseConfig([]byte(goodConfig))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n3" || c.Zone != "chavara" || c.Seed != 0xfc1f30d27a5be964 || c.Sockets != 1024 || c.MemoryMB != 192 ||
+		c.ConnIdle != time.Minute || c.ConnectTimeout != 250*time.Millisecond || c.Settings.MaxAttempts != 4 {
+		t.Errorf("got %+v", c)
+	}
+}
+
+func TestBadConfigNamesTheField(t *testing.T) {
+	for _, c := range [][3]string{
+		{`"listen":"127.0.0.1:7070"`, `"listen":"nowhere"`, "listen"},
+		{`"discovery":"127.0.0.1:8500"`, `"discovery":""`, "discovery"},
+		{`"seed":"fc1f30d27a5be964"`, `"seed":"xyz"`, "seed"},
+		{`"memory_mb":192`, `"memory_mb":0`, "memory_mb"},
+		{`"sockets":1024`, `"sockets":5`, "sockets"},
+		{`"settings":{`, `"other":{`, "settings"},
+		{`"conn-idle-ms":60000.0`, `"conn-idle-ms":0`, "conn-idle-ms"},
+		{`"connect-timeout-ms":250.0,`, ``, "connect-timeout-ms"},
+		{`"target-ms":500`, `"target-ms":-1`, "Aim"},
+		{`"name":"n3"`, `"name":3`, "name"},
+		{`{"name":"n3"`, `"name":"n3"`, "config"},
+	} {
+		text := strings.Replace(goodConfig, c[0], c[1], 1)
+		if _, err := ParseConfig([]byte(text)); text == goodConfig || err == nil || !strings.Contains(err.Error(), c[2]) ||
+			strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", c[1], err)
+		}
+	}
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -85,6 +85,10 @@
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if r.ContentLength != 0 {
+		// Before an answer that leaves a body unread, net/http waits for the rest of it, without limit.
+		w.Header().Set("Connection", "close")
+	}
 	if r.URL.Path == "/health/ready" {
 		if f.draining.Load() || !f.ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
@@ -139,10 +143,12 @@
 			return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too long")
 		}
 		if err != nil {
-			w.Header().Set("Connection", "close")
 			return nil, http.StatusBadRequest, errors.New("the body is not whole")
 		}
 		rc.SetReadDeadline(time.Time{})
+		if !f.draining.Load() {
+			w.Header().Del("Connection")
+		}
 	}
 	c.at = f.clock.now()
 	c.deadline = c.at + time.Duration(math.Round(wait*1e9))
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,703 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"woodpick"
+)
+
+// limit is how long a test waits for what must come; only a failing one waits so long.
+const limit = 30 * time.Second
+
+func wait[T any](t *testing.T, c <-chan T, what string) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(limit):
+		t.Fatalf("%s: nothing came", what)
+	}
+	return v
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within %v", what, limit)
+		}
+	}
+}
+
+// fakeServer is a server whose connections a test scripts by hand: after each request that is read
+// whole, then is called; it returns false to close the connection.
+type fakeServer struct {
+	net.Listener
+	mu       sync.Mutex
+	requests []string // ids
+	conns    int
+}
+
+func newServer(t *testing.T, then func(c net.Conn, r *http.Request, body string) bool) *fakeServer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	s := &fakeServer{Listener: ln}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns++
+			s.mu.Unlock()
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					body, err := io.ReadAll(r.Body)
+					if err != nil {
+						return
+					}
+					s.mu.Lock()
+					s.requests = append(s.requests, r.Header.Get("X-Request-Id"))
+					s.mu.Unlock()
+					if !then(c, r, string(body)) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *fakeServer) addr() string { return s.Addr().String() }
+
+func (s *fakeServer) seen() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
+
+func (s *fakeServer) opened() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns
+}
+
+// reply answers with a status line's rest, header lines and a body.
+func reply200(c net.Conn, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err == nil
+}
+
+// echo serves everything with a body that names the request.
+func echo(c net.Conn, r *http.Request, body string) bool {
+	return reply200(c, "for "+r.Header.Get("X-Request-Id"))
+}
+
+// agent is discovery's agent: it answers watches with what it was given last, or is silent.
+type agent struct {
+	net.Listener
+	mu     sync.Mutex
+	rev    int
+	text   string
+	silent bool
+	news   chan struct{} // closed at each change
+	asked  chan string   // the query of each call, as far as there is room
+}
+
+func newAgent(t *testing.T) *agent {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &agent{Listener: ln, rev: 1, news: make(chan struct{}), asked: make(chan string, 1000)}
+	srv := &http.Server{Handler: a}
+	go srv.Serve(ln)
+	t.Cleanup(func() { srv.Close() })
+	return a
+}
+
+func (a *agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case a.asked <- r.URL.RawQuery:
+	default:
+	}
+	a.mu.Lock()
+	text, silent, news := a.text, a.silent, a.news
+	current := r.URL.Query().Get("from") == fmt.Sprint(a.rev)
+	a.mu.Unlock()
+	if silent { // also once it is back, as a call that was lost
+		<-r.Context().Done()
+		return
+	}
+	if current {
+		select {
+		case <-news:
+		case <-r.Context().Done():
+			return
+		}
+		a.mu.Lock()
+		text, silent = a.text, a.silent
+		a.mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			return
+		}
+	}
+	io.WriteString(w, text)
+}
+
+// tell sets what the agent has; text may hold %d for its rev.
+func (a *agent) tell(silent bool, text string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.silent = silent
+	if text != "" {
+		a.rev++
+		a.text = strings.Replace(text, "%d", fmt.Sprint(a.rev), 1)
+	}
+	close(a.news)
+	a.news = make(chan struct{})
+}
+
+func entry(uid, endpoint, state string) string {
+	return fmt.Sprintf(`{"uid":%q,"endpoint":%q,"az":"a","model":"m","pod_group":0,"state":%q,`+
+		`"capacity_hint":1,"boot_ms":0}`, uid, endpoint, state)
+}
+
+func whole(entries ...string) string {
+	return `{"rev":%d,"all":true,"targets":[` + strings.Join(entries, ",") + `]}`
+}
+
+// testConfig is a deployment with a class of each kind and long limits.
+func testConfig(known string) Config {
+	class := func(name string, e woodpick.Effect) woodpick.Class {
+		return woodpick.Class{Name: name, Effect: e, Scope: woodpick.ScopeAll, Window: limit,
+			Aim: limit, Deadline: 2 * limit, Worth: 1}
+	}
+	return Config{Name: "n", Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Seed: 1, MemoryMB: 192,
+		Sockets: 1024, ConnIdle: time.Minute, ConnectTimeout: limit,
+		Known: []byte(strings.Replace(known, "%d", "1", 1)),
+		Settings: woodpick.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true,
+			Tick: time.Millisecond, MaxRetryAfter: 2 * time.Second, ColdFrom: 1, WholeWeight: 1,
+			Classes: []woodpick.Class{class("view", woodpick.Safe), class("note", woodpick.Unsafe),
+				class("keyed", woodpick.Keyed)}}}
+}
+
+// startNode runs a node until the test ends, or until the returned function is called.
+func startNode(t *testing.T, cfg Config, change func(*Node)) (n *Node, stop func() error) {
+	t.Helper()
+	n, err := New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(n)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	end := make(chan error, 1)
+	go func() { end <- n.Run(ctx) }()
+	var once sync.Once
+	stop = func() (err error) {
+		once.Do(func() { cancel(); err = wait(t, end, "the node's end") })
+		return err
+	}
+	t.Cleanup(func() { stop() })
+	return n, stop
+}
+
+// caller is one caller's connection to a node.
+type caller struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func dial(t *testing.T, n *Node) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", n.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(2 * limit))
+	return &caller{c, bufio.NewReader(c)}
+}
+
+// get writes a GET for the class view.
+func (c *caller) get(id string) { c.send("GET", "/view/k", id, "", "60") }
+
+func (c *caller) send(method, target, id, body, deadline string) {
+	length := ""
+	if method == "POST" {
+		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: %s\r\nX-Deadline: %s\r\n%s\r\n%s",
+		method, target, id, deadline, length, body)
+}
+
+// answer reads one answer.
+func (c *caller) answer(t *testing.T) (*http.Response, string) {
+	t.Helper()
+	r, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatalf("no whole answer: %v", err)
+	}
+	return r, string(body)
+}
+
+func (c *caller) want(t *testing.T, status int, body string) {
+	t.Helper()
+	r, got := c.answer(t)
+	if r.StatusCode != status || body != "" && got != body {
+		t.Fatalf("got %d %q, want %d %q", r.StatusCode, got, status, body)
+	}
+}
+
+// closed waits for the other side to close a connection with nothing more said.
+func closed(t *testing.T, r io.Reader, what string) {
+	t.Helper()
+	if n, err := r.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Fatalf("%s: still open", what)
+	} else if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		t.Fatalf("%s: %v", what, err)
+	}
+}
+
+func TestPassesARequestThroughUnchanged(t *testing.T) {
+	type seen struct {
+		r    *http.Request
+		body string
+	}
+	got := make(chan seen, 10)
+	answerBody := strings.Repeat("\x00\xff binary \r\n", 5000)
+	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		got <- seen{r, body}
+		return reply200(c, answerBody)
+	})
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), nil)
+	c := dial(t, n)
+	long := strings.Repeat("b\r\n\x00", maxBody/4)
+	for i, target := range []string{"/keyed/a%2fB?q=%20%41&&x", `/keyed/"odd"|{};,`, "/keyed/", "/keyed//x/../y?"} {
+		id := fmt.Sprint("id-", i)
+		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nx-request-id: %s\r\nIdempotency-Key: K+/=%d\r\n"+
+			"X-Deadline: 20.5\r\nContent-Length: %d\r\n\r\n%s", target, id, i, len(long), long)
+		c.want(t, 200, answerBody)
+		g := wait(t, got, "the request")
+		if g.r.Method != "POST" || g.r.RequestURI != target || g.body != long ||
+			g.r.Header.Get("X-Request-Id") != id || g.r.Header.Get("Idempotency-Key") != fmt.Sprint("K+/=", i) {
+			t.Errorf("got %s %s %v", g.r.Method, g.r.RequestURI, g.r.Header)
+		}
+		var left float64
+		if fmt.Sscan(g.r.Header.Get("X-Deadline"), &left); !(left > 0 && left <= 20.5) {
+			t.Errorf("X-Deadline %q", g.r.Header.Get("X-Deadline"))
+		}
+	}
+	c.get("get")
+	c.want(t, 200, answerBody)
+	if g := wait(t, got, "the request"); g.r.Method != "GET" || g.body != "" || g.r.Header["Idempotency-Key"] != nil ||
+		g.r.ContentLength != 0 {
+		t.Errorf("got %s %v", g.r.Method, g.r.Header)
+	}
+	if s.opened() != 1 {
+		t.Errorf("%d connections for requests one after another, want 1", s.opened())
+	}
+}
+
+// A kept connection that breaks under a request may have carried it: neither the node nor a library
+// below it may send it again, whatever its method or headers.
+func TestNothingUnsafeIsSentAgainAfterAReset(t *testing.T) {
+	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		if strings.HasPrefix(r.Header.Get("X-Request-Id"), "break") {
+			c.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		return reply200(c, "")
+	})
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), nil)
+	c := dial(t, n)
+	for i, form := range []string{"POST", "GET"} {
+		c.send("POST", "/note/k", fmt.Sprint("first-", i), "x", "60")
+		c.want(t, 200, "")
+		id := fmt.Sprint("break-", i)
+		if form == "GET" { // of a class that is unsafe all the same
+			c.send("GET", "/note/k", id, "", "60")
+		} else {
+			fmt.Fprintf(c, "POST /note/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline: 60\r\n"+
+				"Idempotency-Key: k\r\nContent-Length: 1\r\n\r\nx", id)
+		}
+		c.want(t, http.StatusBadGateway, "")
+		if s.seen() != 2*(i+1) {
+			t.Fatalf("%s: %d requests reached the server, want %d", form, s.seen(), 2*(i+1))
+		}
+	}
+}
+
+func TestConnectionClosedWhileIdleIsNotUsed(t *testing.T) {
+	closing := make(chan struct{}, 100)
+	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		reply200(c, "ok") // keeps alive, as far as the node can tell
+		c.Close()
+		closing <- struct{}{}
+		return false
+	})
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), nil)
+	c := dial(t, n)
+	for i := range 50 {
+		c.send("POST", "/note/k", fmt.Sprint("n", i), "x", "60")
+		c.want(t, 200, "ok")
+		wait(t, closing, "the close")
+	}
+	if s.seen() != 50 || s.opened() != 50 {
+		t.Errorf("%d requests on %d connections, want 50 on 50", s.seen(), s.opened())
+	}
+}
+
+func TestCallerGoneCancelsTheAttempt(t *testing.T) {
+	got, gone := make(chan struct{}), make(chan struct{})
+	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		close(got)
+		c.Read(make([]byte, 1)) // returns when the node closes
+		close(gone)
+		return false
+	})
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), nil)
+	c := dial(t, n)
+	c.send("POST", "/note/k", "leaving", "x", "60")
+	wait(t, got, "the attempt")
+	c.Close()
+	wait(t, gone, "the end of the attempt")
+	again := dial(t, n) // the id is free again once its attempt has ended
+	until(t, "the call to be forgotten", func() bool {
+		again.send("GET", "/none", "", "", "60")
+		r, _ := again.answer(t)
+		return r.StatusCode == 400
+	})
+}
+
+func TestSilentServerIsGivenUpInTime(t *testing.T) {
+	closedAt := make(chan struct{}, 2)
+	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		c.Read(make([]byte, 1)) // says nothing until the node closes
+		closedAt <- struct{}{}
+		return false
+	})
+	cfg := testConfig(whole(entry("s1", s.addr(), "in_service")))
+	for i := range cfg.Settings.Classes {
+		cfg.Settings.Classes[i].Aim = 300 * time.Millisecond
+	}
+	n, _ := startNode(t, cfg, nil)
+	c := dial(t, n)
+	c.send("POST", "/note/k", "unsafe", "x", "20")
+	c.want(t, http.StatusBadGateway, "") // it may have run: no refusal
+	wait(t, closedAt, "the close")
+	c.get("safe")
+	r, _ := c.answer(t)
+	if r.StatusCode != 503 || r.Header.Get("Retry-After") == "" {
+		t.Errorf("got %d, Retry-After %q", r.StatusCode, r.Header.Get("Retry-After"))
+	}
+	wait(t, closedAt, "the close")
+	if s.seen() != 2 {
+		t.Errorf("%d requests were sent, want 2", s.seen())
+	}
+}
+
+// A request that the module gives up is refused at once, with advice, though its deadline is far off.
+func TestRefusalComesAtOnceAndSaysWhenToComeBack(t *testing.T) {
+	cfg := testConfig(whole(entry("s1", closedPort(t), "in_service")))
+	n, _ := startNode(t, cfg, nil)
+	c := dial(t, n)
+	begin := time.Now()
+	c.send("POST", "/note/k", "x", "x", "60")
+	r, _ := c.answer(t)
+	if r.StatusCode != 503 || r.Header.Get("Retry-After") == "" || time.Since(begin) > limit {
+		t.Errorf("got %d, Retry-After %q after %v", r.StatusCode, r.Header.Get("Retry-After"), time.Since(begin))
+	}
+}
+
+// closedPort is an address where nobody listens.
+func closedPort(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	return ln.Addr().String()
+}
+
+func TestDrainingServerGetsNothingNew(t *testing.T) {
+	a, b := newServer(t, echo), newServer(t, echo)
+	ag := newAgent(t)
+	cfg := testConfig(whole(entry("s1", a.addr(), "in_service"), entry("s2", b.addr(), "in_service")))
+	cfg.Discovery = ag.Addr().String()
+	n, _ := startNode(t, cfg, nil)
+	c := dial(t, n)
+	i := 0
+	ask := func() {
+		i++
+		c.get(fmt.Sprint("r", i))
+		c.want(t, 200, fmt.Sprint("for r", i))
+	}
+	for a.seen() == 0 || b.seen() == 0 {
+		ask()
+	}
+	for _, state := range []string{"terminating", "terminated"} {
+		ag.tell(false, `{"rev":%d,"all":false,"targets":[`+entry("s1", a.addr(), state)+`]}`)
+		for told := ag.rev; !strings.Contains(wait(t, ag.asked, "the next watch"), fmt.Sprint("from=", told)); {
+		}
+		until(t, "the idle connections to be closed", func() bool {
+			n.backend.mu.Lock()
+			defer n.backend.mu.Unlock()
+			return len(n.backend.idle[a.addr()]) == 0
+		})
+		before := a.seen()
+		for range 30 {
+			ask()
+		}
+		if a.seen() != before {
+			t.Errorf("%s: %d requests reached the server", state, a.seen()-before)
+		}
+	}
+}
+
+// An agent that was silent may never answer the call that it was silent on: it must be asked anew.
+func TestSilentDiscoveryIsAskedAgain(t *testing.T) {
+	s := newServer(t, echo)
+	ag := newAgent(t)
+	ag.tell(true, "")
+	cfg := testConfig(whole())
+	cfg.Discovery = ag.Addr().String()
+	n, _ := startNode(t, cfg, func(n *Node) {
+		n.discovery.hold, n.discovery.grace = 20*time.Millisecond, 20*time.Millisecond
+	})
+	for range 3 {
+		if q := wait(t, ag.asked, "a watch"); q != "from=1&hold_ms=20" {
+			t.Fatalf("asked %q", q)
+		}
+	}
+	c := dial(t, n)
+	fmt.Fprint(c, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+	c.want(t, 503, "")
+	ag.tell(false, whole(entry("s1", s.addr(), "in_service")))
+	until(t, "readiness", func() bool {
+		fmt.Fprint(c, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+		r, _ := c.answer(t)
+		return r.StatusCode == 200
+	})
+	c.get("late")
+	c.want(t, 200, "for late")
+}
+
+func TestMalformedListIsDroppedWhole(t *testing.T) {
+	for _, bad := range []string{"", "{", "[]", `{"rev":2,"targets":[]}`, `{"all":true,"targets":[]}`,
+		`{"rev":2,"all":true,"targets":[` + entry("s1", "127.0.0.1:1", "in_service") + `,` + entry("s2", "name:80", "in_service") + `]}`,
+		`{"rev":2,"all":true,"targets":[` + entry("s1", "127.0.0.1:1", "asleep") + `]}`,
+		`{"rev":2,"all":true,"targets":[` + entry("", "127.0.0.1:1", "in_service") + `]}`,
+		`{"rev":2,"all":true,"targets":[` + entry("s1", "127.0.0.1:1", "in_service") + `,` + entry("s1", "127.0.0.1:2", "in_service") + `]}`,
+		`{"rev":2,"all":true,"targets":[{"uid":"s1","endpoint":"127.0.0.1:1","state":"in_service","boot_ms":-1}]}`,
+	} {
+		if l, err := parseList([]byte(bad)); err == nil || l.targets != nil {
+			t.Errorf("%q: %v, %v", bad, l, err)
+		}
+	}
+	s := newServer(t, echo)
+	ag := newAgent(t)
+	cfg := testConfig(whole(entry("s1", s.addr(), "in_service")))
+	cfg.Discovery = ag.Addr().String()
+	n, _ := startNode(t, cfg, nil)
+	wait(t, ag.asked, "the first watch")
+	ag.tell(false, `{"rev":%d,"all":true,"targets":[`+entry("s1", s.addr(), "terminated")+`,{"uid":""}]}`)
+	if q := wait(t, ag.asked, "the call after the bad list"); q != "" {
+		t.Errorf("asked %q, want the whole list", q)
+	}
+	c := dial(t, n)
+	c.get("r")
+	c.want(t, 200, "for r")
+}
+
+// Where discovery is asked, a watch follows only a Subscribe, and its failure is told.
+func TestAskedDiscoveryFollowsSubscribe(t *testing.T) {
+	ag := newAgent(t)
+	events := make(chan event, 10)
+	cfg := testConfig("")
+	cfg.Discovery = ag.Addr().String()
+	d := newDiscovery(cfg, 7, func(e event) { events <- e }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ag.tell(false, whole(entry("s1", "127.0.0.1:1", "in_service")))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.ask(ctx)
+	d.subscribe()
+	if q := wait(t, ag.asked, "a watch"); !strings.HasPrefix(q, "from=7&") {
+		t.Errorf("asked %q", q)
+	}
+	if e, ok := wait(t, events, "the list").(listNews); !ok || len(e.list.targets) != 1 {
+		t.Errorf("got %v", e)
+	}
+	wait(t, ag.asked, "the watch to go on")
+	ag.tell(false, "{bad %d")
+	if e, ok := wait(t, events, "the failure").(listFailed); !ok {
+		t.Errorf("got %v", e)
+	}
+	select {
+	case q := <-ag.asked:
+		t.Errorf("asked %q without a Subscribe", q)
+	default:
+	}
+}
+
+func TestEndOfNodeAnswersAllThatWasTaken(t *testing.T) {
+	hold, got := make(chan struct{}), make(chan struct{}, 1)
+	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		if r.Header.Get("X-Request-Id") == "held" {
+			got <- struct{}{}
+			<-hold
+		}
+		return echo(c, r, body)
+	})
+	n, stop := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), nil)
+	idle, held := dial(t, n), dial(t, n)
+	idle.get("before")
+	idle.want(t, 200, "for before")
+	held.get("held")
+	wait(t, got, "the attempt")
+	end := make(chan error, 1)
+	go func() { end <- stop() }()
+	closed(t, idle.br, "an idle connection at the end")
+	late := dial(t, n) // new connections still come for a while
+	late.get("late")
+	r, body := late.answer(t)
+	if r.StatusCode != 200 || body != "for late" || !r.Close {
+		t.Errorf("late: %d %q, close %v", r.StatusCode, body, r.Close)
+	}
+	close(hold)
+	held.want(t, 200, "for held")
+	if err := wait(t, end, "the node's end"); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCallersBeyondTheBudget(t *testing.T) {
+	hold, got := make(chan struct{}), make(chan struct{}, 100)
+	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		if strings.HasPrefix(r.Header.Get("X-Request-Id"), "held") {
+			got <- struct{}{}
+			<-hold
+		}
+		return echo(c, r, body)
+	})
+	const most = 4
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) { n.frontend.most = most })
+	idle := dial(t, n)
+	idle.get("idle")
+	idle.want(t, 200, "for idle")
+	until(t, "the connection to be idle", func() bool { // a request is over a little after its answer
+		n.frontend.mu.Lock()
+		defer n.frontend.mu.Unlock()
+		for _, since := range n.frontend.conns {
+			return since > 0
+		}
+		return false
+	})
+	var held []*caller
+	for i := range most {
+		c := dial(t, n)
+		c.get(fmt.Sprint("held-", i))
+		wait(t, got, "an attempt")
+		held = append(held, c)
+	}
+	closed(t, idle.br, "the idle connection when there are too many")
+	over := dial(t, n) // read and refused, never left unread
+	over.get("over")
+	r, _ := over.answer(t)
+	if r.StatusCode != 503 || r.Header.Get("Retry-After") == "" || !r.Close {
+		t.Errorf("got %d, Retry-After %q, close %v", r.StatusCode, r.Header.Get("Retry-After"), r.Close)
+	}
+	close(hold)
+	for i, c := range held {
+		c.want(t, 200, fmt.Sprint("for held-", i))
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	hold, got := make(chan struct{}), make(chan struct{}, 1)
+	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		got <- struct{}{}
+		<-hold
+		return echo(c, r, body)
+	})
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) {
+		n.frontend.server.ReadHeaderTimeout = 50 * time.Millisecond
+	})
+	first := dial(t, n)
+	first.get("used")
+	wait(t, got, "the attempt")
+	const ok = "Host: h\r\nX-Request-Id: new\r\nX-Deadline: 60\r\n"
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"no id", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Deadline: 60\r\n\r\n", 400},
+		{"two ids", "GET /view/k HTTP/1.1\r\nX-Request-Id: b\r\n" + ok + "\r\n", 400},
+		{"an id in use", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: used\r\nX-Deadline: 60\r\n\r\n", 409},
+		{"no deadline", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: new\r\n\r\n", 400},
+		{"a deadline that is no number", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: new\r\nX-Deadline: NaN\r\n\r\n", 400},
+		{"a deadline in the past", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: new\r\nX-Deadline: -1\r\n\r\n", 400},
+		{"a deadline without end", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: new\r\nX-Deadline: 1e300\r\n\r\n", 400},
+		{"no class", "GET / HTTP/1.1\r\n" + ok + "\r\n", 404},
+		{"another method", "DELETE /view/k HTTP/1.1\r\n" + ok + "\r\n", 405},
+		{"a long body", "POST /note/k HTTP/1.1\r\n" + ok + "Content-Length: 65537\r\n\r\n", 413},
+		{"a long chunked body", "POST /note/k HTTP/1.1\r\n" + ok + "Transfer-Encoding: chunked\r\n\r\n" +
+			strings.Repeat("8000\r\n"+strings.Repeat("x", 0x8000)+"\r\n", 3), 413},
+		{"a broken chunk", "POST /note/k HTTP/1.1\r\n" + ok + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+		{"no HTTP", "hello\r\n\r\n", 400},
+		{"a long header", "GET /view/k HTTP/1.1\r\nX: " + strings.Repeat("x", 64<<10) + "\r\n" + ok + "\r\n", 431},
+		{"half-sent headers", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Req", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn := dial(t, n)
+			go io.WriteString(conn, c.text)
+			if c.status == 0 { // a plain answer or none, but the end
+				said, err := io.ReadAll(conn)
+				if err != nil || len(said) > 0 && !strings.HasPrefix(string(said), "HTTP/1.1 4") {
+					t.Errorf("%q, %v", said, err)
+				}
+				return
+			}
+			conn.want(t, c.status, "")
+		})
+	}
+	cut := dial(t, n)
+	io.WriteString(cut, "POST /note/k HTTP/1.1\r\n"+ok+"Content-Length: 10\r\n\r\nhalf")
+	cut.Conn.(*net.TCPConn).CloseWrite()
+	io.Copy(io.Discard, cut.br) // an answer or none, but the end
+	if s.seen() != 1 {
+		t.Errorf("%d requests reached the server, want only the good one", s.seen())
+	}
+	close(hold)
+	first.want(t, 200, "for used")
+}
