Tell the module no empty news; end in time past callers that never spoke

Cause of the second: http.Server.Shutdown waits up to 5 s on connections that have sent nothing, past the time of SIGKILL, so the node would have ended by its limit and with an error. They now get half a second, and the limit follows the longest deadline. A test shows each; the test of the stale connection did not depend on the check at the moment of use (a mutation passed), one that does is new.

--- a/cmd/damsontrestle/main_test.go
+++ b/cmd/damsontrestle/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -131,6 +132,18 @@
 	if body, err := ask("one", "fast"); err != nil || body != "made by the server for one" {
 		t.Fatalf("got %q, %v", body, err)
 	}
+	idle, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	idle.SetDeadline(time.Now().Add(limit))
+	fmt.Fprint(idle, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+	ready := bufio.NewReader(idle)
+	resp, err := http.ReadResponse(ready, nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("not ready: %v, %v", resp, err)
+	}
 	type reply struct {
 		body string
 		err  error
@@ -144,18 +157,8 @@
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	for deadline := time.Now().Add(limit); ; { // it keeps accepting, and says that it is not ready
-		resp, err := http.Get("http://" + address + "/health/ready")
-		if err != nil {
-			t.Fatalf("right after SIGTERM: %v", err)
-		}
-		resp.Body.Close()
-		if resp.StatusCode == http.StatusServiceUnavailable {
-			break
-		}
-		if time.Now().After(deadline) {
-			t.Fatal("still ready after SIGTERM")
-		}
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF { // it lets its idle callers go
+		t.Fatalf("an idle connection after SIGTERM: %v", err)
 	}
 	close(hold)
 	if r := <-slow; r.err != nil || r.body != "made by the server for two" {
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -155,6 +155,36 @@
 	b.idle[endpoint] = append(b.idle[endpoint], c)
 }
 
+// A close that the connection's reader has not seen yet, as on a busy core, is found all the same.
+func TestCloseIsSeenBeforeTheReaderRuns(t *testing.T) {
+	s := newServer(t, echo)
+	closing, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closing.Close()
+	nc, err := net.Dial("tcp", closing.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	if closedByPeer(nc) {
+		t.Fatal("an open connection is said to be closed")
+	}
+	other, err := closing.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := testBackend(10)
+	b.open = 1
+	b.idle[s.addr()] = []*conn{{Conn: nc, endpoint: s.addr()}} // with no reader
+	other.Close()
+	until(t, "the close to arrive", func() bool { return closedByPeer(nc) })
+	if r := run(t, b, testAttempt(b, s.addr())); r.ending != woodpick.Success || b.open != 1 {
+		t.Errorf("ending %d, %d open", r.ending, b.open)
+	}
+}
+
 func TestTimedOutAndCancelledAttemptsCloseTheirConnection(t *testing.T) {
 	for _, want := range []woodpick.Ending{woodpick.TimedOut, woodpick.Withdrawn} {
 		got, gone := make(chan struct{}), make(chan struct{})
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -187,6 +187,11 @@
 		return err
 	}
 	d.rev = l.rev
+	if !l.full && len(l.targets) == 0 {
+		// A hold that ended without news. The module takes each list for a change and cuts its pool
+		// anew, so telling it of nothing would move requests and open connections for nothing.
+		return nil
+	}
 	d.post(listNews{list: l})
 	return nil
 }
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -22,6 +22,7 @@
 	writeTimeout  = 5 * time.Second
 	maxHeader     = 16 << 10
 	maxDeadline   = time.Hour
+	quietGrace    = 500 * time.Millisecond
 )
 
 // frontend serves callers: exactly one answer for each request taken.
@@ -35,11 +36,17 @@
 
 	most  int // connections; beyond them idle ones are closed, and requests refused if none is idle
 	mu    sync.Mutex
-	conns map[net.Conn]time.Duration // idle since; 0 while a request is on it
+	conns map[net.Conn]callerState
+}
+
+// callerState is what a caller's connection does, and since when.
+type callerState struct {
+	state http.ConnState
+	since time.Duration
 }
 
 func newFrontend(cfg Config, c clock, most int, post func(event), ready func() bool, log *slog.Logger) *frontend {
-	f := &frontend{clock: c, post: post, ready: ready, most: most, conns: map[net.Conn]time.Duration{},
+	f := &frontend{clock: c, post: post, ready: ready, most: most, conns: map[net.Conn]callerState{},
 		advice: max(cfg.Settings.Tick, time.Millisecond)}
 	f.server = &http.Server{Handler: f, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
 		ConnState: f.track, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
@@ -51,20 +58,17 @@
 func (f *frontend) track(c net.Conn, s http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch s {
-	case http.StateClosed, http.StateHijacked:
+	if s == http.StateClosed || s == http.StateHijacked {
 		delete(f.conns, c)
-	case http.StateIdle:
-		f.conns[c] = f.clock.now()
-	default:
-		f.conns[c] = 0
+		return
 	}
+	f.conns[c] = callerState{s, f.clock.now()}
 	if len(f.conns) <= f.most {
 		return
 	}
 	var oldest net.Conn
-	for o, since := range f.conns {
-		if since > 0 && (oldest == nil || since < f.conns[oldest]) {
+	for o, st := range f.conns {
+		if st.state == http.StateIdle && (oldest == nil || st.since < f.conns[oldest].since) {
 			oldest = o
 		}
 	}
@@ -181,20 +185,26 @@
 }
 
 // drain lets the callers go: the node keeps accepting for a while, each answer closes its connection,
-// and everything taken is answered.
+// and everything taken is answered. It returns once that is done, or when ctx ends.
 func (f *frontend) drain(ctx context.Context, accept time.Duration) error {
 	f.draining.Store(true)
-	f.closeIdle()
+	f.closeQuiet(false)
 	sleep(ctx, accept)
-	return f.server.Shutdown(ctx)
+	end := make(chan error, 1)
+	go func() { end <- f.server.Shutdown(ctx) }()
+	// Shutdown waits for seconds on connections that never sent a request. Those are nobody's loss,
+	// but SIGKILL is near: they get a while to say something.
+	sleep(ctx, quietGrace)
+	f.closeQuiet(true)
+	return <-end
 }
 
-// closeIdle closes the callers' idle connections, while new ones still find the node.
-func (f *frontend) closeIdle() {
+// closeQuiet closes the callers' idle connections, and those that have sent nothing yet if asked to.
+func (f *frontend) closeQuiet(fresh bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c, since := range f.conns {
-		if since > 0 {
+	for c, s := range f.conns {
+		if s.state == http.StateIdle || fresh && s.state == http.StateNew {
 			c.Close()
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,12 +14,24 @@
 	"woodpick"
 )
 
-// How a node ends: it accepts for a while after it was told to, and is done before it would be killed.
+// How a node ends: it accepts for a while after it was told to, and is done before it would be killed,
+// which is the longest deadline, killCap at most, and killAfter later.
 const (
 	drainAccept = 600 * time.Millisecond
-	drainMost   = 3500 * time.Millisecond
+	killCap     = 3 * time.Second
+	killAfter   = 700 * time.Millisecond
+	killMargin  = 150 * time.Millisecond
 )
 
+// drainMost is how long the node may take to end.
+func drainMost(cfg Config) time.Duration {
+	var longest time.Duration
+	for _, c := range cfg.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, killCap) + killAfter - killMargin
+}
+
 // reserved descriptors are for the listener, discovery, the log, the runtime, and callers whose
 // requests are read only to be refused.
 const reserved = 48
@@ -32,6 +44,8 @@
 	discovery *discovery
 	listener  net.Listener
 	push      bool
+	accept    time.Duration // how long it accepts after it was told to end
+	drainMost time.Duration
 	log       *slog.Logger
 }
 
@@ -50,7 +64,7 @@
 	room := cfg.Sockets - reserved
 	clock := newClock()
 	l := newLoop(balancer, clock, log)
-	n := &Node{loop: l, log: log, push: !cfg.Settings.AskDiscovery,
+	n := &Node{loop: l, log: log, push: !cfg.Settings.AskDiscovery, accept: drainAccept, drainMost: drainMost(cfg),
 		backend:  newBackend(cfg, clock, room/2),
 		frontend: newFrontend(cfg, clock, room-room/2, l.post, l.ready.Load, log)}
 	l.start = func(a *attempt) {
@@ -100,9 +114,9 @@
 	case <-ctx.Done():
 	}
 	n.log.Info("draining")
-	limit, cancel := context.WithTimeout(inner, drainMost)
+	limit, cancel := context.WithTimeout(inner, n.drainMost)
 	defer cancel()
-	if err := n.frontend.drain(limit, drainAccept); err != nil {
+	if err := n.frontend.drain(limit, n.accept); err != nil {
 		return fmt.Errorf("node: drain: %w", err)
 	}
 	if err := <-gone; !errors.Is(err, http.ErrServerClosed) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -540,6 +540,28 @@
 	c.want(t, 200, "for r")
 }
 
+// A watch that ends without news is no news: the module would take it for a change.
+func TestWatchWithoutNewsTellsNothing(t *testing.T) {
+	ag := newAgent(t)
+	events := make(chan event, 10)
+	cfg := testConfig("")
+	cfg.Discovery = ag.Addr().String()
+	d := newDiscovery(cfg, 1, func(e event) { events <- e }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for i, c := range []struct {
+		text string
+		want int
+	}{{`{"rev":%d,"all":false,"targets":[]}`, 0}, {whole(), 1},
+		{`{"rev":%d,"all":false,"targets":[` + entry("s1", "127.0.0.1:1", "in_service") + `]}`, 2}} {
+		ag.tell(false, c.text)
+		if err := d.watch(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if len(events) != c.want || d.rev != int64(ag.rev) {
+			t.Errorf("call %d: %d events at rev %d, want %d at %d", i, len(events), d.rev, c.want, ag.rev)
+		}
+	}
+}
+
 // Where discovery is asked, a watch follows only a Subscribe, and its failure is told.
 func TestAskedDiscoveryFollowsSubscribe(t *testing.T) {
 	ag := newAgent(t)
@@ -579,15 +601,21 @@
 		}
 		return echo(c, r, body)
 	})
-	n, stop := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), nil)
-	idle, held := dial(t, n), dial(t, n)
+	n, stop := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) {
+		n.accept, n.drainMost = 2*time.Second, limit
+	})
+	idle, held, mute := dial(t, n), dial(t, n), dial(t, n)
 	idle.get("before")
 	idle.want(t, 200, "for before")
+	untilIdle(t, n)
 	held.get("held")
 	wait(t, got, "the attempt")
 	end := make(chan error, 1)
 	go func() { end <- stop() }()
 	closed(t, idle.br, "an idle connection at the end")
+	probe := dial(t, n)
+	fmt.Fprint(probe, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+	probe.want(t, 503, "")
 	late := dial(t, n) // new connections still come for a while
 	late.get("late")
 	r, body := late.answer(t)
@@ -596,11 +624,27 @@
 	}
 	close(hold)
 	held.want(t, 200, "for held")
+	closed(t, mute.br, "a connection that never sent a request")
 	if err := wait(t, end, "the node's end"); err != nil {
 		t.Error(err)
 	}
 }
 
+// untilIdle waits for a connection to be idle: a request is over a little after its answer.
+func untilIdle(t *testing.T, n *Node) {
+	t.Helper()
+	until(t, "a connection to be idle", func() bool {
+		n.frontend.mu.Lock()
+		defer n.frontend.mu.Unlock()
+		for _, s := range n.frontend.conns {
+			if s.state == http.StateIdle {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 func TestCallersBeyondTheBudget(t *testing.T) {
 	hold, got := make(chan struct{}), make(chan struct{}, 100)
 	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
@@ -615,14 +659,7 @@
 	idle := dial(t, n)
 	idle.get("idle")
 	idle.want(t, 200, "for idle")
-	until(t, "the connection to be idle", func() bool { // a request is over a little after its answer
-		n.frontend.mu.Lock()
-		defer n.frontend.mu.Unlock()
-		for _, since := range n.frontend.conns {
-			return since > 0
-		}
-		return false
-	})
+	untilIdle(t, n)
 	var held []*caller
 	for i := range most {
 		c := dial(t, n)
