Let idle callers go without losing a request that was just read

Checked: closing the callers' idle connections from the ConnState hook. Between its read of a request and its report of StateActive, net/http still counts a connection as idle; Close in that gap loses the request. Ruled out: memory (8 MB), panics and net/http's linger on unread bodies (no body was left unread). To blame: frontend.track's Close, and http.Server.Shutdown, which closes idle ones the same way. Now a read deadline in the past ends the wait for a request, or comes too late for one that was read, which is then answered; the node's end uses the same, in place of Shutdown.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"math"
@@ -22,7 +23,8 @@
 	writeTimeout  = 5 * time.Second
 	maxHeader     = 16 << 10
 	maxDeadline   = time.Hour
-	quietGrace    = 500 * time.Millisecond
+	quietGrace    = 300 * time.Millisecond // after the last connection was accepted
+	drainStep     = 20 * time.Millisecond
 )
 
 // frontend serves callers: exactly one answer for each request taken.
@@ -37,12 +39,15 @@
 	most  int // connections; beyond them idle ones are closed, and requests refused if none is idle
 	mu    sync.Mutex
 	conns map[net.Conn]callerState
+	// leaving counts the connections that were let go and are not closed yet
+	leaving int
 }
 
 // callerState is what a caller's connection does, and since when.
 type callerState struct {
-	state http.ConnState
-	since time.Duration
+	state   http.ConnState
+	since   time.Duration
+	leaving bool
 }
 
 func newFrontend(cfg Config, c clock, most int, post func(event), ready func() bool, log *slog.Logger) *frontend {
@@ -58,30 +63,50 @@
 func (f *frontend) track(c net.Conn, s http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	old := f.conns[c]
+	if old.leaving {
+		f.leaving--
+	}
 	if s == http.StateClosed || s == http.StateHijacked {
 		delete(f.conns, c)
 		return
 	}
-	f.conns[c] = callerState{s, f.clock.now()}
-	if len(f.conns) <= f.most {
+	if old.leaving {
+		c.SetReadDeadline(time.Time{}) // its request was read before it could be let go
+	}
+	f.conns[c] = callerState{state: s, since: f.clock.now()}
+	if len(f.conns)-f.leaving <= f.most {
 		return
 	}
 	var oldest net.Conn
 	for o, st := range f.conns {
-		if st.state == http.StateIdle && (oldest == nil || st.since < f.conns[oldest].since) {
+		if st.state == http.StateIdle && !st.leaving && (oldest == nil || st.since < f.conns[oldest].since) {
 			oldest = o
 		}
 	}
 	if oldest != nil {
-		delete(f.conns, oldest)
-		oldest.Close()
+		f.letGo(oldest)
 	}
 }
 
+// letGo has a connection closed that waits for a request. Close would end it under a request that
+// net/http has read but not told of yet, and that request would be lost. A read deadline in the past
+// ends the wait or comes too late for it: a request is either read and answered, or left unread, and
+// then its client sends it again. The caller holds mu.
+func (f *frontend) letGo(c net.Conn) {
+	s := f.conns[c]
+	if !s.leaving {
+		f.leaving++
+	}
+	s.leaving = true
+	f.conns[c] = s
+	c.SetReadDeadline(time.Unix(1, 0))
+}
+
 func (f *frontend) crowded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.conns) > f.most
+	return len(f.conns)-f.leaving > f.most
 }
 
 // ServeHTTP answers one request.
@@ -185,27 +210,34 @@
 }
 
 // drain lets the callers go: the node keeps accepting for a while, each answer closes its connection,
-// and everything taken is answered. It returns once that is done, or when ctx ends.
-func (f *frontend) drain(ctx context.Context, accept time.Duration) error {
+// and everything taken is answered. It returns once that is done, or with an error when ctx ends.
+// http.Server.Shutdown would wait for seconds on connections that never sent a request, past SIGKILL,
+// and close idle ones under a request just read.
+func (f *frontend) drain(ctx context.Context, ln net.Listener, accept time.Duration) error {
 	f.draining.Store(true)
-	f.closeQuiet(false)
+	f.letQuietGo(false)
 	sleep(ctx, accept)
-	end := make(chan error, 1)
-	go func() { end <- f.server.Shutdown(ctx) }()
-	// Shutdown waits for seconds on connections that never sent a request. Those are nobody's loss,
-	// but SIGKILL is near: they get a while to say something.
+	ln.Close()
 	sleep(ctx, quietGrace)
-	f.closeQuiet(true)
-	return <-end
+	// Again and again, for net/http resets the deadline of one that it has just begun to wait on.
+	for f.letQuietGo(true) > 0 {
+		if ctx.Err() != nil {
+			return fmt.Errorf("callers are left: %w", ctx.Err())
+		}
+		sleep(ctx, drainStep)
+	}
+	return nil
 }
 
-// closeQuiet closes the callers' idle connections, and those that have sent nothing yet if asked to.
-func (f *frontend) closeQuiet(fresh bool) {
+// letQuietGo closes the callers' idle connections, and those that have sent nothing yet if asked to.
+// It returns how many of all are left.
+func (f *frontend) letQuietGo(fresh bool) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c, s := range f.conns {
 		if s.state == http.StateIdle || fresh && s.state == http.StateNew {
-			c.Close()
+			f.letGo(c)
 		}
 	}
+	return len(f.conns)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -116,10 +115,10 @@
 	n.log.Info("draining")
 	limit, cancel := context.WithTimeout(inner, n.drainMost)
 	defer cancel()
-	if err := n.frontend.drain(limit, n.accept); err != nil {
+	if err := n.frontend.drain(limit, n.listener, n.accept); err != nil {
 		return fmt.Errorf("node: drain: %w", err)
 	}
-	if err := <-gone; !errors.Is(err, http.ErrServerClosed) {
+	if err := <-gone; !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("node: %w", err)
 	}
 	return nil
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -680,6 +680,114 @@
 	}
 }
 
+// A connection is let go while its request is read, and net/http has not told of that yet: the
+// request must be answered all the same.
+func TestLettingGoSparesARequestJustRead(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	pair := func() (ours, theirs net.Conn) {
+		theirs, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { theirs.Close() })
+		if ours, err = ln.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ours.Close() })
+		return ours, theirs
+	}
+	f := newFrontend(testConfig(""), newClock(), 1, nil, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	a, caller := pair()
+	b, _ := pair()
+	f.track(a, http.StateActive)
+	f.track(a, http.StateIdle)
+	if _, err := caller.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := a.Read(make([]byte, 1)); err != nil { // read, not yet active
+		t.Fatal(err)
+	}
+	f.track(b, http.StateNew) // one too many: a is let go
+	if !f.conns[a].leaving || f.crowded() {
+		t.Fatal("the idle connection was not let go")
+	}
+	f.track(a, http.StateActive)
+	if f.leaving != 0 || !f.crowded() {
+		t.Error("an active connection still counts as leaving")
+	}
+	if _, err := a.Write([]byte("y")); err != nil {
+		t.Errorf("the answer: %v", err)
+	}
+	if _, err := caller.Write([]byte("z")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := a.Read(make([]byte, 1)); err != nil {
+		t.Errorf("the rest of the request: %v", err)
+	}
+}
+
+// Whatever reaches a server has been read, so its caller must get the answer, however often idle
+// connections are let go meanwhile.
+func TestNothingReadIsLostWhileIdleConnectionsAreLetGo(t *testing.T) {
+	s := newServer(t, echo)
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) { n.frontend.most = 4 })
+	var mu sync.Mutex
+	answered := map[string]bool{}
+	var callers sync.WaitGroup
+	for i := range 12 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			var c net.Conn
+			var br *bufio.Reader
+			for j := range 200 {
+				if c == nil {
+					var err error
+					if c, err = net.Dial("tcp", n.Addr()); err != nil {
+						t.Error(err)
+						return
+					}
+					c.SetDeadline(time.Now().Add(2 * limit))
+					br = bufio.NewReader(c)
+				}
+				id := fmt.Sprintf("c%d-%d", i, j)
+				fmt.Fprintf(c, "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline: 60\r\n\r\n", id)
+				r, err := http.ReadResponse(br, nil)
+				if err == nil {
+					_, err = io.Copy(io.Discard, r.Body)
+				}
+				if err == nil {
+					mu.Lock()
+					answered[id] = true
+					mu.Unlock()
+				}
+				if err != nil || r.Close {
+					c.Close()
+					c = nil
+				}
+			}
+			if c != nil {
+				c.Close()
+			}
+		}()
+	}
+	callers.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range s.requests {
+		if !answered[id] {
+			t.Errorf("%s was sent to the server, and its caller got no answer", id)
+		}
+	}
+	if len(s.requests) == 0 {
+		t.Error("no request reached the server")
+	}
+}
+
 func TestBadRequests(t *testing.T) {
 	hold, got := make(chan struct{}), make(chan struct{}, 1)
 	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
