Note on the connection itself whether a request has begun

Checked in net/http: a quick client's next request can come before the server stops its background read behind the answer; its first byte is then read, StateIdle is reported afterwards, and letting the connection go in that state ends it under a request half read. Besides, net/http resets the read deadline after it reports StateIdle, so a connection let go from its own report stayed open beyond the budget. Now the caller's connection notes itself whether bytes came since the last answer, and keeps the deadline in the past until they do. A test drives it through both orders.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,7 +40,7 @@
 
 	most  int // connections; beyond them idle ones are closed, and requests refused if none is idle
 	mu    sync.Mutex
-	conns map[net.Conn]callerState
+	conns map[*callerConn]callerState
 	// leaving counts the connections that were let go and are not closed yet
 	leaving int
 }
@@ -51,56 +53,129 @@
 }
 
 func newFrontend(cfg Config, c clock, most int, post func(event), ready func() bool, log *slog.Logger) *frontend {
-	f := &frontend{clock: c, post: post, ready: ready, most: most, conns: map[net.Conn]callerState{},
+	f := &frontend{clock: c, post: post, ready: ready, most: most, conns: map[*callerConn]callerState{},
 		advice: max(cfg.Settings.Tick, time.Millisecond)}
 	f.server = &http.Server{Handler: f, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
 		ConnState: f.track, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	return f
 }
 
-// track follows the callers' connections. When there are too many it closes the one idle for longest:
-// an accepted connection must be read, since its request counts as taken.
-func (f *frontend) track(c net.Conn, s http.ConnState) {
+// callerConn is a caller's connection that can be let go while it waits for a request, and only then.
+//
+// Close, in the gap between net/http's read of a request and its report of StateActive, would lose
+// that request. A read deadline in the past ends the wait, or comes too late for it: the request is
+// then either read and answered, or left unread, and its client sends it again. Whether one has
+// begun to be read is noted here, since net/http reads its first byte early when the client is quick:
+// behind an answer, before it reports StateIdle.
+type callerConn struct {
+	net.Conn
+	mu       sync.Mutex
+	begun    bool // bytes were read since the last answer
+	leaving  bool
+	deadline time.Time // as net/http wants it
+}
+
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.begun = true
+		if c.leaving {
+			c.leaving = false
+			c.Conn.SetReadDeadline(c.deadline)
+		}
+	}
+	return n, err
+}
+
+// Write begins before the client can have sent its next request.
+func (c *callerConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.begun = false
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.leaving {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite lets net/http linger after an answer to a request that it did not read whole: at once
+// closed, the connection would be reset, and the answer could be lost.
+func (c *callerConn) CloseWrite() error {
+	if half, ok := c.Conn.(*net.TCPConn); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// letGo has the connection closed unless a request has begun on it.
+func (c *callerConn) letGo() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.begun {
+		c.leaving = true
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return c.leaving
+}
+
+// callerListener makes callerConns.
+type callerListener struct{ net.Listener }
+
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err // as it is: net/http looks at its kind
+	}
+	return &callerConn{Conn: c}, nil
+}
+
+// track follows the callers' connections. When there are too many it lets those go that have been idle
+// for longest: an accepted connection must be read, since its request counts as taken.
+func (f *frontend) track(nc net.Conn, s http.ConnState) {
+	c := nc.(*callerConn)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	old := f.conns[c]
-	if old.leaving {
+	if f.conns[c].leaving {
 		f.leaving--
 	}
 	if s == http.StateClosed || s == http.StateHijacked {
 		delete(f.conns, c)
 		return
 	}
-	if old.leaving {
-		c.SetReadDeadline(time.Time{}) // its request was read before it could be let go
-	}
 	f.conns[c] = callerState{state: s, since: f.clock.now()}
 	if len(f.conns)-f.leaving <= f.most {
 		return
 	}
-	var oldest net.Conn
+	var idle []*callerConn
 	for o, st := range f.conns {
-		if st.state == http.StateIdle && !st.leaving && (oldest == nil || st.since < f.conns[oldest].since) {
-			oldest = o
+		if st.state == http.StateIdle && !st.leaving {
+			idle = append(idle, o)
 		}
 	}
-	if oldest != nil {
-		f.letGo(oldest)
+	slices.SortFunc(idle, func(a, b *callerConn) int { return cmp.Compare(f.conns[a].since, f.conns[b].since) })
+	for _, o := range idle {
+		if f.letGo(o); len(f.conns)-f.leaving <= f.most {
+			return
+		}
 	}
 }
 
-// letGo has a connection closed that waits for a request. Close would end it under a request that
-// net/http has read but not told of yet, and that request would be lost. A read deadline in the past
-// ends the wait or comes too late for it: a request is either read and answered, or left unread, and
-// then its client sends it again. The caller holds mu.
-func (f *frontend) letGo(c net.Conn) {
-	s := f.conns[c]
-	if !s.leaving {
+// letGo lets a connection go if it may be, and counts it as leaving. The caller holds mu.
+func (f *frontend) letGo(c *callerConn) {
+	if s := f.conns[c]; !s.leaving && c.letGo() {
+		s.leaving = true
+		f.conns[c] = s
 		f.leaving++
 	}
-	s.leaving = true
-	f.conns[c] = s
-	c.SetReadDeadline(time.Unix(1, 0))
 }
 
 func (f *frontend) crowded() bool {
@@ -219,7 +294,6 @@
 	sleep(ctx, accept)
 	ln.Close()
 	sleep(ctx, quietGrace)
-	// Again and again, for net/http resets the deadline of one that it has just begun to wait on.
 	for f.letQuietGo(true) > 0 {
 		if ctx.Err() != nil {
 			return fmt.Errorf("callers are left: %w", ctx.Err())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,7 +106,7 @@
 		go n.discovery.ask(inner)
 	}
 	gone := make(chan error, 1)
-	go func() { gone <- n.frontend.server.Serve(n.listener) }()
+	go func() { gone <- n.frontend.server.Serve(callerListener{n.listener}) }()
 	select {
 	case err := <-gone:
 		return fmt.Errorf("node: %w", err)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -680,53 +682,62 @@
 	}
 }
 
-// A connection is let go while its request is read, and net/http has not told of that yet: the
-// request must be answered all the same.
-func TestLettingGoSparesARequestJustRead(t *testing.T) {
+// A connection is let go only while it waits: not with a request read that net/http has not told of
+// yet, nor with the first byte of the next one, read early behind an answer.
+func TestLettingGoSparesARequestBegun(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	pair := func() (ours, theirs net.Conn) {
+	pair := func() (ours *callerConn, theirs net.Conn) {
 		theirs, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { theirs.Close() })
-		if ours, err = ln.Accept(); err != nil {
+		c, err := callerListener{ln}.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c.(*callerConn), theirs
+	}
+	say := func(from, to net.Conn) {
+		t.Helper()
+		to.SetReadDeadline(time.Now().Add(limit))
+		if _, err := from.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := to.Read(make([]byte, 1)); err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(func() { ours.Close() })
-		return ours, theirs
 	}
 	f := newFrontend(testConfig(""), newClock(), 1, nil, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	a, caller := pair()
 	b, _ := pair()
+	say(caller, a) // a request
 	f.track(a, http.StateActive)
+	say(a, caller) // its answer
+	say(caller, a) // the next request's first byte
 	f.track(a, http.StateIdle)
-	if _, err := caller.Write([]byte("x")); err != nil {
-		t.Fatal(err)
+	f.track(b, http.StateNew) // one too many
+	if f.conns[a].leaving || !f.crowded() {
+		t.Fatal("a connection with a request on it was let go")
 	}
-	if _, err := a.Read(make([]byte, 1)); err != nil { // read, not yet active
-		t.Fatal(err)
-	}
-	f.track(b, http.StateNew) // one too many: a is let go
+	say(caller, a)
+	say(a, caller)
+	f.track(a, http.StateIdle)
 	if !f.conns[a].leaving || f.crowded() {
 		t.Fatal("the idle connection was not let go")
 	}
-	f.track(a, http.StateActive)
-	if f.leaving != 0 || !f.crowded() {
-		t.Error("an active connection still counts as leaving")
-	}
-	if _, err := a.Write([]byte("y")); err != nil {
-		t.Errorf("the answer: %v", err)
-	}
-	if _, err := caller.Write([]byte("z")); err != nil {
-		t.Fatal(err)
+	a.SetReadDeadline(time.Time{}) // net/http does, after it has said that it is idle
+	if _, err := a.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the wait goes on: %v", err)
 	}
-	if _, err := a.Read(make([]byte, 1)); err != nil {
-		t.Errorf("the rest of the request: %v", err)
+	f.track(a, http.StateClosed)
+	if f.leaving != 0 || len(f.conns) != 1 {
+		t.Errorf("%d leaving of %d", f.leaving, len(f.conns))
 	}
 }
 
