While short of descriptors, close callers with their answers, not young idle ones

A client sends such a request again only once; that the lost ones crossed a close twice was the guess, as no request begun can be let go any more (tests). Change: a connection idle for less than 0.5 s stays; while there are too many, each answer says Connection: close, which nothing can cross.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -26,6 +26,7 @@
 	maxHeader     = 16 << 10
 	maxDeadline   = time.Hour
 	quietGrace    = 300 * time.Millisecond // after the last connection was accepted
+	idleGrace     = 500 * time.Millisecond
 	drainStep     = 20 * time.Millisecond
 )
 
@@ -41,6 +42,8 @@
 	most  int // connections; beyond them idle ones are closed, and requests refused if none is idle
 	mu    sync.Mutex
 	conns map[*callerConn]callerState
+	// idleGrace is how long a connection must have been idle to be let go for others
+	idleGrace time.Duration
 	// leaving counts the connections that were let go and are not closed yet
 	leaving int
 }
@@ -53,7 +56,7 @@
 }
 
 func newFrontend(cfg Config, c clock, most int, post func(event), ready func() bool, log *slog.Logger) *frontend {
-	f := &frontend{clock: c, post: post, ready: ready, most: most, conns: map[*callerConn]callerState{},
+	f := &frontend{clock: c, post: post, ready: ready, most: most, conns: map[*callerConn]callerState{}, idleGrace: idleGrace,
 		advice: max(cfg.Settings.Tick, time.Millisecond)}
 	f.server = &http.Server{Handler: f, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
 		ConnState: f.track, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
@@ -139,7 +142,9 @@
 }
 
 // track follows the callers' connections. When there are too many it lets those go that have been idle
-// for longest: an accepted connection must be read, since its request counts as taken.
+// for longest: an accepted connection must be read, since its request counts as taken. One idle for a
+// moment only is likely to meet its next request on the way, and a client sends that again just once:
+// while there are too many, each answer closes its connection instead, which nothing can cross.
 func (f *frontend) track(nc net.Conn, s http.ConnState) {
 	c := nc.(*callerConn)
 	f.mu.Lock()
@@ -156,8 +161,9 @@
 		return
 	}
 	var idle []*callerConn
+	now := f.clock.now()
 	for o, st := range f.conns {
-		if st.state == http.StateIdle && !st.leaving {
+		if st.state == http.StateIdle && !st.leaving && now-st.since >= f.idleGrace {
 			idle = append(idle, o)
 		}
 	}
@@ -205,7 +211,6 @@
 		return
 	}
 	if f.crowded() {
-		w.Header().Set("Connection", "close")
 		f.write(w, answer{kind: refused, retryAfter: f.advice})
 		return
 	}
@@ -263,6 +268,9 @@
 func (f *frontend) write(w http.ResponseWriter, a answer) {
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
+	if f.crowded() {
+		h.Set("Connection", "close")
+	}
 	switch a.kind {
 	case served:
 		if a.header == "" {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -657,7 +657,9 @@
 		return echo(c, r, body)
 	})
 	const most = 4
-	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) { n.frontend.most = most })
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) {
+		n.frontend.most, n.frontend.idleGrace = most, 0
+	})
 	idle := dial(t, n)
 	idle.get("idle")
 	idle.want(t, 200, "for idle")
@@ -727,7 +729,13 @@
 	}
 	say(caller, a)
 	say(a, caller)
+	f.idleGrace = limit
 	f.track(a, http.StateIdle)
+	if f.conns[a].leaving || !f.crowded() {
+		t.Fatal("a connection idle for a moment only was let go")
+	}
+	f.idleGrace = 0
+	f.track(b, http.StateActive)
 	if !f.conns[a].leaving || f.crowded() {
 		t.Fatal("the idle connection was not let go")
 	}
@@ -745,7 +753,9 @@
 // connections are let go meanwhile.
 func TestNothingReadIsLostWhileIdleConnectionsAreLetGo(t *testing.T) {
 	s := newServer(t, echo)
-	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) { n.frontend.most = 4 })
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) {
+		n.frontend.most, n.frontend.idleGrace = 4, 0
+	})
 	var mu sync.Mutex
 	answered := map[string]bool{}
 	var callers sync.WaitGroup
