Admission: leanness never below what an idle server meets; Broken is no crowd

Cause: with bad requests gone, 60 % of the good ones were still refused at first-tier nodes whose servers had room. A probe of steer showed the window stuck at its floor (10 to 13 calls) with shed 0.5 to 0.9: the step is 1 - 0.3*shed - over, so it settles where latency is 0.75 of a target that is 1.35 of the class's base, that is at the base itself, which no mix of answers meets. Shedding kept itself up. Each spoilt answer (Broken) took one more call from the window, though it says nothing of crowding; Failure is left out for the same reason. Ruled out: want of descriptors (235 of 384), CPU, lag.

Still open: the window opens slowly.

--- a/policy.go
+++ b/policy.go
@@ -822,8 +822,11 @@
 // target is the latency that admission steers to, a little under half way in ratio between a class's
 // latency when there is room and its aim: work that fills much of the aim by itself is no crowd, and
 // work that fills little of it waits in long queues, which choke servers, well before its aim is near.
-func (c *class) target() float64 {
-	return min(float64(c.Aim), max(targetLeast*c.base, targetShare*math.Sqrt(c.base*float64(c.Aim))))
+// The more is shed, the surer it is that some servers choke: then leaner is better, but never so lean
+// that only an empty server meets it, or the shedding would keep itself up.
+func (c *class) target(shed float64) float64 {
+	lean := (1 - leanness*shed) * targetShare * math.Sqrt(c.base*float64(c.Aim))
+	return min(float64(c.Aim), max(targetLeast*c.base, lean))
 }
 
 // steer moves the window so that latencies stay at their target: crowded servers choke and stay slow,
@@ -831,16 +834,17 @@
 // a multiple of the calls out: growing only while nearly full, it would sink by chance at a node whose
 // few calls seldom fill it.
 func (b *Balancer) steer(r *request, e Outcome) {
-	if b.set.Tier > 0 || e.Ending == Withdrawn || e.Ending == Void || e.Ending == Failure {
+	tells := e.Ending == Success || e.Ending == TimedOut || e.Ending == Overloaded || e.Ending == Unreachable
+	if b.set.Tier > 0 || !tells {
 		return
 	}
-	over := float64(b.now-r.attempts[e.Attempt].sent) / r.class.target()
+	over := float64(b.now-r.attempts[e.Attempt].sent) / r.class.target(b.shed)
 	if e.Ending != Success {
 		over = max(over, 2)
 	}
-	// The more is shed, the surer it is that some servers choke: then leaner is better. A small window
-	// moves by up to one call a round of answers, or a node of many would take a day to open it.
-	step := max(windowGain, 1/b.window) * (1 - leanness*b.shed - min(over, 2))
+	// A small window moves by up to one call a round of answers, or a node of many would take a day to
+	// open it.
+	step := max(windowGain, 1/b.window) * (1 - min(over, 2))
 	if step < 0 || b.window < windowSlack*(b.busy+1) {
 		b.window += step
 	}
--- a/policy_test.go
+++ b/policy_test.go
@@ -392,25 +392,44 @@
 	}
 }
 
+// steered is the window after many alike outcomes, each after share of what is aimed at, from 100.
+func steered(t *testing.T, shed float64, ending Ending, after func(*class) float64) float64 {
+	t.Helper()
+	b := newBalancer(t, nil)
+	b.Handle(msec, ServerList{Full: true, Servers: servers(10)})
+	b.window, b.busy = 100, 100
+	r := &request{class: b.classes["get"], attempts: []*attempt{{sent: 0}}}
+	for range 50 {
+		b.shed = shed
+		b.now, b.inFlight = time.Duration(after(r.class)), int(b.window)
+		b.steer(r, Outcome{Ending: ending})
+	}
+	return b.window
+}
+
 // While much is shed some servers choke for certain, so the window gets leaner.
 func TestWindowIsLeanerWhileMuchIsShed(t *testing.T) {
-	window := func(shed float64) float64 {
-		b := newBalancer(t, nil)
-		b.Handle(msec, ServerList{Full: true, Servers: servers(10)})
-		b.window, b.busy = 100, 100
-		r := &request{class: b.classes["get"], attempts: []*attempt{{sent: 0}}}
-		for range 50 {
-			b.shed = shed
-			b.now, b.inFlight = time.Duration(0.8*r.class.target()), int(b.window)
-			b.steer(r, Outcome{Ending: Success})
-		}
-		return b.window
-	}
-	if calm, shedding := window(0), window(0.8); calm <= 100 || shedding >= 100 {
+	late := func(c *class) float64 { return 0.95 * c.target(0) }
+	calm, shedding := steered(t, 0, Success, late), steered(t, 0.8, Success, late)
+	if calm <= 100 || shedding >= 100 {
 		t.Errorf("window from 100: nothing shed %.1f, want growth; much shed %.1f, want shrinking", calm, shedding)
 	}
 }
 
+// Answers as quick as idle servers give them must open the window however much is shed, or shedding
+// keeps itself up; spoilt answers and errors are no sign of a crowd.
+func TestSheddingDoesNotKeepItselfUp(t *testing.T) {
+	idle := func(c *class) float64 { return 1.05 * c.base }
+	if w := steered(t, 1, Success, idle); w <= 100 {
+		t.Errorf("idle servers' answers moved the window from 100 to %.1f", w)
+	}
+	for _, e := range []Ending{Broken, Failure} {
+		if w := steered(t, 0, e, idle); w != 100 {
+			t.Errorf("ending %v moved the window from 100 to %.1f", e, w)
+		}
+	}
+}
+
 // A refused client is not sent away for long: it would come back when its aim is mostly over.
 func TestRefusalsBringClientsBackSoon(t *testing.T) {
 	b := newBalancer(t, nil)
