Take SIGHUP: read the configuration again and move the watch

The signal is caught before anything else. A bad file is logged and the old one kept; a new address of discovery ends the old call, drops its client and asks the new one for its whole list, since versions count anew there. Module, callers and pools stay. A whole list that tells nothing new is not passed to the module where lists are pushed, as it would cut its pool anew.

Tests: SIGHUP under load with a broken, the same and a new file against the real program; the watch's move in the package.

--- a/cmd/damsontrestle/main.go
+++ b/cmd/damsontrestle/main.go
@@ -19,8 +19,11 @@
 	}
 }
 
-// run serves until SIGTERM or SIGINT and the end of what was taken.
+// run serves until SIGTERM or SIGINT and the end of what was taken. SIGHUP, which ends a program that
+// does not catch it, is caught before anything else: it has the configuration read again.
 func run() error {
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
 	cfg, err := node.LoadConfig()
 	if err != nil {
 		return err
@@ -34,5 +37,14 @@
 		return err
 	}
 	log.Info("serving", "address", n.Addr())
+	go func() {
+		for range again {
+			if cfg, err := node.LoadConfig(); err != nil {
+				log.Error("the new configuration is bad; the old one stays", "error", err)
+			} else {
+				n.Reload(cfg)
+			}
+		}
+	}()
 	return n.Run(ctx)
 }
--- a/cmd/damsontrestle/main_test.go
+++ b/cmd/damsontrestle/main_test.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// start runs the node with a configuration and returns its first log lines until it serves.
-func start(t *testing.T, dir, run, config string) (cmd *exec.Cmd, address string) {
+// start runs the node with a configuration until it serves. It returns its log from then on.
+func start(t *testing.T, dir, run, config string) (cmd *exec.Cmd, address string, log <-chan string) {
 	t.Helper()
 	path := filepath.Join(dir, "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
@@ -75,21 +75,119 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { cmd.Process.Kill() })
-	found := make(chan string, 1)
+	said := make(chan string, 1000)
 	go func() {
+		defer close(said)
 		lines := bufio.NewScanner(stderr)
 		for lines.Scan() {
-			if m := regexp.MustCompile(`address=(\S+)`).FindStringSubmatch(lines.Text()); m != nil {
-				found <- m[1]
-			}
+			said <- lines.Text()
 		}
 	}()
-	select {
-	case address = <-found:
-	case <-time.After(limit):
-		t.Fatal("the node does not serve")
+	serving := await(t, said, "msg=serving")
+	return cmd, regexp.MustCompile(`address=(\S+)`).FindStringSubmatch(serving)[1], said
+}
+
+// await returns the first line of a log that holds what is wanted.
+func await(t *testing.T, log <-chan string, want string) string {
+	t.Helper()
+	over := time.After(limit)
+	for {
+		select {
+		case line, ok := <-log:
+			if !ok {
+				t.Fatalf("the log ends without %q", want)
+			}
+			if strings.Contains(line, want) {
+				return line
+			}
+		case <-over:
+			t.Fatalf("the log never says %q", want)
+		}
+	}
+}
+
+// TestSIGHUPUnderLoad replaces the file while requests are under way: a broken one is logged and
+// changes nothing, nor does the same once more, and a new one moves the node to the servers that another
+// discovery names. No request is lost, and the caller's connection is kept.
+func TestSIGHUPUnderLoad(t *testing.T) {
+	dir, run, _ := build(t)
+	list := func(name string) *httptest.Server {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(w, name)
+		}))
+		t.Cleanup(server.Close)
+		text := fmt.Sprintf(`{"rev":3,"all":true,"targets":[{"uid":%q,"endpoint":%q,"az":"a","model":"m",
+			"pod_group":0,"state":"in_service","capacity_hint":1,"boot_ms":0}]}`, name, strings.TrimPrefix(server.URL, "http://"))
+		discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.RawQuery != "" {
+				<-r.Context().Done() // nothing new
+				return
+			}
+			fmt.Fprint(w, text)
+		}))
+		t.Cleanup(discovery.Close)
+		return discovery
+	}
+	old, next := list("old"), list("next")
+	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":64,"sockets":256},"settings":%s}`,
+		strings.TrimPrefix(old.URL, "http://"), settings)
+	cmd, address, log := start(t, dir, run, config)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(4 * limit))
+	br := bufio.NewReader(c)
+	asked := 0
+	ask := func() string {
+		asked++
+		fmt.Fprintf(c, "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: r%d\r\nX-Deadline: 40\r\n\r\n", asked)
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", asked, err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: %d %q, %v", asked, resp.StatusCode, body, err)
+		}
+		return string(body)
+	}
+	hup := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(filepath.Join(dir, "config.json"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, text := range []string{config[:len(config)/2], config} {
+		hup(text)
+		if text != config {
+			await(t, log, "the new configuration is bad")
+		} else {
+			await(t, log, "the configuration is read again")
+		}
+		for range 20 {
+			if body := ask(); body != "old" {
+				t.Fatalf("served by %q", body)
+			}
+		}
+	}
+	hup(strings.Replace(config, strings.TrimPrefix(old.URL, "http://"), strings.TrimPrefix(next.URL, "http://"), 1))
+	for end := time.Now().Add(limit); ask() != "next"; {
+		if time.Now().After(end) {
+			t.Fatal("the new discovery's server gets nothing")
+		}
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("exit: %v", err)
 	}
-	return cmd, address
 }
 
 // TestRunServesAndEndsOnSIGTERM runs the real program: it serves a request, is told to end while
@@ -115,7 +213,7 @@
 		{"uid":"s-1","endpoint":%q,"az":"a","model":"m","pod_group":0,"state":"in_service",
 		"capacity_hint":1,"boot_ms":0}]},"settings":%s}`,
 		strings.TrimPrefix(discovery.URL, "http://"), endpoint, settings)
-	cmd, address := start(t, dir, run, config)
+	cmd, address, _ := start(t, dir, run, config)
 	ask := func(id, key string) (string, error) {
 		req, _ := http.NewRequest("GET", "http://"+address+"/view/"+key, nil)
 		req.Header.Set("X-Request-Id", id)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"woodpick"
@@ -88,22 +89,58 @@
 
 // discovery follows the list of servers and posts its changes.
 type discovery struct {
-	addr   string
-	client *http.Client
 	post   func(event)
 	log    *slog.Logger
-	rev    int64 // the version held; -1: none, so the whole list is asked for
 	wanted chan struct{}
 	hold   time.Duration
 	grace  time.Duration
+
+	mu sync.Mutex
+	at *place // where the list is watched now
+}
+
+// place is an address of discovery, with all that holds there only.
+type place struct {
+	ctx    context.Context // ends when the watch moves elsewhere
+	leave  context.CancelFunc
+	addr   string
+	client *http.Client
+	rev    int64 // the version held; -1: none, so the whole list is asked for
+}
+
+func newPlace(addr string, rev int64) *place {
+	p := &place{addr: addr, rev: rev,
+		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}}}
+	p.ctx, p.leave = context.WithCancel(context.Background())
+	return p
 }
 
 func newDiscovery(cfg Config, rev int64, post func(event), log *slog.Logger) *discovery {
-	return &discovery{addr: cfg.Discovery, post: post, log: log, rev: rev,
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}},
+	return &discovery{post: post, log: log, at: newPlace(cfg.Discovery, rev),
 		wanted: make(chan struct{}, 1), hold: watchHold, grace: watchGrace}
 }
 
+func (d *discovery) place() *place {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.at
+}
+
+// move watches another address from now on. Versions count anew there, so its whole list is asked for;
+// what the node holds stays in use until that has come. A call to the old address ends.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	old := d.at
+	if old.addr == addr {
+		d.mu.Unlock()
+		return
+	}
+	d.at = newPlace(addr, -1)
+	d.mu.Unlock()
+	old.leave()
+	old.client.CloseIdleConnections()
+}
+
 // subscribe starts a watch where discovery is asked. It never blocks.
 func (d *discovery) subscribe() {
 	select {
@@ -117,18 +154,22 @@
 func (d *discovery) push(ctx context.Context) {
 	wait := backoffFirst
 	for ctx.Err() == nil {
-		err := d.watch(ctx)
-		if err == nil {
+		p := d.place()
+		err := d.watch(ctx, p)
+		switch {
+		case err == nil || p.ctx.Err() != nil:
 			wait = backoffFirst
 			continue
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return
-		}
-		if wait == backoffFirst {
+		case wait == backoffFirst:
 			d.log.Warn("discovery does not answer; asking again", "error", err)
 		}
-		sleep(ctx, wait)
+		select {
+		case <-ctx.Done():
+		case <-p.ctx.Done():
+		case <-time.After(wait):
+		}
 		wait = min(2*wait, backoffMost)
 	}
 }
@@ -141,8 +182,9 @@
 			return
 		case <-d.wanted:
 		}
-		for {
-			if err := d.watch(ctx); err != nil {
+		for ctx.Err() == nil {
+			p := d.place()
+			if err := d.watch(ctx, p); err != nil && p.ctx.Err() == nil {
 				if ctx.Err() == nil {
 					d.log.Warn("the subscription failed", "error", err)
 					d.post(listFailed{})
@@ -154,19 +196,20 @@
 }
 
 // watch makes one call and posts what it tells.
-func (d *discovery) watch(ctx context.Context) error {
+func (d *discovery) watch(ctx context.Context, p *place) error {
 	ctx, cancel := context.WithTimeout(ctx, d.hold+d.grace)
 	defer cancel()
-	u := url.URL{Scheme: "http", Host: d.addr, Path: "/registry/instances"}
-	if d.rev >= 0 {
-		u.RawQuery = url.Values{"from": {strconv.FormatInt(d.rev, 10)},
+	defer context.AfterFunc(p.ctx, cancel)()
+	u := url.URL{Scheme: "http", Host: p.addr, Path: "/registry/instances"}
+	if p.rev >= 0 {
+		u.RawQuery = url.Values{"from": {strconv.FormatInt(p.rev, 10)},
 			"hold_ms": {strconv.FormatInt(d.hold.Milliseconds(), 10)}}.Encode()
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
 		return fmt.Errorf("watch: %w", err)
 	}
-	resp, err := d.client.Do(req)
+	resp, err := p.client.Do(req)
 	if err != nil {
 		return fmt.Errorf("watch: %w", err)
 	}
@@ -179,20 +222,20 @@
 		return fmt.Errorf("watch: %w", err)
 	}
 	l, err := parseList(text)
-	if err == nil && !l.full && l.rev < d.rev {
-		err = fmt.Errorf("list: rev %d comes after %d", l.rev, d.rev)
+	if err == nil && !l.full && l.rev < p.rev {
+		err = fmt.Errorf("list: rev %d comes after %d", l.rev, p.rev)
 	}
 	if err != nil {
-		d.rev = -1 // what the dropped answer told is missing: the whole list mends that
+		p.rev = -1 // what the dropped answer told is missing: the whole list mends that
 		return err
 	}
-	d.rev = l.rev
+	p.rev = l.rev
 	if !l.full && len(l.targets) == 0 {
-		// A hold that ended without news. The module takes each list for a change and cuts its pool
-		// anew, so telling it of nothing would move requests and open connections for nothing.
-		return nil
+		return nil // a hold that ended without news
+	}
+	if p.ctx.Err() == nil {
+		d.post(listNews{list: l})
 	}
-	d.post(listNews{list: l})
 	return nil
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -113,6 +113,7 @@
 	start     func(*attempt) // begins an attempt; must not block
 	subscribe func()
 	servers   func([]target, bool) // tells the backend of the list; must not block
+	push      bool                 // lists are pushed
 	log       *slog.Logger
 
 	now     time.Duration
@@ -226,8 +227,13 @@
 	}
 }
 
-// takeList keeps where the servers listen, and passes the list on.
+// takeList keeps where the servers listen, and passes the list on. A list that changes nothing, as after
+// discovery has moved, is not passed on where lists are pushed: the module takes each list for a change
+// and cuts its pool anew, so telling it of nothing would move requests and open connections for nothing.
 func (l *loop) takeList(news list, cached bool) {
+	if !cached && l.push && l.holds(news) {
+		return
+	}
 	if news.full {
 		clear(l.listed)
 	}
@@ -249,6 +255,16 @@
 	l.ready.Store(ready)
 }
 
+// holds says that a list tells nothing new.
+func (l *loop) holds(news list) bool {
+	for _, t := range news.targets {
+		if held, ok := l.listed[t.ID]; ok && held != t || !ok && t.State != woodpick.Gone {
+			return false
+		}
+	}
+	return !news.full || len(news.targets) == len(l.listed)
+}
+
 // handle feeds the module and carries out what it decides.
 func (l *loop) handle(at time.Duration, e woodpick.Event) {
 	l.now = max(l.now, at)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -42,6 +43,7 @@
 	backend   *backend
 	discovery *discovery
 	listener  net.Listener
+	cfg       Config // as started with
 	push      bool
 	accept    time.Duration // how long it accepts after it was told to end
 	drainMost time.Duration
@@ -63,7 +65,7 @@
 	room := cfg.Sockets - reserved
 	clock := newClock()
 	l := newLoop(balancer, clock, log)
-	n := &Node{loop: l, log: log, push: !cfg.Settings.AskDiscovery, accept: drainAccept, drainMost: drainMost(cfg),
+	n := &Node{cfg: cfg, loop: l, log: log, push: !cfg.Settings.AskDiscovery, accept: drainAccept, drainMost: drainMost(cfg),
 		backend:  newBackend(cfg, clock, room/2),
 		frontend: newFrontend(cfg, clock, room-room/2, l.post, l.ready.Load, log)}
 	l.start = func(a *attempt) {
@@ -73,7 +75,7 @@
 			l.post(ended{a, r})
 		}()
 	}
-	l.servers = n.backend.servers
+	l.servers, l.push = n.backend.servers, n.push
 	known, err := parseList(cfg.Known)
 	rev := int64(-1)
 	if err != nil {
@@ -94,6 +96,24 @@
 // Addr is where the node listens.
 func (n *Node) Addr() string { return n.listener.Addr().String() }
 
+// Reload takes over what may change in a running node: where discovery is. The module, the callers and
+// the connections to servers stay as they are.
+func (n *Node) Reload(cfg Config) {
+	for _, f := range []struct {
+		name    string
+		changed bool
+	}{
+		{"listen", cfg.Listen != n.cfg.Listen}, {"limits", cfg.Sockets != n.cfg.Sockets || cfg.MemoryMB != n.cfg.MemoryMB},
+		{"settings", !reflect.DeepEqual(cfg.Settings, n.cfg.Settings)},
+	} {
+		if f.changed {
+			n.log.Warn("a change in the configuration waits for the next start", "field", f.name)
+		}
+	}
+	n.log.Info("the configuration is read again", "discovery", cfg.Discovery)
+	n.discovery.move(cfg.Discovery)
+}
+
 // Run serves until ctx ends, and then until all that was taken is answered.
 func (n *Node) Run(ctx context.Context) error {
 	inner, stop := context.WithCancel(context.Background())
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -555,15 +555,78 @@
 	}{{`{"rev":%d,"all":false,"targets":[]}`, 0}, {whole(), 1},
 		{`{"rev":%d,"all":false,"targets":[` + entry("s1", "127.0.0.1:1", "in_service") + `]}`, 2}} {
 		ag.tell(false, c.text)
-		if err := d.watch(t.Context()); err != nil {
+		if err := d.watch(t.Context(), d.place()); err != nil {
 			t.Fatal(err)
 		}
-		if len(events) != c.want || d.rev != int64(ag.rev) {
-			t.Errorf("call %d: %d events at rev %d, want %d at %d", i, len(events), d.rev, c.want, ag.rev)
+		if len(events) != c.want || d.place().rev != int64(ag.rev) {
+			t.Errorf("call %d: %d events at rev %d, want %d at %d", i, len(events), d.place().rev, c.want, ag.rev)
 		}
 	}
 }
 
+// A whole list that names what is held already is no news to the module: it would cut its pool anew and
+// open connections for nothing.
+func TestWholeListWithoutNewsChangesNothing(t *testing.T) {
+	s := newServer(t, echo)
+	n, err := New(testConfig(whole(entry("s1", s.addr(), "in_service"))), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.listener.Close()
+	told := 0
+	n.loop.servers = func([]target, bool) { told++ }
+	for i, c := range []struct {
+		text string
+		want int
+	}{{whole(entry("s1", s.addr(), "in_service")), 0}, {whole(entry("s1", s.addr(), "terminating")), 1},
+		{whole(entry("s1", "127.0.0.1:1", "in_service")), 2}, {whole(), 3}} {
+		l, err := parseList([]byte(strings.Replace(c.text, "%d", "9", 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n.loop.take(listNews{l}); told != c.want {
+			t.Errorf("list %d: told %d times, want %d", i, told, c.want)
+		}
+	}
+}
+
+// The watch moves at once, though a call to the old address waits, and versions there count anew.
+func TestReloadMovesTheWatch(t *testing.T) {
+	a, b := newServer(t, echo), newServer(t, echo)
+	old, next := newAgent(t), newAgent(t)
+	old.rev = 1000
+	old.tell(false, whole(entry("s1", a.addr(), "in_service")))
+	next.tell(false, whole(entry("s2", b.addr(), "in_service")))
+	cfg := testConfig(whole(entry("s1", a.addr(), "in_service")))
+	cfg.Discovery = old.Addr().String()
+	n, _ := startNode(t, cfg, func(n *Node) { n.discovery.hold = limit })
+	for !strings.Contains(wait(t, old.asked, "the watch"), "from=1001&") {
+	}
+	c := dial(t, n)
+	c.get("before")
+	c.want(t, 200, "for before")
+	n.Reload(cfg) // the same address: nothing moves
+	cfg.Discovery = next.Addr().String()
+	n.Reload(cfg)
+	if q := wait(t, next.asked, "the whole list"); q != "" {
+		t.Errorf("asked %q of the new address, want the whole list", q)
+	}
+	if q := wait(t, next.asked, "the watch"); !strings.HasPrefix(q, fmt.Sprintf("from=%d&", next.rev)) {
+		t.Errorf("asked %q", q)
+	}
+	if len(old.asked) > 0 {
+		t.Errorf("the old address was asked %q after the move", <-old.asked)
+	}
+	before := a.seen()
+	for i := range 20 { // on the connection of before
+		c.get(fmt.Sprint("after-", i))
+		c.want(t, 200, fmt.Sprint("for after-", i))
+	}
+	if a.seen() != before || b.seen() != 20 {
+		t.Errorf("%d requests came to the server that has gone, %d of 20 to the new one", a.seen()-before, b.seen())
+	}
+}
+
 // Where discovery is asked, a watch follows only a Subscribe, and its failure is told.
 func TestAskedDiscoveryFollowsSubscribe(t *testing.T) {
 	ag := newAgent(t)
