Admission: start by servers, follow faster, an unbiased base latency

Cause: with few nodes the window stayed far below what the servers took. Three lines: the start (3 + 5 a server) left a node of four servers at 13 calls, where 50 fit; windowGain 0.1 of the part under target opens that by a call in seconds; base was set to every minimum of a mean of 16 samples, which lies the lower the more samples a node has, and the target with it.

windowStart is 13 for each server a node (windowFirst is gone), windowGain 0.25, base falls by 0.02 of the difference.

--- a/policy.go
+++ b/policy.go
@@ -35,11 +35,11 @@
 	targetShare = 0.75   // part of the mean, by ratio, of base latency and aim that is steered to
 	targetLeast = 1.35   // times the base latency that is steered to at least
 	baseRise    = 0.0005 // weight of a new sample in a class's base latency when it lies above
+	baseFall    = 0.02   // and when it lies below: a noisy mean now and then is lower than any real one
 	leanness    = 0.3    // part of the target given up when all is shed
 	windowSlack = 2      // times the calls out on average up to which the window grows
-	windowGain  = 0.1    // window moved by an answer, for each target that it came under or over
-	windowFirst = 3.0    // own calls admitted before anything is known, and
-	windowStart = 5.0    // as many more for each server a node
+	windowGain  = 0.25   // window moved by an answer, for each target that it came under or over
+	windowStart = 13.0   // own calls for each server a node that are admitted before anything is known
 )
 
 // ---- State ----
@@ -253,7 +253,7 @@
 	b.whole = groups{b.ready[:cut], b.ready[cut:]}
 	b.width = 0
 	if b.window == 0 {
-		b.window = windowFirst + windowStart*b.fairServers()
+		b.window = windowStart * b.fairServers()
 	}
 	if e.Cached {
 		b.askAgain()
@@ -682,7 +682,8 @@
 		share := max(memory, 1/float64(c.samples))
 		c.dev += share * (math.Abs(took-c.mean) - c.dev)
 		c.mean += share * (took - c.mean)
-		c.base = min(c.mean, c.base+baseRise*(c.mean-c.base))
+		c.base += baseRise * (c.mean - c.base)
+		c.base += min(0, baseFall*(c.mean-c.base))
 		if c.samples < 8 {
 			c.base, late = c.mean, false
 		}
--- a/policy_test.go
+++ b/policy_test.go
@@ -260,6 +260,7 @@
 		b.Handle(0, ServerList{Full: true, Servers: servers(4)})
 		c := b.classes["get"] // known to answer in 40 ms when there is room
 		c.samples, c.mean, c.base = 100, float64(40*msec), float64(40*msec)
+		b.window = 15 // less than its growth may reach with the ten calls that are out here
 		start, now := b.window, time.Duration(0)
 		var open []Send
 		for i := range 3000 {
