Bound answers, answer each request on its own bytes, pools by a server's life

In the code: http.ReadResponse has no bound, so one endless head fills the memory; read put a connection back with bytes left in its buffer (50 second copies in the log), and the next request on it would have been answered with them; bytes that the reader took from the kernel before a request was written were invisible to closedByPeer; the pools were keyed by address only. A good body bears nothing of its request's id (0 of 2335 matched), so the order of bytes is all that ties the two.

Now 16 KiB at most beside the body, 64 KiB of body, a longer length is turned down unread. Reuse only with nothing left over; the reader leaves bytes in the kernel until a request is being written, and begin looks there last. Pools by uid, address and boot; a connection returns only to a server still in service.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -18,17 +18,26 @@
 	"woodpick"
 )
 
-// maxBody is the longest body of a request or an answer.
-const maxBody = 64 << 10
+const (
+	maxBody   = 64 << 10 // the longest body of a request or an answer
+	maxAnswer = 16 << 10 // all of an answer but its body: heads, 1xx before them, chunks' sizes
+)
 
 // attempt is one send of a call to a server.
 type attempt struct {
-	ctx              context.Context
-	cancel           context.CancelFunc
-	call             *call
-	n                int
+	ctx            context.Context
+	cancel         context.CancelFunc
+	call           *call
+	n              int
+	to             host
+	sent, deadline time.Duration
+}
+
+// host is one life of a server at one address. A server that starts anew, or another at an address that
+// one has left, must not be met over its predecessor's connections.
+type host struct {
 	server, endpoint string
-	sent, deadline   time.Duration
+	boot             time.Duration
 }
 
 // result is how an attempt ended.
@@ -49,12 +58,41 @@
 // closed by the server leaves the idle ones at once.
 type conn struct {
 	net.Conn
-	endpoint string
-	br       *bufio.Reader
-	waiter   chan reply // the attempt on it takes one reply here; nil while idle. Guarded by backend.mu
-	since    time.Duration
-	writing  bool // an attempt's request is not written whole yet. Guarded by backend.mu
-	dead     bool // guarded by backend.mu
+	to     host
+	in     *bounded
+	br     *bufio.Reader // over in; empty between answers
+	waiter chan reply    // the attempt on it takes one reply here; nil while idle. Guarded by backend.mu
+	since  time.Duration
+	stage  stage // guarded by backend.mu
+	dead   bool  // guarded by backend.mu
+}
+
+// stage is how far the request on a connection is.
+type stage int
+
+const (
+	resting stage = iota // no byte of a request is written: whatever comes in answers none
+	writing
+	written // whole
+)
+
+// errTooLong ends an answer that is longer than one may be, be it by its head or by what comes before it.
+var errTooLong = errors.New("the answer is too long")
+
+// bounded reads up to a number of bytes that its reader sets anew for each answer. Neither http.ReadResponse
+// nor io.ReadAll has a bound of its own: one endless head would fill the memory.
+type bounded struct {
+	io.Reader
+	left int
+}
+
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := b.Reader.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
 }
 
 // backend runs attempts over pools of kept connections, the last used first. http.Transport would
@@ -66,14 +104,14 @@
 	most    int // connections open or being opened
 
 	mu   sync.Mutex
-	idle map[string][]*conn // by endpoint, the oldest first
+	idle map[host][]*conn // the oldest first
 	open int
 	made int
-	seen map[string]target // by uid
+	seen map[string]target // the listed servers by uid
 }
 
 func newBackend(cfg Config, c clock, most int) *backend {
-	return &backend{clock: c, most: most, idle: map[string][]*conn{}, seen: map[string]target{},
+	return &backend{clock: c, most: most, idle: map[host][]*conn{}, seen: map[string]target{},
 		dialer: net.Dialer{Timeout: cfg.ConnectTimeout, KeepAlive: -1},
 		// Closed a little before the server does, or a request might cross its close and end as a reset.
 		idleFor: cfg.ConnIdle - cfg.ConnIdle/10}
@@ -94,25 +132,41 @@
 }
 
 func (b *backend) try(ctx context.Context, a *attempt) result {
-	waiter := make(chan reply, 1)
-	c, err := b.connect(ctx, a.endpoint, waiter)
-	switch {
-	case errors.Is(err, errNoRoom):
-		return result{ending: woodpick.Void}
-	case err != nil && errors.Is(a.ctx.Err(), context.Canceled):
-		return result{ending: woodpick.Withdrawn}
-	case err != nil:
-		return result{ending: woodpick.Unreachable}
+	var (
+		c      *conn
+		waiter chan reply
+		text   []byte
+	)
+	for {
+		waiter = make(chan reply, 1)
+		var (
+			fresh bool
+			err   error
+		)
+		c, fresh, err = b.connect(ctx, a.to, waiter)
+		switch {
+		case errors.Is(err, errNoRoom):
+			return result{ending: woodpick.Void}
+		case err != nil && errors.Is(a.ctx.Err(), context.Canceled):
+			return result{ending: woodpick.Withdrawn}
+		case err != nil:
+			return result{ending: woodpick.Unreachable}
+		}
+		if text, err = encode(a, b.clock.until(a.deadline)); err != nil {
+			b.giveUp(c, waiter)
+			return result{ending: woodpick.Void}
+		}
+		if b.begin(c, waiter) {
+			break
+		}
+		if fresh {
+			return result{ending: woodpick.Unreachable}
+		}
 	}
 	// A timed-out or cancelled attempt closes its connection, which ends the wait below.
 	stop := context.AfterFunc(ctx, func() { b.giveUp(c, waiter) })
 	defer stop()
-	text, err := encode(a, b.clock.until(a.deadline))
-	if err != nil {
-		b.giveUp(c, waiter)
-		return result{ending: woodpick.Void}
-	}
-	written, err := c.Write(text)
+	sent, err := c.Write(text)
 	if err != nil {
 		b.giveUp(c, waiter)
 	} else {
@@ -124,7 +178,7 @@
 		return got.result
 	case errors.Is(a.ctx.Err(), context.Canceled):
 		return result{ending: woodpick.Withdrawn}
-	case written < len(text):
+	case sent < len(text):
 		// The server never got the last byte, so it has not begun: sending again is harmless.
 		return result{ending: woodpick.Unreachable}
 	case ctx.Err() != nil:
@@ -160,24 +214,13 @@
 	return text.Bytes(), nil
 }
 
-// connect takes the idle connection used last, or opens one.
-func (b *backend) connect(ctx context.Context, endpoint string, waiter chan reply) (*conn, error) {
-	for {
-		c, err := b.take(endpoint, waiter)
-		if err != nil {
-			return nil, err
-		}
-		if c == nil {
-			break
-		}
-		// The server may have closed it a moment ago, before the reader could see that.
-		if !closedByPeer(c.Conn) {
-			return c, nil
-		}
-		b.giveUp(c, waiter)
-		<-waiter
+// connect takes the idle connection used last, or opens a fresh one.
+func (b *backend) connect(ctx context.Context, to host, waiter chan reply) (c *conn, fresh bool, err error) {
+	c, err = b.take(to, waiter)
+	if c != nil || err != nil {
+		return c, false, err
 	}
-	nc, err := b.dialer.DialContext(ctx, "tcp", endpoint)
+	nc, err := b.dialer.DialContext(ctx, "tcp", to.endpoint)
 	if err != nil {
 		b.mu.Lock()
 		b.open--
@@ -187,27 +230,44 @@
 				err = errors.Join(errNoRoom, err)
 			}
 		}
-		return nil, fmt.Errorf("connect: %w", err)
+		return nil, true, fmt.Errorf("connect: %w", err)
 	}
-	return b.watch(nc, endpoint, waiter), nil
+	return b.watch(nc, to, waiter), true, nil
 }
 
 // watch starts the reader of a connection that an attempt is about to use.
-func (b *backend) watch(nc net.Conn, endpoint string, waiter chan reply) *conn {
-	c := &conn{Conn: nc, endpoint: endpoint, br: bufio.NewReader(nc), waiter: waiter, writing: true}
+func (b *backend) watch(nc net.Conn, to host, waiter chan reply) *conn {
+	in := &bounded{Reader: nc}
+	c := &conn{Conn: nc, to: to, in: in, br: bufio.NewReader(in), waiter: waiter}
 	go b.read(c)
 	return c
 }
 
+// begin has a request written next, unless the server has closed the connection or said something
+// meanwhile, which can be no answer to it: then the connection is closed, and another will do.
+func (b *backend) begin(c *conn, waiter chan reply) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.waiter == waiter && !spokenOrClosed(c.Conn) {
+		c.stage = writing
+		return true
+	}
+	if c.waiter == waiter {
+		c.waiter = nil
+		b.drop(c)
+	}
+	return false
+}
+
 // take returns an idle connection, or nil once there is room to open one. When short, idle
 // connections to other servers are closed first.
-func (b *backend) take(endpoint string, waiter chan reply) (*conn, error) {
+func (b *backend) take(to host, waiter chan reply) (*conn, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if free := b.idle[endpoint]; len(free) > 0 {
+	if free := b.idle[to]; len(free) > 0 {
 		c := free[len(free)-1]
-		b.idle[endpoint] = free[:len(free)-1]
-		c.waiter, c.writing = waiter, true
+		b.idle[to] = free[:len(free)-1]
+		c.waiter, c.stage = waiter, resting
 		return c, nil
 	}
 	if b.open >= b.most {
@@ -235,15 +295,15 @@
 	c.dead = true
 	b.open--
 	c.Close()
-	free := b.idle[c.endpoint]
+	free := b.idle[c.to]
 	for i, o := range free {
 		if o == c {
-			b.idle[c.endpoint] = append(free[:i], free[i+1:]...)
+			b.idle[c.to] = append(free[:i], free[i+1:]...)
 			break
 		}
 	}
-	if len(b.idle[c.endpoint]) == 0 {
-		delete(b.idle, c.endpoint)
+	if len(b.idle[c.to]) == 0 {
+		delete(b.idle, c.to)
 	}
 }
 
@@ -263,33 +323,44 @@
 func (b *backend) wrote(c *conn) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c.writing = false
+	c.stage = written
 	if c.waiter == nil && !c.dead {
-		b.idle[c.endpoint] = append(b.idle[c.endpoint], c)
+		b.rest(c)
 	}
 }
 
+// rest keeps a connection for the next attempt, if its server is still the one that it was made to. The
+// caller holds mu.
+func (b *backend) rest(c *conn) {
+	if t, listed := b.seen[c.to.server]; !listed || t.State != woodpick.Ready || t.host() != c.to {
+		b.drop(c)
+		return
+	}
+	b.idle[c.to] = append(b.idle[c.to], c)
+}
+
 // read watches a connection: it hands each answer to the attempt that waits for it, and drops the
-// connection when it ends or says something while idle.
+// connection when it ends or says something that no request asked for. Until a request is being
+// written it leaves what comes to the kernel, where begin sees it.
 func (b *backend) read(c *conn) {
-	for {
-		r := reply{}
-		keep := false
-		if _, r.err = c.br.Peek(1); r.err == nil {
-			b.mu.Lock()
-			idle := c.waiter == nil
-			b.mu.Unlock()
-			if !idle {
-				r, keep = b.readAnswer(c)
-			}
+	for keep := true; keep; {
+		awaitBytes(c.Conn)
+		b.mu.Lock()
+		asked := c.waiter != nil && c.stage != resting
+		b.mu.Unlock()
+		r := reply{err: errUnasked}
+		if asked {
+			r, keep = b.readAnswer(c)
+		} else {
+			keep = false
 		}
 		b.mu.Lock()
 		waiter := c.waiter
 		c.waiter = nil
 		if waiter != nil && keep {
 			c.since = r.at
-			if !c.writing { // an answer that came early must not let another request into this one
-				b.idle[c.endpoint] = append(b.idle[c.endpoint], c)
+			if c.stage == written { // an answer that came early must not let another request into this one
+				b.rest(c)
 			}
 		} else {
 			keep = false
@@ -299,17 +370,19 @@
 		if waiter != nil {
 			waiter <- r
 		}
-		if !keep {
-			return
-		}
 	}
 }
 
+var errUnasked = errors.New("the server spoke or closed before it was asked")
+
 // errCut says that an answer is not whole, or can't be told to be.
 var errCut = errors.New("the answer is not whole")
 
-// readAnswer reads one answer. Only a whole 200 is a success.
+// readAnswer reads one answer, and tells whether the connection is of further use. Only a whole 200 is a
+// success. What can't be read may have run. An answer is good even if more follows that belongs to none,
+// but then the next answer could not be told from that.
 func (b *backend) readAnswer(c *conn) (reply, bool) {
+	c.in.left = maxAnswer
 	resp, err := http.ReadResponse(c.br, nil)
 	for err == nil && resp.StatusCode < 200 {
 		resp, err = http.ReadResponse(c.br, nil)
@@ -317,18 +390,26 @@
 	if err != nil {
 		return reply{err: fmt.Errorf("answer: %w", err)}, false
 	}
-	chunked := len(resp.TransferEncoding) > 0
-	if resp.StatusCode == http.StatusOK && resp.ContentLength < 0 && !chunked {
-		// Without a length the end of the connection ends the body, be it whole or cut.
+	ok := resp.StatusCode == http.StatusOK
+	// Without a length the end of the connection ends the body, be it whole or cut.
+	framed := (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0) && resp.ContentLength <= maxBody
+	if ok && !framed {
 		return reply{err: errCut}, false
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if resp.StatusCode == http.StatusOK && (err != nil || len(body) > maxBody) {
-		return reply{err: errors.Join(errCut, err)}, false
+	var body []byte
+	if framed {
+		c.in.left += maxBody
+		body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+		if err == nil && len(body) > maxBody {
+			err = errTooLong
+		}
+		if ok && err != nil {
+			return reply{err: errors.Join(errCut, err)}, false
+		}
 	}
 	r := reply{result: result{at: b.clock.now()}}
 	switch {
-	case resp.StatusCode == http.StatusOK:
+	case ok:
 		r.ending, r.body, r.contentType = woodpick.Success, body, resp.Header.Get("Content-Type")
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Run") == "1":
@@ -336,27 +417,43 @@
 	default:
 		r.ending = woodpick.Failure
 	}
-	return r, err == nil && !resp.Close && len(body) <= maxBody && (resp.ContentLength >= 0 || chunked)
+	return r, err == nil && framed && !resp.Close && c.br.Buffered() == 0
 }
 
-// closedByPeer asks the kernel whether a connection's other side has closed it, without waiting.
-func closedByPeer(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
+// rawConn is the connection below the runtime's, or nil if there is none.
+func rawConn(nc net.Conn) syscall.RawConn {
+	if sc, ok := nc.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			return raw
+		}
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
+	return nil
+}
+
+// peek looks into the kernel's buffer of a connection: whether its other side has said something that
+// was not read yet, or has closed.
+func peek(fd uintptr) bool {
+	var one [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err != syscall.EAGAIN && err != syscall.EINTR
+}
+
+// awaitBytes waits until a connection has bytes to read, has been closed by either side, or has failed.
+func awaitBytes(nc net.Conn) {
+	if raw := rawConn(nc); raw != nil {
+		raw.Read(peek) // an error shows at the next read
+	}
+}
+
+// spokenOrClosed asks the same without waiting.
+func spokenOrClosed(nc net.Conn) (is bool) {
+	raw := rawConn(nc)
+	if raw == nil {
+		return false
 	}
-	closed := false
 	// Control and not Read: the connection's reader holds the lock that Read takes.
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = n >= 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return closed || err != nil
+	err := raw.Control(func(fd uintptr) { is = peek(fd) })
+	return is || err != nil
 }
 
 // servers follows the list: idle connections to a server that left, drains or started anew are closed.
@@ -368,8 +465,8 @@
 		named[t.ID] = true
 		old, known := b.seen[t.ID]
 		b.seen[t.ID] = t
-		if known && (t.State != woodpick.Ready || t.Boot != old.Boot || t.endpoint != old.endpoint) {
-			b.dropIdle(old.endpoint)
+		if known && (t.State != woodpick.Ready || t.host() != old.host()) {
+			b.dropIdle(old.host())
 		}
 		if t.State == woodpick.Gone {
 			delete(b.seen, t.ID)
@@ -377,15 +474,15 @@
 	}
 	for id, t := range b.seen {
 		if full && !named[id] {
-			b.dropIdle(t.endpoint)
+			b.dropIdle(t.host())
 			delete(b.seen, id)
 		}
 	}
 }
 
-// dropIdle closes the idle connections to an endpoint. The caller holds mu.
-func (b *backend) dropIdle(endpoint string) {
-	for free := b.idle[endpoint]; len(free) > 0; free = b.idle[endpoint] {
+// dropIdle closes the idle connections to a host. The caller holds mu.
+func (b *backend) dropIdle(h host) {
+	for free := b.idle[h]; len(free) > 0; free = b.idle[h] {
 		b.drop(free[len(free)-1])
 	}
 }
@@ -405,7 +502,7 @@
 			for len(free) > 0 && b.clock.now()-free[0].since >= b.idleFor {
 				c := free[0]
 				b.drop(c)
-				free = b.idle[c.endpoint]
+				free = b.idle[c.to]
 			}
 		}
 		b.mu.Unlock()
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -17,11 +17,18 @@
 
 func testBackend(most int) *backend { return newBackend(testConfig(""), newClock(), most) }
 
+// testHost has the backend know a server that is named by its endpoint.
+func testHost(b *backend, endpoint string) host {
+	t := target{Server: woodpick.Server{ID: endpoint, State: woodpick.Ready}, endpoint: endpoint}
+	b.servers([]target{t}, false)
+	return t.host()
+}
+
 // testAttempt is an attempt at an endpoint with all the time in the world.
 func testAttempt(b *backend, endpoint string) *attempt {
 	ctx, cancel := context.WithCancel(context.Background())
 	now := b.clock.now()
-	return &attempt{ctx: ctx, cancel: cancel, endpoint: endpoint, sent: now, deadline: now + limit,
+	return &attempt{ctx: ctx, cancel: cancel, to: testHost(b, endpoint), sent: now, deadline: now + limit,
 		call: &call{id: "id", method: "POST", target: "/note/k", body: []byte("body")}}
 }
 
@@ -50,11 +57,25 @@
 		{"504 that may have run", "504 Gateway Timeout\r\nX-Not-Run: 0\r\nContent-Length: 0\r\n\r\n", woodpick.Failure, true},
 		{"500 with the mark", "500 Internal Server Error\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", woodpick.Failure, true},
 		{"reset", "-", woodpick.Broken, false},
-		{"ended in the head", "200 OK\r\nContent-Le", woodpick.Broken, false},
+		{"cut head", "200 OK\r\nContent-Le", woodpick.Broken, false},
 		{"cut body", "200 OK\r\nContent-Length: 9\r\n\r\nok", woodpick.Broken, false},
 		{"cut chunks", "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", woodpick.Broken, false},
 		{"no length", "200 OK\r\n\r\nok", woodpick.Broken, false},
 		{"too long", fmt.Sprintf("200 OK\r\nContent-Length: %d\r\n\r\n%s", maxBody+1, strings.Repeat("x", maxBody+1)), woodpick.Broken, false},
+		{"said to be too long", "200 OK\r\nContent-Length: 3000000000\r\n\r\nand so on", woodpick.Broken, false},
+		{"an error said to be too long", "500 Internal Server Error\r\nContent-Length: 3000000000\r\n\r\nand so on", woodpick.Failure, false},
+		{"a head too long", "200 OK\r\n" + strings.Repeat("X-Pad: pppp\r\n", maxAnswer/10), woodpick.Broken, false},
+		{"a line too long", "200 OK\r\nX-Pad: " + strings.Repeat("p", 2*maxAnswer), woodpick.Broken, false},
+		{"1xx without end", strings.Repeat("102 Processing\r\n\r\nHTTP/1.1 ", maxAnswer/20), woodpick.Broken, false},
+		{"two lengths", "200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", woodpick.Broken, false},
+		{"a negative length", "200 OK\r\nContent-Length: -2\r\n\r\nok", woodpick.Broken, false},
+		{"no status", "OK 200\r\nContent-Length: 2\r\n\r\nok", woodpick.Broken, false},
+		{"a line with no colon", "200 OK\r\nno colon\r\nContent-Length: 2\r\n\r\nok", woodpick.Broken, false},
+		{"spoilt chunks", "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\nok\r\n0\r\n\r\n", woodpick.Broken, false},
+		{"served, and noise behind", "200 OK\r\nContent-Length: 2\r\n\r\nok\xff\x00noise\r\n\r\n", woodpick.Success, false},
+		{"served twice", "200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", woodpick.Success, false},
+		{"served with a spoilt report", "200 OK\r\nX-Load: %%%\r\nX-Load: =,=\r\nContent-Length: 2\r\n\r\nok", woodpick.Success, true},
+		{"served after hints", "103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", woodpick.Success, true},
 		{"no HTTP", "what?\r\n\r\n", woodpick.Broken, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -64,16 +85,20 @@
 					return false
 				}
 				io.WriteString(conn, "HTTP/1.1 "+c.answer)
+				if !c.keeps && !strings.Contains(c.name, "cut") {
+					io.Copy(io.Discard, conn) // it stays open until the node closes it
+				}
 				return c.keeps
 			})
 			b := testBackend(10)
+			h := testHost(b, s.addr())
 			r := run(t, b, testAttempt(b, s.addr()))
 			if r.ending != c.want || c.want == woodpick.Success && string(r.body) != "ok" {
 				t.Errorf("ending %d, body %q; want %d", r.ending, r.body, c.want)
 			}
 			b.mu.Lock()
 			defer b.mu.Unlock()
-			if kept := len(b.idle[s.addr()]) == 1; kept != c.keeps || b.open != len(b.idle[s.addr()]) {
+			if kept := len(b.idle[h]) == 1; kept != c.keeps || b.open != len(b.idle[h]) {
 				t.Errorf("kept %v, %d open; want kept %v", kept, b.open, c.keeps)
 			}
 		})
@@ -128,6 +153,8 @@
 	return n, errors.New("broken")
 }
 
+func (c halfConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
+
 func TestBreakBeforeTheLastByteIsUnreachable(t *testing.T) {
 	s := newServer(t, echo)
 	nc, err := net.Dial("tcp", s.addr())
@@ -135,7 +162,7 @@
 		t.Fatal(err)
 	}
 	b := testBackend(10)
-	b.adopt(halfConn{nc}, s.addr())
+	b.adopt(halfConn{nc}, testHost(b, s.addr()))
 	if r := run(t, b, testAttempt(b, s.addr())); r.ending != woodpick.Unreachable || b.open != 0 {
 		t.Errorf("ending %d, %d open", r.ending, b.open)
 	}
@@ -145,43 +172,81 @@
 }
 
 // adopt puts a connection among the idle ones.
-func (b *backend) adopt(nc net.Conn, endpoint string) {
+func (b *backend) adopt(nc net.Conn, to host) {
 	waiter := make(chan reply, 1)
 	b.open++
-	c := b.watch(nc, endpoint, waiter)
+	c := b.watch(nc, to, waiter)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c.waiter, c.writing = nil, false
-	b.idle[endpoint] = append(b.idle[endpoint], c)
+	c.waiter = nil
+	b.idle[to] = append(b.idle[to], c)
 }
 
-// A close that the connection's reader has not seen yet, as on a busy core, is found all the same.
-func TestCloseIsSeenBeforeTheReaderRuns(t *testing.T) {
-	s := newServer(t, echo)
-	closing, err := net.Listen("tcp", "127.0.0.1:0")
+// What came in before a request was written is no answer to it, and a close that the connection's reader
+// has not seen yet, as on a busy core, is found all the same: another connection is used.
+func TestBytesOrACloseBeforeTheRequestAreSeen(t *testing.T) {
+	for name, say := range map[string]string{"a close": "", "an answer to nothing": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t, echo)
+			early, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer early.Close()
+			nc, err := net.Dial("tcp", early.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer nc.Close()
+			if spokenOrClosed(nc) {
+				t.Fatal("a silent open connection is said to have spoken or closed")
+			}
+			other, err := early.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer other.Close()
+			b := testBackend(10)
+			h := testHost(b, s.addr())
+			b.open = 1
+			b.idle[h] = []*conn{{Conn: nc, to: h}} // with no reader
+			if say == "" {
+				other.Close()
+			} else {
+				io.WriteString(other, say)
+			}
+			until(t, "it to arrive", func() bool { return spokenOrClosed(nc) })
+			if r := run(t, b, testAttempt(b, s.addr())); r.ending != woodpick.Success || string(r.body) != "for id" || b.open != 1 {
+				t.Errorf("ending %d, body %q, %d open", r.ending, r.body, b.open)
+			}
+		})
+	}
+}
+
+// A fresh connection on which the server speaks or closes before it is asked counts as none: the attempt
+// ends, and does not dial without end.
+func TestServerThatClosesAtOnceIsUnreachable(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer closing.Close()
-	nc, err := net.Dial("tcp", closing.Addr().String())
+	defer ln.Close()
+	nc, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer nc.Close()
-	if closedByPeer(nc) {
-		t.Fatal("an open connection is said to be closed")
-	}
-	other, err := closing.Accept()
+	other, err := ln.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
+	other.Close()
+	until(t, "the close to arrive", func() bool { return spokenOrClosed(nc) })
 	b := testBackend(10)
+	waiter := make(chan reply, 1)
 	b.open = 1
-	b.idle[s.addr()] = []*conn{{Conn: nc, endpoint: s.addr()}} // with no reader
-	other.Close()
-	until(t, "the close to arrive", func() bool { return closedByPeer(nc) })
-	if r := run(t, b, testAttempt(b, s.addr())); r.ending != woodpick.Success || b.open != 1 {
-		t.Errorf("ending %d, %d open", r.ending, b.open)
+	c := b.watch(nc, testHost(b, "127.0.0.1:1"), waiter)
+	if b.begin(c, waiter) || b.open != 0 {
+		t.Errorf("a request is written to a closed connection, or it is still counted: %d open", b.open)
 	}
 }
 
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -39,6 +39,8 @@
 	endpoint string
 }
 
+func (t target) host() host { return host{t.ID, t.endpoint, t.Boot} }
+
 var states = map[string]woodpick.ServerState{
 	"in_service": woodpick.Ready, "terminating": woodpick.Draining, "terminated": woodpick.Gone,
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -210,7 +210,7 @@
 		l.stats.Served++
 		l.answer(p, answer{kind: served, body: r.body, header: r.contentType})
 	}
-	l.handle(r.at, woodpick.Outcome{ID: a.call.id, Attempt: a.n, Server: a.server, Ending: r.ending,
+	l.handle(r.at, woodpick.Outcome{ID: a.call.id, Attempt: a.n, Server: a.to.server, Ending: r.ending,
 		Latency: r.at - a.sent, Ended: p.answered})
 	l.forget(p)
 }
@@ -291,8 +291,8 @@
 func (l *loop) send(s woodpick.Send) {
 	p := l.pending[s.ID]
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &attempt{ctx: ctx, cancel: cancel, call: p.call, n: len(p.attempts), server: s.Server,
-		endpoint: l.listed[s.Server].endpoint, sent: l.now, deadline: l.now + s.Timeout}
+	a := &attempt{ctx: ctx, cancel: cancel, call: p.call, n: len(p.attempts),
+		to: l.listed[s.Server].host(), sent: l.now, deadline: l.now + s.Timeout}
 	p.attempts = append(p.attempts, a)
 	p.out++
 	l.stats.Sends++
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -475,7 +475,12 @@
 		until(t, "the idle connections to be closed", func() bool {
 			n.backend.mu.Lock()
 			defer n.backend.mu.Unlock()
-			return len(n.backend.idle[a.addr()]) == 0
+			for h, idle := range n.backend.idle {
+				if h.endpoint == a.addr() && len(idle) > 0 {
+					return false
+				}
+			}
+			return true
 		})
 		before := a.seen()
 		for range 30 {
@@ -487,6 +492,48 @@
 	}
 }
 
+// A new server at the address of one that has gone does not get its predecessor's connections, nor does
+// one that started anew: whatever is still to come on them belongs to the old one.
+func TestConnectionsBelongToOneLifeOfAServer(t *testing.T) {
+	hold, got := make(chan struct{}), make(chan struct{}, 1)
+	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		if r.Header.Get("X-Request-Id") == "held" {
+			got <- struct{}{}
+			<-hold
+		}
+		return echo(c, r, body)
+	})
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), nil)
+	held, c := dial(t, n), dial(t, n)
+	held.get("held")
+	wait(t, got, "the attempt")
+	c.get("one")
+	c.want(t, 200, "for one")
+	for i, next := range []string{entry("s2", s.addr(), "in_service"),
+		strings.Replace(entry("s2", s.addr(), "in_service"), `"boot_ms":0`, `"boot_ms":5`, 1)} {
+		l, err := parseList([]byte(strings.Replace(whole(next), "%d", "9", 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.loop.post(listNews{l})
+		before := s.opened()
+		until(t, "the list to be taken", func() bool {
+			n.backend.mu.Lock()
+			defer n.backend.mu.Unlock()
+			return n.backend.seen["s2"] == l.targets[0]
+		})
+		if i == 0 { // a connection that was busy when the server went
+			close(hold)
+			held.want(t, 200, "for held")
+		}
+		c.get(fmt.Sprint("next-", i))
+		c.want(t, 200, fmt.Sprint("for next-", i))
+		if s.opened() != before+1 {
+			t.Errorf("life %d: %d connections after %d, want one more", i, s.opened(), before)
+		}
+	}
+}
+
 // An agent that was silent may never answer the call that it was silent on: it must be asked anew.
 func TestSilentDiscoveryIsAskedAgain(t *testing.T) {
 	s := newServer(t, echo)
