Make room from connections without a request; one budget with reserves

Cause: track let only idle connections go. One that never spoke or half spoke held its place for 5 s, and hundreds of them came (about 950 in 25 s): beyond the callers' fixed half each good request was refused, while the servers' half stood empty (70 to 80 of 168 used). Nothing bounded accepting, so EMFILE would have stopped it. The new log line (callers, let_go, crowded, turned_away, servers) tells what is so now.

callers.go owns the callers' connections. When there are too many, those go first that linger behind a final answer, then half-spoken ones, silent ones, idle ones, the oldest of each first; what servers do not use callers may. The listener closes who comes when no descriptor is left.

Tests: a good caller beside 600 silent or half-spoken ones at 256 descriptors; connections without a request end; state stays bounded.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -319,6 +319,13 @@
 	}
 }
 
+// connections is how many are open or being opened.
+func (b *backend) connections() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.open
+}
+
 // wrote notes that a request is written whole, and frees the connection if it is answered already.
 func (b *backend) wrote(c *conn) {
 	b.mu.Lock()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -114,6 +114,7 @@
 	subscribe func()
 	servers   func([]target, bool) // tells the backend of the list; must not block
 	push      bool                 // lists are pushed
+	sockets   func() []any         // more for the log's report
 	log       *slog.Logger
 
 	now     time.Duration
@@ -125,7 +126,7 @@
 }
 
 func newLoop(b *woodpick.Balancer, c clock, log *slog.Logger) *loop {
-	return &loop{clock: c, balancer: b, events: make(chan event, 1024), log: log,
+	return &loop{clock: c, balancer: b, sockets: func() []any { return nil }, events: make(chan event, 1024), log: log,
 		pending: map[string]*pending{}, listed: map[string]target{}}
 }
 
@@ -329,7 +330,7 @@
 		return
 	}
 	e := s.Endings
-	l.log.Info("traffic", "requests", s.Requests, "served", s.Served, "refused", s.Refused,
+	l.log.With(l.sockets()...).Info("traffic", "requests", s.Requests, "served", s.Served, "refused", s.Refused,
 		"failed", s.Failed, "gone", s.Gone, "sends", s.Sends, "success", e[woodpick.Success],
 		"failure", e[woodpick.Failure], "overloaded", e[woodpick.Overloaded],
 		"timed_out", e[woodpick.TimedOut], "unreachable", e[woodpick.Unreachable],
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,8 +66,14 @@
 	clock := newClock()
 	l := newLoop(balancer, clock, log)
 	n := &Node{cfg: cfg, loop: l, log: log, push: !cfg.Settings.AskDiscovery, accept: drainAccept, drainMost: drainMost(cfg),
-		backend:  newBackend(cfg, clock, room/2),
-		frontend: newFrontend(cfg, clock, room-room/2, l.post, l.ready.Load, log)}
+		backend: newBackend(cfg, clock, room/2)}
+	callers := newCallers(clock, room, reserved/2, n.backend.connections)
+	n.frontend = newFrontend(cfg, clock, callers, l.post, l.ready.Load, log)
+	l.sockets = func() []any {
+		c, held := callers.report()
+		return []any{"callers", held, "accepted", c.Accepted, "let_go", c.LetGo, "crowded", c.Crowded,
+			"turned_away", c.TurnedAway, "servers", n.backend.connections()}
+	}
 	l.start = func(a *attempt) {
 		go func() {
 			r := n.backend.run(a)
@@ -126,7 +132,7 @@
 		go n.discovery.ask(inner)
 	}
 	gone := make(chan error, 1)
-	go func() { gone <- n.frontend.server.Serve(callerListener{n.listener}) }()
+	go func() { gone <- n.frontend.server.Serve(callerListener{n.listener, n.frontend.callers}) }()
 	select {
 	case err := <-gone:
 		return fmt.Errorf("node: %w", err)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -746,10 +746,10 @@
 func untilIdle(t *testing.T, n *Node) {
 	t.Helper()
 	until(t, "a connection to be idle", func() bool {
-		n.frontend.mu.Lock()
-		defer n.frontend.mu.Unlock()
-		for _, s := range n.frontend.conns {
-			if s.state == http.StateIdle {
+		n.frontend.callers.mu.Lock()
+		defer n.frontend.callers.mu.Unlock()
+		for c := range n.frontend.callers.conns {
+			if c.phase == idle {
 				return true
 			}
 		}
@@ -768,7 +768,8 @@
 	})
 	const most = 4
 	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) {
-		n.frontend.most, n.frontend.idleGrace = most, 0
+		n.frontend.callers.room, n.frontend.callers.least = 2*most, most
+		n.frontend.callers.grace.idle = 0
 	})
 	idle := dial(t, n)
 	idle.get("idle")
@@ -802,13 +803,14 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
+	f := newCallers(newClock(), 2, 10, func() int { return 1 })
 	pair := func() (ours *callerConn, theirs net.Conn) {
 		theirs, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { theirs.Close() })
-		c, err := callerListener{ln}.Accept()
+		c, err := callerListener{ln, f}.Accept()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -825,28 +827,28 @@
 			t.Fatal(err)
 		}
 	}
-	f := newFrontend(testConfig(""), newClock(), 1, nil, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	a, caller := pair()
 	b, _ := pair()
 	say(caller, a) // a request
+	f.track(a, http.StateNew)
 	f.track(a, http.StateActive)
 	say(a, caller) // its answer
 	say(caller, a) // the next request's first byte
 	f.track(a, http.StateIdle)
 	f.track(b, http.StateNew) // one too many
-	if f.conns[a].leaving || !f.crowded() {
+	if a.going || !f.crowded() {
 		t.Fatal("a connection with a request on it was let go")
 	}
 	say(caller, a)
 	say(a, caller)
-	f.idleGrace = limit
+	f.grace.idle = limit
 	f.track(a, http.StateIdle)
-	if f.conns[a].leaving || !f.crowded() {
+	if a.going || !f.crowded() {
 		t.Fatal("a connection idle for a moment only was let go")
 	}
-	f.idleGrace = 0
+	f.grace.idle = 0
 	f.track(b, http.StateActive)
-	if !f.conns[a].leaving || f.crowded() {
+	if !a.going || f.crowded() {
 		t.Fatal("the idle connection was not let go")
 	}
 	a.SetReadDeadline(time.Time{}) // net/http does, after it has said that it is idle
@@ -864,7 +866,8 @@
 func TestNothingReadIsLostWhileIdleConnectionsAreLetGo(t *testing.T) {
 	s := newServer(t, echo)
 	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) {
-		n.frontend.most, n.frontend.idleGrace = 4, 0
+		n.frontend.callers.room, n.frontend.callers.least = 8, 4
+		n.frontend.callers.grace.idle = 0
 	})
 	var mu sync.Mutex
 	answered := map[string]bool{}
