End a node by serving its callers for as long as answers still come in time

From 0.9 s after SIGTERM each answer closed its connection, and the node exited a second later, though it is killed no sooner than 3.7 s and comes back at a fixed time (4.4 s in the logs): its callers found no node meanwhile (42 % failed in the 5 s round the second restart). What was still out when the time was up would have been lost.

Unready at once, it accepts for 0.6 s as before, serves on the connections that callers have until half an aim before its last call (2.65 s), and at the last call (3.4 s) answers whatever is unanswered: refused where nothing was sent, failed otherwise.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -324,19 +324,26 @@
 	}
 }
 
-// letQuietGo closes the callers' idle connections, and those that have sent nothing yet if asked to.
-// It returns how many of all are left.
-func (s *callers) letQuietGo(fresh bool) int {
+// letQuietGo closes the callers' idle connections, and those that have sent nothing yet. It returns how
+// many of all are left.
+func (s *callers) letQuietGo() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.phase == idle || fresh && c.phase == silent && !c.hasBegun() {
+		if c.phase == idle || c.phase == silent && !c.hasBegun() {
 			s.letGo(c)
 		}
 	}
 	return len(s.conns)
 }
 
+// held is how many connections there are.
+func (s *callers) held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // report tells what became of connections since the last report, and how many there are.
 func (s *callers) report() (c callerCounts, held int) {
 	s.mu.Lock()
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -36,7 +36,8 @@
 	post     func(event)
 	ready    func() bool
 	classes  map[string]woodpick.Class
-	draining atomic.Bool
+	draining atomic.Bool // unready
+	closing  atomic.Bool // each answer closes its connection
 	server   *http.Server
 	advice   time.Duration // when to come back after a refusal for want of descriptors
 
@@ -99,7 +100,7 @@
 	}
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(time.Time{}) // it was for reading the request
-	if !f.draining.Load() {
+	if !f.closing.Load() {
 		w.Header().Del("Connection")
 	}
 	if !f.callers.open(connOf(r.Context())) {
@@ -200,7 +201,7 @@
 func (f *frontend) write(w http.ResponseWriter, a answer) {
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
-	if f.callers.crowded() {
+	if f.callers.crowded() || f.closing.Load() {
 		h.Set("Connection", "close")
 	}
 	switch a.kind {
@@ -224,21 +225,32 @@
 	}
 }
 
-// drain lets the callers go: the node keeps accepting for a while, each answer closes its connection,
-// and everything taken is answered. It returns once that is done, or with an error when ctx ends.
+// ending tells, from the moment that the node was told to end, until when it accepts connections, until
+// when callers may go on using those that they have, and when whatever is left is answered at once.
+type ending struct{ accept, serve, last time.Duration }
+
+// drain lets the callers go, and everything taken is answered: for a while they are served as ever on the
+// connections that they have, for their requests would fail elsewhere until they are sent to another node;
+// then each answer closes its connection. It returns once all are gone, or with an error when ctx ends.
 // http.Server.Shutdown would wait for seconds on connections that never sent a request, past SIGKILL,
 // and close idle ones under a request just read.
-func (f *frontend) drain(ctx context.Context, ln net.Listener, accept time.Duration) error {
+func (f *frontend) drain(ctx context.Context, ln net.Listener, e ending) error {
+	begin := f.clock.now()
 	f.draining.Store(true)
-	f.callers.letQuietGo(false)
-	sleep(ctx, accept)
+	sleep(ctx, e.accept)
 	ln.Close()
-	sleep(ctx, quietGrace)
-	for f.callers.letQuietGo(true) > 0 {
+	for serve := max(e.serve, e.accept+quietGrace); f.clock.now()-begin < serve && f.callers.held() > 0; {
+		sleep(ctx, drainStep)
+	}
+	f.closing.Store(true)
+	for told := false; f.callers.letQuietGo() > 0; sleep(ctx, drainStep) {
 		if ctx.Err() != nil {
 			return fmt.Errorf("callers are left: %w", ctx.Err())
 		}
-		sleep(ctx, drainStep)
+		if !told && f.clock.now()-begin >= e.last {
+			f.post(lastCall{})
+			told = true
+		}
 	}
 	return nil
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -67,6 +67,7 @@
 	}
 	listNews   struct{ list list }
 	listFailed struct{}
+	lastCall   struct{} // the node ends: what is unanswered is answered now
 )
 
 // pending is a call that the module still knows: unanswered, or with attempts out.
@@ -121,6 +122,7 @@
 	pending map[string]*pending
 	alarms  alarms
 	listed  map[string]target
+	over    bool        // after lastCall
 	ready   atomic.Bool // a listed server may be sent to
 	stats   stats
 }
@@ -176,6 +178,11 @@
 	switch e := e.(type) {
 	case arrived:
 		l.lag(e.call.at)
+		if l.over {
+			l.stats.Refused++
+			e.call.answer <- answer{kind: refused, retryAfter: time.Second}
+			return
+		}
 		if l.pending[e.call.id] != nil {
 			// The module ignores a second request with an id that it knows, so nobody would answer.
 			e.call.answer <- answer{kind: duplicate}
@@ -195,6 +202,11 @@
 	case ended:
 		l.lag(e.result.at)
 		l.end(e.attempt, e.result)
+	case lastCall:
+		l.over = true
+		for _, p := range l.pending {
+			l.giveUp(p)
+		}
 	case listNews:
 		l.takeList(e.list, false)
 	case listFailed:
@@ -202,6 +214,19 @@
 	}
 }
 
+// giveUp answers a call that the node will not be there for, as its caller leaving would end it.
+func (l *loop) giveUp(p *pending) {
+	if p.answered {
+		return
+	}
+	if len(p.attempts) == 0 {
+		l.finish(p.call.id, answer{kind: refused, retryAfter: time.Second})
+	} else {
+		l.finish(p.call.id, answer{kind: failed})
+	}
+	l.handle(l.clock.now(), woodpick.ClientGone{ID: p.call.id})
+}
+
 // end passes on how an attempt ended. The first success is the caller's answer.
 func (l *loop) end(a *attempt, r result) {
 	p := l.pending[a.call.id]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	killCap     = 3 * time.Second
 	killAfter   = 700 * time.Millisecond
 	killMargin  = 150 * time.Millisecond
+	lastMargin  = 150 * time.Millisecond // from the last answers to the end
 )
 
 // drainMost is how long the node may take to end.
@@ -32,6 +33,17 @@
 	return min(longest, killCap) + killAfter - killMargin
 }
 
+// endingOf is how a node ends: it serves for as long as most answers, which take less than half of their
+// aim, come before the end. Callers that it lets go sooner would find no node at all.
+func endingOf(cfg Config) ending {
+	var aim time.Duration
+	for _, c := range cfg.Settings.Classes {
+		aim = max(aim, c.Aim)
+	}
+	last := drainMost(cfg) - lastMargin
+	return ending{accept: drainAccept, serve: max(drainAccept, last-aim/2), last: last}
+}
+
 // reserved descriptors are for the listener, discovery, the log, the runtime, and callers whose
 // requests are read only to be refused.
 const reserved = 48
@@ -45,7 +57,7 @@
 	listener  net.Listener
 	cfg       Config // as started with
 	push      bool
-	accept    time.Duration // how long it accepts after it was told to end
+	ending    ending
 	drainMost time.Duration
 	log       *slog.Logger
 }
@@ -65,7 +77,7 @@
 	room := cfg.Sockets - reserved
 	clock := newClock()
 	l := newLoop(balancer, clock, log)
-	n := &Node{cfg: cfg, loop: l, log: log, push: !cfg.Settings.AskDiscovery, accept: drainAccept, drainMost: drainMost(cfg),
+	n := &Node{cfg: cfg, loop: l, log: log, push: !cfg.Settings.AskDiscovery, ending: endingOf(cfg), drainMost: drainMost(cfg),
 		backend: newBackend(cfg, clock, room/2)}
 	callers := newCallers(clock, room, reserved/2, n.backend.connections)
 	n.frontend = newFrontend(cfg, clock, callers, l.post, l.ready.Load, log)
@@ -141,7 +153,7 @@
 	n.log.Info("draining")
 	limit, cancel := context.WithTimeout(inner, n.drainMost)
 	defer cancel()
-	if err := n.frontend.drain(limit, n.listener, n.accept); err != nil {
+	if err := n.frontend.drain(limit, n.listener, n.ending); err != nil {
 		return fmt.Errorf("node: drain: %w", err)
 	}
 	if err := <-gone; !errors.Is(err, net.ErrClosed) {
