Tell repeats by the time that most tries are given, not by the longest seen

At 34.03 s n0 got one view with 3991 ms left; all others had 2694.

backdate now votes for what is usual, so one odd time changes nothing; one that differs either way is a repeat with all of the deadline that is left. The test over sockets (503 before) sends one long try. Paid for with slices functions.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1028,3 +1028,44 @@
 	close(hold)
 	first.want(t, 200, "for used")
 }
+
+// A caller gives its last try all the time that it has left, more than tries are usually given. That must
+// not make every other caller's first try look like a repeat whose aim is over, to be refused at once.
+func TestALongLastTryLeavesFirstTriesAsTheyAre(t *testing.T) {
+	hold, got := make(chan struct{}), make(chan struct{}, 100)
+	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		if strings.HasPrefix(r.Header.Get("X-Request-Id"), "held") {
+			got <- struct{}{}
+			<-hold
+		}
+		return echo(c, r, body)
+	})
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), nil)
+	c := dial(t, n)
+	view := func(id, deadline string) {
+		t.Helper()
+		c.send("GET", "/view/k", id, "", deadline)
+		c.want(t, 200, "for "+id)
+	}
+	for i := range 5 {
+		view(fmt.Sprint("first-", i), "25")
+	}
+	view("last", "59.9")
+	var busy []*caller // with these out there is room for a first try, and none for a repeat
+	for i := range 9 {
+		busy = append(busy, dial(t, n))
+		busy[i].send("POST", "/note/k", fmt.Sprint("held-", i), "x", "60")
+		wait(t, got, "an attempt")
+	}
+	for i := range 5 {
+		view(fmt.Sprint("another-", i), "25")
+	}
+	c.send("GET", "/view/k", "repeat", "", "20") // the class's deadline of 60 s began 40 s ago
+	if r, _ := c.answer(t); r.StatusCode != 503 || r.Header.Get("Retry-After") == "" {
+		t.Errorf("a repeat past its aim: got %d, Retry-After %q", r.StatusCode, r.Header.Get("Retry-After"))
+	}
+	close(hold)
+	for i, b := range busy {
+		b.want(t, 200, fmt.Sprint("for held-", i))
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -40,6 +40,8 @@
 	windowSlack = 2      // times the calls out on average up to which the window grows
 	windowGain  = 0.25   // window moved by an answer, for each target that it came under or over
 	windowStart = 13.0   // own calls for each server a node that are admitted before anything is known
+	sameTry     = 0.05   // by how much times given to tries may differ and be held for the same
+	mostVotes   = 50     // counted for the time that is usual
 )
 
 // ---- State ----
@@ -78,7 +80,8 @@
 	base          float64 // what mean was when there was most room
 	samples       int
 	arrive, serve float64 // decayed counts
-	longestTry    time.Duration
+	usual         float64 // time that most tries are given, in ns
+	votes         int     // for it, less those against it
 }
 
 // server is a listed server, or one that left with calls of ours still out.
@@ -297,14 +300,22 @@
 	b.place(r)
 }
 
-// backdate finds when the client first asked. Tries are all given the same time unless the class's
-// deadline, which runs over all of them, ends sooner: a shorter one tells how much is over already.
+// backdate finds when the client first asked. Most tries of a class are given the same time, a share of
+// its deadline; one that is given another has all that its earlier tries left: less than the share, or
+// more where no try is to follow. What is usual is a vote, so that no odd caller decides it for all. It
+// would hurt callers in the minority where those of one class are given different times.
 func (b *Balancer) backdate(r *request) {
-	left := r.deadline - b.now
-	r.class.longestTry = max(r.class.longestTry, left)
-	if b.set.Tier == 0 && float64(left) < 0.95*float64(r.class.longestTry) {
-		r.arrived = min(b.now, r.deadline-r.class.Deadline)
-		r.repeat = true
+	c, left := r.class, float64(r.deadline-b.now)
+	switch {
+	case b.set.Tier > 0:
+	case math.Abs(left-c.usual) <= sameTry*c.usual:
+		c.votes = min(c.votes+1, mostVotes)
+	case c.votes == 0:
+		c.usual, c.votes = left, 1
+	default:
+		c.votes--
+		r.arrived = min(b.now, r.deadline-c.Deadline)
+		r.repeat = r.repeat || r.arrived < b.now
 	}
 }
 
@@ -374,15 +385,9 @@
 }
 
 func (b *Balancer) unhold(r *request) {
-	if !r.held {
-		return
-	}
-	r.held = false
-	for i, h := range b.held {
-		if h == r {
-			b.held = append(b.held[:i], b.held[i+1:]...)
-			return
-		}
+	if r.held {
+		r.held = false
+		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
 	}
 }
 
@@ -436,16 +441,11 @@
 	r.out--
 	b.inFlight--
 	a.srv.calls--
-	for i, o := range a.srv.open {
-		if o == a {
-			// A hung server's waits tell nothing of how crowded the others are.
-			if !b.silent(a.srv) {
-				b.steer(r, e)
-			}
-			a.srv.open = append(a.srv.open[:i], a.srv.open[i+1:]...)
-			break
-		}
+	// A hung server's waits tell nothing of how crowded the others are.
+	if !b.silent(a.srv) {
+		b.steer(r, e)
 	}
+	a.srv.open = slices.DeleteFunc(a.srv.open, func(o *attempt) bool { return o == a })
 	b.judge(a, e)
 	if !a.srv.listed && a.srv.calls == 0 && b.servers[a.srv.ID] == a.srv {
 		delete(b.servers, a.srv.ID)
@@ -618,12 +618,7 @@
 
 // tried says that the request has been to the server before.
 func tried(r *request, s *server) bool {
-	for _, a := range r.attempts {
-		if a.srv == s {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.srv == s })
 }
 
 // inScope keeps a keyed request that may have run to the servers that discard its repeats.
