--- a/policy.go
+++ b/policy.go
@@ -315,7 +315,7 @@
 	default:
 		c.votes--
 		r.arrived = min(b.now, r.deadline-c.Deadline)
-		r.repeat = r.repeat || r.arrived < b.now
+		r.repeat = r.repeat || b.now-r.arrived > c.Aim/2
 	}
 }
 
