Keep a class from servers that fail it more often than others do

Each view met them again: streak back at 0 by the next note (pow(errors, streak) wants a run), mostOut of four servers is int(0.8) = none left out although until lay 5 s ahead, calls drain at once, slow is untouched. Ruled out: churn (no new uid then), warmth, stale connections, the tier behind.

Each server now has a share of failures for each class, held against all servers', which thins its draw and fades; alike failures thin nothing, so no cap.

--- /dev/null
+++ b/internal/node/health_test.go
@@ -0,0 +1,184 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// fleet is a list of servers that fail some requests at once with a 500, by class, and count all they get.
+type fleet struct {
+	mu    sync.Mutex
+	got   map[string]int  // by uid and class
+	fails map[string]bool // by uid and class
+	part  int             // of those that fail one in so many is served all the same; 0: none
+	room  int             // requests that each serves at once; beyond that it turns away. 0: any number
+	busy  map[string]int
+	rng   *rand.Rand
+}
+
+func newFleet(part, room int, fails ...string) *fleet {
+	f := &fleet{got: map[string]int{}, fails: map[string]bool{}, busy: map[string]int{}, part: part, room: room,
+		rng: rand.New(rand.NewPCG(1, 2))}
+	for _, k := range fails {
+		f.fails[k] = true
+	}
+	return f
+}
+
+// serve starts a server and returns its entry.
+func (f *fleet) serve(t *testing.T, uid string) string {
+	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		class := strings.Split(r.URL.Path, "/")[1]
+		f.mu.Lock()
+		f.got[uid+" "+class]++
+		fails := f.fails[uid+" "+class] && !(f.part > 0 && f.rng.IntN(f.part) == 0)
+		full := f.room > 0 && f.busy[uid] >= f.room
+		f.busy[uid]++
+		f.mu.Unlock()
+		defer func() {
+			f.mu.Lock()
+			f.busy[uid]--
+			f.mu.Unlock()
+		}()
+		head := ""
+		switch {
+		case full:
+			head = "503 Full\r\nX-Not-Run: 1"
+		case fails:
+			head = "500 Oh"
+		default:
+			time.Sleep(5 * time.Millisecond) // the work
+			return echo(c, r, body)
+		}
+		_, err := io.WriteString(c, "HTTP/1.1 "+head+"\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	return entry(uid, s.addr(), "in_service")
+}
+
+// count forgets what came so far and returns a function that tells the share of a class that some got since.
+func (f *fleet) count() func(class string, uids ...string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.got = map[string]int{}
+	return func(class string, uids ...string) float64 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		all, some := 0, 0
+		for k, n := range f.got {
+			uid, c, _ := strings.Cut(k, " ")
+			if c == class {
+				all += n
+				if slices.Contains(uids, uid) {
+					some += n
+				}
+			}
+		}
+		return float64(some) / float64(max(1, all))
+	}
+}
+
+// load has callers send both classes, each waiting for its answer, and returns the share served.
+func load(t *testing.T, n *Node, each int) float64 {
+	var served atomic.Int64
+	var callers sync.WaitGroup
+	const most = 6
+	for i := range most {
+		c := dial(t, n)
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for j := range each {
+				id := fmt.Sprintf("%p-%d-%d", c, i, j)
+				if j%3 == 0 {
+					c.get(id)
+				} else {
+					c.send("POST", "/note/k", id, "x", "60")
+				}
+				r, err := http.ReadResponse(c.br, nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				io.Copy(io.Discard, r.Body)
+				if r.StatusCode == 200 {
+					served.Add(1)
+				}
+			}
+		}()
+	}
+	callers.Wait()
+	return float64(served.Load()) / float64(most*each)
+}
+
+// Servers that fail one class at once, wholly or in part, serve the others well, so no run of bad endings
+// lasts, and having few calls they win the draw. Their share of failures keeps that class away from them,
+// also when they are replaced by others that do the same, and the rest of the work stays with them.
+func TestServersThatFailAClassAtOnceGetLittleOfIt(t *testing.T) {
+	for _, part := range []int{0, 4} {
+		t.Run(fmt.Sprint("one served in ", part), func(t *testing.T) {
+			f := newFleet(part, 0, "s3 view", "s4 view", "s5 view", "s6 view")
+			list := []string{f.serve(t, "s1"), f.serve(t, "s2"), f.serve(t, "s3"), f.serve(t, "s4")}
+			ag := newAgent(t)
+			cfg := testConfig(whole(list...))
+			cfg.Discovery = ag.Addr().String()
+			n, _ := startNode(t, cfg, nil)
+			for _, bad := range [][]string{{"s3", "s4"}, {"s5", "s6"}} {
+				if bad[0] == "s5" {
+					list[2], list[3] = f.serve(t, "s5"), f.serve(t, "s6")
+					ag.tell(false, whole(list...))
+					until(t, "the new list", func() bool {
+						n.backend.mu.Lock()
+						defer n.backend.mu.Unlock()
+						_, listed := n.backend.seen["s6"]
+						return listed
+					})
+				}
+				load(t, n, 60) // to meet them
+				share := f.count()
+				served := load(t, n, 200)
+				views, notes := share("view", bad...), share("note", bad...)
+				if views > 0.34 || notes < 0.25 || served < 0.97 {
+					t.Errorf("%v got %.2f of the views and %.2f of the notes; %.3f of all were served",
+						bad, views, notes, served)
+				}
+			}
+		})
+	}
+}
+
+// In overload every server turns requests away, and where the tier behind them is in trouble all fail alike:
+// nobody is left out for that.
+func TestAFleetAlikeInTroubleStaysInUse(t *testing.T) {
+	for name, f := range map[string]*fleet{"all fail": newFleet(2, 0, "s1 view", "s2 view", "s3 view", "s4 view",
+		"s1 note", "s2 note", "s3 note", "s4 note"), "all are full": newFleet(0, 1), "all fail and are full": newFleet(2, 1,
+		"s1 view", "s2 view", "s3 view", "s4 view")} {
+		t.Run(name, func(t *testing.T) {
+			uids := []string{"s1", "s2", "s3", "s4"}
+			var list []string
+			for _, uid := range uids {
+				list = append(list, f.serve(t, uid))
+			}
+			n, _ := startNode(t, testConfig(whole(list...)), nil)
+			load(t, n, 60)
+			share := f.count()
+			load(t, n, 200)
+			for _, uid := range uids {
+				for _, class := range []string{"view", "note"} {
+					if got := share(class, uid); got < 0.1 {
+						t.Errorf("%s got %.2f of class %s", uid, got, class)
+					}
+				}
+			}
+		})
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -6,6 +6,7 @@
 package woodpick
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -22,7 +23,9 @@
 	tailSpread  = 3.0    // deviations above the mean at which a wait counts as overlong
 	minSamples  = 3      // good endings that take one doubling of a later ejection back
 	mostOut     = 0.2    // share of the list that health may exclude; beyond that all are drawn
-	slowWeight  = 1.0    // power of a server's latency, against its peers', by which it is drawn less
+	failMemory  = 0.15   // weight of a new ending in a server's share of failures in a class
+	failFade    = 36     // mean latencies in which that share falls to a third, if nothing else is heard
+	failWeight  = 3.0    // power of its share of good endings, against all servers', that it is drawn by
 	poolLeast   = 3      // servers that any node draws from, so that a few may be lost
 	poolPerCall = 1.5    // servers drawn from for each own call in flight
 	poolOverlap = 2      // nodes that draw from the same server at least
@@ -78,6 +81,7 @@
 	Class
 	mean, dev     float64 // latency of successes, in ns
 	base          float64 // what mean was when there was most room
+	failing       float64 // share of its attempts that fail
 	samples       int
 	arrive, serve float64 // decayed counts
 	usual         float64 // time that most tries are given, in ns
@@ -102,6 +106,13 @@
 	full     time.Duration // no more than room until then
 	refusals int           // in a row
 	out      bool          // ruled out for the request at hand
+	failing  map[*class]fading
+}
+
+// fading is a share that is the less sure the longer ago it was seen.
+type fading struct {
+	share float64
+	at    time.Duration
 }
 
 // groups are the left and the right group, or a part of each.
@@ -142,14 +153,11 @@
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
 		servers: map[string]*server{}, requests: map[string]*request{},
 		classes: map[string]*class{}, errors: 0.02, tokens: retryPurse / 2}
-	longest := set.Classes[0]
 	for _, c := range set.Classes {
 		b.addClass(c)
-		if c.Deadline > longest.Deadline {
-			longest = c
-		}
 	}
-	b.addClass(Class{Aim: longest.Aim, Deadline: longest.Deadline, Worth: longest.Worth})
+	odd := slices.MaxFunc(set.Classes, func(a, b Class) int { return cmp.Compare(a.Deadline, b.Deadline) })
+	b.addClass(Class{Aim: odd.Aim, Deadline: odd.Deadline, Worth: odd.Worth})
 	return b, nil
 }
 
@@ -234,10 +242,10 @@
 	for _, n := range e.Servers {
 		s := b.servers[n.ID]
 		if s == nil {
-			s = &server{}
+			s = &server{failing: map[*class]fading{}}
 			b.servers[n.ID] = s
 		} else if s.Boot != n.Boot {
-			*s = server{calls: s.calls, open: s.open}
+			*s = server{calls: s.calls, open: s.open, failing: map[*class]fading{}}
 		}
 		s.Server = n
 		s.listed = n.State != Gone
@@ -361,12 +369,8 @@
 
 // review does whatever has come due for a request.
 func (b *Balancer) review(r *request) {
-	switch {
-	case r.answered || r.streaming:
-	case r.held && b.now >= b.holdUntil(r):
-		b.answer(r)
-	case r.held:
-		b.wakeAt(r, b.holdUntil(r))
+	if r.held {
+		b.hold(r)
 		b.release()
 	}
 }
@@ -424,12 +428,6 @@
 	}
 }
 
-func (b *Balancer) cancel(a *attempt) {
-	if !a.ended && b.set.MayCancel {
-		b.do(Cancel{ID: a.req.id, Attempt: a.n})
-	}
-}
-
 func (b *Balancer) takeOutcome(e Outcome) {
 	r := b.requests[e.ID]
 	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].ended {
@@ -500,20 +498,23 @@
 // the fleet could carry, and a node's own counts are too small to show it. One node's samples are
 // few, but the errors of many nodes cancel out.
 func (b *Balancer) weight(s *server) float64 {
-	w := math.Exp(-slowWeight * max(s.slow, -1))
+	w := math.Exp(-max(s.slow, -1))
 	if s.Size > 0 {
 		w *= min(s.Size, 1e6) // an infinite weight would draw nobody
 	}
 	return w
 }
 
-// choose draws from the node's pool and, when nobody there may be drawn, from the whole groups.
+// choose draws from the node's pool and, when nobody there may be drawn, from the whole groups; those
+// that fail more than others come last.
 func (b *Balancer) choose(r *request) *server {
 	b.fitPool()
-	if s := b.chooseFrom(b.pool, r, false); s != nil {
-		return s
+	for step, g := range []groups{b.pool, b.whole, b.whole} {
+		if s := b.chooseFrom(g, r, step > 0, step < 2); s != nil {
+			return s
+		}
 	}
-	return b.chooseFrom(b.whole, r, true)
+	return nil
 }
 
 // fitPool cuts the node's pool from each group: a run of the shared order that starts at the node's
@@ -546,8 +547,8 @@
 // warm enough and, as long as that leaves any, with room and not crowded with own calls. Only where
 // anyCold is set may all of them be cold, and may a first try go to an idle cold one whatever the
 // thinning: a pool may be cold as a whole, and would take a warm one's calls, while the rest is warm.
-func (b *Balancer) chooseFrom(g groups, r *request, anyCold bool) *server {
-	b.ruleOut(g, r)
+func (b *Balancer) chooseFrom(g groups, r *request, anyCold, shun bool) *server {
+	b.ruleOut(g, r, shun)
 	for _, limit := range []func(*server) int{b.crowded, b.roomy, unlimited} {
 		left, idleLeft := b.narrow(g.left, r, limit)
 		right, idleRight := b.narrow(g.right, r, limit)
@@ -566,13 +567,13 @@
 // likelier its own or the tier below's, and those left would take all the load: only the worst are
 // kept out, up to a set share of the list, and fewer the more is shed: in overload every server is
 // missed, and time-outs show load rather than ill health.
-func (b *Balancer) ruleOut(g groups, r *request) {
+func (b *Balancer) ruleOut(g groups, r *request, shun bool) {
 	var sick []*server
-	for _, group := range [][]*server{g.left, g.right} {
-		for _, s := range group {
-			if s.out = b.unfit(s, r); s.out {
-				sick = append(sick, s)
-			}
+	for _, s := range slices.Concat(g.left, g.right) {
+		s.out = shun && b.shuns(s, r.class)
+		if !s.out && b.unfit(s, r) {
+			s.out = true
+			sick = append(sick, s)
 		}
 	}
 	most := int(mostOut * (1 - b.shed) * float64(len(b.ready)))
@@ -626,18 +627,10 @@
 	if r.class.Effect != Keyed {
 		return true
 	}
-	for _, a := range r.attempts {
-		if a.unsent {
-			continue
-		}
-		if r.class.Scope == ScopeZone && a.zone != s.Zone {
-			return false
-		}
-		if r.class.Scope == ScopeCell && (a.cell != s.Cell || a.zone != s.Zone) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(r.attempts, func(a *attempt) bool {
+		inCell := a.cell == s.Cell || r.class.Scope == ScopeZone
+		return !a.unsent && r.class.Scope != ScopeAll && (a.zone != s.Zone || !inCell)
+	})
 }
 
 // ---- Health ----
@@ -652,6 +645,20 @@
 	return s.level > 0 && s.goods == 0 && (r.class.Effect == Unsafe || s.calls > 0)
 }
 
+// shuns says, by a draw, that a server should not get a class now, by its share of good endings there against
+// all servers'. One that fails at once, in part or one class only, drains its count and wins, and what else
+// it serves ends each run of bad endings. Where all fail alike none is shunned, so it needs no cap; old
+// failures fade, so that mending shows. It hurts where one unlucky ending is all that is known of a class.
+func (b *Balancer) shuns(s *server, c *class) bool {
+	good := (1 - b.failing(s, c)) / (1 - c.failing)
+	return good < 1 && b.rng.Float64() >= math.Pow(good, failWeight)
+}
+
+func (b *Balancer) failing(s *server, c *class) float64 {
+	f := s.failing[c]
+	return f.share * math.Exp(-float64(b.now-f.at)/(failFade*c.mean))
+}
+
 // silent says that an old call to the server is unanswered while a younger one was answered
 // elsewhere: a machine gone quiet, hung or pausing shows nothing else until time-outs end.
 func (b *Balancer) silent(s *server) bool {
@@ -668,6 +675,14 @@
 	s, c := a.srv, a.req.class
 	took := max(1, float64(b.now-a.sent)) // a coarse clock may show none, and its logarithm no server
 	late, bad := took > c.mean+tailSpread*c.dev, false
+	if failed := e.Ending == Failure || e.Ending == Broken; failed || e.Ending == Success {
+		share, now := b.failing(s, c), 0.0
+		if failed {
+			now = 1
+		}
+		s.failing[c] = fading{share + failMemory*(now-share), b.now}
+		c.failing += memory * (now - c.failing)
+	}
 	switch e.Ending {
 	case Success:
 		b.tokens = min(retryPurse, b.tokens+retryEarn)
@@ -754,16 +769,10 @@
 	if r.answered || r.streaming || len(r.attempts) >= max(1, b.set.MaxAttempts) {
 		return false
 	}
-	for _, a := range r.attempts {
-		if a.unsent {
-			continue
-		}
+	return !slices.ContainsFunc(r.attempts, func(a *attempt) bool {
 		last := a.sent + r.class.Window - 2*b.set.Tick
-		if r.class.Effect == Unsafe || r.class.Effect == Keyed && b.now >= last {
-			return false
-		}
-	}
-	return true
+		return !a.unsent && (r.class.Effect == Unsafe || r.class.Effect == Keyed && b.now >= last)
+	})
 }
 
 // further decides what follows when no attempt is left out: another within the budget and with
@@ -877,12 +886,9 @@
 	if r.answered || r.streaming {
 		return
 	}
-	harmless := true
-	for _, a := range r.attempts {
-		if !a.unsent && (r.class.Effect == Unsafe || r.class.Effect == Keyed && r.class.Scope != ScopeAll) {
-			harmless = false
-		}
-	}
+	harmless := !slices.ContainsFunc(r.attempts, func(a *attempt) bool {
+		return !a.unsent && (r.class.Effect == Unsafe || r.class.Effect == Keyed && r.class.Scope != ScopeAll)
+	})
 	if len(r.attempts) == 0 {
 		b.shed += memory / 4 * (1 - b.shed)
 	}
@@ -904,7 +910,9 @@
 	r.answered = true
 	b.unhold(r)
 	for _, a := range r.attempts {
-		b.cancel(a)
+		if !a.ended && b.set.MayCancel {
+			b.do(Cancel{ID: r.id, Attempt: a.n})
+		}
 	}
 	b.forget(r)
 }
