Count time-outs in a server's share of failures, and keep one over all classes

The module knows (slow 0.87, level 2, until 4 to 12 s ahead) and goes on drawing it: int(mostOut x 4) is 0, so in a fleet of under five nobody can be ruled out. It held 8 or 9 of 35 calls of each node throughout.

Time-outs are now failures like 500s, and the share is kept for all classes together too (each class alone learns of it slowly). Alike in overload, they thin nothing.

--- a/internal/node/health_test.go
+++ b/internal/node/health_test.go
@@ -22,11 +22,13 @@
 	part  int             // of those that fail one in so many is served all the same; 0: none
 	room  int             // requests that each serves at once; beyond that it turns away. 0: any number
 	busy  map[string]int
+	work  time.Duration // how long what is served takes
+	slow  string        // the server that takes too long for anything
 	rng   *rand.Rand
 }
 
 func newFleet(part, room int, fails ...string) *fleet {
-	f := &fleet{got: map[string]int{}, fails: map[string]bool{}, busy: map[string]int{}, part: part, room: room,
+	f := &fleet{got: map[string]int{}, fails: map[string]bool{}, busy: map[string]int{}, part: part, room: room, work: 5 * time.Millisecond,
 		rng: rand.New(rand.NewPCG(1, 2))}
 	for _, k := range fails {
 		f.fails[k] = true
@@ -55,8 +57,11 @@
 			head = "503 Full\r\nX-Not-Run: 1"
 		case fails:
 			head = "500 Oh"
+		case uid == f.slow:
+			c.Read(make([]byte, 1)) // returns when the node gives up
+			return false
 		default:
-			time.Sleep(5 * time.Millisecond) // the work
+			time.Sleep(f.work)
 			return echo(c, r, body)
 		}
 		_, err := io.WriteString(c, "HTTP/1.1 "+head+"\r\nContent-Length: 0\r\n\r\n")
@@ -88,10 +93,9 @@
 }
 
 // load has callers send both classes, each waiting for its answer, and returns the share served.
-func load(t *testing.T, n *Node, each int) float64 {
+func load(t *testing.T, n *Node, most, each int) float64 {
 	var served atomic.Int64
 	var callers sync.WaitGroup
-	const most = 6
 	for i := range most {
 		c := dial(t, n)
 		callers.Add(1)
@@ -143,9 +147,9 @@
 						return listed
 					})
 				}
-				load(t, n, 60) // to meet them
+				load(t, n, 6, 60) // to meet them
 				share := f.count()
-				served := load(t, n, 200)
+				served := load(t, n, 6, 200)
 				views, notes := share("view", bad...), share("note", bad...)
 				if views > 0.34 || notes < 0.25 || served < 0.97 {
 					t.Errorf("%v got %.2f of the views and %.2f of the notes; %.3f of all were served",
@@ -156,6 +160,28 @@
 	}
 }
 
+// A server that lets most time out holds its part of the node's calls for nothing, and in a small fleet none
+// may be ruled out. Its share of failures keeps calls away from it.
+func TestServerThatLetsMostTimeOutGetsFew(t *testing.T) {
+	f := newFleet(0, 0)
+	f.work, f.slow = 400*time.Millisecond, "s4"
+	var list []string
+	for _, uid := range []string{"s1", "s2", "s3", "s4"} {
+		list = append(list, f.serve(t, uid))
+	}
+	cfg := testConfig(whole(list...))
+	for i := range cfg.Settings.Classes {
+		cfg.Settings.Classes[i].Aim = 900 * time.Millisecond
+	}
+	n, _ := startNode(t, cfg, nil)
+	load(t, n, 24, 8)
+	share := f.count()
+	load(t, n, 24, 8)
+	if view, note := share("view", "s4"), share("note", "s4"); (view+note)/2 > 0.1 {
+		t.Errorf("it got %.2f of the views and %.2f of the notes", view, note)
+	}
+}
+
 // In overload every server turns requests away, and where the tier behind them is in trouble all fail alike:
 // nobody is left out for that.
 func TestAFleetAlikeInTroubleStaysInUse(t *testing.T) {
@@ -169,9 +195,9 @@
 				list = append(list, f.serve(t, uid))
 			}
 			n, _ := startNode(t, testConfig(whole(list...)), nil)
-			load(t, n, 60)
+			load(t, n, 6, 60)
 			share := f.count()
-			load(t, n, 200)
+			load(t, n, 6, 200)
 			for _, uid := range uids {
 				for _, class := range []string{"view", "note"} {
 					if got := share(class, uid); got < 0.1 {
--- a/policy.go
+++ b/policy.go
@@ -216,7 +216,10 @@
 		if b.now+b.set.Tick >= r.wake {
 			r.wake = 0
 		}
-		b.review(r)
+		if r.held {
+			b.hold(r)
+			b.release()
+		}
 	}
 }
 
@@ -367,14 +370,6 @@
 	return time.Duration(c.mean + tailSpread*c.dev)
 }
 
-// review does whatever has come due for a request.
-func (b *Balancer) review(r *request) {
-	if r.held {
-		b.hold(r)
-		b.release()
-	}
-}
-
 // hold keeps a request back; its timer makes sure that it is answered.
 func (b *Balancer) hold(r *request) {
 	if b.now >= b.holdUntil(r) {
@@ -647,10 +642,14 @@
 
 // shuns says, by a draw, that a server should not get a class now, by its share of good endings there against
 // all servers'. One that fails at once, in part or one class only, drains its count and wins, and what else
-// it serves ends each run of bad endings. Where all fail alike none is shunned, so it needs no cap; old
-// failures fade, so that mending shows. It hurts where one unlucky ending is all that is known of a class.
+// it serves ends each run of bad endings; one that lets most time out holds its part of the window. Where all
+// fail alike none is shunned, so it needs no cap; old failures fade, so that mending shows. It hurts where
+// one unlucky ending is all that is known of a class.
 func (b *Balancer) shuns(s *server, c *class) bool {
-	good := (1 - b.failing(s, c)) / (1 - c.failing)
+	good := 1.0
+	for _, k := range []*class{c, b.classes[""]} { // that one stands for all together
+		good = min(good, (1-b.failing(s, k))/(1-k.failing))
+	}
 	return good < 1 && b.rng.Float64() >= math.Pow(good, failWeight)
 }
 
@@ -675,13 +674,13 @@
 	s, c := a.srv, a.req.class
 	took := max(1, float64(b.now-a.sent)) // a coarse clock may show none, and its logarithm no server
 	late, bad := took > c.mean+tailSpread*c.dev, false
-	if failed := e.Ending == Failure || e.Ending == Broken; failed || e.Ending == Success {
-		share, now := b.failing(s, c), 0.0
-		if failed {
-			now = 1
+	now, tells := map[Ending]float64{Success: 0, Failure: 1, Broken: 1, TimedOut: 1}[e.Ending]
+	if tells {
+		for _, k := range []*class{c, b.classes[""]} {
+			share := b.failing(s, k)
+			s.failing[k] = fading{share + failMemory*(now-share), b.now}
+			k.failing += memory * (now - k.failing)
 		}
-		s.failing[c] = fading{share + failMemory*(now-share), b.now}
-		c.failing += memory * (now - c.failing)
 	}
 	switch e.Ending {
 	case Success:
