--- a/policy.go
+++ b/policy.go
@@ -674,7 +674,7 @@
 	s, c := a.srv, a.req.class
 	took := max(1, float64(b.now-a.sent)) // a coarse clock may show none, and its logarithm no server
 	late, bad := took > c.mean+tailSpread*c.dev, false
-	now, tells := map[Ending]float64{Success: 0, Failure: 1, Broken: 1, TimedOut: 1}[e.Ending]
+	now, tells := map[Ending]float64{Success: 0, Failure: 1, TimedOut: 1}[e.Ending]
 	if tells {
 		for _, k := range []*class{c, b.classes[""]} {
 			share := b.failing(s, k)
