Let a server's failures over all classes fade by the answers' own time

What is kept of a server's failures over all classes faded by the mean latency of the class of unknown requests, which gets no answers and keeps its first guess, a quarter of the aim. Where answers take a fiftieth of that, as over loopback, a server shunned by bad luck stayed so for 50 times as long as meant: in TestAFleetAlikeInTroubleStaysInUse, where all fail by half, one got 0.04 of the calls once (limit 0.07). Now it fades by the mean of the class at hand.

--- a/internal/node/health_test.go
+++ b/internal/node/health_test.go
@@ -182,6 +182,28 @@
 	}
 }
 
+// Servers that failed all and have recovered get their part back in the time that some dozens of answers take.
+func TestServersThatRecoverAreUsedAgain(t *testing.T) {
+	f := newFleet(0, 0, "s2 view", "s2 note", "s4 view", "s4 note")
+	var list []string
+	for _, uid := range []string{"s1", "s2", "s3", "s4"} {
+		list = append(list, f.serve(t, uid))
+	}
+	n, _ := startNode(t, testConfig(whole(list...)), nil)
+	load(t, n, 20, 100)
+	f.mu.Lock()
+	clear(f.fails)
+	f.mu.Unlock()
+	load(t, n, 2, 60)
+	share := f.count()
+	load(t, n, 2, 90)
+	for _, uid := range []string{"s2", "s4"} {
+		if got := share("note", uid); got < 0.1 {
+			t.Errorf("%s got %.2f of the notes", uid, got)
+		}
+	}
+}
+
 // In overload every server turns requests away, and where the tier behind them is in trouble all fail alike:
 // nobody is left out for that.
 func TestAFleetAlikeInTroubleStaysInUse(t *testing.T) {
--- a/policy.go
+++ b/policy.go
@@ -648,13 +648,14 @@
 func (b *Balancer) shuns(s *server, c *class) bool {
 	good := 1.0
 	for _, k := range []*class{c, b.classes[""]} { // that one stands for all together
-		good = min(good, (1-b.failing(s, k))/(1-k.failing))
+		good = min(good, (1-b.failing(s, k, c))/(1-k.failing))
 	}
 	return good < failMargin && b.rng.Float64() >= math.Pow(good/failMargin, failWeight)
 }
 
-func (b *Balancer) failing(s *server, c *class) float64 {
-	f := s.failing[c]
+// failing is what is left of a server's share of failures in k, by the time that answers of c take.
+func (b *Balancer) failing(s *server, k, c *class) float64 {
+	f := s.failing[k]
 	return f.share * math.Exp(-float64(b.now-f.at)/(failFade*c.mean))
 }
 
@@ -674,10 +675,9 @@
 	s, c := a.srv, a.req.class
 	took := max(1, float64(b.now-a.sent)) // a coarse clock may show none, and its logarithm no server
 	late, bad := took > c.mean+tailSpread*c.dev, false
-	now, tells := map[Ending]float64{Success: 0, Failure: 1, TimedOut: 1}[e.Ending]
-	if tells {
+	if now, tells := map[Ending]float64{Success: 0, Failure: 1, TimedOut: 1}[e.Ending]; tells {
 		for _, k := range []*class{c, b.classes[""]} {
-			share := b.failing(s, k)
+			share := b.failing(s, k, c)
 			s.failing[k] = fading{share + failMemory*(now-share), b.now}
 			k.failing += memory * (now - k.failing)
 		}
