--- a/cmd/damsontrestle/main.go
+++ b/cmd/damsontrestle/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"woodpick/internal/config"
 	"woodpick/internal/node"
 )
 
@@ -24,7 +25,7 @@
 func run() error {
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
-	cfg, err := node.LoadConfig()
+	cfg, err := config.Load()
 	if err != nil {
 		return err
 	}
@@ -39,7 +40,7 @@
 	log.Info("serving", "address", n.Addr())
 	go func() {
 		for range again {
-			if cfg, err := node.LoadConfig(); err != nil {
+			if cfg, err := config.Load(); err != nil {
 				log.Error("the new configuration is bad; the old one stays", "error", err)
 			} else {
 				n.Reload(cfg)
--- a/internal/node/config.go
+++ b/internal/config/platform.go
@@ -1,6 +1,6 @@
-// Package node is the real node round the woodpick module: HTTP/1.1 callers on one side, servers and
-// discovery on the other. Every decision is the module's; this package carries it out.
-package node
+// Package config is the node's configuration: one model of it, read from the file that the platform gives
+// and checked whole.
+package config
 
 import (
 	"encoding/json"
@@ -58,8 +58,8 @@
 	} `json:"limits"`
 }
 
-// LoadConfig reads and checks the file that BALANCER_CONFIG names.
-func LoadConfig() (Config, error) {
+// Load reads and checks the file that BALANCER_CONFIG names.
+func Load() (Config, error) {
 	path := os.Getenv("BALANCER_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("config: BALANCER_CONFIG is not set")
@@ -68,11 +68,11 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
 	}
-	return ParseConfig(text)
+	return Parse(text)
 }
 
-// ParseConfig reads a configuration. The error names the first field at fault.
-func ParseConfig(text []byte) (Config, error) {
+// Parse reads a configuration. The error names the first field at fault.
+func Parse(text []byte) (Config, error) {
 	var f configFile
 	if err := json.Unmarshal(text, &f); err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
--- a/internal/node/config_test.go
+++ b/internal/config/platform_test.go
@@ -1,4 +1,4 @@
-package node
+package config
 
 import (
 	"strings"
@@ -13,7 +13,7 @@
 	"limits":{"conn-idle-ms":60000.0,"connect-timeout-ms":250.0,"max-attempts":4},"zone":"chavara","tick-ms":5}}`
 
 func TestConfig(t *testing.T) {
-	c, err := ParseConfig([]byte(goodConfig))
+	c, err := Parse([]byte(goodConfig))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +38,7 @@
 		{`{"name":"n3"`, `"name":"n3"`, "config"},
 	} {
 		text := strings.Replace(goodConfig, c[0], c[1], 1)
-		if _, err := ParseConfig([]byte(text)); text == goodConfig || err == nil || !strings.Contains(err.Error(), c[2]) ||
+		if _, err := Parse([]byte(text)); text == goodConfig || err == nil || !strings.Contains(err.Error(), c[2]) ||
 			strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v", c[1], err)
 		}
--- /dev/null
+++ b/internal/engine/call.go
@@ -0,0 +1,103 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/discovery"
+)
+
+// Call is a caller's request, read whole, whatever protocol brought it. The engine looks at its id, class
+// and times only; the Request is for the back end that carries its attempts out.
+type Call struct {
+	ID, Class string
+	At        time.Duration // clock time when its last byte was read
+	Deadline  time.Duration // clock time until which its caller waits
+	Request   Request
+
+	answer chan Answer // takes one answer without blocking
+}
+
+// Request is what a server is to get, in the terms that all protocols share (RFC 9110). What is empty was
+// not given.
+type Request struct {
+	Method      string
+	Target      string // path and query, as they came
+	Key         string // idempotency key
+	ContentType string
+	Body        []byte
+}
+
+// NewCall returns a Call that can be answered.
+func NewCall(id string, r Request) *Call {
+	return &Call{ID: id, Request: r, answer: make(chan Answer, 1)}
+}
+
+// Answer gives the one final answer, once.
+func (c *Call) Answer() <-chan Answer { return c.answer }
+
+// Answer is the one final answer to a call.
+type Answer struct {
+	Kind       Kind
+	Reply      Reply         // for Served
+	RetryAfter time.Duration // for Refused: when to come back; 0: not said
+}
+
+// Reply is what a server made for a call.
+type Reply struct {
+	Body        []byte
+	ContentType string // empty: none was given
+}
+
+// Kind says what an answer promises.
+type Kind int
+
+// Kinds of answers.
+const (
+	Served    Kind = iota
+	Refused        // trying again is harmless
+	Failed         // promises nothing
+	Duplicate      // the id is in use by another call
+)
+
+// Attempt is one send of a call to a server.
+type Attempt struct {
+	Call           *Call
+	N              int // from 0 for the first of its call
+	To             discovery.Host
+	Sent, Deadline time.Duration // clock times: when it was decided on, and until when it is waited for
+
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// NewAttempt returns the n-th attempt of a call.
+func NewAttempt(c *Call, n int, to discovery.Host, sent, deadline time.Duration) *Attempt {
+	a := &Attempt{Call: c, N: n, To: to, Sent: sent, Deadline: deadline}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	return a
+}
+
+// Context ends when the attempt is called off.
+func (a *Attempt) Context() context.Context { return a.ctx }
+
+// Cancel calls the attempt off. Its Outcome still comes.
+func (a *Attempt) Cancel() { a.cancel() }
+
+// Outcome is how an attempt ended. Its Ending is the proof of whether it may have run: after Overloaded,
+// Unreachable and Void it has not, whatever else happens.
+type Outcome struct {
+	Ending woodpick.Ending
+	At     time.Duration // clock time: for an answer, when its last byte was read
+	Reply  Reply         // for Success
+}
+
+// Backend carries attempts out.
+type Backend interface {
+	// Run makes an attempt and tells how it ended. By then its connection is closed, or of use to another
+	// attempt: nothing more of it can reach the server.
+	Run(*Attempt) Outcome
+	// Servers tells of the list's news, before any attempt that follows from it. It must not block.
+	Servers(targets []discovery.Target, full bool)
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,371 @@
+// Package engine drives one Balancer: calls go in, attempts go out, outcomes come back and each call gets
+// exactly one final answer. It knows no protocol and decides nothing: it carries out what the module decides,
+// through a Backend, and tells it what happened when it happened.
+package engine
+
+import (
+	"container/heap"
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/clock"
+	"woodpick/internal/discovery"
+)
+
+// event is what the other parts tell the loop: one of the types below.
+type event interface{}
+
+type (
+	arrived    struct{ call *Call }
+	callerGone struct {
+		call *Call
+		at   time.Duration
+	}
+	ended struct {
+		attempt *Attempt
+		outcome Outcome
+	}
+	listNews   struct{ list discovery.List }
+	listFailed struct{}
+	lastCall   struct{} // the node ends: what is unanswered is answered now
+)
+
+// pending is a call that the module still knows: unanswered, or with attempts out.
+type pending struct {
+	call     *Call
+	attempts []*Attempt
+	out      int
+	answered bool
+}
+
+// alarm is a Wake to come.
+type alarm struct {
+	at    time.Duration
+	token string
+}
+
+type alarms []alarm
+
+func (a alarms) Len() int           { return len(a) }
+func (a alarms) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a alarms) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *alarms) Push(x any)        { *a = append(*a, x.(alarm)) }
+func (a *alarms) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return last
+}
+
+// stats count what happened, for the log.
+type stats struct {
+	Requests, Served, Refused, Failed, Gone, Sends int
+	Endings                                        [8]int
+	LagMax, LagSum                                 time.Duration
+	Events                                         int
+}
+
+// Options are what an Engine is made of.
+type Options struct {
+	Settings  woodpick.Settings
+	Seed      uint64 // for the module's draws
+	Clock     clock.Clock
+	Backend   Backend
+	Subscribe func()       // has discovery asked for the list; must not block
+	Pushed    bool         // lists are pushed
+	Report    func() []any // more for the log's report
+	Log       *slog.Logger
+}
+
+// Engine has the only goroutine that touches its Balancer. It never blocks on I/O: answers go to channels
+// with room, and attempts run in goroutines of their own.
+type Engine struct {
+	clock     clock.Clock
+	balancer  *woodpick.Balancer
+	backend   Backend
+	events    chan event
+	subscribe func()
+	pushed    bool
+	more      func() []any
+	log       *slog.Logger
+
+	now     time.Duration
+	pending map[string]*pending
+	alarms  alarms
+	listed  map[string]discovery.Target
+	over    bool        // after lastCall
+	ready   atomic.Bool // a listed server may be sent to
+	stats   stats
+}
+
+// New returns an Engine that knows no servers yet and does nothing before Run. The error names the setting
+// at fault.
+func New(o Options) (*Engine, error) {
+	b, err := woodpick.New(o.Settings, o.Seed)
+	if err != nil {
+		return nil, err
+	}
+	if o.Report == nil {
+		o.Report = func() []any { return nil }
+	}
+	return &Engine{clock: o.Clock, balancer: b, backend: o.Backend, subscribe: o.Subscribe, pushed: o.Pushed,
+		more: o.Report, log: o.Log, events: make(chan event, 1024),
+		pending: map[string]*pending{}, listed: map[string]discovery.Target{}}, nil
+}
+
+func (eng *Engine) post(e event) { eng.events <- e }
+
+// Take takes a call over: its answer comes on its channel.
+func (eng *Engine) Take(c *Call) { eng.post(arrived{c}) }
+
+// Leave says that a call's caller has gone at a clock time: nothing more is owed to it.
+func (eng *Engine) Leave(c *Call, at time.Duration) { eng.post(callerGone{c, at}) }
+
+// TakeList brings news of the servers.
+func (eng *Engine) TakeList(news discovery.List) { eng.post(listNews{news}) }
+
+// ListFailed says that a subscription failed.
+func (eng *Engine) ListFailed() { eng.post(listFailed{}) }
+
+// LastCall has whatever is unanswered answered now, and what still comes refused.
+func (eng *Engine) LastCall() { eng.post(lastCall{}) }
+
+// Ready says that a listed server may be sent to.
+func (eng *Engine) Ready() bool { return eng.ready.Load() }
+
+// Hold gives the list as it was last held, perhaps long ago. Only before Run.
+func (eng *Engine) Hold(last discovery.List) { eng.takeList(last, true) }
+
+// statsEvery is how often the log tells what happened, when anything did.
+const statsEvery = 10 * time.Second
+
+// Run handles events until ctx ends.
+func (eng *Engine) Run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	report := time.NewTicker(statsEvery)
+	defer report.Stop()
+	defer eng.report()
+	for {
+		eng.ring()
+		if len(eng.alarms) > 0 {
+			timer.Reset(max(0, eng.clock.Until(eng.alarms[0].at)))
+		}
+		select {
+		case e := <-eng.events:
+			eng.take(e)
+		case <-timer.C:
+		case <-report.C:
+			eng.report()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ring handles the alarms that are due.
+func (eng *Engine) ring() {
+	for len(eng.alarms) > 0 {
+		now := eng.clock.Now()
+		if eng.alarms[0].at > now {
+			return
+		}
+		a := heap.Pop(&eng.alarms).(alarm)
+		eng.handle(now, woodpick.Timer{Token: a.token})
+	}
+}
+
+// take hands one event to the module, at the time when it happened rather than when the loop got to it.
+func (eng *Engine) take(e event) {
+	switch e := e.(type) {
+	case arrived:
+		eng.lag(e.call.At)
+		if eng.over {
+			eng.stats.Refused++
+			e.call.answer <- Answer{Kind: Refused, RetryAfter: time.Second}
+			return
+		}
+		if eng.pending[e.call.ID] != nil {
+			// The module ignores a second request with an id that it knows, so nobody would answer.
+			e.call.answer <- Answer{Kind: Duplicate}
+			return
+		}
+		eng.stats.Requests++
+		eng.pending[e.call.ID] = &pending{call: e.call}
+		eng.handle(e.call.At, woodpick.Request{ID: e.call.ID, Class: e.call.Class, Deadline: e.call.Deadline})
+	case callerGone:
+		eng.lag(e.at)
+		if p := eng.pending[e.call.ID]; p != nil && p.call == e.call && !p.answered {
+			eng.stats.Gone++
+			p.answered = true
+			eng.handle(e.at, woodpick.ClientGone{ID: e.call.ID})
+			eng.forget(p)
+		}
+	case ended:
+		eng.lag(e.outcome.At)
+		eng.end(e.attempt, e.outcome)
+	case lastCall:
+		eng.over = true
+		for _, p := range eng.pending {
+			eng.giveUp(p)
+		}
+	case listNews:
+		eng.takeList(e.list, false)
+	case listFailed:
+		eng.handle(eng.clock.Now(), woodpick.ListFailed{})
+	}
+}
+
+// giveUp answers a call that the node will not be there for, as its caller leaving would end it.
+func (eng *Engine) giveUp(p *pending) {
+	if p.answered {
+		return
+	}
+	if len(p.attempts) == 0 {
+		eng.finish(p.call.ID, Answer{Kind: Refused, RetryAfter: time.Second})
+	} else {
+		eng.finish(p.call.ID, Answer{Kind: Failed})
+	}
+	eng.handle(eng.clock.Now(), woodpick.ClientGone{ID: p.call.ID})
+}
+
+// end passes on how an attempt ended. The first success is the caller's answer.
+func (eng *Engine) end(a *Attempt, r Outcome) {
+	p := eng.pending[a.Call.ID]
+	eng.stats.Endings[r.Ending]++
+	p.out--
+	if r.Ending == woodpick.Success && !p.answered {
+		eng.stats.Served++
+		eng.answer(p, Answer{Kind: Served, Reply: r.Reply})
+	}
+	eng.handle(r.At, woodpick.Outcome{ID: a.Call.ID, Attempt: a.N, Server: a.To.Server, Ending: r.Ending,
+		Latency: r.At - a.Sent, Ended: p.answered})
+	eng.forget(p)
+}
+
+func (eng *Engine) answer(p *pending, a Answer) {
+	p.answered = true
+	p.call.answer <- a
+}
+
+// forget drops a call once nothing of it is left, as the module does.
+func (eng *Engine) forget(p *pending) {
+	if p.answered && p.out == 0 {
+		delete(eng.pending, p.call.ID)
+	}
+}
+
+// takeList keeps where the servers listen, and passes the list on. A list that changes nothing, as after
+// discovery has moved, is not passed on where lists are pushed: the module takes each list for a change
+// and cuts its pool anew, so telling it of nothing would move requests and open connections for nothing.
+func (eng *Engine) takeList(news discovery.List, cached bool) {
+	if !cached && eng.pushed && eng.holds(news) {
+		return
+	}
+	if news.Full {
+		clear(eng.listed)
+	}
+	e := woodpick.ServerList{Full: news.Full, Cached: cached}
+	for _, t := range news.Targets {
+		e.Servers = append(e.Servers, t.Server)
+		if t.State == woodpick.Gone {
+			delete(eng.listed, t.ID)
+		} else {
+			eng.listed[t.ID] = t
+		}
+	}
+	ready := false
+	for _, t := range eng.listed {
+		ready = ready || t.State == woodpick.Ready
+	}
+	eng.backend.Servers(news.Targets, news.Full)
+	eng.handle(eng.clock.Now(), e)
+	eng.ready.Store(ready)
+}
+
+// holds says that a list tells nothing new.
+func (eng *Engine) holds(news discovery.List) bool {
+	for _, t := range news.Targets {
+		if held, ok := eng.listed[t.ID]; ok && held != t || !ok && t.State != woodpick.Gone {
+			return false
+		}
+	}
+	return !news.Full || len(news.Targets) == len(eng.listed)
+}
+
+// handle feeds the module and carries out what it decides.
+func (eng *Engine) handle(at time.Duration, e woodpick.Event) {
+	eng.now = max(eng.now, at)
+	for _, a := range eng.balancer.Handle(eng.now, e) {
+		switch a := a.(type) {
+		case woodpick.Send:
+			eng.send(a)
+		case woodpick.Cancel:
+			if p := eng.pending[a.ID]; p != nil && a.Attempt < len(p.attempts) {
+				p.attempts[a.Attempt].Cancel()
+			}
+		case woodpick.Refuse:
+			eng.finish(a.ID, Answer{Kind: Refused, RetryAfter: a.RetryAfter})
+		case woodpick.Fail:
+			eng.finish(a.ID, Answer{Kind: Failed})
+		case woodpick.Wake:
+			heap.Push(&eng.alarms, alarm{a.At, a.Token})
+		case woodpick.Subscribe:
+			eng.subscribe()
+		}
+	}
+}
+
+func (eng *Engine) send(s woodpick.Send) {
+	p := eng.pending[s.ID]
+	a := NewAttempt(p.call, len(p.attempts), eng.listed[s.Server].Host(), eng.now, eng.now+s.Timeout)
+	p.attempts = append(p.attempts, a)
+	p.out++
+	eng.stats.Sends++
+	go func() {
+		r := eng.backend.Run(a)
+		a.Cancel()
+		eng.post(ended{a, r})
+	}()
+}
+
+func (eng *Engine) finish(id string, a Answer) {
+	p := eng.pending[id]
+	if p == nil || p.answered {
+		return
+	}
+	if a.Kind == Refused {
+		eng.stats.Refused++
+	} else {
+		eng.stats.Failed++
+	}
+	eng.answer(p, a)
+	eng.forget(p)
+}
+
+// lag notes how long after an event the loop got to it.
+func (eng *Engine) lag(at time.Duration) {
+	d := -eng.clock.Until(at)
+	eng.stats.LagMax = max(eng.stats.LagMax, d)
+	eng.stats.LagSum += d
+	eng.stats.Events++
+}
+
+// report logs what happened since the last report.
+func (eng *Engine) report() {
+	s := eng.stats
+	eng.stats = stats{}
+	if s.Events == 0 {
+		return
+	}
+	e := s.Endings
+	eng.log.With(eng.more()...).Info("traffic", "requests", s.Requests, "served", s.Served, "refused", s.Refused,
+		"failed", s.Failed, "gone", s.Gone, "sends", s.Sends, "success", e[woodpick.Success],
+		"failure", e[woodpick.Failure], "overloaded", e[woodpick.Overloaded],
+		"timed_out", e[woodpick.TimedOut], "unreachable", e[woodpick.Unreachable],
+		"broken", e[woodpick.Broken], "withdrawn", e[woodpick.Withdrawn], "void", e[woodpick.Void],
+		"pending", len(eng.pending), "lag_max", s.LagMax, "lag_mean", s.LagSum/time.Duration(s.Events))
+}
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,192 @@
+package engine
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/clock"
+	"woodpick/internal/discovery"
+	"woodpick/internal/standin"
+)
+
+// script is a Backend whose attempts end as a test says.
+type script struct {
+	told     int           // times that news of the servers came
+	attempts chan *Attempt // as they begin
+	next     chan chan Outcome
+}
+
+func newScript() *script {
+	return &script{attempts: make(chan *Attempt, 100), next: make(chan chan Outcome, 100)}
+}
+
+func (s *script) Servers([]discovery.Target, bool) { s.told++ }
+
+func (s *script) Run(a *Attempt) Outcome {
+	end := make(chan Outcome, 1)
+	s.attempts <- a
+	s.next <- end
+	select {
+	case o := <-end:
+		return o
+	case <-a.Context().Done():
+		return Outcome{Ending: woodpick.Withdrawn, At: a.Sent}
+	}
+}
+
+// expect waits for an attempt and returns it with the channel that ends it.
+func (s *script) expect(t *testing.T) (*Attempt, chan<- Outcome) {
+	t.Helper()
+	return standin.Receive(t, s.attempts, "an attempt"), standin.Receive(t, s.next, "its end")
+}
+
+func settings() woodpick.Settings {
+	class := func(name string, e woodpick.Effect) woodpick.Class {
+		return woodpick.Class{Name: name, Effect: e, Aim: standin.Limit, Deadline: 2 * standin.Limit, Worth: 1}
+	}
+	return woodpick.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true, Tick: time.Millisecond,
+		MaxRetryAfter: 2 * time.Second, ColdFrom: 1, WholeWeight: 1,
+		Classes: []woodpick.Class{class("view", woodpick.Safe), class("note", woodpick.Unsafe)}}
+}
+
+// servers is a whole list of ready servers.
+func servers(ids ...string) discovery.List {
+	l := discovery.List{Full: true}
+	for _, id := range ids {
+		l.Targets = append(l.Targets, discovery.Target{Server: woodpick.Server{ID: id}, Endpoint: "127.0.0.1:1"})
+	}
+	return l
+}
+
+func newEngine(t *testing.T, s *script, l discovery.List) *Engine {
+	t.Helper()
+	e, err := New(Options{Settings: settings(), Seed: 1, Clock: clock.New(), Backend: s, Subscribe: func() {}, Pushed: true,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Hold(l)
+	return e
+}
+
+// newCall is a call with all the time in the world.
+func newCall(e *Engine, id, class string) *Call {
+	c := NewCall(id, Request{})
+	c.Class, c.At = class, e.clock.Now()
+	c.Deadline = c.At + standin.Limit
+	return c
+}
+
+// Given two servers, the first attempt of a safe call breaks and the next is served: one answer, no overlap.
+// An unsafe call whose attempt may have run fails, and one whose attempt never ran is tried again.
+func TestOneAnswerAndNoOverlap(t *testing.T) {
+	s := newScript()
+	e := newEngine(t, s, servers("s1", "s2"))
+	go e.Run(t.Context())
+	for _, c := range []struct {
+		class string
+		ends  []woodpick.Ending
+		want  Kind
+	}{
+		{"view", []woodpick.Ending{woodpick.Broken, woodpick.Success}, Served},
+		{"note", []woodpick.Ending{woodpick.Broken}, Failed},
+		{"note", []woodpick.Ending{woodpick.Unreachable, woodpick.Success}, Served},
+		{"note", []woodpick.Ending{woodpick.Overloaded, woodpick.Unreachable}, Refused},
+	} {
+		call := newCall(e, "id", c.class)
+		e.Take(call)
+		for i, ending := range c.ends {
+			a, end := s.expect(t)
+			if a.N != i || len(s.attempts) > 0 {
+				t.Fatalf("%s: attempt %d with %d more out, want attempt %d alone", c.class, a.N, len(s.attempts), i)
+			}
+			end <- Outcome{Ending: ending, At: e.clock.Now(), Reply: Reply{Body: []byte("body")}}
+		}
+		got := standin.Receive(t, call.Answer(), "the answer")
+		if got.Kind != c.want || got.Kind == Served && string(got.Reply.Body) != "body" || len(s.attempts) > 0 {
+			t.Errorf("%s after %v: kind %d, body %q, %d more attempts; want kind %d", c.class, c.ends, got.Kind,
+				got.Reply.Body, len(s.attempts), c.want)
+		}
+	}
+}
+
+// An id that is in use gets an answer of its own, and the first call with it goes on.
+func TestIDInUse(t *testing.T) {
+	s := newScript()
+	e := newEngine(t, s, servers("s1"))
+	go e.Run(t.Context())
+	first, second := newCall(e, "id", "view"), newCall(e, "id", "view")
+	e.Take(first)
+	_, end := s.expect(t)
+	e.Take(second)
+	if a := standin.Receive(t, second.Answer(), "the second's answer"); a.Kind != Duplicate {
+		t.Errorf("kind %d", a.Kind)
+	}
+	end <- Outcome{Ending: woodpick.Success, At: e.clock.Now()}
+	if a := standin.Receive(t, first.Answer(), "the first's answer"); a.Kind != Served {
+		t.Errorf("kind %d", a.Kind)
+	}
+}
+
+// A caller that leaves has its attempt called off; its id is free again once that has ended.
+func TestLeaveCancelsTheAttempt(t *testing.T) {
+	s := newScript()
+	e := newEngine(t, s, servers("s1"))
+	go e.Run(t.Context())
+	c := newCall(e, "id", "note")
+	e.Take(c)
+	a, _ := s.expect(t)
+	e.Leave(c, e.clock.Now())
+	standin.Receive(t, a.Context().Done(), "the cancel")
+	standin.Until(t, "the id to be free", func() bool {
+		again := newCall(e, "id", "note")
+		e.Take(again)
+		select {
+		case got := <-again.Answer():
+			return got.Kind != Duplicate
+		case <-s.attempts:
+			return true
+		}
+	})
+}
+
+// At the last call what has an attempt out fails, and what still comes is refused with a time to come back.
+func TestLastCall(t *testing.T) {
+	s := newScript()
+	e := newEngine(t, s, servers("s1"))
+	go e.Run(t.Context())
+	out := newCall(e, "out", "note")
+	e.Take(out)
+	s.expect(t)
+	e.LastCall()
+	if a := standin.Receive(t, out.Answer(), "the answer"); a.Kind != Failed {
+		t.Errorf("kind %d", a.Kind)
+	}
+	late := newCall(e, "late", "view")
+	e.Take(late)
+	if a := standin.Receive(t, late.Answer(), "the refusal"); a.Kind != Refused || a.RetryAfter <= 0 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// A whole list that names what is held already is no news to the module: it would cut its pool anew and
+// open connections for nothing.
+func TestWholeListWithoutNewsChangesNothing(t *testing.T) {
+	s := newScript()
+	e := newEngine(t, s, servers("s1"))
+	s.told = 0
+	terminating, moved := servers("s1"), servers("s1")
+	terminating.Targets[0].State = woodpick.Draining
+	moved.Targets[0].Endpoint = "127.0.0.1:2"
+	for i, c := range []struct {
+		list discovery.List
+		want int
+	}{{servers("s1"), 0}, {terminating, 1}, {moved, 2}, {servers(), 3}} {
+		if e.take(listNews{c.list}); s.told != c.want {
+			t.Errorf("list %d: told %d times, want %d", i, s.told, c.want)
+		}
+	}
+}
--- a/internal/node/backend.go
+++ b/internal/http1/back.go
@@ -1,4 +1,4 @@
-package node
+package http1
 
 import (
 	"bufio"
@@ -16,6 +16,9 @@
 	"time"
 
 	"woodpick"
+	"woodpick/internal/clock"
+	"woodpick/internal/discovery"
+	"woodpick/internal/engine"
 )
 
 const (
@@ -23,34 +26,9 @@
 	maxAnswer = 16 << 10 // all of an answer but its body: heads, 1xx before them, chunks' sizes
 )
 
-// attempt is one send of a call to a server.
-type attempt struct {
-	ctx            context.Context
-	cancel         context.CancelFunc
-	call           *call
-	n              int
-	to             host
-	sent, deadline time.Duration
-}
-
-// host is one life of a server at one address. A server that starts anew, or another at an address that
-// one has left, must not be met over its predecessor's connections.
-type host struct {
-	server, endpoint string
-	boot             time.Duration
-}
-
-// result is how an attempt ended.
-type result struct {
-	ending      woodpick.Ending
-	at          time.Duration // when: for an answer, when its last byte was read
-	body        []byte
-	contentType string
-}
-
 // reply is what came back on a connection: an answer read whole, or why there is none.
 type reply struct {
-	result
+	engine.Outcome
 	err error
 }
 
@@ -58,13 +36,13 @@
 // closed by the server leaves the idle ones at once.
 type conn struct {
 	net.Conn
-	to     host
+	to     discovery.Host
 	in     *bounded
 	br     *bufio.Reader // over in; empty between answers
-	waiter chan reply    // the attempt on it takes one reply here; nil while idle. Guarded by backend.mu
+	waiter chan reply    // the attempt on it takes one reply here; nil while idle. Guarded by Back.mu
 	since  time.Duration
-	stage  stage // guarded by backend.mu
-	dead   bool  // guarded by backend.mu
+	stage  stage // guarded by Back.mu
+	dead   bool  // guarded by Back.mu
 }
 
 // stage is how far the request on a connection is.
@@ -95,43 +73,52 @@
 	return n, err
 }
 
-// backend runs attempts over pools of kept connections, the last used first. http.Transport would
+// Back runs attempts over pools of kept connections, the last used first. http.Transport would
 // send some requests again by itself, and does not tell whether the last byte was written.
-type backend struct {
-	clock   clock
+type Back struct {
+	clock   clock.Clock
 	dialer  net.Dialer
 	idleFor time.Duration
 	most    int // connections open or being opened
 
 	mu   sync.Mutex
-	idle map[host][]*conn // the oldest first
+	idle map[discovery.Host][]*conn // the oldest first
 	open int
 	made int
-	seen map[string]target // the listed servers by uid
+	seen map[string]discovery.Target // the listed servers by uid
+}
+
+// BackOptions are what a Back is told.
+type BackOptions struct {
+	Clock          clock.Clock
+	Most           int           // connections open or being opened
+	ConnectTimeout time.Duration // for a connection to come up
+	Idle           time.Duration // a server closes a connection that has been idle for so long
 }
 
-func newBackend(cfg Config, c clock, most int) *backend {
-	return &backend{clock: c, most: most, idle: map[host][]*conn{}, seen: map[string]target{},
-		dialer: net.Dialer{Timeout: cfg.ConnectTimeout, KeepAlive: -1},
+// NewBack returns a Back that knows no servers yet.
+func NewBack(o BackOptions) *Back {
+	return &Back{clock: o.Clock, most: o.Most, idle: map[discovery.Host][]*conn{}, seen: map[string]discovery.Target{},
+		dialer: net.Dialer{Timeout: o.ConnectTimeout, KeepAlive: -1},
 		// Closed a little before the server does, or a request might cross its close and end as a reset.
-		idleFor: cfg.ConnIdle - cfg.ConnIdle/10}
+		idleFor: o.Idle - o.Idle/10}
 }
 
 // errNoRoom says that the node is out of descriptors, which is no server's fault.
 var errNoRoom = errors.New("no descriptor left for a connection")
 
-// run makes an attempt and tells how it ended. Its connection is closed by then, or idle again.
-func (b *backend) run(a *attempt) result {
-	ctx, cancel := context.WithTimeout(a.ctx, b.clock.until(a.deadline))
+// Run makes an attempt and tells how it ended. Its connection is closed by then, or idle again.
+func (b *Back) Run(a *engine.Attempt) engine.Outcome {
+	ctx, cancel := context.WithTimeout(a.Context(), b.clock.Until(a.Deadline))
 	defer cancel()
 	r := b.try(ctx, a)
-	if r.at == 0 {
-		r.at = b.clock.now()
+	if r.At == 0 {
+		r.At = b.clock.Now()
 	}
 	return r
 }
 
-func (b *backend) try(ctx context.Context, a *attempt) result {
+func (b *Back) try(ctx context.Context, a *engine.Attempt) engine.Outcome {
 	var (
 		c      *conn
 		waiter chan reply
@@ -143,24 +130,24 @@
 			fresh bool
 			err   error
 		)
-		c, fresh, err = b.connect(ctx, a.to, waiter)
+		c, fresh, err = b.connect(ctx, a.To, waiter)
 		switch {
 		case errors.Is(err, errNoRoom):
-			return result{ending: woodpick.Void}
-		case err != nil && errors.Is(a.ctx.Err(), context.Canceled):
-			return result{ending: woodpick.Withdrawn}
+			return engine.Outcome{Ending: woodpick.Void}
+		case err != nil && errors.Is(a.Context().Err(), context.Canceled):
+			return engine.Outcome{Ending: woodpick.Withdrawn}
 		case err != nil:
-			return result{ending: woodpick.Unreachable}
+			return engine.Outcome{Ending: woodpick.Unreachable}
 		}
-		if text, err = encode(a, b.clock.until(a.deadline)); err != nil {
+		if text, err = encode(a, b.clock.Until(a.Deadline)); err != nil {
 			b.giveUp(c, waiter)
-			return result{ending: woodpick.Void}
+			return engine.Outcome{Ending: woodpick.Void}
 		}
 		if b.begin(c, waiter) {
 			break
 		}
 		if fresh {
-			return result{ending: woodpick.Unreachable}
+			return engine.Outcome{Ending: woodpick.Unreachable}
 		}
 	}
 	// A timed-out or cancelled attempt closes its connection, which ends the wait below.
@@ -175,39 +162,39 @@
 	got := <-waiter
 	switch {
 	case got.err == nil:
-		return got.result
-	case errors.Is(a.ctx.Err(), context.Canceled):
-		return result{ending: woodpick.Withdrawn}
+		return got.Outcome
+	case errors.Is(a.Context().Err(), context.Canceled):
+		return engine.Outcome{Ending: woodpick.Withdrawn}
 	case sent < len(text):
 		// The server never got the last byte, so it has not begun: sending again is harmless.
-		return result{ending: woodpick.Unreachable}
+		return engine.Outcome{Ending: woodpick.Unreachable}
 	case ctx.Err() != nil:
-		return result{ending: woodpick.TimedOut}
+		return engine.Outcome{Ending: woodpick.TimedOut}
 	}
-	return result{ending: woodpick.Broken}
+	return engine.Outcome{Ending: woodpick.Broken}
 }
 
 // encode writes the request to a server. Method, target, body, id and idempotency key go on as they came.
-func encode(a *attempt, left time.Duration) ([]byte, error) {
+func encode(a *engine.Attempt, left time.Duration) ([]byte, error) {
 	h := http.Header{
 		"User-Agent":   {""}, // none
-		"X-Request-Id": {a.call.id},
+		"X-Request-Id": {a.Call.ID},
 		"X-Deadline":   {strconv.FormatFloat(max(left, time.Millisecond).Seconds(), 'f', 6, 64)},
 	}
-	if a.call.key != "" {
-		h["Idempotency-Key"] = []string{a.call.key}
+	if a.Call.Request.Key != "" {
+		h["Idempotency-Key"] = []string{a.Call.Request.Key}
 	}
-	if a.call.contentType != "" {
-		h["Content-Type"] = []string{a.call.contentType}
+	if a.Call.Request.ContentType != "" {
+		h["Content-Type"] = []string{a.Call.Request.ContentType}
 	}
-	r := http.Request{Method: a.call.method, URL: &url.URL{Opaque: a.call.target}, Host: "backend.local",
-		Header: h, ContentLength: int64(len(a.call.body))}
-	if len(a.call.body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(a.call.body))
+	r := http.Request{Method: a.Call.Request.Method, URL: &url.URL{Opaque: a.Call.Request.Target}, Host: "backend.local",
+		Header: h, ContentLength: int64(len(a.Call.Request.Body))}
+	if len(a.Call.Request.Body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(a.Call.Request.Body))
 	}
 	// The whole request in one write: what Write returns tells whether its last byte left.
 	var text bytes.Buffer
-	text.Grow(512 + len(a.call.body))
+	text.Grow(512 + len(a.Call.Request.Body))
 	if err := r.Write(&text); err != nil {
 		return nil, fmt.Errorf("request: %w", err)
 	}
@@ -215,12 +202,12 @@
 }
 
 // connect takes the idle connection used last, or opens a fresh one.
-func (b *backend) connect(ctx context.Context, to host, waiter chan reply) (c *conn, fresh bool, err error) {
+func (b *Back) connect(ctx context.Context, to discovery.Host, waiter chan reply) (c *conn, fresh bool, err error) {
 	c, err = b.take(to, waiter)
 	if c != nil || err != nil {
 		return c, false, err
 	}
-	nc, err := b.dialer.DialContext(ctx, "tcp", to.endpoint)
+	nc, err := b.dialer.DialContext(ctx, "tcp", to.Endpoint)
 	if err != nil {
 		b.mu.Lock()
 		b.open--
@@ -236,7 +223,7 @@
 }
 
 // watch starts the reader of a connection that an attempt is about to use.
-func (b *backend) watch(nc net.Conn, to host, waiter chan reply) *conn {
+func (b *Back) watch(nc net.Conn, to discovery.Host, waiter chan reply) *conn {
 	in := &bounded{Reader: nc}
 	c := &conn{Conn: nc, to: to, in: in, br: bufio.NewReader(in), waiter: waiter}
 	go b.read(c)
@@ -245,7 +232,7 @@
 
 // begin has a request written next, unless the server has closed the connection or said something
 // meanwhile, which can be no answer to it: then the connection is closed, and another will do.
-func (b *backend) begin(c *conn, waiter chan reply) bool {
+func (b *Back) begin(c *conn, waiter chan reply) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c.waiter == waiter && !spokenOrClosed(c.Conn) {
@@ -261,7 +248,7 @@
 
 // take returns an idle connection, or nil once there is room to open one. When short, idle
 // connections to other servers are closed first.
-func (b *backend) take(to host, waiter chan reply) (*conn, error) {
+func (b *Back) take(to discovery.Host, waiter chan reply) (*conn, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if free := b.idle[to]; len(free) > 0 {
@@ -288,7 +275,7 @@
 }
 
 // drop closes a connection and forgets it. The caller holds mu.
-func (b *backend) drop(c *conn) {
+func (b *Back) drop(c *conn) {
 	if c.dead {
 		return
 	}
@@ -309,7 +296,7 @@
 
 // giveUp closes a connection under the attempt that waits on it, unless its reply has come: then the
 // connection may serve another attempt already.
-func (b *backend) giveUp(c *conn, waiter chan reply) {
+func (b *Back) giveUp(c *conn, waiter chan reply) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c.waiter == waiter {
@@ -319,15 +306,15 @@
 	}
 }
 
-// connections is how many are open or being opened.
-func (b *backend) connections() int {
+// Connections is how many are open or being opened.
+func (b *Back) Connections() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.open
 }
 
 // wrote notes that a request is written whole, and frees the connection if it is answered already.
-func (b *backend) wrote(c *conn) {
+func (b *Back) wrote(c *conn) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.stage = written
@@ -338,8 +325,8 @@
 
 // rest keeps a connection for the next attempt, if its server is still the one that it was made to. The
 // caller holds mu.
-func (b *backend) rest(c *conn) {
-	if t, listed := b.seen[c.to.server]; !listed || t.State != woodpick.Ready || t.host() != c.to {
+func (b *Back) rest(c *conn) {
+	if t, listed := b.seen[c.to.Server]; !listed || t.State != woodpick.Ready || t.Host() != c.to {
 		b.drop(c)
 		return
 	}
@@ -349,7 +336,7 @@
 // read watches a connection: it hands each answer to the attempt that waits for it, and drops the
 // connection when it ends or says something that no request asked for. Until a request is being
 // written it leaves what comes to the kernel, where begin sees it.
-func (b *backend) read(c *conn) {
+func (b *Back) read(c *conn) {
 	for keep := true; keep; {
 		awaitBytes(c.Conn)
 		b.mu.Lock()
@@ -365,7 +352,7 @@
 		waiter := c.waiter
 		c.waiter = nil
 		if waiter != nil && keep {
-			c.since = r.at
+			c.since = r.At
 			if c.stage == written { // an answer that came early must not let another request into this one
 				b.rest(c)
 			}
@@ -388,7 +375,7 @@
 // readAnswer reads one answer, and tells whether the connection is of further use. Only a whole 200 is a
 // success. What can't be read may have run. An answer is good even if more follows that belongs to none,
 // but then the next answer could not be told from that.
-func (b *backend) readAnswer(c *conn) (reply, bool) {
+func (b *Back) readAnswer(c *conn) (reply, bool) {
 	c.in.left = maxAnswer
 	resp, err := http.ReadResponse(c.br, nil)
 	for err == nil && resp.StatusCode < 200 {
@@ -414,15 +401,15 @@
 			return reply{err: errors.Join(errCut, err)}, false
 		}
 	}
-	r := reply{result: result{at: b.clock.now()}}
+	r := reply{Outcome: engine.Outcome{At: b.clock.Now()}}
 	switch {
 	case ok:
-		r.ending, r.body, r.contentType = woodpick.Success, body, resp.Header.Get("Content-Type")
+		r.Ending, r.Reply = woodpick.Success, engine.Reply{Body: body, ContentType: resp.Header.Get("Content-Type")}
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Run") == "1":
-		r.ending = woodpick.Overloaded
+		r.Ending = woodpick.Overloaded
 	default:
-		r.ending = woodpick.Failure
+		r.Ending = woodpick.Failure
 	}
 	return r, err == nil && framed && !resp.Close && c.br.Buffered() == 0
 }
@@ -463,8 +450,8 @@
 	return is || err != nil
 }
 
-// servers follows the list: idle connections to a server that left, drains or started anew are closed.
-func (b *backend) servers(targets []target, full bool) {
+// Servers follows the list: idle connections to a server that left, drains or started anew are closed.
+func (b *Back) Servers(targets []discovery.Target, full bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	named := map[string]bool{}
@@ -472,8 +459,8 @@
 		named[t.ID] = true
 		old, known := b.seen[t.ID]
 		b.seen[t.ID] = t
-		if known && (t.State != woodpick.Ready || t.host() != old.host()) {
-			b.dropIdle(old.host())
+		if known && (t.State != woodpick.Ready || t.Host() != old.Host()) {
+			b.dropIdle(old.Host())
 		}
 		if t.State == woodpick.Gone {
 			delete(b.seen, t.ID)
@@ -481,21 +468,21 @@
 	}
 	for id, t := range b.seen {
 		if full && !named[id] {
-			b.dropIdle(t.host())
+			b.dropIdle(t.Host())
 			delete(b.seen, id)
 		}
 	}
 }
 
 // dropIdle closes the idle connections to a host. The caller holds mu.
-func (b *backend) dropIdle(h host) {
+func (b *Back) dropIdle(h discovery.Host) {
 	for free := b.idle[h]; len(free) > 0; free = b.idle[h] {
 		b.drop(free[len(free)-1])
 	}
 }
 
-// sweep closes connections that have been idle for too long, until ctx ends.
-func (b *backend) sweep(ctx context.Context) {
+// Sweep closes connections that have been idle for too long, until ctx ends.
+func (b *Back) Sweep(ctx context.Context) {
 	every := time.NewTicker(max(b.idleFor/20, time.Millisecond))
 	defer every.Stop()
 	for {
@@ -506,7 +493,7 @@
 		}
 		b.mu.Lock()
 		for _, free := range b.idle {
-			for len(free) > 0 && b.clock.now()-free[0].since >= b.idleFor {
+			for len(free) > 0 && b.clock.Now()-free[0].since >= b.idleFor {
 				c := free[0]
 				b.drop(c)
 				free = b.idle[c.to]
--- a/internal/node/backend_test.go
+++ b/internal/http1/back_test.go
@@ -1,4 +1,4 @@
-package node
+package http1
 
 import (
 	"context"
@@ -13,31 +13,36 @@
 	"time"
 
 	"woodpick"
+	"woodpick/internal/clock"
+	"woodpick/internal/discovery"
+	"woodpick/internal/engine"
+	"woodpick/internal/standin"
 )
 
-func testBackend(most int) *backend { return newBackend(testConfig(""), newClock(), most) }
+func testBackend(most int) *Back {
+	return NewBack(BackOptions{Clock: clock.New(), Most: most, ConnectTimeout: standin.Limit, Idle: time.Minute})
+}
 
 // testHost has the backend know a server that is named by its endpoint.
-func testHost(b *backend, endpoint string) host {
-	t := target{Server: woodpick.Server{ID: endpoint, State: woodpick.Ready}, endpoint: endpoint}
-	b.servers([]target{t}, false)
-	return t.host()
+func testHost(b *Back, endpoint string) discovery.Host {
+	t := discovery.Target{Server: woodpick.Server{ID: endpoint, State: woodpick.Ready}, Endpoint: endpoint}
+	b.Servers([]discovery.Target{t}, false)
+	return t.Host()
 }
 
 // testAttempt is an attempt at an endpoint with all the time in the world.
-func testAttempt(b *backend, endpoint string) *attempt {
-	ctx, cancel := context.WithCancel(context.Background())
-	now := b.clock.now()
-	return &attempt{ctx: ctx, cancel: cancel, to: testHost(b, endpoint), sent: now, deadline: now + limit,
-		call: &call{id: "id", method: "POST", target: "/note/k", body: []byte("body")}}
+func testAttempt(b *Back, endpoint string) *engine.Attempt {
+	now := b.clock.Now()
+	c := engine.NewCall("id", engine.Request{Method: "POST", Target: "/note/k", Body: []byte("body")})
+	return engine.NewAttempt(c, 0, testHost(b, endpoint), now, now+standin.Limit)
 }
 
-// run makes an attempt that must end within the limit.
-func run(t *testing.T, b *backend, a *attempt) result {
+// run makes an attempt that must end within the standin.Limit.
+func run(t *testing.T, b *Back, a *engine.Attempt) engine.Outcome {
 	t.Helper()
-	end := make(chan result, 1)
-	go func() { end <- b.run(a) }()
-	return wait(t, end, "the attempt's end")
+	end := make(chan engine.Outcome, 1)
+	go func() { end <- b.Run(a) }()
+	return standin.Receive(t, end, "the attempt's end")
 }
 
 func TestEndings(t *testing.T) {
@@ -79,7 +84,7 @@
 		{"no HTTP", "what?\r\n\r\n", woodpick.Broken, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := newServer(t, func(conn net.Conn, r *http.Request, body string) bool {
+			s := standin.NewServer(t, func(conn net.Conn, r *http.Request, body string) bool {
 				if c.answer == "-" {
 					conn.(*net.TCPConn).SetLinger(0)
 					return false
@@ -91,10 +96,10 @@
 				return c.keeps
 			})
 			b := testBackend(10)
-			h := testHost(b, s.addr())
-			r := run(t, b, testAttempt(b, s.addr()))
-			if r.ending != c.want || c.want == woodpick.Success && string(r.body) != "ok" {
-				t.Errorf("ending %d, body %q; want %d", r.ending, r.body, c.want)
+			h := testHost(b, s.Address())
+			r := run(t, b, testAttempt(b, s.Address()))
+			if r.Ending != c.want || c.want == woodpick.Success && string(r.Reply.Body) != "ok" {
+				t.Errorf("ending %d, body %q; want %d", r.Ending, r.Reply.Body, c.want)
 			}
 			b.mu.Lock()
 			defer b.mu.Unlock()
@@ -107,8 +112,8 @@
 
 func TestRefusedConnectionIsUnreachable(t *testing.T) {
 	b := testBackend(10)
-	if r := run(t, b, testAttempt(b, closedPort(t))); r.ending != woodpick.Unreachable || b.open != 0 {
-		t.Errorf("ending %d, %d open", r.ending, b.open)
+	if r := run(t, b, testAttempt(b, standin.ClosedPort(t))); r.Ending != woodpick.Unreachable || b.open != 0 {
+		t.Errorf("ending %d, %d open", r.Ending, b.open)
 	}
 }
 
@@ -139,8 +144,8 @@
 	}
 	b := testBackend(10)
 	b.dialer.Timeout = 50 * time.Millisecond
-	if r := run(t, b, testAttempt(b, addr)); r.ending != woodpick.Unreachable || b.open != 0 {
-		t.Errorf("ending %d, %d open", r.ending, b.open)
+	if r := run(t, b, testAttempt(b, addr)); r.Ending != woodpick.Unreachable || b.open != 0 {
+		t.Errorf("ending %d, %d open", r.Ending, b.open)
 	}
 }
 
@@ -156,23 +161,23 @@
 func (c halfConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
 
 func TestBreakBeforeTheLastByteIsUnreachable(t *testing.T) {
-	s := newServer(t, echo)
-	nc, err := net.Dial("tcp", s.addr())
+	s := standin.NewServer(t, standin.Echo)
+	nc, err := net.Dial("tcp", s.Address())
 	if err != nil {
 		t.Fatal(err)
 	}
 	b := testBackend(10)
-	b.adopt(halfConn{nc}, testHost(b, s.addr()))
-	if r := run(t, b, testAttempt(b, s.addr())); r.ending != woodpick.Unreachable || b.open != 0 {
-		t.Errorf("ending %d, %d open", r.ending, b.open)
+	b.adopt(halfConn{nc}, testHost(b, s.Address()))
+	if r := run(t, b, testAttempt(b, s.Address())); r.Ending != woodpick.Unreachable || b.open != 0 {
+		t.Errorf("ending %d, %d open", r.Ending, b.open)
 	}
-	if s.seen() != 0 {
+	if s.Seen() != 0 {
 		t.Error("the server got the request")
 	}
 }
 
 // adopt puts a connection among the idle ones.
-func (b *backend) adopt(nc net.Conn, to host) {
+func (b *Back) adopt(nc net.Conn, to discovery.Host) {
 	waiter := make(chan reply, 1)
 	b.open++
 	c := b.watch(nc, to, waiter)
@@ -187,7 +192,7 @@
 func TestBytesOrACloseBeforeTheRequestAreSeen(t *testing.T) {
 	for name, say := range map[string]string{"a close": "", "an answer to nothing": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"} {
 		t.Run(name, func(t *testing.T) {
-			s := newServer(t, echo)
+			s := standin.NewServer(t, standin.Echo)
 			early, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
@@ -207,7 +212,7 @@
 			}
 			defer other.Close()
 			b := testBackend(10)
-			h := testHost(b, s.addr())
+			h := testHost(b, s.Address())
 			b.open = 1
 			b.idle[h] = []*conn{{Conn: nc, to: h}} // with no reader
 			if say == "" {
@@ -215,9 +220,9 @@
 			} else {
 				io.WriteString(other, say)
 			}
-			until(t, "it to arrive", func() bool { return spokenOrClosed(nc) })
-			if r := run(t, b, testAttempt(b, s.addr())); r.ending != woodpick.Success || string(r.body) != "for id" || b.open != 1 {
-				t.Errorf("ending %d, body %q, %d open", r.ending, r.body, b.open)
+			standin.Until(t, "it to arrive", func() bool { return spokenOrClosed(nc) })
+			if r := run(t, b, testAttempt(b, s.Address())); r.Ending != woodpick.Success || string(r.Reply.Body) != "for id" || b.open != 1 {
+				t.Errorf("ending %d, body %q, %d open", r.Ending, r.Reply.Body, b.open)
 			}
 		})
 	}
@@ -240,7 +245,7 @@
 		t.Fatal(err)
 	}
 	other.Close()
-	until(t, "the close to arrive", func() bool { return spokenOrClosed(nc) })
+	standin.Until(t, "the close to arrive", func() bool { return spokenOrClosed(nc) })
 	b := testBackend(10)
 	waiter := make(chan reply, 1)
 	b.open = 1
@@ -253,67 +258,67 @@
 func TestTimedOutAndCancelledAttemptsCloseTheirConnection(t *testing.T) {
 	for _, want := range []woodpick.Ending{woodpick.TimedOut, woodpick.Withdrawn} {
 		got, gone := make(chan struct{}), make(chan struct{})
-		s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
 			close(got)
 			c.Read(make([]byte, 1))
 			close(gone)
 			return false
 		})
 		b := testBackend(10)
-		a := testAttempt(b, s.addr())
+		a := testAttempt(b, s.Address())
 		if want == woodpick.TimedOut {
-			a.deadline = a.sent + 100*time.Millisecond
+			a.Deadline = a.Sent + 100*time.Millisecond
 		} else {
-			go func() { <-got; a.cancel() }()
+			go func() { <-got; a.Cancel() }()
 		}
-		if r := run(t, b, a); r.ending != want || b.open != 0 {
-			t.Errorf("ending %d, %d open; want %d", r.ending, b.open, want)
+		if r := run(t, b, a); r.Ending != want || b.open != 0 {
+			t.Errorf("ending %d, %d open; want %d", r.Ending, b.open, want)
 		}
-		wait(t, gone, "the close")
+		standin.Receive(t, gone, "the close")
 	}
 }
 
 // A node short of descriptors closes idle connections first; its own lack is no server's fault.
 func TestConnectionsBeyondTheBudget(t *testing.T) {
 	hold, got := make(chan struct{}), make(chan struct{}, 1)
-	one, two := newServer(t, echo), newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+	one, two := standin.NewServer(t, standin.Echo), standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
 		got <- struct{}{}
 		<-hold
-		return echo(c, r, body)
+		return standin.Echo(c, r, body)
 	})
 	b := testBackend(1)
-	if r := run(t, b, testAttempt(b, one.addr())); r.ending != woodpick.Success {
-		t.Fatalf("ending %d", r.ending)
+	if r := run(t, b, testAttempt(b, one.Address())); r.Ending != woodpick.Success {
+		t.Fatalf("ending %d", r.Ending)
 	}
-	end := make(chan result, 1)
-	go func() { end <- b.run(testAttempt(b, two.addr())) }()
-	wait(t, got, "the attempt that took the idle one's place")
-	if r := run(t, b, testAttempt(b, one.addr())); r.ending != woodpick.Void {
-		t.Errorf("with no descriptor left: ending %d, want Void", r.ending)
+	end := make(chan engine.Outcome, 1)
+	go func() { end <- b.Run(testAttempt(b, two.Address())) }()
+	standin.Receive(t, got, "the attempt that took the idle one's place")
+	if r := run(t, b, testAttempt(b, one.Address())); r.Ending != woodpick.Void {
+		t.Errorf("with no descriptor left: ending %d, want Void", r.Ending)
 	}
 	close(hold)
-	if r := wait(t, end, "the attempt"); r.ending != woodpick.Success {
-		t.Errorf("ending %d", r.ending)
+	if r := standin.Receive(t, end, "the attempt"); r.Ending != woodpick.Success {
+		t.Errorf("ending %d", r.Ending)
 	}
-	if one.seen() != 1 || b.open != 1 {
-		t.Errorf("%d requests at the first server, %d connections open", one.seen(), b.open)
+	if one.Seen() != 1 || b.open != 1 {
+		t.Errorf("%d requests at the first server, %d connections open", one.Seen(), b.open)
 	}
 }
 
 func TestIdleConnectionsCloseBeforeTheServersDo(t *testing.T) {
-	s := newServer(t, echo)
+	s := standin.NewServer(t, standin.Echo)
 	b := testBackend(10)
 	b.idleFor = 20 * time.Millisecond
-	run(t, b, testAttempt(b, s.addr()))
+	run(t, b, testAttempt(b, s.Address()))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go b.sweep(ctx)
-	until(t, "the close", func() bool {
+	go b.Sweep(ctx)
+	standin.Until(t, "the close", func() bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		return b.open == 0 && len(b.idle) == 0
 	})
-	if full := testBackend(1); full.idleFor >= testConfig("").ConnIdle {
+	if full := testBackend(1); full.idleFor >= time.Minute {
 		t.Errorf("kept for %v", full.idleFor)
 	}
 }
--- a/internal/node/callers.go
+++ b/internal/http1/callers.go
@@ -1,4 +1,4 @@
-package node
+package http1
 
 import (
 	"cmp"
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"woodpick/internal/clock"
 )
 
 // graces tell how long a caller's connection is spared, when there are too many, in each of the states in
@@ -25,10 +27,10 @@
 		idle: 500 * time.Millisecond}
 }
 
-// callers are the callers' connections, within their share of the node's descriptors. Whoever holds a
+// Callers are the callers' connections, within their share of the node's descriptors. Whoever holds a
 // place without a request makes room first; only if nobody does, requests are refused.
-type callers struct {
-	clock   clock
+type Callers struct {
+	clock   clock.Clock
 	room    int        // descriptors for callers and servers together
 	least   int        // of these the servers' connections may always have
 	servers func() int // how many they have
@@ -62,13 +64,16 @@
 	lingering              // answered for good; what still comes is thrown away
 )
 
-func newCallers(c clock, room, spare int, servers func() int) *callers {
-	return &callers{clock: c, room: room, least: room / 4, servers: servers, spare: spare,
+// NewCallers returns the callers' side of so many descriptors (room) for callers and servers together, of
+// which servers tells how many they have; spare ones beyond room are for callers that are read only to be
+// refused.
+func NewCallers(c clock.Clock, room, spare int, servers func() int) *Callers {
+	return &Callers{clock: c, room: room, least: room / 4, servers: servers, spare: spare,
 		conns: map[*callerConn]struct{}{}, grace: defaultGraces()}
 }
 
 // most is how many connections callers may hold now: what servers leave. The caller holds mu.
-func (s *callers) most() int { return max(s.room/2, s.room-max(s.least, s.servers())) }
+func (s *Callers) most() int { return max(s.room/2, s.room-max(s.least, s.servers())) }
 
 // callerConn is a caller's connection that can be let go while it waits for a request, and only then.
 //
@@ -85,8 +90,8 @@
 	cut      bool      // leaving, whatever still comes
 	deadline time.Time // as net/http wants it
 
-	callers  *callers
-	activity // guarded by callers.mu
+	callers  *Callers
+	activity // guarded by Callers.mu
 }
 
 func (c *callerConn) Read(p []byte) (int, error) {
@@ -165,7 +170,7 @@
 // callerListener makes callerConns.
 type callerListener struct {
 	net.Listener
-	callers *callers
+	callers *Callers
 }
 
 // Accept never lets the node run out of descriptors, for then net/http would accept nobody for a while:
@@ -197,7 +202,7 @@
 }
 
 // track follows what net/http tells of a connection, and makes room when there are too many.
-func (s *callers) track(nc net.Conn, state http.ConnState) {
+func (s *Callers) track(nc net.Conn, state http.ConnState) {
 	c := nc.(*callerConn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -219,7 +224,7 @@
 }
 
 // move notes what a connection does from now on. The caller holds mu.
-func (s *callers) move(c *callerConn, p phase) {
+func (s *Callers) move(c *callerConn, p phase) {
 	if c.going {
 		s.leaving--
 	}
@@ -229,11 +234,11 @@
 	if p == open {
 		s.opened++
 	}
-	c.activity = activity{phase: p, since: s.clock.now()}
+	c.activity = activity{phase: p, since: s.clock.Now()}
 }
 
 // linger notes that net/http has answered for good and waits for the answer to arrive.
-func (s *callers) linger(c *callerConn) {
+func (s *Callers) linger(c *callerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, held := s.conns[c]; held {
@@ -244,7 +249,7 @@
 // open notes that a connection's request goes to the module, unless as many are there as servers'
 // connections are kept for, or this one was to be cut off: its caller would seem to have gone. That there
 // are too many connections is no reason: others' silence must not cost a good caller its answer.
-func (s *callers) open(c *callerConn) bool {
+func (s *Callers) open(c *callerConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.move(c, open)
@@ -256,16 +261,16 @@
 }
 
 // over is by how many there are too many. The caller holds mu.
-func (s *callers) over() int { return len(s.conns) - s.leaving - s.most() }
+func (s *Callers) over() int { return len(s.conns) - s.leaving - s.most() }
 
-func (s *callers) crowded() bool {
+func (s *Callers) crowded() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.over() > 0
 }
 
 // full says that one more would leave the node without a descriptor.
-func (s *callers) full() bool {
+func (s *Callers) full() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) < s.room+s.spare-s.servers() {
@@ -279,11 +284,11 @@
 // use to a good caller, and of these who has been so for longest. One idle for a moment only is spared:
 // a client sends again just once what crosses a close. While there are too many, each answer closes its
 // connection, which nothing can cross. The caller holds mu.
-func (s *callers) makeRoom() {
+func (s *Callers) makeRoom() {
 	if s.over() <= 0 {
 		return
 	}
-	now := s.clock.now()
+	now := s.clock.Now()
 	var free []*callerConn
 	for c := range s.conns {
 		if !c.going && s.useless(c, now) > 0 {
@@ -301,7 +306,7 @@
 }
 
 // useless ranks the connections that may be let go, from 1; 0 is none of them.
-func (s *callers) useless(c *callerConn, now time.Duration) int {
+func (s *Callers) useless(c *callerConn, now time.Duration) int {
 	age := now - c.since
 	if s.over() > s.spare/2 {
 		age *= pressing
@@ -320,7 +325,7 @@
 }
 
 // letGo lets a connection go if it may be, and counts it as leaving. The caller holds mu.
-func (s *callers) letGo(c *callerConn) {
+func (s *Callers) letGo(c *callerConn) {
 	gone := !c.going
 	switch {
 	case c.going:
@@ -338,9 +343,9 @@
 	}
 }
 
-// letQuietGo closes the callers' idle connections, and those that have sent nothing yet. It returns how
+// LetQuietGo closes the callers' idle connections, and those that have sent nothing yet. It returns how
 // many of all are left.
-func (s *callers) letQuietGo() int {
+func (s *Callers) LetQuietGo() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -351,17 +356,19 @@
 	return len(s.conns)
 }
 
-// held is how many connections there are.
-func (s *callers) held() int {
+// Held is how many connections there are.
+func (s *Callers) Held() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.conns)
 }
 
-// report tells what became of connections since the last report, and how many there are.
-func (s *callers) report() (c callerCounts, held int) {
+// Report tells, for the log, what became of connections since the last report, and how many there are.
+func (s *Callers) Report() []any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c, s.counts = s.counts, callerCounts{}
-	return c, len(s.conns)
+	c := s.counts
+	s.counts = callerCounts{}
+	return []any{"callers", len(s.conns), "accepted", c.Accepted, "let_go", c.LetGo, "crowded", c.Crowded,
+		"turned_away", c.TurnedAway}
 }
--- /dev/null
+++ b/internal/http1/callers_test.go
@@ -0,0 +1,281 @@
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"woodpick/internal/clock"
+	"woodpick/internal/discovery"
+	"woodpick/internal/standin"
+)
+
+// untilIdle waits for a connection to be idle: a request is over a little after its answer.
+func untilIdle(t *testing.T, n *rig) {
+	t.Helper()
+	standin.Until(t, "a connection to be idle", func() bool {
+		n.callers.mu.Lock()
+		defer n.callers.mu.Unlock()
+		for c := range n.callers.conns {
+			if c.phase == idle {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func TestCallersBeyondTheBudget(t *testing.T) {
+	hold, got := make(chan struct{}), make(chan struct{}, 100)
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		if strings.HasPrefix(r.Header.Get("X-Request-Id"), "held") {
+			got <- struct{}{}
+			<-hold
+		}
+		return standin.Echo(c, r, body)
+	})
+	const most = 4
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), func(n *rig) {
+		n.callers.room, n.callers.least = 2*most, most
+		n.callers.grace.idle = 0
+	})
+	idle := standin.Dial(t, n.Addr())
+	idle.Get("idle")
+	idle.Want(t, 200, "for idle")
+	untilIdle(t, n)
+	var held []*standin.Caller
+	for i := range most {
+		c := standin.Dial(t, n.Addr())
+		c.Get(fmt.Sprint("held-", i))
+		standin.Receive(t, got, "an attempt")
+		held = append(held, c)
+	}
+	idle.WantClosed(t, "the idle connection when there are too many")
+	over := standin.Dial(t, n.Addr()) // read and refused, never left unread
+	over.Get("over")
+	r, _ := over.Answer(t)
+	if r.StatusCode != 503 || r.Header.Get("Retry-After") == "" || !r.Close {
+		t.Errorf("got %d, Retry-After %q, close %v", r.StatusCode, r.Header.Get("Retry-After"), r.Close)
+	}
+	close(hold)
+	for i, c := range held {
+		c.Want(t, 200, fmt.Sprint("for held-", i))
+	}
+}
+
+// A connection is let go only while it waits: not with a request read that net/http has not told of
+// yet, nor with the first byte of the next one, read early behind an answer.
+func TestLettingGoSparesARequestBegun(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	f := NewCallers(clock.New(), 2, 10, func() int { return 1 })
+	pair := func() (ours *callerConn, theirs net.Conn) {
+		theirs, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { theirs.Close() })
+		c, err := callerListener{ln, f}.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c.(*callerConn), theirs
+	}
+	say := func(from, to net.Conn) {
+		t.Helper()
+		to.SetReadDeadline(time.Now().Add(standin.Limit))
+		if _, err := from.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := to.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a, caller := pair()
+	b, _ := pair()
+	say(caller, a) // a request
+	f.track(a, http.StateNew)
+	f.track(a, http.StateActive)
+	say(a, caller) // its answer
+	say(caller, a) // the next request's first byte
+	f.track(a, http.StateIdle)
+	f.track(b, http.StateNew) // one too many
+	if a.going || !f.crowded() {
+		t.Fatal("a connection with a request on it was let go")
+	}
+	say(caller, a)
+	say(a, caller)
+	f.grace.idle = standin.Limit
+	f.track(a, http.StateIdle)
+	if a.going || !f.crowded() {
+		t.Fatal("a connection idle for a moment only was let go")
+	}
+	f.grace.idle = 0
+	f.track(b, http.StateActive)
+	if !a.going || f.crowded() {
+		t.Fatal("the idle connection was not let go")
+	}
+	a.SetReadDeadline(time.Time{}) // net/http does, after it has said that it is idle
+	if _, err := a.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the wait goes on: %v", err)
+	}
+	f.track(a, http.StateClosed)
+	if f.leaving != 0 || len(f.conns) != 1 {
+		t.Errorf("%d leaving of %d", f.leaving, len(f.conns))
+	}
+}
+
+// Whatever reaches a server has been read, so its caller must get the answer, however often idle
+// connections are let go meanwhile.
+func TestNothingReadIsLostWhileIdleConnectionsAreLetGo(t *testing.T) {
+	s := standin.NewServer(t, standin.Echo)
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), func(n *rig) {
+		n.callers.room, n.callers.least = 8, 4
+		n.callers.grace.idle = 0
+	})
+	var mu sync.Mutex
+	answered := map[string]bool{}
+	var callers sync.WaitGroup
+	for i := range 12 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			var c net.Conn
+			var br *bufio.Reader
+			for j := range 60 {
+				if c == nil {
+					var err error
+					if c, err = net.Dial("tcp", n.Addr()); err != nil {
+						t.Error(err)
+						return
+					}
+					c.SetDeadline(time.Now().Add(2 * standin.Limit))
+					br = bufio.NewReader(c)
+				}
+				id := fmt.Sprintf("c%d-%d", i, j)
+				fmt.Fprintf(c, "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline: 60\r\n\r\n", id)
+				r, err := http.ReadResponse(br, nil)
+				if err == nil {
+					_, err = io.Copy(io.Discard, r.Body)
+				}
+				if err == nil {
+					mu.Lock()
+					answered[id] = true
+					mu.Unlock()
+				}
+				if err != nil || r.Close {
+					c.Close()
+					c = nil
+				}
+			}
+			if c != nil {
+				c.Close()
+			}
+		}()
+	}
+	callers.Wait()
+	for _, id := range s.Requests() {
+		if !answered[id] {
+			t.Errorf("%s was sent to the server, and its caller got no answer", id)
+		}
+	}
+	if s.Seen() == 0 {
+		t.Error("no request reached the server")
+	}
+}
+
+// Hundreds of connections that say nothing, half a request or too little of a body hold no place that a
+// good caller needs: they are let go first, before they would time out, and the good one is served.
+func TestGoodCallerIsServedBesideHundredsOfSilentOnes(t *testing.T) {
+	s := standin.NewServer(t, standin.Echo)
+	cfg := testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service")))
+	cfg.Room = 256 - 48
+	n := start(t, cfg, func(n *rig) {
+		n.front.server.ReadTimeout = 2 * standin.Limit // what is let go is let go for want of room
+		n.callers.grace = graces{idle: standin.Limit}
+	})
+	const body = "POST /note/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: half\r\nX-Deadline: 60\r\nContent-Length: 9\r\n\r\nhal"
+	good := standin.Dial(t, n.Addr())
+	for i := range 600 {
+		bad := standin.Dial(t, n.Addr())
+		io.WriteString(bad, []string{"", "GET /view/k HT", "GET /view/k HTTP/1.1\r\nX-", body}[i%4])
+		if i%20 == 0 {
+			good.Get(fmt.Sprint("good-", i))
+			good.Want(t, http.StatusOK, fmt.Sprint("for good-", i))
+			fresh := standin.Dial(t, n.Addr())
+			fresh.Get(fmt.Sprint("fresh-", i))
+			fresh.Want(t, http.StatusOK, fmt.Sprint("for fresh-", i))
+			fresh.Close()
+		}
+	}
+	standin.Until(t, "the rest to be let go", func() bool {
+		n.callers.mu.Lock()
+		defer n.callers.mu.Unlock()
+		return n.callers.over() <= 0
+	})
+}
+
+// Silent and half-spoken connections end by themselves, and so do those that ask no more.
+func TestConnectionsWithoutARequestEnd(t *testing.T) {
+	s := standin.NewServer(t, standin.Echo)
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), func(n *rig) {
+		n.front.server.ReadTimeout = 300 * time.Millisecond
+		n.front.server.IdleTimeout = 300 * time.Millisecond
+	})
+	for _, text := range []string{"", "GET /view/k HTTP/1.1\r\nHo", "\r\n"} {
+		c := standin.Dial(t, n.Addr())
+		io.WriteString(c, text)
+		said, err := io.ReadAll(c)
+		if err != nil {
+			t.Errorf("%q: %v after %q", text, err, said)
+		}
+	}
+	c := standin.Dial(t, n.Addr())
+	c.Get("once")
+	c.Want(t, http.StatusOK, "for once")
+	c.WantClosed(t, "a connection that asks no more")
+}
+
+// Callers, requests and servers that are ever new leave nothing behind.
+func TestStateStaysBounded(t *testing.T) {
+	s := standin.NewServer(t, standin.Echo)
+	n := start(t, testConfig(standin.Whole(standin.Entry("s0", s.Address(), "in_service"))), nil)
+	round := func(i int) {
+		l := discovery.List{Full: true, Rev: int64(i), Targets: []discovery.Target{{Endpoint: s.Address()}}}
+		l.Targets[0].ID = fmt.Sprint("s", i)
+		n.engine.TakeList(l)
+		c := standin.Dial(t, n.Addr())
+		c.Get(fmt.Sprint("r-", i))
+		c.Want(t, http.StatusOK, "")
+		c.Close()
+	}
+	for i := range 50 {
+		round(i)
+	}
+	before := runtime.NumGoroutine()
+	for i := range 300 {
+		round(50 + i)
+	}
+	standin.Until(t, "all that has gone to be forgotten", func() bool {
+		b, f := n.back, n.callers
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.conns) == 0 && len(b.seen) == 1 && len(b.idle) <= 1 && b.open <= 1 &&
+			runtime.NumGoroutine() <= before+5
+	})
+}
--- a/internal/node/frontend.go
+++ b/internal/http1/front.go
@@ -1,9 +1,9 @@
-package node
+// Package http1 is the HTTP/1.1 side of the node (RFC 9110, RFC 9112): Front serves callers, Back carries
+// attempts to servers. Which server gets what, and what is answered, is the engine's.
+package http1
 
 import (
-	"context"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"math"
@@ -15,6 +15,8 @@
 	"time"
 
 	"woodpick"
+	"woodpick/internal/clock"
+	"woodpick/internal/engine"
 )
 
 // Limits on what a caller may make the node wait for.
@@ -25,31 +27,36 @@
 	maxHeader     = 16 << 10
 	maxID         = 128
 	maxWait       = time.Hour
-	deadlineSlack = 2                      // times the class's deadline that X-Deadline may be
-	quietGrace    = 300 * time.Millisecond // after the last connection was accepted
-	drainStep     = 20 * time.Millisecond
+	deadlineSlack = 2 // times the class's deadline that X-Deadline may be
 )
 
-// frontend serves callers: exactly one answer for each request taken.
-type frontend struct {
-	clock    clock
-	post     func(event)
-	ready    func() bool
-	classes  map[string]woodpick.Class
+// Service is what a Front takes calls for.
+type Service interface {
+	// Ready says that callers may be sent here.
+	Ready() bool
+	// Class tells of a class of calls, if there is one of that name.
+	Class(name string) (woodpick.Class, bool)
+	// Take takes a call over; its answer comes on its channel.
+	Take(*engine.Call)
+	// Leave says that a call's caller has gone at a clock time.
+	Leave(c *engine.Call, at time.Duration)
+}
+
+// Front serves callers: exactly one answer for each request taken.
+type Front struct {
+	clock    clock.Clock
+	service  Service
+	callers  *Callers
 	draining atomic.Bool // unready
 	closing  atomic.Bool // each answer closes its connection
 	server   *http.Server
 	advice   time.Duration // when to come back after a refusal for want of descriptors
-
-	callers *callers
 }
 
-func newFrontend(cfg Config, c clock, callers *callers, post func(event), ready func() bool, log *slog.Logger) *frontend {
-	f := &frontend{clock: c, post: post, ready: ready, callers: callers, classes: map[string]woodpick.Class{},
-		advice: max(cfg.Settings.Tick, time.Millisecond)}
-	for _, class := range cfg.Settings.Classes {
-		f.classes[class.Name] = class
-	}
+// NewFront returns a Front that serves nobody before Serve. advice is when to come back after a refusal for
+// want of descriptors.
+func NewFront(c clock.Clock, callers *Callers, service Service, advice time.Duration, log *slog.Logger) *Front {
+	f := &Front{clock: c, service: service, callers: callers, advice: advice}
 	f.server = &http.Server{
 		Handler:                      f,
 		ReadTimeout:                  readTimeout,
@@ -63,14 +70,23 @@
 	return f
 }
 
+// Serve accepts callers until the listener fails or is closed, and returns its error.
+func (f *Front) Serve(ln net.Listener) error { return f.server.Serve(callerListener{ln, f.callers}) }
+
+// Unready has the health answer say from now on that no callers should be sent here.
+func (f *Front) Unready() { f.draining.Store(true) }
+
+// Close has each answer from now on close its connection.
+func (f *Front) Close() { f.closing.Store(true) }
+
 // health tells the front whether to send callers here.
-func (f *frontend) health(w http.ResponseWriter, r *http.Request) {
+func (f *Front) health(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodHead || r.ContentLength != 0:
 		http.Error(w, "only GET is served", http.StatusMethodNotAllowed)
 		return
 	case f.draining.Load():
-	case !f.ready():
+	case !f.service.Ready():
 		w.Header().Del("Connection")
 	default:
 		w.Header().Del("Connection")
@@ -80,7 +96,7 @@
 }
 
 // ServeHTTP answers one request.
-func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// Whatever is answered before the request has been read whole closes the connection: cheap, and
 	// net/http would otherwise wait for the rest of a body.
 	w.Header().Set("Connection", "close")
@@ -104,15 +120,15 @@
 		w.Header().Del("Connection")
 	}
 	if !f.callers.open(connOf(r.Context())) {
-		f.write(w, answer{kind: refused, retryAfter: f.advice})
+		f.write(w, engine.Answer{Kind: engine.Refused, RetryAfter: f.advice})
 		return
 	}
-	f.post(arrived{c})
+	f.service.Take(c)
 	select {
-	case a := <-c.answer:
+	case a := <-c.Answer():
 		f.write(w, a)
 	case <-r.Context().Done():
-		f.post(callerGone{call: c, at: f.clock.now()})
+		f.service.Leave(c, f.clock.Now())
 	}
 }
 
@@ -126,35 +142,34 @@
 
 // readCall reads a request whole and checks what the node and the servers rely on. What it turns away
 // here has been sent to no server.
-func (f *frontend) readCall(w http.ResponseWriter, r *http.Request) (*call, error) {
-	c := &call{method: r.Method, target: r.RequestURI, id: r.Header.Get("X-Request-Id"),
-		key: r.Header.Get("Idempotency-Key"), contentType: r.Header.Get("Content-Type"),
-		answer: make(chan answer, 1)}
+func (f *Front) readCall(w http.ResponseWriter, r *http.Request) (*engine.Call, error) {
+	c := engine.NewCall(r.Header.Get("X-Request-Id"), engine.Request{Method: r.Method, Target: r.RequestURI,
+		Key: r.Header.Get("Idempotency-Key"), ContentType: r.Header.Get("Content-Type")})
 	if err := f.check(c, r); err != nil {
 		return nil, err
 	}
 	if r.ContentLength > 0 {
 		var err error
-		if c.body, err = io.ReadAll(r.Body); err != nil {
+		if c.Request.Body, err = io.ReadAll(r.Body); err != nil {
 			return nil, &rejected{http.StatusBadRequest, "the body is not whole"}
 		}
 	}
-	c.at = f.clock.now()
-	c.deadline += c.at
+	c.At = f.clock.Now()
+	c.Deadline += c.At
 	return c, nil
 }
 
 // check tells what is wrong with a request's head, and fills in its class and how long it may take. A
 // class that does not exist would be sent on as an unsafe one, only for the servers to turn it away,
 // and the module would take that for their ill health.
-func (f *frontend) check(c *call, r *http.Request) error {
-	path, _, _ := strings.Cut(c.target, "?")
+func (f *Front) check(c *engine.Call, r *http.Request) error {
+	path, _, _ := strings.Cut(c.Request.Target, "?")
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	class, known := f.classes[name]
+	class, known := f.service.Class(name)
 	wait, err := parseWait(r.Header["X-Deadline"])
 	keyed := len(r.Header["Idempotency-Key"])
 	switch {
-	case c.method != http.MethodGet && c.method != http.MethodPost:
+	case c.Request.Method != http.MethodGet && c.Request.Method != http.MethodPost:
 		return &rejected{http.StatusMethodNotAllowed, "only GET and POST are served"}
 	case len(r.TransferEncoding) > 0:
 		// net/http drops a Content-Length beside it, so a request hidden in the body would pass on
@@ -162,11 +177,11 @@
 		return &rejected{http.StatusLengthRequired, "a body needs a Content-Length and no transfer coding"}
 	case !strings.HasPrefix(path, "/") || !known:
 		return &rejected{http.StatusNotFound, "the path names no class"}
-	case (class.Effect == woodpick.Safe) != (c.method == http.MethodGet):
+	case (class.Effect == woodpick.Safe) != (c.Request.Method == http.MethodGet):
 		return &rejected{http.StatusMethodNotAllowed, "the class is not asked for by this method"}
-	case keyed > 1 || (keyed == 1) != (class.Effect == woodpick.Keyed) || keyed == 1 && c.key == "":
+	case keyed > 1 || (keyed == 1) != (class.Effect == woodpick.Keyed) || keyed == 1 && c.Request.Key == "":
 		return &rejected{http.StatusBadRequest, "Idempotency-Key does not fit the class, or comes twice"}
-	case c.id == "" || len(c.id) > maxID || len(r.Header["X-Request-Id"]) > 1:
+	case c.ID == "" || len(c.ID) > maxID || len(r.Header["X-Request-Id"]) > 1:
 		return &rejected{http.StatusBadRequest, "X-Request-Id is missing, too long, or comes twice"}
 	case err != nil:
 		return &rejected{http.StatusBadRequest, err.Error()}
@@ -174,10 +189,10 @@
 		return &rejected{http.StatusBadRequest, "X-Deadline is far beyond the class's"}
 	case r.ContentLength > maxBody:
 		return &rejected{http.StatusRequestEntityTooLarge, "the body is too long"}
-	case r.ContentLength > 0 && c.method == http.MethodGet:
+	case r.ContentLength > 0 && c.Request.Method == http.MethodGet:
 		return &rejected{http.StatusBadRequest, "GET has no body"}
 	}
-	c.class, c.deadline = name, wait
+	c.Class, c.Deadline = name, wait
 	return nil
 }
 
@@ -198,59 +213,29 @@
 }
 
 // write gives the answer to the caller.
-func (f *frontend) write(w http.ResponseWriter, a answer) {
+func (f *Front) write(w http.ResponseWriter, a engine.Answer) {
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
 	if f.callers.crowded() || f.closing.Load() {
 		h.Set("Connection", "close")
 	}
-	switch a.kind {
-	case served:
-		if a.header == "" {
+	switch a.Kind {
+	case engine.Served:
+		if a.Reply.ContentType == "" {
 			h["Content-Type"] = nil // none, rather than a guess
 		} else {
-			h.Set("Content-Type", a.header)
+			h.Set("Content-Type", a.Reply.ContentType)
 		}
-		h.Set("Content-Length", strconv.Itoa(len(a.body)))
-		w.Write(a.body)
-	case refused:
-		if a.retryAfter > 0 {
-			h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', -1, 64))
+		h.Set("Content-Length", strconv.Itoa(len(a.Reply.Body)))
+		w.Write(a.Reply.Body)
+	case engine.Refused:
+		if a.RetryAfter > 0 {
+			h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64))
 		}
 		http.Error(w, "refused", http.StatusServiceUnavailable)
-	case failed:
+	case engine.Failed:
 		http.Error(w, "failed", http.StatusBadGateway)
-	case duplicate:
+	case engine.Duplicate:
 		http.Error(w, "X-Request-Id is in use", http.StatusConflict)
 	}
 }
-
-// ending tells, from the moment that the node was told to end, until when it accepts connections, until
-// when callers may go on using those that they have, and when whatever is left is answered at once.
-type ending struct{ accept, serve, last time.Duration }
-
-// drain lets the callers go, and everything taken is answered: for a while they are served as ever on the
-// connections that they have, for their requests would fail elsewhere until they are sent to another node;
-// then each answer closes its connection. It returns once all are gone, or with an error when ctx ends.
-// http.Server.Shutdown would wait for seconds on connections that never sent a request, past SIGKILL,
-// and close idle ones under a request just read.
-func (f *frontend) drain(ctx context.Context, ln net.Listener, e ending) error {
-	begin := f.clock.now()
-	f.draining.Store(true)
-	sleep(ctx, e.accept)
-	ln.Close()
-	for serve := max(e.serve, e.accept+quietGrace); f.clock.now()-begin < serve && f.callers.held() > 0; {
-		sleep(ctx, drainStep)
-	}
-	f.closing.Store(true)
-	for told := false; f.callers.letQuietGo() > 0; sleep(ctx, drainStep) {
-		if ctx.Err() != nil {
-			return fmt.Errorf("callers are left: %w", ctx.Err())
-		}
-		if !told && f.clock.now()-begin >= e.last {
-			f.post(lastCall{})
-			told = true
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/http1/front_test.go
@@ -0,0 +1,329 @@
+package http1
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"woodpick/internal/discovery"
+	"woodpick/internal/standin"
+)
+
+func TestPassesARequestThroughUnchanged(t *testing.T) {
+	type seen struct {
+		r    *http.Request
+		body string
+	}
+	got := make(chan seen, 10)
+	answerBody := strings.Repeat("\x00\xff binary \r\n", 5000)
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		got <- seen{r, body}
+		return standin.Reply200(c, answerBody)
+	})
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), nil)
+	c := standin.Dial(t, n.Addr())
+	long := strings.Repeat("b\r\n\x00", maxBody/4)
+	for i, target := range []string{"/keyed/a%2fB?q=%20%41&&x", `/keyed/"odd"|{};,`, "/keyed/", "/keyed//x/../y?"} {
+		id := fmt.Sprint("id-", i)
+		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nx-request-id: %s\r\nIdempotency-Key: K+/=%d\r\n"+
+			"X-Deadline: 20.5\r\nContent-Length: %d\r\n\r\n%s", target, id, i, len(long), long)
+		c.Want(t, 200, answerBody)
+		g := standin.Receive(t, got, "the request")
+		if g.r.Method != "POST" || g.r.RequestURI != target || g.body != long ||
+			g.r.Header.Get("X-Request-Id") != id || g.r.Header.Get("Idempotency-Key") != fmt.Sprint("K+/=", i) {
+			t.Errorf("got %s %s %v", g.r.Method, g.r.RequestURI, g.r.Header)
+		}
+		var left float64
+		if fmt.Sscan(g.r.Header.Get("X-Deadline"), &left); !(left > 0 && left <= 20.5) {
+			t.Errorf("X-Deadline %q", g.r.Header.Get("X-Deadline"))
+		}
+	}
+	c.Get("get")
+	c.Want(t, 200, answerBody)
+	if g := standin.Receive(t, got, "the request"); g.r.Method != "GET" || g.body != "" || g.r.Header["Idempotency-Key"] != nil ||
+		g.r.ContentLength != 0 {
+		t.Errorf("got %s %v", g.r.Method, g.r.Header)
+	}
+	if s.Opened() != 1 {
+		t.Errorf("%d connections for requests one after another, want 1", s.Opened())
+	}
+}
+
+// A kept connection that breaks under a request may have carried it: neither the node nor a library
+// below it may send it again, whatever its method or headers.
+func TestNothingUnsafeIsSentAgainAfterAReset(t *testing.T) {
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		if strings.HasPrefix(r.Header.Get("X-Request-Id"), "break") {
+			c.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		return standin.Reply200(c, "")
+	})
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), nil)
+	c := standin.Dial(t, n.Addr())
+	for i := range 2 {
+		c.Send("POST", "/note/k", fmt.Sprint("first-", i), "x", "60")
+		c.Want(t, 200, "")
+		id := fmt.Sprint("break-", i)
+		c.Send("POST", "/note/k", id, "x", "60")
+		c.Want(t, http.StatusBadGateway, "")
+		if s.Seen() != 2*(i+1) {
+			t.Fatalf("%d requests reached the server, want %d", s.Seen(), 2*(i+1))
+		}
+	}
+}
+
+func TestConnectionClosedWhileIdleIsNotUsed(t *testing.T) {
+	closing := make(chan struct{}, 100)
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		standin.Reply200(c, "ok") // keeps alive, as far as the node can tell
+		c.Close()
+		closing <- struct{}{}
+		return false
+	})
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), nil)
+	c := standin.Dial(t, n.Addr())
+	for i := range 50 {
+		c.Send("POST", "/note/k", fmt.Sprint("n", i), "x", "60")
+		c.Want(t, 200, "ok")
+		standin.Receive(t, closing, "the close")
+	}
+	if s.Seen() != 50 || s.Opened() != 50 {
+		t.Errorf("%d requests on %d connections, want 50 on 50", s.Seen(), s.Opened())
+	}
+}
+
+func TestCallerGoneCancelsTheAttempt(t *testing.T) {
+	got, gone := make(chan struct{}), make(chan struct{})
+	var first sync.Once
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		answers := true
+		first.Do(func() {
+			close(got)
+			c.Read(make([]byte, 1)) // returns when the node closes
+			close(gone)
+			answers = false
+		})
+		return answers && standin.Echo(c, r, body)
+	})
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), nil)
+	c := standin.Dial(t, n.Addr())
+	c.Send("POST", "/note/k", "leaving", "x", "60")
+	standin.Receive(t, got, "the attempt")
+	c.Close()
+	standin.Receive(t, gone, "the end of the attempt")
+	again := standin.Dial(t, n.Addr())
+	standin.Until(t, "the id to be free again", func() bool {
+		again.Send("POST", "/note/k", "leaving", "x", "60")
+		r, _ := again.Answer(t)
+		return r.StatusCode == 200
+	})
+}
+
+func TestSilentServerIsGivenUpInTime(t *testing.T) {
+	closedAt := make(chan struct{}, 2)
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		c.Read(make([]byte, 1)) // says nothing until the node closes
+		closedAt <- struct{}{}
+		return false
+	})
+	cfg := testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service")))
+	for i := range cfg.Settings.Classes {
+		cfg.Settings.Classes[i].Aim = 300 * time.Millisecond
+	}
+	n := start(t, cfg, nil)
+	c := standin.Dial(t, n.Addr())
+	c.Send("POST", "/note/k", "unsafe", "x", "20")
+	c.Want(t, http.StatusBadGateway, "") // it may have run: no refusal
+	standin.Receive(t, closedAt, "the close")
+	c.Get("safe")
+	r, _ := c.Answer(t)
+	if r.StatusCode != 503 || r.Header.Get("Retry-After") == "" {
+		t.Errorf("got %d, Retry-After %q", r.StatusCode, r.Header.Get("Retry-After"))
+	}
+	standin.Receive(t, closedAt, "the close")
+	if s.Seen() != 2 {
+		t.Errorf("%d requests were sent, want 2", s.Seen())
+	}
+}
+
+// A request that the module gives up is refused at once, with advice, though its deadline is far off.
+func TestRefusalComesAtOnceAndSaysWhenToComeBack(t *testing.T) {
+	cfg := testConfig(standin.Whole(standin.Entry("s1", standin.ClosedPort(t), "in_service")))
+	n := start(t, cfg, nil)
+	c := standin.Dial(t, n.Addr())
+	begin := time.Now()
+	c.Send("POST", "/note/k", "x", "x", "60")
+	r, _ := c.Answer(t)
+	if r.StatusCode != 503 || r.Header.Get("Retry-After") == "" || time.Since(begin) > standin.Limit {
+		t.Errorf("got %d, Retry-After %q after %v", r.StatusCode, r.Header.Get("Retry-After"), time.Since(begin))
+	}
+}
+
+// A new server at the address of one that has gone does not get its predecessor's connections, nor does
+// one that started anew: whatever is still to come on them belongs to the old one.
+func TestConnectionsBelongToOneLifeOfAServer(t *testing.T) {
+	hold, got := make(chan struct{}), make(chan struct{}, 1)
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		if r.Header.Get("X-Request-Id") == "held" {
+			got <- struct{}{}
+			<-hold
+		}
+		return standin.Echo(c, r, body)
+	})
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), nil)
+	held, c := standin.Dial(t, n.Addr()), standin.Dial(t, n.Addr())
+	held.Get("held")
+	standin.Receive(t, got, "the attempt")
+	c.Get("one")
+	c.Want(t, 200, "for one")
+	for i, next := range []string{standin.Entry("s2", s.Address(), "in_service"),
+		strings.Replace(standin.Entry("s2", s.Address(), "in_service"), `"boot_ms":0`, `"boot_ms":5`, 1)} {
+		l, err := discovery.Parse([]byte(strings.Replace(standin.Whole(next), "%d", "9", 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.engine.TakeList(l)
+		before := s.Opened()
+		standin.Until(t, "the list to be taken", func() bool {
+			n.back.mu.Lock()
+			defer n.back.mu.Unlock()
+			return n.back.seen["s2"] == l.Targets[0]
+		})
+		if i == 0 { // a connection that was busy when the server went
+			close(hold)
+			held.Want(t, 200, "for held")
+		}
+		c.Get(fmt.Sprint("next-", i))
+		c.Want(t, 200, fmt.Sprint("for next-", i))
+		if s.Opened() != before+1 {
+			t.Errorf("life %d: %d connections after %d, want one more", i, s.Opened(), before)
+		}
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	hold, got := make(chan struct{}), make(chan struct{}, 1)
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		select {
+		case got <- struct{}{}:
+		default:
+		}
+		<-hold
+		return standin.Echo(c, r, body)
+	})
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), func(n *rig) {
+		n.front.server.ReadTimeout = 300 * time.Millisecond
+	})
+	first := standin.Dial(t, n.Addr())
+	first.Get("used")
+	standin.Receive(t, got, "the attempt")
+	const ok = "Host: h\r\nX-Request-Id: new\r\nX-Deadline: 60\r\n"
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"no id", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Deadline: 60\r\n\r\n", 400},
+		{"two ids", "GET /view/k HTTP/1.1\r\nX-Request-Id: b\r\n" + ok + "\r\n", 400},
+		{"an id in use", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: used\r\nX-Deadline: 60\r\n\r\n", 409},
+		{"no deadline", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: new\r\n\r\n", 400},
+		{"a deadline that is no number", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: new\r\nX-Deadline: NaN\r\n\r\n", 400},
+		{"a deadline in the past", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: new\r\nX-Deadline: -1\r\n\r\n", 400},
+		{"a deadline without end", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: new\r\nX-Deadline: 1e300\r\n\r\n", 400},
+		{"a deadline in hexadecimal", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: new\r\nX-Deadline: 0x1p4\r\n\r\n", 400},
+		{"a deadline with an underscore", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: new\r\nX-Deadline: 1_0\r\n\r\n", 400},
+		{"a deadline far beyond the class's", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: new\r\nX-Deadline: 121\r\n\r\n", 400},
+		{"two deadlines", "GET /view/k HTTP/1.1\r\nX-Deadline: 5\r\n" + ok + "\r\n", 400},
+		{"no class", "GET / HTTP/1.1\r\n" + ok + "\r\n", 404},
+		{"a class that does not exist", "POST /notes/k HTTP/1.1\r\n" + ok + "Content-Length: 2\r\n\r\nok", 404},
+		{"a target that is no path", "GET http://h/view/k HTTP/1.1\r\n" + ok + "\r\n", 404},
+		{"POST for a safe class", "POST /view/k HTTP/1.1\r\n" + ok + "Content-Length: 0\r\n\r\n", 405},
+		{"GET for an unsafe class", "GET /note/k HTTP/1.1\r\n" + ok + "\r\n", 405},
+		{"a key for an unsafe class", "POST /note/k HTTP/1.1\r\nIdempotency-Key: k\r\n" + ok + "Content-Length: 0\r\n\r\n", 400},
+		{"no key", "POST /keyed/k HTTP/1.1\r\n" + ok + "Content-Length: 0\r\n\r\n", 400},
+		{"two keys", "POST /keyed/k HTTP/1.1\r\nIdempotency-Key: k\r\nIdempotency-Key: k\r\n" + ok + "Content-Length: 0\r\n\r\n", 400},
+		{"GET with a body", "GET /view/k HTTP/1.1\r\n" + ok + "Content-Length: 2\r\n\r\nok", 400},
+		{"OPTIONS *", "OPTIONS * HTTP/1.1\r\n" + ok + "\r\n", 405},
+		{"POST for the health", "POST /health/ready HTTP/1.1\r\n" + ok + "Content-Length: 0\r\n\r\n", 405},
+		{"a negative length", "POST /note/k HTTP/1.1\r\n" + ok + "Content-Length: -1\r\n\r\n", 400},
+		{"half a body", "POST /note/k HTTP/1.1\r\n" + ok + "Content-Length: 10\r\n\r\nhalf", 400},
+		{"another method", "DELETE /view/k HTTP/1.1\r\n" + ok + "\r\n", 405},
+		{"a long body", "POST /note/k HTTP/1.1\r\n" + ok + "Content-Length: 65537\r\n\r\n", 413},
+		{"a body in chunks", "POST /note/k HTTP/1.1\r\n" + ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 411},
+		{"a request hidden in another", "POST /note/k HTTP/1.1\r\n" + ok + "Content-Length: 5\r\n" +
+			"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /view/k HTTP/1.1\r\nHost: h\r\n" +
+			"X-Request-Id: hidden\r\nX-Deadline: 60\r\n\r\n", 411},
+		{"no HTTP", "hello\r\n\r\n", 400},
+		{"a long header", "GET /view/k HTTP/1.1\r\nX: " + strings.Repeat("x", 64<<10) + "\r\n" + ok + "\r\n", 431},
+		{"half-sent headers", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Req", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn := standin.Dial(t, n.Addr())
+			go io.WriteString(conn, c.text)
+			if c.status == 0 { // a plain answer or none, but the end
+				said, err := io.ReadAll(conn)
+				if err != nil || len(said) > 0 && !strings.HasPrefix(string(said), "HTTP/1.1 4") {
+					t.Errorf("%q, %v", said, err)
+				}
+				return
+			}
+			conn.Want(t, c.status, "")
+			conn.WantClosed(t, "a connection that said what can't be used")
+		})
+	}
+	cut := standin.Dial(t, n.Addr())
+	io.WriteString(cut, "POST /note/k HTTP/1.1\r\n"+ok+"Content-Length: 10\r\n\r\nhalf")
+	cut.Conn.(*net.TCPConn).CloseWrite()
+	io.Copy(io.Discard, cut.Reader) // an answer or none, but the end
+	if s.Seen() != 1 {
+		t.Errorf("%d requests reached the server, want only the good one", s.Seen())
+	}
+	close(hold)
+	first.Want(t, 200, "for used")
+}
+
+// A caller gives its last try all the time that it has left, more than tries are usually given. That must
+// not make every other caller's first try look like a repeat whose aim is over, to be refused at once.
+func TestALongLastTryLeavesFirstTriesAsTheyAre(t *testing.T) {
+	hold, got := make(chan struct{}), make(chan struct{}, 100)
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		if strings.HasPrefix(r.Header.Get("X-Request-Id"), "held") {
+			got <- struct{}{}
+			<-hold
+		}
+		return standin.Echo(c, r, body)
+	})
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), nil)
+	c := standin.Dial(t, n.Addr())
+	view := func(id, deadline string) {
+		t.Helper()
+		c.Send("GET", "/view/k", id, "", deadline)
+		c.Want(t, 200, "for "+id)
+	}
+	for i := range 5 {
+		view(fmt.Sprint("first-", i), "25")
+	}
+	view("last", "59.9")
+	var busy []*standin.Caller // with these out there is room for a first try, and none for a repeat
+	for i := range 9 {
+		busy = append(busy, standin.Dial(t, n.Addr()))
+		busy[i].Send("POST", "/note/k", fmt.Sprint("held-", i), "x", "60")
+		standin.Receive(t, got, "an attempt")
+	}
+	for i := range 5 {
+		view(fmt.Sprint("another-", i), "25")
+	}
+	c.Send("GET", "/view/k", "repeat", "", "20") // the class's deadline of 60 s began 40 s ago
+	if r, _ := c.Answer(t); r.StatusCode != 503 || r.Header.Get("Retry-After") == "" {
+		t.Errorf("a repeat past its aim: got %d, Retry-After %q", r.StatusCode, r.Header.Get("Retry-After"))
+	}
+	close(hold)
+	for i, b := range busy {
+		b.Want(t, 200, fmt.Sprint("for held-", i))
+	}
+}
--- a/internal/node/health_test.go
+++ b/internal/http1/health_test.go
@@ -1,4 +1,4 @@
-package node
+package http1
 
 import (
 	"fmt"
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"woodpick/internal/standin"
 )
 
 // fleet is a list of servers that fail some requests at once with a 500, by class, and count all they get.
@@ -39,7 +41,7 @@
 
 // serve starts a server and returns its entry.
 func (f *fleet) serve(t *testing.T, uid string) string {
-	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
 		class := strings.Split(r.URL.Path, "/")[1]
 		f.mu.Lock()
 		f.got[uid+" "+class]++
@@ -64,12 +66,12 @@
 			return false
 		default:
 			time.Sleep(f.work)
-			return echo(c, r, body)
+			return standin.Echo(c, r, body)
 		}
 		_, err := io.WriteString(c, "HTTP/1.1 "+head+"\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
 	})
-	return entry(uid, s.addr(), "in_service")
+	return standin.Entry(uid, s.Address(), "in_service")
 }
 
 // count forgets what came so far and returns a function that tells the share of a class that some got since.
@@ -95,22 +97,22 @@
 }
 
 // load has callers send both classes, each waiting for its answer, and returns the share served.
-func load(t *testing.T, n *Node, most, each int) float64 {
+func load(t *testing.T, n *rig, most, each int) float64 {
 	var served atomic.Int64
 	var callers sync.WaitGroup
 	for i := range most {
-		c := dial(t, n)
+		c := standin.Dial(t, n.Addr())
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
 			for j := range each {
 				id := fmt.Sprintf("%p-%d-%d", c, i, j)
 				if j%3 == 0 {
-					c.get(id)
+					c.Get(id)
 				} else {
-					c.send("POST", "/note/k", id, "x", "60")
+					c.Send("POST", "/note/k", id, "x", "60")
 				}
-				r, err := http.ReadResponse(c.br, nil)
+				r, err := http.ReadResponse(c.Reader, nil)
 				if err != nil {
 					t.Error(err)
 					return
@@ -134,18 +136,15 @@
 		t.Run(fmt.Sprint("one served in ", part), func(t *testing.T) {
 			f := newFleet(part, 0, "s3 view", "s4 view", "s5 view", "s6 view")
 			list := []string{f.serve(t, "s1"), f.serve(t, "s2"), f.serve(t, "s3"), f.serve(t, "s4")}
-			ag := newAgent(t)
-			cfg := testConfig(whole(list...))
-			cfg.Discovery = ag.Addr().String()
-			n, _ := startNode(t, cfg, nil)
+			n := start(t, testConfig(standin.Whole(list...)), nil)
 			for _, bad := range [][]string{{"s3", "s4"}, {"s5", "s6"}} {
 				if bad[0] == "s5" {
 					list[2], list[3] = f.serve(t, "s5"), f.serve(t, "s6")
-					ag.tell(false, whole(list...))
-					until(t, "the new list", func() bool {
-						n.backend.mu.Lock()
-						defer n.backend.mu.Unlock()
-						_, listed := n.backend.seen["s6"]
+					n.tell(t, standin.Whole(list...))
+					standin.Until(t, "the new list", func() bool {
+						n.back.mu.Lock()
+						defer n.back.mu.Unlock()
+						_, listed := n.back.seen["s6"]
 						return listed
 					})
 				}
@@ -171,11 +170,11 @@
 	for _, uid := range []string{"s1", "s2", "s3", "s4"} {
 		list = append(list, f.serve(t, uid))
 	}
-	cfg := testConfig(whole(list...))
+	cfg := testConfig(standin.Whole(list...))
 	for i := range cfg.Settings.Classes {
 		cfg.Settings.Classes[i].Aim = 900 * time.Millisecond
 	}
-	n, _ := startNode(t, cfg, nil)
+	n := start(t, cfg, nil)
 	load(t, n, 24, 8)
 	share := f.count()
 	load(t, n, 24, 8)
@@ -189,14 +188,14 @@
 func TestCallsThatHangAreSentAgainInTime(t *testing.T) {
 	f := newFleet(0, 0)
 	f.hangs = 5
-	cfg := testConfig(whole(f.serve(t, "s1"), f.serve(t, "s2"), f.serve(t, "s3"), f.serve(t, "s4")))
+	cfg := testConfig(standin.Whole(f.serve(t, "s1"), f.serve(t, "s2"), f.serve(t, "s3"), f.serve(t, "s4")))
 	cfg.Settings.Tier = 1
-	n, _ := startNode(t, cfg, nil)
+	n := start(t, cfg, nil)
 	const callers, each = 8, 20
 	var served [2]atomic.Int64 // of the views and of the notes
 	var all sync.WaitGroup
 	for i := range callers {
-		c := dial(t, n)
+		c := standin.Dial(t, n.Addr())
 		all.Add(1)
 		go func() {
 			defer all.Done()
@@ -205,8 +204,8 @@
 				if j%2 == 1 {
 					method, target, body = "POST", "/note/k", "x"
 				}
-				c.send(method, target, fmt.Sprintf("%d-%d", i, j), body, "1")
-				r, err := http.ReadResponse(c.br, nil)
+				c.Send(method, target, fmt.Sprintf("%d-%d", i, j), body, "1")
+				r, err := http.ReadResponse(c.Reader, nil)
 				if err != nil {
 					t.Error(err)
 					return
@@ -232,7 +231,7 @@
 	for _, uid := range []string{"s1", "s2", "s3", "s4"} {
 		list = append(list, f.serve(t, uid))
 	}
-	n, _ := startNode(t, testConfig(whole(list...)), nil)
+	n := start(t, testConfig(standin.Whole(list...)), nil)
 	load(t, n, 20, 100)
 	f.mu.Lock()
 	clear(f.fails)
@@ -259,7 +258,7 @@
 			for _, uid := range uids {
 				list = append(list, f.serve(t, uid))
 			}
-			n, _ := startNode(t, testConfig(whole(list...)), nil)
+			n := start(t, testConfig(standin.Whole(list...)), nil)
 			load(t, n, 6, 60)
 			share := f.count()
 			load(t, n, 6, 200)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,3 +1,5 @@
+// Package node puts the parts of a node together from a configuration, starts them and ends them. It has
+// no logic of its own: what is decided is the module's, what is spoken is the protocols' packages'.
 package node
 
 import (
@@ -12,99 +14,78 @@
 	"time"
 
 	"woodpick"
+	"woodpick/internal/clock"
+	"woodpick/internal/config"
+	"woodpick/internal/discovery"
+	"woodpick/internal/engine"
+	"woodpick/internal/http1"
 )
 
-// How a node ends: it accepts for a while after it was told to, and is done before it would be killed,
-// which is the longest deadline, killCap at most, and killAfter later.
-const (
-	drainAccept = 600 * time.Millisecond
-	killCap     = 3 * time.Second
-	killAfter   = 700 * time.Millisecond
-	killMargin  = 150 * time.Millisecond
-	lastMargin  = 150 * time.Millisecond // from the last answers to the end
-)
-
-// drainMost is how long the node may take to end.
-func drainMost(cfg Config) time.Duration {
-	var longest time.Duration
-	for _, c := range cfg.Settings.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	return min(longest, killCap) + killAfter - killMargin
-}
-
-// endingOf is how a node ends: it serves for as long as most answers, which take less than half of their
-// aim, come before the end. Callers that it lets go sooner would find no node at all.
-func endingOf(cfg Config) ending {
-	var aim time.Duration
-	for _, c := range cfg.Settings.Classes {
-		aim = max(aim, c.Aim)
-	}
-	last := drainMost(cfg) - lastMargin
-	return ending{accept: drainAccept, serve: max(drainAccept, last-aim/2), last: last}
-}
-
 // reserved descriptors are for the listener, discovery, the log, the runtime, and callers whose
 // requests are read only to be refused.
 const reserved = 48
 
 // Node is one load balancer on sockets.
 type Node struct {
-	loop      *loop
-	frontend  *frontend
-	backend   *backend
-	discovery *discovery
-	listener  net.Listener
-	cfg       Config // as started with
-	push      bool
-	ending    ending
-	drainMost time.Duration
-	log       *slog.Logger
+	clock    clock.Clock
+	engine   *engine.Engine
+	back     *http1.Back
+	front    *http1.Front
+	callers  *http1.Callers
+	watch    *discovery.Watch
+	listener net.Listener
+	cfg      config.Config // as started with
+	push     bool
+	ending   ending
+	log      *slog.Logger
 }
 
 // Limit keeps the process within its core and its memory.
-func Limit(cfg Config) {
+func Limit(cfg config.Config) {
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 }
 
+// service is what the front takes calls for: one engine.
+type service struct {
+	*engine.Engine
+	classes map[string]woodpick.Class
+}
+
+// Class implements http1.Service.
+func (s service) Class(name string) (woodpick.Class, bool) {
+	c, ok := s.classes[name]
+	return c, ok
+}
+
 // New puts a node together and begins to listen. Nothing is served before Run.
-func New(cfg Config, log *slog.Logger) (*Node, error) {
-	balancer, err := woodpick.New(cfg.Settings, cfg.Seed)
+func New(cfg config.Config, log *slog.Logger) (*Node, error) {
+	room := cfg.Sockets - reserved
+	n := &Node{cfg: cfg, log: log, clock: clock.New(), push: !cfg.Settings.AskDiscovery, ending: endingOf(cfg)}
+	n.back = http1.NewBack(http1.BackOptions{Clock: n.clock, Most: room / 2, ConnectTimeout: cfg.ConnectTimeout, Idle: cfg.ConnIdle})
+	n.callers = http1.NewCallers(n.clock, room, reserved/2, n.back.Connections)
+	var err error
+	n.engine, err = engine.New(engine.Options{Settings: cfg.Settings, Seed: cfg.Seed, Clock: n.clock, Backend: n.back,
+		Subscribe: func() { n.watch.Subscribe() }, Pushed: n.push, Log: log,
+		Report: func() []any { return append(n.callers.Report(), "servers", n.back.Connections()) }})
 	if err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
-	room := cfg.Sockets - reserved
-	clock := newClock()
-	l := newLoop(balancer, clock, log)
-	n := &Node{cfg: cfg, loop: l, log: log, push: !cfg.Settings.AskDiscovery, ending: endingOf(cfg), drainMost: drainMost(cfg),
-		backend: newBackend(cfg, clock, room/2)}
-	callers := newCallers(clock, room, reserved/2, n.backend.connections)
-	n.frontend = newFrontend(cfg, clock, callers, l.post, l.ready.Load, log)
-	l.sockets = func() []any {
-		c, held := callers.report()
-		return []any{"callers", held, "accepted", c.Accepted, "let_go", c.LetGo, "crowded", c.Crowded,
-			"turned_away", c.TurnedAway, "servers", n.backend.connections()}
-	}
-	l.start = func(a *attempt) {
-		go func() {
-			r := n.backend.run(a)
-			a.cancel()
-			l.post(ended{a, r})
-		}()
+	s := service{n.engine, map[string]woodpick.Class{}}
+	for _, c := range cfg.Settings.Classes {
+		s.classes[c.Name] = c
 	}
-	l.servers, l.push = n.backend.servers, n.push
-	known, err := parseList(cfg.Known)
+	n.front = http1.NewFront(n.clock, n.callers, s, max(cfg.Settings.Tick, time.Millisecond), log)
+	known, err := discovery.Parse(cfg.Known)
 	rev := int64(-1)
 	if err != nil {
 		log.Warn("the known list is dropped", "error", err)
-		known = list{full: true}
+		known = discovery.List{Full: true}
 	} else {
-		rev = known.rev
+		rev = known.Rev
 	}
-	n.discovery = newDiscovery(cfg, rev, l.post, log)
-	l.subscribe = n.discovery.subscribe
-	l.takeList(known, true)
+	n.watch = discovery.NewWatch(cfg.Discovery, rev, n.engine, log)
+	n.engine.Hold(known)
 	if n.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
@@ -116,7 +97,7 @@
 
 // Reload takes over what may change in a running node: where discovery is. The module, the callers and
 // the connections to servers stay as they are.
-func (n *Node) Reload(cfg Config) {
+func (n *Node) Reload(cfg config.Config) {
 	for _, f := range []struct {
 		name    string
 		changed bool
@@ -129,31 +110,29 @@
 		}
 	}
 	n.log.Info("the configuration is read again", "discovery", cfg.Discovery)
-	n.discovery.move(cfg.Discovery)
+	n.watch.Move(cfg.Discovery)
 }
 
 // Run serves until ctx ends, and then until all that was taken is answered.
 func (n *Node) Run(ctx context.Context) error {
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
-	go n.loop.run(inner)
-	go n.backend.sweep(inner)
+	go n.engine.Run(inner)
+	go n.back.Sweep(inner)
 	if n.push {
-		go n.discovery.push(inner)
+		go n.watch.Push(inner)
 	} else {
-		go n.discovery.ask(inner)
+		go n.watch.Ask(inner)
 	}
 	gone := make(chan error, 1)
-	go func() { gone <- n.frontend.server.Serve(callerListener{n.listener, n.frontend.callers}) }()
+	go func() { gone <- n.front.Serve(n.listener) }()
 	select {
 	case err := <-gone:
 		return fmt.Errorf("node: %w", err)
 	case <-ctx.Done():
 	}
 	n.log.Info("draining")
-	limit, cancel := context.WithTimeout(inner, n.drainMost)
-	defer cancel()
-	if err := n.frontend.drain(limit, n.listener, n.ending); err != nil {
+	if err := n.drain(inner, n.listener, n.ending); err != nil {
 		return fmt.Errorf("node: drain: %w", err)
 	}
 	if err := <-gone; !errors.Is(err, net.ErrClosed) {
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,116 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Server is an HTTP/1.1 server whose connections a test scripts by hand, and that counts all it gets.
+type Server struct {
+	net.Listener
+	then Then
+
+	mu       sync.Mutex
+	requests []string // ids
+	conns    int
+}
+
+// Then answers a request that was read whole; it returns false to close the connection.
+type Then func(c net.Conn, r *http.Request, body string) bool
+
+// NewServer listens on loopback until the test ends.
+func NewServer(t TB, then Then) *Server {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("%v", err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	s := &Server{Listener: ln, then: then}
+	go s.accept()
+	return s
+}
+
+func (s *Server) accept() {
+	for {
+		c, err := s.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns++
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.requests = append(s.requests, r.Header.Get("X-Request-Id"))
+		s.mu.Unlock()
+		if !s.then(c, r, string(body)) {
+			return
+		}
+	}
+}
+
+// Address is where it listens.
+func (s *Server) Address() string { return s.Addr().String() }
+
+// Seen is how many requests it got whole.
+func (s *Server) Seen() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
+
+// Requests are the ids of the requests that it got whole, in order.
+func (s *Server) Requests() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.requests...)
+}
+
+// Opened is how many connections were made to it.
+func (s *Server) Opened() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns
+}
+
+// Reply200 answers 200 with a body.
+func Reply200(c net.Conn, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err == nil
+}
+
+// Echo serves everything with a body that names the request.
+func Echo(c net.Conn, r *http.Request, body string) bool {
+	return Reply200(c, "for "+r.Header.Get("X-Request-Id"))
+}
+
+// ClosedPort is an address where nobody listens.
+func ClosedPort(t TB) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("%v", err)
+	}
+	ln.Close()
+	return ln.Addr().String()
+}
