--- /dev/null
+++ b/internal/route/path.go
@@ -0,0 +1,212 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"unicode/utf8"
+)
+
+// Reading tells how a path came to its plain form.
+type Reading int
+
+// Readings, from the harmless.
+const (
+	Same    Reading = iota // it was plain
+	Spelled                // other percent-encodings of the same characters (RFC 3986 section 6.2.2.2)
+	Moved                  // dot segments resolved or empty segments dropped: a server may read it otherwise
+)
+
+// Plain is the plain form of a path; see Read.
+func Plain(raw string) (string, error) {
+	plain, _, err := Read(raw)
+	return plain, err
+}
+
+// Read tells the plain form of a path (without its query): percent-encodings only where they are needed, with
+// upper-case digits (RFC 3986 sections 6.2.2.1 and 6.2.2.2), no dot segments (section 5.2.4) and no empty
+// segments but a last one. A path that servers are known to read in more than one way whatever is made of it is
+// an error: encoded separators, backslashes, control characters, dots behind a semicolon, what is encoded
+// twice, and what is no UTF-8.
+func Read(raw string) (plain string, how Reading, err error) {
+	if !strings.HasPrefix(raw, "/") {
+		return "", Same, errors.New(`a path begins with "/"`)
+	}
+	if isPlain(raw) {
+		return raw, Same, nil
+	}
+	spelled, err := spell(raw)
+	if err != nil {
+		return "", Same, err
+	}
+	if spelled != raw {
+		how = Spelled
+	}
+	plain, err = resolve(spelled)
+	if err != nil {
+		return "", Same, err
+	}
+	if plain != spelled {
+		how = Moved
+	}
+	return plain, how, nil
+}
+
+// isPlain is the quick look that most paths pass.
+func isPlain(raw string) bool {
+	for i := 0; i < len(raw); i++ {
+		switch c := raw[i]; {
+		case c <= ' ' || c >= 0x7f || c == '%' || c == '\\' || c == ';':
+			return false
+		case c == '/' && i+1 < len(raw) && (raw[i+1] == '/' || raw[i+1] == '.'):
+			return false
+		}
+	}
+	return true
+}
+
+// spell writes every percent-encoding in the one way.
+func spell(raw string) (string, error) {
+	var b strings.Builder
+	b.Grow(len(raw))
+	var octets []byte // as a server would decode it
+	for i := 0; i < len(raw); i++ {
+		c := raw[i]
+		switch {
+		case c <= ' ' || c == 0x7f:
+			return "", fmt.Errorf("it holds the character %q", c)
+		case c >= 0x80:
+			return "", errors.New("it holds characters beyond ASCII that are not percent-encoded")
+		case c == '\\':
+			return "", errors.New(`it holds a backslash, which some servers take for "/"`)
+		case c != '%':
+			b.WriteByte(c)
+			octets = append(octets, c)
+			continue
+		}
+		if i+2 >= len(raw) || !isHex(raw[i+1]) || !isHex(raw[i+2]) {
+			return "", errors.New(`it holds a "%" that begins no percent-encoding`)
+		}
+		c = unhex(raw[i+1])<<4 | unhex(raw[i+2])
+		i += 2
+		octets = append(octets, c)
+		switch {
+		case c == '/' || c == '\\':
+			return "", fmt.Errorf("it holds an encoded separator (%%%02X)", c)
+		case c < ' ' || c == 0x7f:
+			return "", fmt.Errorf("it holds an encoded control character (%%%02X)", c)
+		case isUnreserved(c):
+			b.WriteByte(c)
+		default:
+			const digits = "0123456789ABCDEF"
+			b.Write([]byte{'%', digits[c>>4], digits[c&15]})
+		}
+	}
+	for i := range octets {
+		if octets[i] == '%' && i+2 < len(octets) && isHex(octets[i+1]) && isHex(octets[i+2]) {
+			return "", errors.New("it is percent-encoded twice")
+		}
+	}
+	if !utf8.Valid(octets) {
+		return "", errors.New("it is no UTF-8 once decoded")
+	}
+	return b.String(), nil
+}
+
+// resolve takes dot segments and empty segments out.
+func resolve(path string) (string, error) {
+	segments := strings.Split(path[1:], "/")
+	kept := segments[:0:0]
+	for i, s := range segments {
+		last := i == len(segments)-1
+		name, _, params := strings.Cut(s, ";")
+		switch {
+		case params && (name == "." || name == ".."):
+			return "", errors.New(`it holds dots behind which ";" begins, which some servers take for a dot segment`)
+		case s == "..":
+			if len(kept) == 0 {
+				return "", errors.New("it climbs above the root")
+			}
+			kept = kept[:len(kept)-1]
+		case s != "." && (s != "" || last):
+			kept = append(kept, s)
+			continue
+		}
+		if last { // what ends with a dot segment names a folder
+			kept = append(kept, "")
+		}
+	}
+	return "/" + strings.Join(kept, "/"), nil
+}
+
+// Agrees says that a path sent on as it came is of its class in the eyes of the most liberal server too: one
+// that decodes twice, takes backslashes for slashes and cuts parameters off. The class is the path's first
+// part.
+func Agrees(raw, class string) bool {
+	if !strings.HasPrefix(raw, "/") {
+		return false
+	}
+	if isPlain(raw) {
+		first, _, _ := strings.Cut(raw[1:], "/")
+		return first == class
+	}
+	path := raw
+	for range 2 {
+		path = decode(path)
+	}
+	var kept []string
+	for _, s := range strings.FieldsFunc(path, func(r rune) bool { return r == '/' || r == '\\' }) {
+		s, _, _ = strings.Cut(s, ";")
+		switch s {
+		case ".", "":
+		case "..":
+			if len(kept) == 0 {
+				return false
+			}
+			kept = kept[:len(kept)-1]
+		default:
+			kept = append(kept, s)
+		}
+		if len(kept) > 0 && kept[0] != class {
+			return false
+		}
+	}
+	return len(kept) > 0 && kept[0] == class
+}
+
+// decode takes one layer of percent-encoding off, as far as there is one.
+func decode(s string) string {
+	if !strings.Contains(s, "%") {
+		return s
+	}
+	b := make([]byte, 0, len(s))
+	for i := 0; i < len(s); i++ {
+		if s[i] == '%' && i+2 < len(s) && isHex(s[i+1]) && isHex(s[i+2]) {
+			b = append(b, unhex(s[i+1])<<4|unhex(s[i+2]))
+			i += 2
+			continue
+		}
+		b = append(b, s[i])
+	}
+	return string(b)
+}
+
+func isHex(c byte) bool {
+	return '0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F'
+}
+
+func unhex(c byte) byte {
+	switch {
+	case c <= '9':
+		return c - '0'
+	case c <= 'F':
+		return c - 'A' + 10
+	}
+	return c - 'a' + 10
+}
+
+// isUnreserved are the characters that mean the same encoded or not (RFC 3986 section 2.3).
+func isUnreserved(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' ||
+		c == '-' || c == '.' || c == '_' || c == '~'
+}
