--- a/cmd/damsontrestle/main.go
+++ b/cmd/damsontrestle/main.go
@@ -25,22 +25,22 @@
 func run() error {
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
-	cfg, err := config.Load()
+	cfg, start, err := config.LoadPlatform()
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	node.Limit(cfg)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name, "zone", cfg.Zone)
-	n, err := node.New(cfg, log)
+	node.Limit(cfg.Node.Limits)
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Node.Name, "zone", cfg.Node.Zone)
+	n, err := node.New(cfg, start, log)
 	if err != nil {
 		return err
 	}
 	log.Info("serving", "address", n.Addr())
 	go func() {
 		for range again {
-			if cfg, err := config.Load(); err != nil {
+			if cfg, _, err := config.LoadPlatform(); err != nil {
 				log.Error("the new configuration is bad; the old one stays", "error", err)
 			} else {
 				n.Reload(cfg)
--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,418 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/route"
+)
+
+// Bounds of what a configuration may ask for. docs/operate/configuration.md lists them.
+const (
+	maxName        = 64
+	minMemory      = 16 << 20
+	maxMemory      = 1 << 40
+	minDescriptors = 64
+	maxDescriptors = 1 << 20
+	maxCores       = 1024
+	maxDeadline    = time.Hour
+	maxAttempts    = 16
+	maxTick        = time.Second
+	maxCopies      = 1 << 20
+	maxWeight      = 1e12
+	maxSocketPath  = 107 // of a Unix socket's address on Linux
+	maxTier        = 16
+)
+
+// Reserved descriptors are for the log, the runtime, the admin socket and its clients, a snapshot being
+// written, and callers whose requests are read only to be refused.
+const Reserved = 48
+
+// Check tells all that is wrong with a configuration that was read from our own file or that a plan holds.
+// Warnings are among it.
+func (c *Config) Check() Problems {
+	k := &checker{Config: c}
+	k.node()
+	k.classes()
+	k.listeners()
+	k.pools()
+	k.routes()
+	k.needs()
+	k.problems.sort()
+	return k.problems
+}
+
+// checker collects what Check finds.
+type checker struct {
+	*Config
+	problems Problems
+}
+
+func (k *checker) fail(path, format string, args ...any) {
+	k.problems = append(k.problems, Problem{Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+func (k *checker) warn(path, format string, args ...any) {
+	k.problems = append(k.problems, Problem{Path: path, Message: fmt.Sprintf(format, args...), Warning: true})
+}
+
+// name checks what a block is called.
+func (k *checker) name(path, name string) {
+	if !goodName(name) {
+		k.fail(path, "found the name %q; allowed: 1 to %d letters, digits, \"-\" and \"_\"", name, maxName)
+	}
+}
+
+func goodName(name string) bool {
+	return name != "" && len(name) <= maxName && strings.Trim(strings.ToLower(name), "abcdefghijklmnopqrstuvwxyz0123456789-_") == ""
+}
+
+// named checks the names of blocks of one kind.
+func named[T any](k *checker, kind string, list []T, name func(T) string) {
+	seen := map[string]bool{}
+	for _, v := range list {
+		n := name(v)
+		path := kind + "." + n
+		k.name(path, n)
+		if seen[n] {
+			k.fail(path, "the name %q is used by another %s", n, kind)
+		}
+		seen[n] = true
+	}
+}
+
+func (k *checker) duration(path string, d Duration, least, most time.Duration) {
+	if v := time.Duration(d); v < least || v > most {
+		k.fail(path, "found %v; allowed: %v to %v", v, least, most)
+	}
+}
+
+func (k *checker) number(path string, v, least, most int) {
+	if v < least || v > most {
+		k.fail(path, "found %d; allowed: %d to %d", v, least, most)
+	}
+}
+
+func (k *checker) float(path string, v, least, most float64) {
+	if !(v >= least && v <= most) {
+		k.fail(path, "found %v; allowed: %v to %v", v, least, most)
+	}
+}
+
+func word[T ~string](k *checker, path string, found T, allowed ...T) {
+	if slices.Contains(allowed, found) {
+		return
+	}
+	words := make([]string, len(allowed))
+	for i, w := range allowed {
+		words[i] = fmt.Sprintf("%q", string(w))
+	}
+	k.fail(path, "found %q; allowed: %s", string(found), strings.Join(words, ", "))
+}
+
+func (k *checker) node() {
+	n := k.Node
+	k.name("node", n.Name)
+	if n.Zone != "" {
+		k.name("node.zone", n.Zone)
+	}
+	if n.StateFolder != "" && !filepath.IsAbs(n.StateFolder) {
+		k.fail("node.state_folder", "found %q; allowed: an absolute path", n.StateFolder)
+	}
+	if n.AdminSocket != "" {
+		k.socket("node.admin_socket", n.AdminSocket)
+	}
+	if v := n.Limits.Memory; v < minMemory || v > maxMemory {
+		k.fail("node.limits.memory", "found %v; allowed: %v to %v", v, Size(minMemory), Size(maxMemory))
+	}
+	k.number("node.limits.descriptors", n.Limits.Descriptors, minDescriptors, maxDescriptors)
+	k.number("node.limits.cores", n.Limits.Cores, 1, maxCores)
+}
+
+func (k *checker) socket(path, found string) {
+	switch {
+	case !filepath.IsAbs(found):
+		k.fail(path, "found %q; allowed: an absolute path", found)
+	case len(found) > maxSocketPath:
+		k.fail(path, "found a path of %d bytes; allowed: up to %d, which is all that a Unix socket's address holds", len(found), maxSocketPath)
+	}
+}
+
+func (k *checker) classes() {
+	if len(k.Classes) == 0 {
+		k.fail("class", "there is none; at least one must be defined")
+	}
+	named(k, "class", k.Classes, Class.name)
+	for _, c := range k.Classes {
+		path := "class." + c.Name
+		word(k, path+".effect", c.Effect, Unsafe, Keyed, Safe)
+		if c.Effect == Keyed {
+			word(k, path+".key_scope", c.KeyScope, CellScope, ZoneScope, AllScope)
+			k.duration(path+".window", c.Window, time.Millisecond, 24*time.Hour)
+		} else {
+			if c.KeyScope != "" {
+				k.fail(path+".key_scope", "found %q; it belongs to classes with effect = \"keyed\"", string(c.KeyScope))
+			}
+			if c.Window != 0 {
+				k.fail(path+".window", "found %v; it belongs to classes with effect = \"keyed\"", c.Window)
+			}
+		}
+		k.duration(path+".deadline", c.Deadline, time.Millisecond, maxDeadline)
+		k.duration(path+".aim", c.Aim, time.Millisecond, max(time.Millisecond, time.Duration(c.Deadline)))
+		k.float(path+".worth", c.Worth, 0, maxWeight)
+		k.float(path+".late_share", c.LateShare, 0, 1)
+	}
+}
+
+func (k *checker) listeners() {
+	if len(k.Listeners) == 0 {
+		k.fail("listener", "there is none; at least one must be defined")
+	}
+	named(k, "listener", k.Listeners, Listener.name)
+	for i, l := range k.Listeners {
+		path := "listener." + l.Name
+		word(k, path+".protocol", l.Protocol, HTTP1)
+		word(k, path+".paths", l.Paths, StrictPaths, NormalizePaths, PathsAsSent)
+		addr, err := netip.ParseAddrPort(l.Address)
+		if err != nil {
+			k.fail(path+".address", "found %q; allowed: an IP address with a port, such as \"127.0.0.1:7070\"", l.Address)
+			continue
+		}
+		for _, o := range k.Listeners[:i] {
+			if other, err := netip.ParseAddrPort(o.Address); err == nil && meets(addr, other) {
+				k.fail(path+".address", "found %q, which listener %q takes with %q", l.Address, o.Name, o.Address)
+			}
+		}
+		if l.Paths == PathsAsSent {
+			for _, r := range k.Routes {
+				if len(r.Paths) > 0 && (len(r.Listeners) == 0 || slices.Contains(r.Listeners, l.Name)) {
+					k.fail(path+".paths", "found \"as_sent\", but route %q chooses by path: a server could read the path in another way than the route", r.Name)
+				}
+			}
+		}
+	}
+}
+
+// meets says that two addresses can't both be listened on.
+func meets(a, b netip.AddrPort) bool {
+	if a.Port() != b.Port() || a.Port() == 0 {
+		return false
+	}
+	return a.Addr().Unmap() == b.Addr().Unmap() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
+}
+
+func (k *checker) pools() {
+	if len(k.Pools) == 0 {
+		k.fail("pool", "there is none; at least one must be defined")
+	}
+	named(k, "pool", k.Pools, Pool.name)
+	for _, p := range k.Pools {
+		path := "pool." + p.Name
+		word(k, path+".protocol", p.Protocol, HTTP1)
+		k.number(path+".tier", p.Tier, 0, maxTier)
+		k.number(path+".attempts", p.Attempts, 1, maxAttempts)
+		k.duration(path+".tick", p.Tick, time.Microsecond, maxTick)
+		k.duration(path+".retry_after", p.RetryAfter, 0, maxDeadline)
+		k.number(path+".copies.count", p.Copies.Count, 1, maxCopies)
+		k.number(path+".copies.index", p.Copies.Index, 0, max(1, p.Copies.Count)-1)
+		k.float(path+".shedding.whole", p.Shedding.Whole, 0, maxWeight)
+		k.float(path+".shedding.worst_class", p.Shedding.WorstClass, 0, maxWeight)
+		k.number(path+".connections.most", p.Connections.Most, 1, maxDescriptors)
+		k.duration(path+".connections.idle", p.Connections.Idle, 10*time.Millisecond, 24*time.Hour)
+		k.duration(path+".connections.connect_timeout", p.Connections.ConnectTimeout, time.Millisecond, time.Minute)
+		k.float(path+".slow_start.from", p.SlowStart.From, 0.01, 1)
+		k.duration(path+".slow_start.over", p.SlowStart.Over, 0, time.Hour)
+		k.servers(path, p)
+		if !k.reached(p.Name) {
+			k.warn(path, "no route leads to it")
+		}
+	}
+}
+
+func (k *checker) reached(pool string) bool {
+	return slices.ContainsFunc(k.Routes, func(r route.Route) bool {
+		return slices.ContainsFunc(r.To, func(t route.Target) bool { return t.Pool == pool })
+	})
+}
+
+func (k *checker) servers(path string, p Pool) {
+	switch {
+	case p.Registry != nil && len(p.Servers) > 0:
+		k.fail(path, "it has both a registry and servers of its own; allowed: one of them")
+	case p.Registry == nil && len(p.Servers) == 0:
+		k.fail(path, "it has no servers; allowed: server blocks, or a registry block that tells where their list is")
+	}
+	if r := p.Registry; r != nil {
+		k.target(path+".registry.address", r.Address)
+		word(k, path+".registry.mode", r.Mode, Pushed, Asked)
+		if r.Mode == Asked {
+			k.duration(path+".registry.ask_within", r.AskWithin, 100*time.Millisecond, time.Hour)
+		} else if r.AskWithin != 0 {
+			k.fail(path+".registry.ask_within", "found %v; it belongs to mode = \"asked\"", r.AskWithin)
+		}
+	}
+	named(k, path+".server", p.Servers, Server.name)
+	for i, s := range p.Servers {
+		sp := path + ".server." + s.Name
+		k.target(sp+".address", s.Address)
+		for _, o := range p.Servers[:i] {
+			if o.Address == s.Address {
+				k.fail(sp+".address", "found %q, which server %q has", s.Address, o.Name)
+			}
+		}
+		if s.Zone != "" {
+			k.name(sp+".zone", s.Zone)
+		}
+		k.number(sp+".cell", s.Cell, 0, math.MaxInt32)
+		k.float(sp+".size", s.Size, 0.001, 1e6)
+		word(k, sp+".state", s.State, Ready, Draining)
+	}
+}
+
+// target checks an address to connect to.
+func (k *checker) target(path, found string) {
+	addr, err := netip.ParseAddrPort(found)
+	switch {
+	case err != nil && hasName(found):
+		k.fail(path, "found %q; allowed: an IP address with a port: names are not looked up", found)
+	case err != nil:
+		k.fail(path, "found %q; allowed: an IP address with a port, such as \"10.1.0.18:7070\"", found)
+	case addr.Port() == 0 || addr.Addr().IsUnspecified():
+		k.fail(path, "found %q, which nobody can connect to", found)
+	}
+}
+
+func hasName(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	return err == nil && host != "" && net.ParseIP(host) == nil
+}
+
+func (k *checker) routes() {
+	if len(k.Routes) == 0 {
+		k.fail("route", "there is none; at least one must be defined")
+		return
+	}
+	for _, r := range k.Routes {
+		k.name("route."+r.Name, r.Name)
+	}
+	names := k.routeNames()
+	_, problems := route.Compile(k.Routes, names)
+	for _, p := range problems {
+		path := "route"
+		switch {
+		case p.Class != "":
+			path = "class." + p.Class
+		case p.Route >= 0:
+			path += "." + k.Routes[p.Route].Name
+		}
+		if p.Field != "" {
+			path += "." + p.Field
+		}
+		k.fail(path, "%s", p.Message)
+	}
+	for _, r := range k.Routes {
+		if len(r.To) > 1 {
+			for _, c := range k.Classes {
+				if c.Effect == Keyed && (len(r.Classes) == 0 || slices.Contains(r.Classes, c.Name)) {
+					k.warn("route."+r.Name, "it shares the keyed class %q among pools: calls go by their key, so that a repeat meets the servers that know it, but a change of weights moves keys", c.Name)
+				}
+			}
+		}
+	}
+}
+
+func (k *checker) routeNames() route.Names {
+	var n route.Names
+	for _, l := range k.Listeners {
+		n.Listeners = append(n.Listeners, l.Name)
+	}
+	for _, c := range k.Classes {
+		n.Classes = append(n.Classes, c.Name)
+	}
+	for _, p := range k.Pools {
+		n.Pools = append(n.Pools, p.Name)
+	}
+	return n
+}
+
+// Table compiles the routes of a checked configuration.
+func (c *Config) Table() (*route.Table, error) {
+	t, problems := route.Compile(c.Routes, (&checker{Config: c}).routeNames())
+	if len(problems) > 0 {
+		return nil, fmt.Errorf("config: routes: %s", problems[0])
+	}
+	return t, nil
+}
+
+// Memory that parts of a node take, measured and rounded up (docs/design/plan.md).
+const (
+	baseMemory       = 12 << 20
+	callerMemory     = 40 << 10
+	connectionMemory = 12 << 10
+	poolMemory       = 96 << 10
+	serverMemory     = 4 << 10
+	routeMemory      = 2 << 10
+)
+
+// Needs are what a configuration asks of the process.
+type Needs struct {
+	Descriptors int  `json:"descriptors"` // with every pool's connections open, and as many callers
+	Memory      Size `json:"memory"`      // likewise, as estimated
+}
+
+// Needs adds up what the configuration may take. Callers may have as many descriptors as servers, and more
+// while servers need less.
+func (c *Config) Needs() Needs {
+	most, servers := 0, 0
+	for _, p := range c.Pools {
+		most += p.Connections.Most
+		servers += len(p.Servers)
+	}
+	own := c.OwnDescriptors()
+	memory := int64(baseMemory) + int64(most)*(callerMemory+connectionMemory) + int64(len(c.Pools))*poolMemory +
+		int64(servers)*serverMemory + int64(len(c.Routes))*routeMemory
+	return Needs{Descriptors: own + 2*most, Memory: Size(memory)}
+}
+
+// OwnDescriptors are those that neither callers nor servers have: the reserved ones, which serve for one
+// listener and one registry's watch, and what further ones need.
+func (c *Config) OwnDescriptors() int {
+	registries := 0
+	for _, p := range c.Pools {
+		if p.Registry != nil {
+			registries++
+		}
+	}
+	return Reserved + max(0, len(c.Listeners)-1) + 2*max(0, registries-1)
+}
+
+// needs compares what is asked for with the limits.
+func (k *checker) needs() {
+	n := k.Config.Needs()
+	if l := k.Node.Limits.Descriptors; n.Descriptors > l {
+		k.fail("node.limits.descriptors", "found %d, but %d are needed: %d of the node's own and, with all pools' connections open, twice %d",
+			l, n.Descriptors, k.OwnDescriptors(), (n.Descriptors-k.OwnDescriptors())/2)
+	}
+	if l := k.Node.Limits.Memory; n.Memory > l {
+		k.fail("node.limits.memory", "found %v, but about %v are needed with all connections open", l, roundMiB(n.Memory))
+	}
+}
+
+func roundMiB(s Size) Size { return (s + 1<<20 - 1) &^ (1<<20 - 1) }
+
+// validate has the module look at the settings that it is to be given.
+func (c *Config) validate() error {
+	for _, p := range c.Pools {
+		if _, err := woodpick.New(c.Settings(p), 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/file_test.go
@@ -0,0 +1,312 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"woodpick"
+	"woodpick/internal/route"
+)
+
+func TestTheDeployedExampleLoads(t *testing.T) {
+	c, problems := Load("../../deploy/damsontrestle.hcl")
+	if len(problems) > 0 {
+		t.Fatalf("%v", problems)
+	}
+	boxes, _ := c.Pool("boxes")
+	candidate, _ := c.Pool("candidate")
+	view, _ := c.Class("view-interval")
+	bridge, _ := c.Listener("bridge")
+	if c.Node.Name != "annot-1" || c.Node.Limits.Memory != 192<<20 || boxes.Connections.Most != 320 || boxes.SlowStart.From != 0.13 ||
+		boxes.Registry.Address != "127.0.0.1:8500" || len(candidate.Servers) != 2 || candidate.Servers[1].Size != 0.5 ||
+		time.Duration(view.Aim) != 1500*time.Millisecond || view.Worth != 12 || bridge.Paths != NormalizePaths || len(c.Routes) != 3 {
+		t.Errorf("got %+v", c)
+	}
+	if _, err := c.Table(); err != nil {
+		t.Error(err)
+	}
+	if _, err := woodpick.New(c.Settings(boxes), 1); err != nil {
+		t.Error(err)
+	}
+}
+
+const good = `
+node "n1" {
+  limits {
+    memory = "64MiB"
+    descriptors = 256
+  }
+}
+class "view" {
+  effect = "safe"
+  aim = "1s"
+  deadline = "2s"
+}
+listener "main" {
+  address = "127.0.0.1:7070"
+}
+pool "p" {
+  server "s1" {
+    address = "127.0.0.1:9001"
+  }
+}
+route "all" {
+  default = true
+  pool = "p"
+}
+`
+
+// Each error tells the place, what was found and what is allowed.
+func TestErrorsTellPlaceAndWhatIsAllowed(t *testing.T) {
+	if _, problems := Parse([]byte(good), "good.hcl"); len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	for _, c := range []struct{ old, text, want string }{
+		{`memory = "64MiB"`, `memory = "64"`, `f.hcl:4:14: node.limits.memory: found "64"; allowed: a whole number with a unit`},
+		{`memory = "64MiB"`, `memory = 64`, `f.hcl:4:14: node.limits.memory: found the number 64; allowed: a whole number with a unit in quotes`},
+		{`memory = "64MiB"`, `memory = "1MiB"`, `f.hcl:4:5: node.limits.memory: found 1MiB; allowed: 16MiB to 1024GiB`},
+		{`descriptors = 256`, `descriptors = 256.5`, `f.hcl:5:19: node.limits.descriptors: found the number 256.5; allowed: a whole number`},
+		{`descriptors = 256`, `descriptors = 64`, `f.hcl:5:5: node.limits.descriptors: found 64, but 176 are needed`},
+		{`memory = "64MiB"`, `memory = "16MiB"
+    extra = 1`, `f.hcl:5:5: node.limits.extra: found an unknown field; allowed here: cores, descriptors, memory`},
+		{`effect = "safe"`, `effect = "save"`, `f.hcl:9:3: class.view.effect: found "save"; allowed: "unsafe", "keyed", "safe"`},
+		{`effect = "safe"`, `effect = safe`, `f.hcl:9:12: class.view.effect: found the bare name safe; allowed: a plain value: text stands in quotes`},
+		{`effect = "safe"`, `effect = null`, `f.hcl:9:12: class.view.effect: found null`},
+		{`effect = "safe"`, `effect = "keyed"`, `f.hcl:8:1: class.view.key_scope: found ""; allowed: "cell", "zone", "all"`},
+		{`effect = "safe"`, `effect = "safe"
+  window = "1s"`, `f.hcl:10:3: class.view.window: found 1s; it belongs to classes with effect = "keyed"`},
+		{`aim = "1s"`, `aim = "1"`, `f.hcl:10:9: class.view.aim: found "1"; allowed: a number with a unit`},
+		{`aim = "1s"`, `aim = "3s"`, `f.hcl:10:3: class.view.aim: found 3s; allowed: 1ms to 2s`},
+		{`aim = "1s"`, `aim = -1`, `f.hcl:10:9: found "-"; allowed: blocks, and fields with plain values`},
+		{`aim = "1s"`, `aim = "${x}"`, `f.hcl:10:10: found "${"; allowed: plain text`},
+		{`aim = "1s"`, `# none`, `f.hcl:8:1: class.view: aim is missing`},
+		{`aim = "1s"`, `aim = "1s" }`, `f.hcl:10:`},
+		{`"view" {`, `"view" "b" {`, `f.hcl:8:1: class: found 2 names; allowed: one, as in class "name" { }`},
+		{`"view" {`, `{`, `f.hcl:8:1: class: found 0 names; allowed: one`},
+		{`"view" {`, `"a/b" {`, `f.hcl:8:1: class.a/b: found the name "a/b"; allowed: 1 to 64 letters`},
+		{`address = "127.0.0.1:7070"`, `address = "localhost:7070"`, `f.hcl:14:3: listener.main.address: found "localhost:7070"; allowed: an IP address with a port`},
+		{`address = "127.0.0.1:9001"`, `address = "box1:9001"`, `f.hcl:18:5: pool.p.server.s1.address: found "box1:9001"; allowed: an IP address with a port: names are not looked up`},
+		{`address = "127.0.0.1:9001"`, `address = "0.0.0.0:9001"`, `f.hcl:18:5: pool.p.server.s1.address: found "0.0.0.0:9001", which nobody can connect to`},
+		{`pool = "p"`, `pool = "q"`, `f.hcl:23:3: route.all.to: found pool "q": there is none of that name; allowed: "p"`},
+		{`pool = "p"`, `pool = ["p"]`, `f.hcl:23:10: route.all.pool: found a list; allowed: text in quotes`},
+		{`pool = "p"`, `weight = 1`, `f.hcl:21:1: route.all: it leads to no pool`},
+		{`default = true`, `default = "yes"`, `f.hcl:22:13: route.all.default: found the text "yes"; allowed: true, false`},
+		{`default = true`, `paths = ["/note/*"]`, `f.hcl:22:3: route.all.paths: it can never match`},
+		{`default = true`, `classes = "view"`, `f.hcl:22:13: route.all.classes: found the text "view"; allowed: a list`},
+		{`default = true`, `classes = [1]`, `f.hcl:22:13: route.all.classes: a list's entry is no text`},
+		{`route "all" {`, `rout "all" {`, `f.hcl:21:1: rout: found an unknown block; allowed here: class { }, listener { }, node { }, pool { }, route { }`},
+		{`route "all" {`, "server = 1\nroute \"all\" {", `f.hcl:21:1: server: found an unknown field; allowed here: class { }`},
+		{`node "n1" {`, "node \"n2\" {\n limits {\n memory = \"64MiB\"\n descriptors = 256\n}\n}\nnode \"n1\" {", `f.hcl:8:1: node: found a second block; allowed: one`},
+		{`limits {`, `limits "x" {`, `f.hcl:3:3: node.limits: found the name "x"; allowed: none`},
+		{`listener "main" {`, "listener \"b\" {\n address = \"0.0.0.0:7070\"\n}\nlistener \"main\" {", `f.hcl:17:3: listener.main.address: found "127.0.0.1:7070", which listener "b" takes with "0.0.0.0:7070"`},
+		{`server "s1" {`, "server \"s0\" {\n address = \"127.0.0.1:9001\"\n}\nserver \"s1\" {", `f.hcl:21:5: pool.p.server.s1.address: found "127.0.0.1:9001", which server "s0" has`},
+		{`server "s1" {`, "registry {\n address = \"127.0.0.1:1\"\n}\nserver \"s1\" {", `f.hcl:16:1: pool.p: it has both a registry and servers`},
+		{`"safe"`, `"safe`, `f.hcl:9:`},
+		{`class "view" {`, `class "view" = {`, `f.hcl:8:`},
+	} {
+		text := strings.Replace(good, c.old, c.text, 1)
+		if text == good {
+			t.Fatalf("%q is not in the file", c.old)
+		}
+		_, problems := Parse([]byte(text), "f.hcl")
+		if problems.Err() == nil || !strings.Contains(problems.Error(), c.want) {
+			t.Errorf("%s\n  says %v\n  want %s", c.text, problems, c.want)
+		}
+	}
+}
+
+// All errors come at once, in the order of the file, and one that cannot be read is told once.
+func TestAllErrorsAtOnce(t *testing.T) {
+	text := strings.NewReplacer(`memory = "64MiB"`, `memory = 64`, `effect = "safe"`, `effect = "save"`, `aim = "1s"`, `aim = 1`,
+		`pool = "p"`, `pool = "q"`, `"127.0.0.1:9001"`, `"box"`).Replace(good)
+	_, problems := Parse([]byte(text), "f.hcl")
+	var lines []int
+	for _, p := range problems.Errors() {
+		lines = append(lines, p.Line)
+	}
+	if !reflect.DeepEqual(lines, []int{4, 9, 10, 18, 23}) {
+		t.Errorf("errors in lines %v\n%v", lines, problems)
+	}
+}
+
+func TestWarningsComeWithAGoodFile(t *testing.T) {
+	c, problems := Parse([]byte(strings.Replace(good, "256", "512", 1)+"pool \"idle\" {\n server \"s\" {\n address = \"127.0.0.1:9002\"\n }\n}\n"), "f.hcl")
+	if c == nil || problems.Err() != nil || len(problems) != 1 || !strings.Contains(problems.Error(), `f.hcl:25:1: warning: pool.idle: no route leads to it`) {
+		t.Errorf("%v, %v", c, problems)
+	}
+}
+
+// A file that would have the parser recurse without end is refused before it does.
+func TestDeepNestingIsRefused(t *testing.T) {
+	for _, text := range []string{strings.Repeat("[", 1<<20), "a = " + strings.Repeat("[", 1<<20), "a = " + strings.Repeat("!", 1<<20) + "true",
+		"a = " + strings.Repeat("(", 1<<20), strings.Repeat("a {", 1<<18), "a = " + strings.Repeat("-", 1<<18) + "1"} {
+		if _, problems := Parse([]byte(text), "f.hcl"); problems.Err() == nil || len(problems) > 200 {
+			t.Errorf("%.20q: %d problems", text, len(problems))
+		}
+	}
+	if _, problems := Parse(make([]byte, MaxFile+1), "f.hcl"); problems.Err() == nil {
+		t.Error("a file beyond the bound is read")
+	}
+}
+
+func TestLoadNamesTheFile(t *testing.T) {
+	dir := t.TempDir()
+	for _, path := range []string{dir + "/none.hcl", dir} {
+		if _, problems := Load(path); problems.Err() == nil || !strings.HasPrefix(problems.Error(), path+": ") {
+			t.Errorf("%v", problems)
+		}
+	}
+	path := dir + "/bad.hcl"
+	if err := os.WriteFile(path, []byte("x"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, problems := Load(path); problems.Err() == nil || !strings.HasPrefix(problems.Error(), path+":1:") {
+		t.Errorf("%v", problems)
+	}
+}
+
+// The platform's file is the same model: what it says has a place there, and is told apart by the same
+// fingerprint.
+func TestThePlatformsFileIsTheSameModel(t *testing.T) {
+	c, start, err := ParsePlatform([]byte(goodConfig))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if start.Known == nil {
+		t.Error("the known list is lost")
+	}
+	if _, err := c.Table(); err != nil {
+		t.Error(err)
+	}
+	other, _, err := ParsePlatform([]byte(strings.Replace(goodConfig, `"conn-idle-ms":60000.0`, `"conn-idle-ms":50000.0`, 1)))
+	if err != nil || c.Fingerprint() == other.Fingerprint() {
+		t.Errorf("%v, fingerprint %s", err, other.Fingerprint())
+	}
+	var back Config
+	text, _ := json.Marshal(c)
+	if err := json.Unmarshal(text, &back); err != nil || !reflect.DeepEqual(&back, c) {
+		t.Errorf("%v\ngot  %+v\nwant %+v", err, back, c)
+	}
+}
+
+// The order of blocks means nothing; anything else does.
+func TestFingerprint(t *testing.T) {
+	a, _ := Load("../../deploy/damsontrestle.hcl")
+	b, _ := Load("../../deploy/damsontrestle.hcl")
+	b.Classes[0], b.Classes[2] = b.Classes[2], b.Classes[0]
+	b.Routes[0].To[0], b.Routes[0].To[1] = b.Routes[0].To[1], b.Routes[0].To[0]
+	if a.Fingerprint() != b.Fingerprint() {
+		t.Error("the order of blocks changes the fingerprint")
+	}
+	b.Routes[0].To[0].Weight++
+	if a.Fingerprint() == b.Fingerprint() {
+		t.Error("a weight does not change the fingerprint")
+	}
+}
+
+func TestUnitsAreExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := Duration(rapid.Int64Min(0).Draw(t, "duration"))
+		s := Size(rapid.Int64Min(0).Draw(t, "size"))
+		var d2 Duration
+		var s2 Size
+		if err := d2.UnmarshalText([]byte(d.String())); err != nil || d2 != d {
+			t.Fatalf("%v: %v, %v", d, d2, err)
+		}
+		if err := s2.UnmarshalText([]byte(s.String())); err != nil || s2 != s {
+			t.Fatalf("%v: %v, %v", s, s2, err)
+		}
+	})
+	var s Size
+	for _, bad := range []string{"", "MiB", "1.5MiB", "-1B", "1 TB", "9223372036854775807GiB", "1MB"} {
+		if err := s.UnmarshalText([]byte(bad)); err == nil {
+			t.Errorf("%q is read as %v", bad, s)
+		}
+	}
+}
+
+// Whatever a file holds, it is refused with a place within it, or it is a configuration that passes every
+// check again, is the same once written and read, and that the module takes.
+func FuzzFile(f *testing.F) {
+	f.Add([]byte(good))
+	text, err := os.ReadFile("../../deploy/damsontrestle.hcl")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	for _, s := range []string{"", "node", `node "a" {}`, "a = [[[[", "a = 1e9999", `a = "\u12"`, "a = <<E\nx\nE\n", "/*", "a=b.c[0]", `x "y" z {}`, "a = 0x1", "\xff"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, problems := Parse(text, "f.hcl")
+		if (c == nil) != (problems.Err() != nil) {
+			t.Fatalf("a configuration %v, and %v", c, problems)
+		}
+		lines := strings.Count(string(text), "\n") + 1
+		for _, p := range problems {
+			if p.Line < 1 || p.Line > lines || p.Column < 1 || p.Message == "" {
+				t.Fatalf("%+v in %d lines", p, lines)
+			}
+		}
+		if c == nil {
+			return
+		}
+		if again := c.Check(); again.Err() != nil {
+			t.Fatalf("checked again: %v", again)
+		}
+		enc, err := json.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back Config
+		if err := json.Unmarshal(enc, &back); err != nil || back.Fingerprint() != c.Fingerprint() {
+			t.Fatalf("%v: not the same once written and read", err)
+		}
+		for _, p := range c.Pools {
+			if _, err := woodpick.New(c.Settings(p), 1); err != nil {
+				t.Fatalf("the module refuses what Check let pass: %v", err)
+			}
+		}
+	})
+}
+
+// bigConfig has so many pools and routes.
+func bigConfig(pools, routes int) *Config {
+	c, problems := Parse([]byte(good), "good.hcl")
+	if problems.Err() != nil {
+		panic(problems)
+	}
+	c.Node.Limits = Limits{Memory: 8 << 30, Descriptors: 1 << 20, Cores: 1}
+	c.Pools = nil
+	for i := range pools {
+		p := defaultPool(fmt.Sprint("pool-", i))
+		for k := range 3 {
+			p.Servers = append(p.Servers, Server{Name: fmt.Sprint("s", k), Address: fmt.Sprintf("127.%d.%d.%d:9000", i/250+1, i%250, k+1), Size: 1, State: Ready})
+		}
+		c.Pools = append(c.Pools, p)
+	}
+	c.Routes = c.Routes[:0]
+	for i := range routes {
+		c.Routes = append(c.Routes, route.Route{Name: fmt.Sprint("r", i), Hosts: []string{fmt.Sprintf("h%d.example", i)},
+			To: []route.Target{{Pool: fmt.Sprint("pool-", i%pools), Weight: 1}}})
+	}
+	c.Routes = append(c.Routes, route.Route{Name: "rest", Default: true, To: []route.Target{{Pool: "pool-0", Weight: 1}}})
+	return c
+}
+
+func BenchmarkCheck1000Pools10000Routes(b *testing.B) {
+	c := bigConfig(1000, 10000)
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := c.Check().Err(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/model.go
@@ -0,0 +1,302 @@
+package config
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/route"
+)
+
+// Config is a whole configuration. Its JSON form, in which plans and the state folder hold it, has the names
+// that our own file has.
+type Config struct {
+	Node      Node          `json:"node"`
+	Classes   []Class       `json:"classes"`
+	Listeners []Listener    `json:"listeners"`
+	Pools     []Pool        `json:"pools"`
+	Routes    []route.Route `json:"routes"`
+}
+
+// Node is what concerns the process as a whole.
+type Node struct {
+	Name        string `json:"name"`
+	Zone        string `json:"zone,omitempty"`
+	StateFolder string `json:"state_folder,omitempty"` // empty: nothing outlives the process
+	AdminSocket string `json:"admin_socket,omitempty"` // path of a Unix socket; empty: none
+	Limits      Limits `json:"limits"`
+}
+
+// Limits bound the process.
+type Limits struct {
+	Memory      Size `json:"memory"`      // three quarters of it are the Go runtime's soft limit
+	Descriptors int  `json:"descriptors"` // open files and sockets
+	Cores       int  `json:"cores"`       // threads that run Go code at once
+}
+
+// Class is a class of calls.
+type Class struct {
+	Name      string   `json:"name"`
+	Effect    Effect   `json:"effect"`
+	KeyScope  Scope    `json:"key_scope,omitempty"`  // for keyed
+	Window    Duration `json:"window,omitempty"`     // for keyed: how long servers discard repeats
+	Aim       Duration `json:"aim"`                  // answers within it earn full worth
+	Deadline  Duration `json:"deadline"`             // how long a caller waits over all its tries
+	LateShare float64  `json:"late_share,omitempty"` // share of the worth that a later answer earns
+	Worth     float64  `json:"worth"`
+}
+
+// Listener is an address where callers connect.
+type Listener struct {
+	Name     string   `json:"name"`
+	Address  string   `json:"address"`
+	Protocol Protocol `json:"protocol"`
+	Paths    Paths    `json:"paths"`
+}
+
+// Pool is a set of servers that one Balancer sends to.
+type Pool struct {
+	Name        string      `json:"name"`
+	Protocol    Protocol    `json:"protocol"`
+	Tier        int         `json:"tier"`                  // 0: callers come from outside
+	Attempts    int         `json:"attempts"`              // of one call, the first among them
+	Cancel      bool        `json:"cancel"`                // what is not needed any more is called off
+	Tick        Duration    `json:"tick"`                  // what the module takes for no time at all
+	RetryAfter  Duration    `json:"retry_after,omitempty"` // the longest advice to callers; 0: none is given
+	Copies      Copies      `json:"copies"`
+	Shedding    Shedding    `json:"shedding"`
+	Connections Connections `json:"connections"`
+	SlowStart   SlowStart   `json:"slow_start"`
+	Registry    *Registry   `json:"registry,omitempty"` // where the list comes from, or
+	Servers     []Server    `json:"servers,omitempty"`  // the list itself
+}
+
+// Copies tells of the nodes that send to the same servers.
+type Copies struct {
+	Count int `json:"count"`
+	Index int `json:"index"` // this node's number among them, from 0
+}
+
+// Shedding weighs what is shed first when not all can be served.
+type Shedding struct {
+	Whole      float64 `json:"whole"`       // the worth of all answers
+	WorstClass float64 `json:"worst_class"` // the worst-served class
+}
+
+// Connections bound those to a pool's servers.
+type Connections struct {
+	Most           int      `json:"most"`
+	Idle           Duration `json:"idle"` // servers close what has been idle for so long
+	ConnectTimeout Duration `json:"connect_timeout"`
+}
+
+// SlowStart tells what a server that has just started can do.
+type SlowStart struct {
+	From float64  `json:"from"` // share of its capacity at first
+	Over Duration `json:"over"` // after that long it has all of it
+}
+
+// Registry is where a list of servers is watched.
+type Registry struct {
+	Address   string       `json:"address"`
+	Mode      RegistryMode `json:"mode"`
+	AskWithin Duration     `json:"ask_within,omitempty"` // for asked: a node must ask at least this often
+}
+
+// Server is a listed server.
+type Server struct {
+	Name    string      `json:"name"`
+	Address string      `json:"address"`
+	Zone    string      `json:"zone,omitempty"`
+	Cell    int         `json:"cell,omitempty"`
+	Size    float64     `json:"size"` // what it can carry against others
+	State   ServerState `json:"state"`
+}
+
+// Kinds of words that a field may hold; the first is the default where there is one.
+type (
+	Effect       string
+	Scope        string
+	Protocol     string
+	Paths        string
+	RegistryMode string
+	ServerState  string
+)
+
+// Words.
+const (
+	Unsafe Effect = "unsafe" // must never run twice
+	Keyed  Effect = "keyed"  // servers discard repeats for a while
+	Safe   Effect = "safe"   // may run any number of times
+
+	CellScope Scope = "cell"
+	ZoneScope Scope = "zone"
+	AllScope  Scope = "all"
+
+	HTTP1 Protocol = "http1"
+
+	StrictPaths    Paths = "strict"    // what servers could read in another way is turned away
+	NormalizePaths Paths = "normalize" // or made plain, where there is one plain form
+	PathsAsSent    Paths = "as_sent"   // sent on as they came; only the class must be the same to all
+
+	Pushed RegistryMode = "pushed" // an agent that answers at once
+	Asked  RegistryMode = "asked"  // one service for all nodes, asked when the module says so
+
+	Ready    ServerState = "ready"
+	Draining ServerState = "draining" // finishes what it has, gets nothing new
+)
+
+// Duration is a length of time, written with its unit.
+type Duration time.Duration
+
+// MarshalText writes it as in "1.5s".
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText reads it.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("found %q; allowed: a number with a unit, such as \"250ms\", \"1.5s\" or \"2m\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// Size is a number of bytes, written with its unit.
+type Size int64
+
+var sizeUnits = []struct {
+	name  string
+	bytes int64
+}{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+
+// String writes it as in "192MiB", in the greatest unit that needs no decimals.
+func (s Size) String() string {
+	for _, u := range sizeUnits {
+		if int64(s)%u.bytes == 0 && (s != 0 || u.bytes == 1) {
+			return strconv.FormatInt(int64(s)/u.bytes, 10) + u.name
+		}
+	}
+	return "0B"
+}
+
+// MarshalText writes it.
+func (s Size) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads it.
+func (s *Size) UnmarshalText(text []byte) error {
+	for _, u := range sizeUnits {
+		digits, ok := strings.CutSuffix(string(text), u.name)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 64)
+		if err != nil || n < 0 || n > math.MaxInt64/u.bytes {
+			break
+		}
+		*s = Size(n * u.bytes)
+		return nil
+	}
+	return fmt.Errorf("found %q; allowed: a whole number with a unit, such as \"64KiB\", \"192MiB\" or \"1GiB\"", text)
+}
+
+// Fingerprint tells configurations apart: it is the same for two that mean the same, whatever the order of
+// their blocks, and differs for all others.
+func (c *Config) Fingerprint() string {
+	text, err := json.Marshal(c.Canonical())
+	if err != nil { // a NaN, which no check lets pass
+		return "sha256:invalid"
+	}
+	sum := sha256.Sum256(text)
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+// Canonical is a copy of the configuration with all that is named in the order of its names.
+func (c *Config) Canonical() *Config {
+	out := *c
+	out.Classes = sorted(c.Classes, func(c Class) string { return c.Name })
+	out.Listeners = sorted(c.Listeners, func(l Listener) string { return l.Name })
+	out.Pools = sorted(c.Pools, func(p Pool) string { return p.Name })
+	for i := range out.Pools {
+		out.Pools[i].Servers = sorted(out.Pools[i].Servers, func(s Server) string { return s.Name })
+	}
+	out.Routes = sorted(c.Routes, func(r route.Route) string { return r.Name })
+	for i := range out.Routes {
+		r := &out.Routes[i]
+		r.Listeners, r.Classes = sorted(r.Listeners, self), sorted(r.Classes, self)
+		r.Hosts, r.Paths = sorted(r.Hosts, self), sorted(r.Paths, self)
+		r.Headers = sorted(r.Headers, func(h route.Header) string { return h.Name })
+		r.To = sorted(r.To, func(t route.Target) string { return t.Pool })
+	}
+	return &out
+}
+
+func self(s string) string { return s }
+
+func sorted[T any](list []T, name func(T) string) []T {
+	out := slices.Clone(list)
+	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+	return out
+}
+
+// Class is the class of a name.
+func (c *Config) Class(name string) (Class, bool) { return find(c.Classes, name, Class.name) }
+
+// Pool is the pool of a name.
+func (c *Config) Pool(name string) (Pool, bool) { return find(c.Pools, name, Pool.name) }
+
+// Listener is the listener of a name.
+func (c *Config) Listener(name string) (Listener, bool) {
+	return find(c.Listeners, name, Listener.name)
+}
+
+func (c Class) name() string    { return c.Name }
+func (p Pool) name() string     { return p.Name }
+func (l Listener) name() string { return l.Name }
+func (s Server) name() string   { return s.Name }
+
+func find[T any](list []T, name string, of func(T) string) (T, bool) {
+	for _, v := range list {
+		if of(v) == name {
+			return v, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+var effects = map[Effect]woodpick.Effect{Unsafe: woodpick.Unsafe, Keyed: woodpick.Keyed, Safe: woodpick.Safe}
+
+var scopes = map[Scope]woodpick.Scope{CellScope: woodpick.ScopeCell, ZoneScope: woodpick.ScopeZone, AllScope: woodpick.ScopeAll}
+
+// ForModule is the class as the decision module has it.
+func (c Class) ForModule() woodpick.Class {
+	return woodpick.Class{Name: c.Name, Effect: effects[c.Effect], Scope: scopes[c.KeyScope],
+		Window: time.Duration(c.Window), Aim: time.Duration(c.Aim), Deadline: time.Duration(c.Deadline),
+		LateShare: c.LateShare, Worth: c.Worth}
+}
+
+// Settings are what the Balancer of a pool is told.
+func (c *Config) Settings(p Pool) woodpick.Settings {
+	s := woodpick.Settings{Balancers: p.Copies.Count, Index: p.Copies.Index, Tier: p.Tier,
+		WholeWeight: p.Shedding.Whole, ClassWeight: p.Shedding.WorstClass,
+		MaxAttempts: p.Attempts, MayCancel: p.Cancel, Tick: time.Duration(p.Tick), MaxRetryAfter: time.Duration(p.RetryAfter),
+		ColdFrom: p.SlowStart.From, WarmAfter: time.Duration(p.SlowStart.Over)}
+	for _, class := range c.Classes {
+		s.Classes = append(s.Classes, class.ForModule())
+	}
+	if p.Registry != nil {
+		s.AskDiscovery, s.AskWithin = p.Registry.Mode == Asked, time.Duration(p.Registry.AskWithin)
+	}
+	return s
+}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -1,5 +1,3 @@
-// Package config is the node's configuration: one model of it, read from the file that the platform gives
-// and checked whole.
 package config
 
 import (
@@ -13,30 +11,24 @@
 	"time"
 
 	"woodpick"
+	"woodpick/internal/route"
 	"woodpick/internal/wire"
 )
 
-// Config is what a node is told at its start.
-type Config struct {
-	Name      string
-	Zone      string
-	Listen    string
-	Discovery string
-	Seed      uint64
-	MemoryMB  int
-	Sockets   int
-	Known     json.RawMessage // the list as the node last had it, perhaps old
-
-	Settings       woodpick.Settings
-	ConnIdle       time.Duration // a server closes a connection idle for so long
-	ConnectTimeout time.Duration
+// Start is what the platform tells a node at its start beside the configuration.
+type Start struct {
+	Seed  uint64
+	Known json.RawMessage // the list as the node last had it, perhaps old, in the registry's form
 }
 
-// leastSockets leaves room for the node's own descriptors and a few connections on each side.
-const leastSockets = 64
+// Names of the parts that the platform's file describes without naming them.
+const (
+	PlatformListener = "main"
+	PlatformPool     = "servers"
+)
 
-// configFile mirrors the file that BALANCER_CONFIG names.
-type configFile struct {
+// platformFile mirrors the file that BALANCER_CONFIG names.
+type platformFile struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
@@ -49,8 +41,8 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
-// settingsFile holds the settings that the node needs beside the module's.
-type settingsFile struct {
+// platformSettings holds the settings that the node needs beside the module's.
+type platformSettings struct {
 	Zone   string `json:"zone"`
 	Limits struct {
 		ConnIdle       float64 `json:"conn-idle-ms"`
@@ -58,65 +50,111 @@
 	} `json:"limits"`
 }
 
-// Load reads and checks the file that BALANCER_CONFIG names.
-func Load() (Config, error) {
+// LoadPlatform reads and checks the file that BALANCER_CONFIG names.
+func LoadPlatform() (*Config, Start, error) {
 	path := os.Getenv("BALANCER_CONFIG")
 	if path == "" {
-		return Config{}, errors.New("config: BALANCER_CONFIG is not set")
+		return nil, Start{}, errors.New("config: BALANCER_CONFIG is not set")
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Config{}, fmt.Errorf("config: %w", err)
+		return nil, Start{}, fmt.Errorf("config: %w", err)
 	}
-	return Parse(text)
+	return ParsePlatform(text)
 }
 
-// Parse reads a configuration. The error names the first field at fault.
-func Parse(text []byte) (Config, error) {
-	var f configFile
+// ParsePlatform reads the platform's JSON: one listener, one pool whose list a registry tells, and one route
+// from the one to the other. The error names the first field at fault.
+func ParsePlatform(text []byte) (*Config, Start, error) {
+	c, s, err := parsePlatform(text)
+	if err != nil {
+		return nil, Start{}, fmt.Errorf("config: %w", err)
+	}
+	return c, s, nil
+}
+
+func parsePlatform(text []byte) (*Config, Start, error) {
+	var f platformFile
 	if err := json.Unmarshal(text, &f); err != nil {
-		return Config{}, fmt.Errorf("config: %w", err)
+		return nil, Start{}, err
 	}
-	var s settingsFile
+	var s platformSettings
 	if len(f.Settings) == 0 {
-		return Config{}, errors.New("config: settings are missing")
+		return nil, Start{}, errors.New("settings are missing")
 	}
 	if err := json.Unmarshal(f.Settings, &s); err != nil {
-		return Config{}, fmt.Errorf("config: settings: %w", err)
+		return nil, Start{}, fmt.Errorf("settings: %w", err)
 	}
 	set, err := wire.ParseSettings(f.Settings)
 	if err != nil {
-		return Config{}, fmt.Errorf("config: %w", err)
-	}
-	if _, err := woodpick.New(set, 0); err != nil {
-		return Config{}, fmt.Errorf("config: settings: %w", err)
+		return nil, Start{}, err
 	}
 	for _, a := range [][2]string{{"listen", f.Listen}, {"discovery", f.Discovery}} {
 		if _, err := netip.ParseAddrPort(a[1]); err != nil {
-			return Config{}, fmt.Errorf("config: %s: %w", a[0], err)
+			return nil, Start{}, fmt.Errorf("%s: %w", a[0], err)
 		}
 	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
-		return Config{}, fmt.Errorf("config: seed: %w", err)
+		return nil, Start{}, fmt.Errorf("seed: %w", err)
 	}
 	if !(f.Limits.MemoryMB >= 16 && f.Limits.MemoryMB <= 1<<20) {
-		return Config{}, fmt.Errorf("config: limits.memory_mb is out of range: %v", f.Limits.MemoryMB)
+		return nil, Start{}, fmt.Errorf("limits.memory_mb is out of range: %v", f.Limits.MemoryMB)
 	}
-	if f.Limits.Sockets < leastSockets || f.Limits.Sockets > 1<<20 {
-		return Config{}, fmt.Errorf("config: limits.sockets is out of range: %d", f.Limits.Sockets)
+	if f.Limits.Sockets < minDescriptors || f.Limits.Sockets > maxDescriptors {
+		return nil, Start{}, fmt.Errorf("limits.sockets is out of range: %d", f.Limits.Sockets)
 	}
 	for _, t := range []struct {
 		name string
 		ms   float64
 	}{{"conn-idle-ms", s.Limits.ConnIdle}, {"connect-timeout-ms", s.Limits.ConnectTimeout}} {
 		if !(t.ms > 0 && t.ms <= 1e9) {
-			return Config{}, fmt.Errorf("config: settings.limits.%s is out of range: %v", t.name, t.ms)
+			return nil, Start{}, fmt.Errorf("settings.limits.%s is out of range: %v", t.name, t.ms)
+		}
+	}
+	c := &Config{
+		Node: Node{Name: f.Name, Zone: s.Zone,
+			Limits: Limits{Memory: Size(int64(f.Limits.MemoryMB) << 20), Descriptors: f.Limits.Sockets, Cores: 1}},
+		Listeners: []Listener{{Name: PlatformListener, Address: f.Listen, Protocol: HTTP1, Paths: PathsAsSent}},
+		Pools: []Pool{{Name: PlatformPool, Protocol: HTTP1, Tier: set.Tier, Attempts: set.MaxAttempts, Cancel: set.MayCancel,
+			Tick: Duration(set.Tick), RetryAfter: Duration(set.MaxRetryAfter),
+			Copies:   Copies{Count: set.Balancers, Index: set.Index},
+			Shedding: Shedding{Whole: set.WholeWeight, WorstClass: set.ClassWeight},
+			Connections: Connections{Most: (f.Limits.Sockets - Reserved) / 2,
+				Idle: Duration(millis(s.Limits.ConnIdle)), ConnectTimeout: Duration(millis(s.Limits.ConnectTimeout))},
+			SlowStart: SlowStart{From: set.ColdFrom, Over: Duration(set.WarmAfter)},
+			Registry:  &Registry{Address: f.Discovery, Mode: Pushed, AskWithin: Duration(set.AskWithin)}}},
+		Routes: []route.Route{{Name: "default", Default: true, To: []route.Target{{Pool: PlatformPool, Weight: 1}}}},
+	}
+	if set.AskDiscovery {
+		c.Pools[0].Registry.Mode = Asked
+	}
+	for _, class := range set.Classes {
+		c.Classes = append(c.Classes, fromModule(class))
+	}
+	if err := c.validate(); err != nil {
+		return nil, Start{}, fmt.Errorf("settings: %w", err)
+	}
+	return c, Start{Seed: seed, Known: f.Known}, nil
+}
+
+// fromModule is a class as the module has it, in the configuration's words.
+func fromModule(c woodpick.Class) Class {
+	out := Class{Name: c.Name, Aim: Duration(c.Aim), Deadline: Duration(c.Deadline), LateShare: c.LateShare, Worth: c.Worth}
+	for word, e := range effects {
+		if e == c.Effect {
+			out.Effect = word
+		}
+	}
+	if c.Effect == woodpick.Keyed {
+		out.Window = Duration(c.Window)
+		for word, s := range scopes {
+			if s == c.Scope {
+				out.KeyScope = word
+			}
 		}
 	}
-	return Config{Name: f.Name, Zone: s.Zone, Listen: f.Listen, Discovery: f.Discovery, Seed: seed,
-		MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets, Known: f.Known, Settings: set,
-		ConnIdle: millis(s.Limits.ConnIdle), ConnectTimeout: millis(s.Limits.ConnectTimeout)}, nil
+	return out
 }
 
 func millis(ms float64) time.Duration { return time.Duration(math.Round(ms * 1e6)) }
--- a/internal/config/platform_test.go
+++ b/internal/config/platform_test.go
@@ -13,12 +13,15 @@
 	"limits":{"conn-idle-ms":60000.0,"connect-timeout-ms":250.0,"max-attempts":4},"zone":"chavara","tick-ms":5}}`
 
 func TestConfig(t *testing.T) {
-	c, err := Parse([]byte(goodConfig))
+	c, start, err := ParsePlatform([]byte(goodConfig))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Name != "n3" || c.Zone != "chavara" || c.Seed != 0xfc1f30d27a5be964 || c.Sockets != 1024 || c.MemoryMB != 192 ||
-		c.ConnIdle != time.Minute || c.ConnectTimeout != 250*time.Millisecond || c.Settings.MaxAttempts != 4 {
+	p := c.Pools[0]
+	if c.Node.Name != "n3" || c.Node.Zone != "chavara" || start.Seed != 0xfc1f30d27a5be964 || c.Node.Limits.Descriptors != 1024 ||
+		c.Node.Limits.Memory != 192<<20 || time.Duration(p.Connections.Idle) != time.Minute ||
+		time.Duration(p.Connections.ConnectTimeout) != 250*time.Millisecond || p.Attempts != 4 ||
+		c.Listeners[0].Address != "127.0.0.1:7070" || p.Registry.Address != "127.0.0.1:8500" {
 		t.Errorf("got %+v", c)
 	}
 }
@@ -38,7 +41,7 @@
 		{`{"name":"n3"`, `"name":"n3"`, "config"},
 	} {
 		text := strings.Replace(goodConfig, c[0], c[1], 1)
-		if _, err := Parse([]byte(text)); text == goodConfig || err == nil || !strings.Contains(err.Error(), c[2]) ||
+		if _, _, err := ParsePlatform([]byte(text)); text == goodConfig || err == nil || !strings.Contains(err.Error(), c[2]) ||
 			strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v", c[1], err)
 		}
--- a/internal/node/ending.go
+++ b/internal/node/ending.go
@@ -29,10 +29,10 @@
 
 // endingOf is how a node ends: it serves for as long as most answers, which take less than half of their
 // aim, come before the end. Callers that it lets go sooner would find no node at all.
-func endingOf(cfg config.Config) ending {
+func endingOf(cfg *config.Config) ending {
 	var longest, aim time.Duration
-	for _, c := range cfg.Settings.Classes {
-		longest, aim = max(longest, c.Deadline), max(aim, c.Aim)
+	for _, c := range cfg.Classes {
+		longest, aim = max(longest, time.Duration(c.Deadline)), max(aim, time.Duration(c.Aim))
 	}
 	most := min(longest, killCap) + killAfter - killMargin
 	last := most - lastMargin
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,12 +21,9 @@
 	"woodpick/internal/http1"
 )
 
-// reserved descriptors are for the listener, discovery, the log, the runtime, and callers whose
-// requests are read only to be refused.
-const reserved = 48
-
 // Node is one load balancer on sockets.
 type Node struct {
+	cfg      *config.Config // as started with
 	clock    clock.Clock
 	engine   *engine.Engine
 	back     *http1.Back
@@ -34,16 +31,15 @@
 	callers  *http1.Callers
 	watch    *discovery.Watch
 	listener net.Listener
-	cfg      config.Config // as started with
 	push     bool
 	ending   ending
 	log      *slog.Logger
 }
 
 // Limit keeps the process within its core and its memory.
-func Limit(cfg config.Config) {
-	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+func Limit(l config.Limits) {
+	runtime.GOMAXPROCS(l.Cores)
+	debug.SetMemoryLimit(int64(l.Memory) * 3 / 4)
 }
 
 // service is what the front takes calls for: one engine.
@@ -59,24 +55,27 @@
 }
 
 // New puts a node together and begins to listen. Nothing is served before Run.
-func New(cfg config.Config, log *slog.Logger) (*Node, error) {
-	room := cfg.Sockets - reserved
-	n := &Node{cfg: cfg, log: log, clock: clock.New(), push: !cfg.Settings.AskDiscovery, ending: endingOf(cfg)}
-	n.back = http1.NewBack(http1.BackOptions{Clock: n.clock, Most: room / 2, ConnectTimeout: cfg.ConnectTimeout, Idle: cfg.ConnIdle})
-	n.callers = http1.NewCallers(n.clock, room, reserved/2, n.back.Connections)
+func New(cfg *config.Config, start config.Start, log *slog.Logger) (*Node, error) {
+	pool := cfg.Pools[0]
+	set := cfg.Settings(pool)
+	room := cfg.Node.Limits.Descriptors - config.Reserved
+	n := &Node{cfg: cfg, log: log, clock: clock.New(), push: !set.AskDiscovery, ending: endingOf(cfg)}
+	n.back = http1.NewBack(http1.BackOptions{Clock: n.clock, Most: pool.Connections.Most,
+		ConnectTimeout: time.Duration(pool.Connections.ConnectTimeout), Idle: time.Duration(pool.Connections.Idle)})
+	n.callers = http1.NewCallers(n.clock, room, config.Reserved/2, n.back.Connections)
 	var err error
-	n.engine, err = engine.New(engine.Options{Settings: cfg.Settings, Seed: cfg.Seed, Clock: n.clock, Backend: n.back,
+	n.engine, err = engine.New(engine.Options{Settings: set, Seed: start.Seed, Clock: n.clock, Backend: n.back,
 		Subscribe: func() { n.watch.Subscribe() }, Pushed: n.push, Log: log,
 		Report: func() []any { return append(n.callers.Report(), "servers", n.back.Connections()) }})
 	if err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
 	s := service{n.engine, map[string]woodpick.Class{}}
-	for _, c := range cfg.Settings.Classes {
+	for _, c := range set.Classes {
 		s.classes[c.Name] = c
 	}
-	n.front = http1.NewFront(n.clock, n.callers, s, max(cfg.Settings.Tick, time.Millisecond), log)
-	known, err := discovery.Parse(cfg.Known)
+	n.front = http1.NewFront(n.clock, n.callers, s, max(set.Tick, time.Millisecond), log)
+	known, err := discovery.Parse(start.Known)
 	rev := int64(-1)
 	if err != nil {
 		log.Warn("the known list is dropped", "error", err)
@@ -84,9 +83,9 @@
 	} else {
 		rev = known.Rev
 	}
-	n.watch = discovery.NewWatch(cfg.Discovery, rev, n.engine, log)
+	n.watch = discovery.NewWatch(pool.Registry.Address, rev, n.engine, log)
 	n.engine.Hold(known)
-	if n.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+	if n.listener, err = net.Listen("tcp", cfg.Listeners[0].Address); err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
 	return n, nil
@@ -97,20 +96,22 @@
 
 // Reload takes over what may change in a running node: where discovery is. The module, the callers and
 // the connections to servers stay as they are.
-func (n *Node) Reload(cfg config.Config) {
+func (n *Node) Reload(cfg *config.Config) {
+	old, next := *n.cfg, *cfg
 	for _, f := range []struct {
 		name    string
 		changed bool
 	}{
-		{"listen", cfg.Listen != n.cfg.Listen}, {"limits", cfg.Sockets != n.cfg.Sockets || cfg.MemoryMB != n.cfg.MemoryMB},
-		{"settings", !reflect.DeepEqual(cfg.Settings, n.cfg.Settings)},
+		{"listen", old.Listeners[0].Address != next.Listeners[0].Address}, {"limits", old.Node.Limits != next.Node.Limits},
+		{"settings", !reflect.DeepEqual(old.Settings(old.Pools[0]), next.Settings(next.Pools[0]))},
 	} {
 		if f.changed {
 			n.log.Warn("a change in the configuration waits for the next start", "field", f.name)
 		}
 	}
-	n.log.Info("the configuration is read again", "discovery", cfg.Discovery)
-	n.watch.Move(cfg.Discovery)
+	at := cfg.Pools[0].Registry.Address
+	n.log.Info("the configuration is read again", "discovery", at)
+	n.watch.Move(at)
 }
 
 // Run serves until ctx ends, and then until all that was taken is answered.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -12,30 +12,42 @@
 	"testing"
 	"time"
 
-	"woodpick"
 	"woodpick/internal/config"
+	"woodpick/internal/route"
 	"woodpick/internal/standin"
 )
 
+// testNode is what a node of these tests is started with.
+type testNode struct {
+	*config.Config
+	Known string
+}
+
+// registry is where the only pool's list comes from.
+func (n testNode) registry() *string { return &n.Pools[0].Registry.Address }
+
 // testConfig is a deployment with a class of each kind and long limits.
-func testConfig(known string) config.Config {
-	class := func(name string, e woodpick.Effect) woodpick.Class {
-		return woodpick.Class{Name: name, Effect: e, Scope: woodpick.ScopeAll, Window: standin.Limit,
-			Aim: standin.Limit, Deadline: 2 * standin.Limit, Worth: 1}
-	}
-	return config.Config{Name: "n", Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Seed: 1, MemoryMB: 192,
-		Sockets: 1024, ConnIdle: time.Minute, ConnectTimeout: standin.Limit,
-		Known: []byte(strings.Replace(known, "%d", "1", 1)),
-		Settings: woodpick.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true,
-			Tick: time.Millisecond, MaxRetryAfter: 2 * time.Second, ColdFrom: 1, WholeWeight: 1,
-			Classes: []woodpick.Class{class("view", woodpick.Safe), class("note", woodpick.Unsafe),
-				class("keyed", woodpick.Keyed)}}}
+func testConfig(known string) testNode {
+	class := func(name string, e config.Effect) config.Class {
+		return config.Class{Name: name, Effect: e, Aim: config.Duration(standin.Limit), Deadline: config.Duration(2 * standin.Limit), Worth: 1}
+	}
+	keyed := class("keyed", config.Keyed)
+	keyed.KeyScope, keyed.Window = config.AllScope, config.Duration(standin.Limit)
+	return testNode{Known: strings.Replace(known, "%d", "1", 1), Config: &config.Config{
+		Node:      config.Node{Name: "n", Limits: config.Limits{Memory: 192 << 20, Descriptors: 1024, Cores: 1}},
+		Classes:   []config.Class{class("view", config.Safe), class("note", config.Unsafe), keyed},
+		Listeners: []config.Listener{{Name: "main", Address: "127.0.0.1:0", Protocol: config.HTTP1, Paths: config.PathsAsSent}},
+		Pools: []config.Pool{{Name: "servers", Protocol: config.HTTP1, Attempts: 4, Cancel: true, Tick: config.Duration(time.Millisecond),
+			RetryAfter: config.Duration(2 * time.Second), Copies: config.Copies{Count: 1}, Shedding: config.Shedding{Whole: 1},
+			Connections: config.Connections{Most: 488, Idle: config.Duration(time.Minute), ConnectTimeout: config.Duration(standin.Limit)},
+			SlowStart:   config.SlowStart{From: 1}, Registry: &config.Registry{Address: "127.0.0.1:1", Mode: config.Pushed}}},
+		Routes: []route.Route{{Name: "default", Default: true, To: []route.Target{{Pool: "servers", Weight: 1}}}}}}
 }
 
 // startNode runs a node until the test ends, or until the returned function is called.
-func startNode(t *testing.T, cfg config.Config, change func(*Node)) (n *Node, stop func() error) {
+func startNode(t *testing.T, cfg testNode, change func(*Node)) (n *Node, stop func() error) {
 	t.Helper()
-	n, err := New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	n, err := New(cfg.Config, config.Start{Seed: 1, Known: []byte(cfg.Known)}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -58,7 +70,7 @@
 	a, b := standin.NewServer(t, standin.Echo), standin.NewServer(t, standin.Echo)
 	ag := standin.NewAgent(t)
 	cfg := testConfig(standin.Whole(standin.Entry("s1", a.Address(), "in_service"), standin.Entry("s2", b.Address(), "in_service")))
-	cfg.Discovery = ag.Address()
+	*cfg.registry() = ag.Address()
 	n, _ := startNode(t, cfg, nil)
 	c := standin.Dial(t, n.Addr())
 	i := 0
@@ -91,7 +103,7 @@
 	ag := standin.NewAgent(t)
 	ag.Tell(true, "")
 	cfg := testConfig(standin.Whole())
-	cfg.Discovery = ag.Address()
+	*cfg.registry() = ag.Address()
 	n, _ := startNode(t, cfg, func(n *Node) {
 		n.watch.Hold, n.watch.Grace = 20*time.Millisecond, 20*time.Millisecond
 	})
@@ -121,16 +133,17 @@
 	old.Tell(false, standin.Whole(standin.Entry("s1", a.Address(), "in_service")))
 	next.Tell(false, standin.Whole(standin.Entry("s2", b.Address(), "in_service")))
 	cfg := testConfig(standin.Whole(standin.Entry("s1", a.Address(), "in_service")))
-	cfg.Discovery = old.Address()
+	*cfg.registry() = old.Address()
 	n, _ := startNode(t, cfg, func(n *Node) { n.watch.Hold = standin.Limit })
 	for !strings.Contains(standin.Receive(t, old.Asked, "the watch"), "from=1001&") {
 	}
 	c := standin.Dial(t, n.Addr())
 	c.Get("before")
 	c.Want(t, 200, "for before")
-	n.Reload(cfg) // the same address: nothing moves
-	cfg.Discovery = next.Address()
-	n.Reload(cfg)
+	n.Reload(cfg.Config) // the same address: nothing moves
+	moved := testConfig("")
+	*moved.registry() = next.Address()
+	n.Reload(moved.Config)
 	if q := standin.Receive(t, next.Asked, "the whole list"); q != "" {
 		t.Errorf("asked %q of the new address, want the whole list", q)
 	}
@@ -222,7 +235,7 @@
 	s := standin.NewServer(t, standin.Echo)
 	ag := standin.NewAgent(t)
 	cfg := testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service")))
-	cfg.Discovery = ag.Address()
+	*cfg.registry() = ag.Address()
 	n, _ := startNode(t, cfg, nil)
 	standin.Receive(t, ag.Asked, "the first watch")
 	ag.Tell(false, `{"rev":%d,"all":true,"targets":[`+standin.Entry("s1", s.Address(), "terminated")+`,{"uid":""}]}`)
