The module takes other settings while it runs: Reconfigure

Need: a pool whose configuration changes should keep its Balancer and what that has learned; and a class that turns unsafe while calls are out must not have them sent again.

Change: Reconfigure brings other Settings. Classes that stay keep their latencies and shares of failures, servers keep theirs. A request under way has terms (effect, scope, window) of its own, its class's when it was taken; they only get stricter: safe to unsafe, and safe to keyed too, for it has no key.

--- a/policy.go
+++ b/policy.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -121,8 +122,16 @@
 // groups are the left and the right group, or a part of each.
 type groups struct{ left, right []*server }
 
+// terms say how often a request may run. They are its class's when it was taken, and only ever get stricter.
+type terms struct {
+	effect Effect
+	scope  Scope
+	window time.Duration
+}
+
 // request is an accepted request, kept until it is answered and its attempts have ended.
 type request struct {
+	terms
 	id        string
 	class     *class
 	arrived   time.Duration
@@ -156,18 +165,63 @@
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
 		servers: map[string]*server{}, requests: map[string]*request{},
 		classes: map[string]*class{}, errors: 0.02, tokens: retryPurse / 2}
-	for _, c := range set.Classes {
-		b.addClass(c)
-	}
-	odd := slices.MaxFunc(set.Classes, func(a, b Class) int { return cmp.Compare(a.Deadline, b.Deadline) })
-	b.addClass(Class{Aim: odd.Aim, Deadline: odd.Deadline, Worth: odd.Worth})
+	b.takeClasses(set.Classes)
 	return b, nil
 }
 
-func (b *Balancer) addClass(c Class) {
-	k := &class{Class: c, mean: float64(c.Aim) / 4, dev: float64(c.Aim) / 8, base: float64(c.Aim) / 4}
-	b.classes[c.Name] = k
-	b.order = append(b.order, k)
+// takeClasses knows these classes from now on, and what was learned of those that it knew. One more stands
+// for all others.
+func (b *Balancer) takeClasses(list []Class) {
+	old := b.classes
+	b.classes, b.order = map[string]*class{}, nil
+	odd := slices.MaxFunc(list, func(a, b Class) int { return cmp.Compare(a.Deadline, b.Deadline) })
+	other := Class{Aim: odd.Aim, Deadline: odd.Deadline, Worth: odd.Worth}
+	for _, c := range append(slices.Clone(list), other) {
+		k := old[c.Name]
+		if k == nil {
+			k = &class{}
+		}
+		if k.Class = c; k.samples == 0 {
+			k.mean, k.dev, k.base = float64(c.Aim)/4, float64(c.Aim)/8, float64(c.Aim)/4
+		}
+		b.classes[c.Name] = k
+		b.order = append(b.order, k)
+	}
+}
+
+// reconfigure takes other settings over, with all that was learned. A request that is under way keeps the
+// terms on which it was taken, as far as its class is not stricter now.
+func (b *Balancer) reconfigure(set Settings) {
+	if validate(set) != nil {
+		return
+	}
+	old := b.set
+	b.set = set
+	b.takeClasses(set.Classes)
+	for _, s := range b.servers {
+		maps.DeleteFunc(s.failing, func(k *class, _ fading) bool { return b.classes[k.Name] != k })
+	}
+	for _, r := range b.requests {
+		r.tighten(b.classes[r.class.Name])
+	}
+	if set.Balancers != old.Balancers || set.Index != old.Index {
+		b.width = 0
+	}
+	if set.AskDiscovery && !old.AskDiscovery {
+		b.askAgain()
+	}
+	b.release()
+}
+
+// tighten holds a request to what its class is now, where that is stricter; a class that is gone is unsafe.
+// A request that was taken as safe has no key, so that nobody could discard its repeats.
+func (r *request) tighten(c *class) {
+	switch {
+	case c == nil || c.Effect < r.effect:
+		r.effect = Unsafe
+	case c.Effect == r.effect:
+		r.scope, r.window = min(r.scope, c.Scope), min(r.window, c.Window)
+	}
 }
 
 // ---- Events ----
@@ -196,6 +250,8 @@
 		}
 	case Timer:
 		b.takeTimer(e)
+	case Reconfigure:
+		b.reconfigure(e.Settings)
 	}
 	return b.out
 }
@@ -300,7 +356,8 @@
 	if c == nil {
 		c = b.order[len(b.order)-1] // unknown: unsafe
 	}
-	r := &request{id: e.ID, class: c, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat}
+	r := &request{id: e.ID, class: c, terms: terms{c.Effect, c.Scope, c.Window}, arrived: b.now,
+		deadline: e.Deadline, repeat: e.Repeat}
 	b.requests[e.ID] = r
 	b.backdate(r)
 	for _, k := range b.order {
@@ -361,7 +418,7 @@
 // that. It hurts where a request is long by itself; in the first tier the work below would be for nothing.
 func (b *Balancer) patience(r *request) time.Duration {
 	c, left := r.class, b.useless(r)-b.now
-	again := c.Effect == Safe && len(r.attempts) < b.set.MaxAttempts && b.tokens >= 1
+	again := r.effect == Safe && len(r.attempts) < b.set.MaxAttempts && b.tokens >= 1
 	if again && b.set.Tier > 0 && c.failing > hanging && left/2 > b.overlong(c) {
 		return left / 2
 	}
@@ -627,12 +684,12 @@
 
 // inScope keeps a keyed request that may have run to the servers that discard its repeats.
 func (b *Balancer) inScope(r *request, s *server) bool {
-	if r.class.Effect != Keyed {
+	if r.effect != Keyed {
 		return true
 	}
 	return !slices.ContainsFunc(r.attempts, func(a *attempt) bool {
-		inCell := a.cell == s.Cell || r.class.Scope == ScopeZone
-		return !a.unsent && r.class.Scope != ScopeAll && (a.zone != s.Zone || !inCell)
+		inCell := a.cell == s.Cell || r.scope == ScopeZone
+		return !a.unsent && r.scope != ScopeAll && (a.zone != s.Zone || !inCell)
 	})
 }
 
@@ -645,7 +702,7 @@
 	}
 	// After an ejection one safe trial at a time decides: a bad server must not eat a request that
 	// cannot be repeated, nor many at once.
-	return s.level > 0 && s.goods == 0 && (r.class.Effect == Unsafe || s.calls > 0)
+	return s.level > 0 && s.goods == 0 && (r.effect == Unsafe || s.calls > 0)
 }
 
 // shuns says, by a draw, that a server should not get a class now, by its share of good endings against all
@@ -768,8 +825,8 @@
 		return false
 	}
 	return !slices.ContainsFunc(r.attempts, func(a *attempt) bool {
-		last := a.sent + r.class.Window - 2*b.set.Tick
-		return !a.unsent && (r.class.Effect == Unsafe || r.class.Effect == Keyed && b.now >= last)
+		last := a.sent + r.window - 2*b.set.Tick
+		return !a.unsent && (r.effect == Unsafe || r.effect == Keyed && b.now >= last)
 	})
 }
 
@@ -885,7 +942,7 @@
 		return
 	}
 	harmless := !slices.ContainsFunc(r.attempts, func(a *attempt) bool {
-		return !a.unsent && (r.class.Effect == Unsafe || r.class.Effect == Keyed && r.class.Scope != ScopeAll)
+		return !a.unsent && (r.effect == Unsafe || r.effect == Keyed && r.scope != ScopeAll)
 	})
 	if len(r.attempts) == 0 {
 		b.shed += memory / 4 * (1 - b.shed)
--- a/woodpick.go
+++ b/woodpick.go
@@ -47,7 +47,7 @@
 	Worth     float64
 }
 
-// Settings are fixed for the life of a Balancer.
+// Settings hold until a Reconfigure.
 type Settings struct {
 	Classes     []Class
 	Balancers   int     // copies that place calls on this tier
@@ -191,15 +191,19 @@
 	ClientGone struct{ ID string }
 	// Timer is a Wake come due.
 	Timer struct{ Token string }
+	// Reconfigure brings other Settings; those that New would refuse change nothing. What was learned stays.
+	// A request under way is held to its class's terms as taken or as now, whichever are stricter.
+	Reconfigure struct{ Settings Settings }
 )
 
-func (ServerList) event() {}
-func (ListFailed) event() {}
-func (Request) event()    {}
-func (Outcome) event()    {}
-func (Started) event()    {}
-func (ClientGone) event() {}
-func (Timer) event()      {}
+func (ServerList) event()  {}
+func (ListFailed) event()  {}
+func (Request) event()     {}
+func (Outcome) event()     {}
+func (Started) event()     {}
+func (ClientGone) event()  {}
+func (Timer) event()       {}
+func (Reconfigure) event() {}
 
 // Action is something the host must do, in the order given: one of the types below.
 type Action interface{ action() }
