--- a/cmd/damsontrestle/main.go
+++ b/cmd/damsontrestle/main.go
@@ -31,13 +31,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	node.Limit(cfg.Node.Limits)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Node.Name, "zone", cfg.Node.Zone)
-	n, err := node.New(cfg, start, log)
+	n, err := node.NewPlatform(cfg, start, log, node.Options{Limit: node.Limit})
 	if err != nil {
 		return err
 	}
-	log.Info("serving", "address", n.Addr())
+	log.Info("serving", "address", n.Addr(config.PlatformListener))
 	go func() {
 		for range again {
 			if cfg, _, err := config.LoadPlatform(); err != nil {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -84,6 +84,9 @@
 	old.client.CloseIdleConnections()
 }
 
+// closeIdle leaves no connection behind.
+func (w *Watch) closeIdle() { w.place().client.CloseIdleConnections() }
+
 // Subscribe starts a watch where discovery is asked. It never blocks.
 func (w *Watch) Subscribe() {
 	select {
@@ -95,6 +98,7 @@
 // Push watches from the start until ctx ends. The next call follows each answer at once: a watch is
 // lost when it is late. Only after a failure it waits, for twice as long each time up to a bound.
 func (w *Watch) Push(ctx context.Context) {
+	defer w.closeIdle()
 	wait := backoffFirst
 	for ctx.Err() == nil {
 		p := w.place()
@@ -119,6 +123,7 @@
 
 // Ask serves Subscribes until ctx ends: a watch that goes on until it fails, which is reported once.
 func (w *Watch) Ask(ctx context.Context) {
+	defer w.closeIdle()
 	for {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,123 @@
+// Package dispatch stands between the fronts and the engines. A View is what calls are read under: which
+// classes there are, how a listener takes paths, which pool a call goes to. There is one View at a time, and
+// it is swapped whole: every call is taken under one of them, by the engine that this one names for it.
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/config"
+	"woodpick/internal/engine"
+	"woodpick/internal/route"
+)
+
+// View is one configuration as the fronts see it. It never changes.
+type View struct {
+	classes   map[string]woodpick.Class
+	listeners map[string]config.Listener
+	table     *route.Table
+	pools     map[string]*engine.Engine
+	comeBack  time.Duration
+}
+
+// NewView makes the View of a checked configuration whose pools are served by these engines.
+func NewView(cfg *config.Config, engines map[string]*engine.Engine) (*View, error) {
+	table, err := cfg.Table()
+	if err != nil {
+		return nil, fmt.Errorf("dispatch: %w", err)
+	}
+	v := &View{classes: map[string]woodpick.Class{}, listeners: map[string]config.Listener{}, table: table, pools: engines,
+		comeBack: time.Millisecond}
+	for _, c := range cfg.Classes {
+		v.classes[c.Name] = c.ForModule()
+	}
+	for _, l := range cfg.Listeners {
+		v.listeners[l.Name] = l
+	}
+	for _, p := range cfg.Pools {
+		if engines[p.Name] == nil {
+			return nil, fmt.Errorf("dispatch: pool %q has no engine", p.Name)
+		}
+		v.comeBack = max(v.comeBack, time.Duration(p.Tick))
+	}
+	return v, nil
+}
+
+// Class tells of a class of calls, if there is one of that name.
+func (v *View) Class(name string) (woodpick.Class, bool) {
+	c, ok := v.classes[name]
+	return c, ok
+}
+
+// Listener tells of a listener, if there is one of that name.
+func (v *View) Listener(name string) (config.Listener, bool) {
+	l, ok := v.listeners[name]
+	return l, ok
+}
+
+// ComeBack is when to come back after a refusal that no pool worded.
+func (v *View) ComeBack() time.Duration { return v.comeBack }
+
+// Ready says that a listed server is in service in some pool.
+func (v *View) Ready() bool {
+	for _, e := range v.pools {
+		if e.Ready() {
+			return true
+		}
+	}
+	return false
+}
+
+// Errors of Take.
+var (
+	// ErrStale says that the View has been swapped meanwhile: the call must be looked at again.
+	ErrStale = errors.New("the configuration has changed")
+	// ErrNoRoute says that no route takes the call.
+	ErrNoRoute = errors.New("no route takes this call")
+)
+
+// Dispatcher holds the View of now.
+type Dispatcher struct {
+	view atomic.Pointer[View]
+	mu   sync.RWMutex // held for reading while a call is handed over, for writing while the View is swapped
+}
+
+// New returns a Dispatcher with its first View.
+func New(v *View) *Dispatcher {
+	d := &Dispatcher{}
+	d.view.Store(v)
+	return d
+}
+
+// View is the one of now.
+func (d *Dispatcher) View() *View { return d.view.Load() }
+
+// Take hands a call that was read under a View to the engine that it names for it, unless the View has been
+// swapped meanwhile. With no error, exactly one answer comes on the call's channel.
+func (d *Dispatcher) Take(v *View, c *engine.Call, r *route.Call) error {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if d.view.Load() != v {
+		return ErrStale
+	}
+	to, ok := v.table.Choose(r)
+	if !ok {
+		return ErrNoRoute
+	}
+	v.pools[to.Pool].Take(c)
+	return nil
+}
+
+// Swap puts another View in place and runs with while no call is handed over: what that posts to engines
+// comes after all calls taken under the old View and before any under the new one.
+func (d *Dispatcher) Swap(v *View, with func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	with()
+	d.view.Store(v)
+}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,204 @@
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/clock"
+	"woodpick/internal/config"
+	"woodpick/internal/discovery"
+	"woodpick/internal/engine"
+	"woodpick/internal/route"
+	"woodpick/internal/standin"
+)
+
+// named is a Backend that serves every attempt with a name.
+type named string
+
+func (n named) Run(a *engine.Attempt) engine.Outcome {
+	return engine.Outcome{Ending: woodpick.Success, At: a.Sent, Reply: engine.Reply{Body: []byte(n)}}
+}
+
+func (named) Servers([]discovery.Target, bool) {}
+
+func newEngine(t *testing.T, cfg *config.Config, name string) *engine.Engine {
+	t.Helper()
+	e, err := engine.New(engine.Options{Settings: cfg.Settings(cfg.Pools[0]), Clock: clock.New(), Backend: named(name),
+		Subscribe: func() {}, Pushed: true, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Hold(discovery.List{Full: true, Targets: []discovery.Target{{Server: woodpick.Server{ID: "s"}, Endpoint: "127.0.0.1:1"}}})
+	go e.Run(t.Context())
+	return e
+}
+
+// twoPools sends views to one pool and all else to another.
+func twoPools(views, rest string) *config.Config {
+	cfg := standin.Config()
+	other := cfg.Pools[0]
+	cfg.Pools[0].Name, other.Name = views, rest
+	cfg.Pools = append(cfg.Pools, other)
+	cfg.Routes = []route.Route{{Name: "views", Classes: []string{"view"}, To: []route.Target{{Pool: views, Weight: 1}}},
+		{Name: "rest", Default: true, To: []route.Target{{Pool: rest, Weight: 1}}}}
+	return cfg
+}
+
+func newCall(id, class string) (*engine.Call, *route.Call) {
+	c := engine.NewCall(id, engine.Request{})
+	c.Class, c.At = class, clock.New().Now()
+	c.Deadline = c.At + time.Hour
+	return c, &route.Call{Listener: "main", Class: class, Path: "/" + class + "/k", Draw: id}
+}
+
+func TestACallGoesToThePoolOfItsRoute(t *testing.T) {
+	cfg := twoPools("a", "b")
+	v, err := NewView(cfg, map[string]*engine.Engine{"a": newEngine(t, cfg, "a"), "b": newEngine(t, cfg, "b")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := New(v)
+	if !v.Ready() {
+		t.Error("not ready")
+	}
+	for class, want := range map[string]string{"view": "a", "note": "b"} {
+		c, r := newCall("id", class)
+		if err := d.Take(v, c, r); err != nil {
+			t.Fatal(err)
+		}
+		if got := standin.Receive(t, c.Answer(), "the answer"); string(got.Reply.Body) != want {
+			t.Errorf("%s went to %q", class, got.Reply.Body)
+		}
+	}
+	c, r := newCall("id", "none")
+	if err := d.Take(v, c, r); !errors.Is(err, ErrNoRoute) {
+		t.Errorf("%v", err)
+	}
+	if _, err := NewView(cfg, nil); err == nil {
+		t.Error("a view without engines")
+	}
+}
+
+// While views are swapped, every call is taken under the view that it was read under, or is told that this has
+// gone; no call meets a pool that its view does not name, and a retired engine gets none.
+func TestSwapIsSeenWhole(t *testing.T) {
+	cfg := [2]*config.Config{twoPools("a0", "b0"), twoPools("a1", "b1")}
+	make2 := func(i int) (*View, []*engine.Engine) {
+		a, b := newEngine(t, cfg[i], fmt.Sprint("a", i)), newEngine(t, cfg[i], fmt.Sprint("b", i))
+		v, err := NewView(cfg[i], map[string]*engine.Engine{fmt.Sprint("a", i): a, fmt.Sprint("b", i): b})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v, []*engine.Engine{a, b}
+	}
+	first, old := make2(0)
+	d := New(first)
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range 4 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for k := 0; ; k++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				v := d.View()
+				c, r := newCall(fmt.Sprint(i, "-", k), []string{"view", "note"}[k%2])
+				if err := d.Take(v, c, r); errors.Is(err, ErrStale) {
+					continue
+				} else if err != nil {
+					t.Error(err)
+					return
+				}
+				select {
+				case got := <-c.Answer():
+					if got.Kind != engine.Served {
+						t.Errorf("%+v", got)
+						return
+					}
+				case <-time.After(standin.Limit):
+					t.Error("no answer")
+					return
+				}
+			}
+		}()
+	}
+	for k := range 200 {
+		v, engines := make2((k + 1) % 2)
+		d.Swap(v, func() {})
+		for _, e := range old {
+			e.Retire()
+			standin.Receive(t, e.Done(), "the end of a retired engine")
+		}
+		old = engines
+	}
+	close(stop)
+	callers.Wait()
+}
+
+// BenchmarkTake is a call's way from a front to its engine, with its answer.
+func BenchmarkTake(b *testing.B) {
+	cfg := standin.Config()
+	e, _ := engine.New(engine.Options{Settings: cfg.Settings(cfg.Pools[0]), Clock: clock.New(), Backend: named("x"),
+		Subscribe: func() {}, Pushed: true, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	e.Hold(discovery.List{Full: true, Targets: []discovery.Target{{Server: woodpick.Server{ID: "s"}, Endpoint: "127.0.0.1:1"}}})
+	go e.Run(b.Context())
+	v, err := NewView(cfg, map[string]*engine.Engine{"servers": e})
+	if err != nil {
+		b.Fatal(err)
+	}
+	d := New(v)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c, r := newCall(fmt.Sprint(i), "view")
+		if err := d.Take(v, c, r); err != nil {
+			b.Fatal(err)
+		}
+		<-c.Answer()
+	}
+}
+
+// BenchmarkSwap is how long no call is handed over while a configuration with so many pools is put in place.
+func BenchmarkSwap(b *testing.B) {
+	for _, pools := range []int{1, 100, 1000} {
+		b.Run(fmt.Sprint(pools, " pools"), func(b *testing.B) {
+			cfg := standin.Config()
+			p := cfg.Pools[0]
+			cfg.Pools, cfg.Routes[0].To = nil, nil
+			engines := map[string]*engine.Engine{}
+			var all []*engine.Engine
+			for i := range pools {
+				p.Name = fmt.Sprint("p", i)
+				cfg.Pools = append(cfg.Pools, p)
+				cfg.Routes[0].To = append(cfg.Routes[0].To, route.Target{Pool: p.Name, Weight: 1})
+				e, _ := engine.New(engine.Options{Settings: cfg.Settings(p), Clock: clock.New(), Backend: named("x"),
+					Subscribe: func() {}, Pushed: true, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+				go e.Run(b.Context())
+				engines[p.Name] = e
+				all = append(all, e)
+			}
+			v, err := NewView(cfg, engines)
+			if err != nil {
+				b.Fatal(err)
+			}
+			d := New(v)
+			set := cfg.Settings(p)
+			for b.Loop() {
+				d.Swap(v, func() {
+					for _, e := range all {
+						e.Reconfigure(set, true)
+					}
+				})
+			}
+		})
+	}
+}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -17,6 +17,7 @@
 	Request   Request
 
 	answer chan Answer // takes one answer without blocking
+	owner  *Engine     // that took it
 }
 
 // Request is what a server is to get, in the terms that all protocols share (RFC 9110). What is empty was
@@ -37,6 +38,10 @@
 // Answer gives the one final answer, once.
 func (c *Call) Answer() <-chan Answer { return c.answer }
 
+// Leave tells the engine that took the call that its caller has gone at a clock time: nothing more is owed
+// to it. It is for whoever had the call taken.
+func (c *Call) Leave(at time.Duration) { c.owner.post(callerGone{c, at}) }
+
 // Answer is the one final answer to a call.
 type Answer struct {
 	Kind       Kind
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -28,9 +28,15 @@
 		attempt *Attempt
 		outcome Outcome
 	}
-	listNews   struct{ list discovery.List }
-	listFailed struct{}
-	lastCall   struct{} // the node ends: what is unanswered is answered now
+	listNews    struct{ list discovery.List }
+	listFailed  struct{}
+	lastCall    struct{} // the node ends: what is unanswered is answered now
+	reconfigure struct {
+		settings woodpick.Settings
+		pushed   bool
+	}
+	retire struct{}
+	status struct{ to chan Status }
 )
 
 // pending is a call that the module still knows: unanswered, or with attempts out.
@@ -92,13 +98,34 @@
 	more      func() []any
 	log       *slog.Logger
 
-	now     time.Duration
-	pending map[string]*pending
-	alarms  alarms
-	listed  map[string]discovery.Target
-	over    bool        // after lastCall
-	ready   atomic.Bool // a listed server may be sent to
-	stats   stats
+	now      time.Duration
+	pending  map[string]*pending
+	alarms   alarms
+	listed   map[string]discovery.Target
+	over     bool        // after lastCall
+	retiring bool        // after retire
+	ready    atomic.Bool // a listed server may be sent to
+	stats    stats
+	total    Totals
+	done     chan struct{} // closed once Run has returned
+}
+
+// Totals count what became of calls since the engine began.
+type Totals struct {
+	Calls   int64 `json:"calls"`
+	Served  int64 `json:"served"`
+	Refused int64 `json:"refused"`
+	Failed  int64 `json:"failed"`
+	Gone    int64 `json:"gone"` // the caller left before its answer
+	Sends   int64 `json:"sends"`
+}
+
+// Status is what an engine holds.
+type Status struct {
+	Totals
+	Open     int `json:"open"`     // calls that are unanswered, or have an attempt out
+	Ready    int `json:"ready"`    // listed servers by their state
+	Draining int `json:"draining"` //
 }
 
 // New returns an Engine that knows no servers yet and does nothing before Run. The error names the setting
@@ -113,16 +140,44 @@
 	}
 	return &Engine{clock: o.Clock, balancer: b, backend: o.Backend, subscribe: o.Subscribe, pushed: o.Pushed,
 		more: o.Report, log: o.Log, events: make(chan event, 1024),
-		pending: map[string]*pending{}, listed: map[string]discovery.Target{}}, nil
+		pending: map[string]*pending{}, listed: map[string]discovery.Target{}, done: make(chan struct{})}, nil
 }
 
-func (eng *Engine) post(e event) { eng.events <- e }
+// post hands an event to the loop, or to nobody once that has ended.
+func (eng *Engine) post(e event) {
+	select {
+	case eng.events <- e:
+	case <-eng.done:
+	}
+}
 
-// Take takes a call over: its answer comes on its channel.
-func (eng *Engine) Take(c *Call) { eng.post(arrived{c}) }
+// Take takes a call over: its answer comes on its channel. It must not be called once Retire was.
+func (eng *Engine) Take(c *Call) {
+	c.owner = eng
+	eng.post(arrived{c})
+}
 
-// Leave says that a call's caller has gone at a clock time: nothing more is owed to it.
-func (eng *Engine) Leave(c *Call, at time.Duration) { eng.post(callerGone{c, at}) }
+// Reconfigure has the module decide by other settings from the next event on. Settings that New would refuse
+// change nothing.
+func (eng *Engine) Reconfigure(s woodpick.Settings, pushed bool) { eng.post(reconfigure{s, pushed}) }
+
+// Retire has Run return once every call that was taken is answered and its attempts have ended.
+func (eng *Engine) Retire() { eng.post(retire{}) }
+
+// Done is closed once Run has returned.
+func (eng *Engine) Done() <-chan struct{} { return eng.done }
+
+// Status tells what the engine holds now; nothing once Run has returned.
+func (eng *Engine) Status() Status {
+	to := make(chan Status, 1)
+	eng.post(status{to})
+	select {
+	case s := <-to:
+		return s
+	case <-eng.done:
+		return Status{}
+	}
+}
 
 // TakeList brings news of the servers.
 func (eng *Engine) TakeList(news discovery.List) { eng.post(listNews{news}) }
@@ -142,14 +197,22 @@
 // statsEvery is how often the log tells what happened, when anything did.
 const statsEvery = 10 * time.Second
 
-// Run handles events until ctx ends.
+// Run handles events until ctx ends, or until all is over after Retire. What is out by then is called off.
 func (eng *Engine) Run(ctx context.Context) {
+	defer close(eng.done)
+	defer func() {
+		for _, p := range eng.pending {
+			for _, a := range p.attempts {
+				a.Cancel()
+			}
+		}
+	}()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	report := time.NewTicker(statsEvery)
 	defer report.Stop()
 	defer eng.report()
-	for {
+	for !eng.retiring || len(eng.pending) > 0 {
 		eng.ring()
 		if len(eng.alarms) > 0 {
 			timer.Reset(max(0, eng.clock.Until(eng.alarms[0].at)))
@@ -183,17 +246,18 @@
 	switch e := e.(type) {
 	case arrived:
 		eng.lag(e.call.At)
-		if eng.over {
+		eng.stats.Requests++
+		if eng.over || eng.retiring {
 			eng.stats.Refused++
 			e.call.answer <- Answer{Kind: Refused, RetryAfter: time.Second}
 			return
 		}
 		if eng.pending[e.call.ID] != nil {
 			// The module ignores a second request with an id that it knows, so nobody would answer.
+			eng.stats.Requests--
 			e.call.answer <- Answer{Kind: Duplicate}
 			return
 		}
-		eng.stats.Requests++
 		eng.pending[e.call.ID] = &pending{call: e.call}
 		eng.handle(e.call.At, woodpick.Request{ID: e.call.ID, Class: e.call.Class, Deadline: e.call.Deadline})
 	case callerGone:
@@ -216,9 +280,40 @@
 		eng.takeList(e.list, false)
 	case listFailed:
 		eng.handle(eng.clock.Now(), woodpick.ListFailed{})
+	case reconfigure:
+		eng.pushed = e.pushed
+		eng.handle(eng.clock.Now(), woodpick.Reconfigure{Settings: e.settings})
+	case retire:
+		eng.retiring = true
+	case status:
+		e.to <- eng.status()
 	}
 }
 
+func (eng *Engine) status() Status {
+	s := Status{Totals: eng.total, Open: len(eng.pending)}
+	s.add(eng.stats)
+	for _, t := range eng.listed {
+		switch t.State {
+		case woodpick.Ready:
+			s.Ready++
+		case woodpick.Draining:
+			s.Draining++
+		}
+	}
+	return s
+}
+
+// add counts what happened since the last report.
+func (t *Totals) add(s stats) {
+	t.Calls += int64(s.Requests)
+	t.Served += int64(s.Served)
+	t.Refused += int64(s.Refused)
+	t.Failed += int64(s.Failed)
+	t.Gone += int64(s.Gone)
+	t.Sends += int64(s.Sends)
+}
+
 // giveUp answers a call that the node will not be there for, as its caller leaving would end it.
 func (eng *Engine) giveUp(p *pending) {
 	if p.answered {
@@ -357,6 +452,7 @@
 // report logs what happened since the last report.
 func (eng *Engine) report() {
 	s := eng.stats
+	eng.total.add(s)
 	eng.stats = stats{}
 	if s.Events == 0 {
 		return
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -139,7 +139,7 @@
 	c := newCall(e, "id", "note")
 	e.Take(c)
 	a, _ := s.expect(t)
-	e.Leave(c, e.clock.Now())
+	c.Leave(e.clock.Now())
 	standin.Receive(t, a.Context().Done(), "the cancel")
 	standin.Until(t, "the id to be free", func() bool {
 		again := newCall(e, "id", "note")
@@ -190,3 +190,47 @@
 		}
 	}
 }
+
+// A retired engine answers what it has taken, by the servers that it has, and ends; what was learned of it
+// last is in its status.
+func TestRetireEndsOnceAllIsAnswered(t *testing.T) {
+	s := newScript()
+	e := newEngine(t, s, servers("s1", "s2"))
+	go e.Run(t.Context())
+	out := newCall(e, "out", "view")
+	e.Take(out)
+	_, end := s.expect(t)
+	e.Retire()
+	if got := e.Status(); got.Open != 1 || got.Ready != 2 || got.Calls != 1 {
+		t.Errorf("%+v", got)
+	}
+	end <- Outcome{Ending: woodpick.Broken, At: e.clock.Now()}
+	_, end = s.expect(t) // still tried again: it is the engine's own
+	end <- Outcome{Ending: woodpick.Success, At: e.clock.Now()}
+	if a := standin.Receive(t, out.Answer(), "the answer"); a.Kind != Served {
+		t.Errorf("kind %d", a.Kind)
+	}
+	standin.Receive(t, e.Done(), "the end")
+	out.Leave(e.clock.Now()) // blocks nobody
+	if got := e.Status(); got != (Status{}) {
+		t.Errorf("%+v after the end", got)
+	}
+}
+
+// Calls that are out when their class turns unsafe are not sent again.
+func TestReconfigureTightensWhatIsOut(t *testing.T) {
+	s := newScript()
+	e := newEngine(t, s, servers("s1", "s2"))
+	go e.Run(t.Context())
+	out := newCall(e, "out", "view")
+	e.Take(out)
+	_, end := s.expect(t)
+	next := settings()
+	next.Classes[0].Effect = woodpick.Unsafe
+	e.Reconfigure(next, true)
+	e.Status() // the loop has come so far
+	end <- Outcome{Ending: woodpick.Broken, At: e.clock.Now()}
+	if a := standin.Receive(t, out.Answer(), "the answer"); a.Kind != Failed || len(s.attempts) > 0 {
+		t.Errorf("kind %d, %d more attempts", a.Kind, len(s.attempts))
+	}
+}
--- a/internal/http1/back.go
+++ b/internal/http1/back.go
@@ -17,6 +17,7 @@
 
 	"woodpick"
 	"woodpick/internal/clock"
+	"woodpick/internal/descriptors"
 	"woodpick/internal/discovery"
 	"woodpick/internal/engine"
 )
@@ -76,32 +77,51 @@
 // Back runs attempts over pools of kept connections, the last used first. http.Transport would
 // send some requests again by itself, and does not tell whether the last byte was written.
 type Back struct {
-	clock   clock.Clock
-	dialer  net.Dialer
-	idleFor time.Duration
-	most    int // connections open or being opened
-
-	mu   sync.Mutex
-	idle map[discovery.Host][]*conn // the oldest first
-	open int
-	made int
-	seen map[string]discovery.Target // the listed servers by uid
+	clock clock.Clock
+	share *descriptors.Share // of all connections to servers, over all pools
+
+	mu     sync.Mutex
+	limits Limits
+	idle   map[discovery.Host][]*conn // the oldest first
+	open   int
+	made   int
+	seen   map[string]discovery.Target // the listed servers by uid
+	closed bool
 }
 
-// BackOptions are what a Back is told.
-type BackOptions struct {
-	Clock          clock.Clock
-	Most           int           // connections open or being opened
-	ConnectTimeout time.Duration // for a connection to come up
-	Idle           time.Duration // a server closes a connection that has been idle for so long
+// Limits bound connections to servers.
+type Limits struct {
+	Most           int           // open or being opened
+	ConnectTimeout time.Duration // for one to come up
+	Idle           time.Duration // a server closes one that has been idle for so long
 }
 
+// keep is how long a connection may be idle: closed a little before the server does, or a request might cross
+// its close and end as a reset.
+func (l Limits) keep() time.Duration { return l.Idle - l.Idle/10 }
+
 // NewBack returns a Back that knows no servers yet.
-func NewBack(o BackOptions) *Back {
-	return &Back{clock: o.Clock, most: o.Most, idle: map[discovery.Host][]*conn{}, seen: map[string]discovery.Target{},
-		dialer: net.Dialer{Timeout: o.ConnectTimeout, KeepAlive: -1},
-		// Closed a little before the server does, or a request might cross its close and end as a reset.
-		idleFor: o.Idle - o.Idle/10}
+func NewBack(c clock.Clock, share *descriptors.Share, l Limits) *Back {
+	return &Back{clock: c, share: share, limits: l, idle: map[discovery.Host][]*conn{}, seen: map[string]discovery.Target{}}
+}
+
+// SetLimits changes the limits. Connections that are being opened go by the old ones; idle ones beyond the new
+// ones are closed, the oldest first.
+func (b *Back) SetLimits(l Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = l
+	for b.open > l.Most && b.dropOldest() {
+	}
+}
+
+// Close closes the idle connections, and from now on every other once its attempt has ended.
+func (b *Back) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	for b.dropOldest() {
+	}
 }
 
 // errNoRoom says that the node is out of descriptors, which is no server's fault.
@@ -207,10 +227,13 @@
 	if c != nil || err != nil {
 		return c, false, err
 	}
-	nc, err := b.dialer.DialContext(ctx, "tcp", to.Endpoint)
+	b.mu.Lock()
+	dialer := net.Dialer{Timeout: b.limits.ConnectTimeout, KeepAlive: -1}
+	b.mu.Unlock()
+	nc, err := dialer.DialContext(ctx, "tcp", to.Endpoint)
 	if err != nil {
 		b.mu.Lock()
-		b.open--
+		b.release()
 		b.mu.Unlock()
 		for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL} {
 			if errors.Is(err, own) {
@@ -257,30 +280,43 @@
 		c.waiter, c.stage = waiter, resting
 		return c, nil
 	}
-	if b.open >= b.most {
-		var oldest *conn
-		for _, free := range b.idle {
-			if len(free) > 0 && (oldest == nil || free[0].since < oldest.since) {
-				oldest = free[0]
-			}
-		}
-		if oldest == nil {
+	for b.open >= b.limits.Most || !b.share.Take() {
+		if !b.dropOldest() {
 			return nil, errNoRoom
 		}
-		b.drop(oldest)
 	}
 	b.open++
 	b.made++
 	return nil, nil
 }
 
+// release gives a connection's place back. The caller holds mu.
+func (b *Back) release() {
+	b.open--
+	b.share.Give()
+}
+
+// dropOldest closes the connection that has been idle for longest, if there is one. The caller holds mu.
+func (b *Back) dropOldest() bool {
+	var oldest *conn
+	for _, free := range b.idle {
+		if len(free) > 0 && (oldest == nil || free[0].since < oldest.since) {
+			oldest = free[0]
+		}
+	}
+	if oldest != nil {
+		b.drop(oldest)
+	}
+	return oldest != nil
+}
+
 // drop closes a connection and forgets it. The caller holds mu.
 func (b *Back) drop(c *conn) {
 	if c.dead {
 		return
 	}
 	c.dead = true
-	b.open--
+	b.release()
 	c.Close()
 	free := b.idle[c.to]
 	for i, o := range free {
@@ -326,7 +362,7 @@
 // rest keeps a connection for the next attempt, if its server is still the one that it was made to. The
 // caller holds mu.
 func (b *Back) rest(c *conn) {
-	if t, listed := b.seen[c.to.Server]; !listed || t.State != woodpick.Ready || t.Host() != c.to {
+	if t, listed := b.seen[c.to.Server]; b.closed || !listed || t.State != woodpick.Ready || t.Host() != c.to {
 		b.drop(c)
 		return
 	}
@@ -483,22 +519,19 @@
 
 // Sweep closes connections that have been idle for too long, until ctx ends.
 func (b *Back) Sweep(ctx context.Context) {
-	every := time.NewTicker(max(b.idleFor/20, time.Millisecond))
-	defer every.Stop()
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-every.C:
-		}
 		b.mu.Lock()
+		keep := b.limits.keep()
 		for _, free := range b.idle {
-			for len(free) > 0 && b.clock.Now()-free[0].since >= b.idleFor {
+			for len(free) > 0 && b.clock.Now()-free[0].since >= keep {
 				c := free[0]
 				b.drop(c)
 				free = b.idle[c.to]
 			}
 		}
 		b.mu.Unlock()
+		if clock.Sleep(ctx, max(keep/20, time.Millisecond)); ctx.Err() != nil {
+			return
+		}
 	}
 }
--- a/internal/http1/back_test.go
+++ b/internal/http1/back_test.go
@@ -20,7 +20,7 @@
 )
 
 func testBackend(most int) *Back {
-	return NewBack(BackOptions{Clock: clock.New(), Most: most, ConnectTimeout: standin.Limit, Idle: time.Minute})
+	return newBack(clock.New(), most)
 }
 
 // testHost has the backend know a server that is named by its endpoint.
@@ -143,7 +143,7 @@
 		defer c.Close()
 	}
 	b := testBackend(10)
-	b.dialer.Timeout = 50 * time.Millisecond
+	b.limits.ConnectTimeout = 50 * time.Millisecond
 	if r := run(t, b, testAttempt(b, addr)); r.Ending != woodpick.Unreachable || b.open != 0 {
 		t.Errorf("ending %d, %d open", r.Ending, b.open)
 	}
@@ -180,6 +180,7 @@
 func (b *Back) adopt(nc net.Conn, to discovery.Host) {
 	waiter := make(chan reply, 1)
 	b.open++
+	b.share.Take()
 	c := b.watch(nc, to, waiter)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -214,6 +215,7 @@
 			b := testBackend(10)
 			h := testHost(b, s.Address())
 			b.open = 1
+			b.share.Take()
 			b.idle[h] = []*conn{{Conn: nc, to: h}} // with no reader
 			if say == "" {
 				other.Close()
@@ -249,6 +251,7 @@
 	b := testBackend(10)
 	waiter := make(chan reply, 1)
 	b.open = 1
+	b.share.Take()
 	c := b.watch(nc, testHost(b, "127.0.0.1:1"), waiter)
 	if b.begin(c, waiter) || b.open != 0 {
 		t.Errorf("a request is written to a closed connection, or it is still counted: %d open", b.open)
@@ -308,7 +311,7 @@
 func TestIdleConnectionsCloseBeforeTheServersDo(t *testing.T) {
 	s := standin.NewServer(t, standin.Echo)
 	b := testBackend(10)
-	b.idleFor = 20 * time.Millisecond
+	b.limits.Idle = 20 * time.Millisecond
 	run(t, b, testAttempt(b, s.Address()))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -318,7 +321,45 @@
 		defer b.mu.Unlock()
 		return b.open == 0 && len(b.idle) == 0
 	})
-	if full := testBackend(1); full.idleFor >= time.Minute {
-		t.Errorf("kept for %v", full.idleFor)
+	if l := (Limits{Idle: time.Minute}); l.keep() >= time.Minute {
+		t.Errorf("kept for %v", l.keep())
+	}
+}
+
+// Limits change while the back runs: idle connections beyond the new bound are closed, and the share of all
+// pools bounds each of them too.
+func TestLimitsChange(t *testing.T) {
+	one, two := standin.NewServer(t, standin.Echo), standin.NewServer(t, standin.Echo)
+	b := testBackend(2)
+	for _, s := range []*standin.Server{one, two} {
+		if r := run(t, b, testAttempt(b, s.Address())); r.Ending != woodpick.Success {
+			t.Fatalf("ending %d", r.Ending)
+		}
+	}
+	b.SetLimits(Limits{Most: 1, ConnectTimeout: standin.Limit, Idle: time.Minute})
+	if b.Connections() != 1 || b.share.Used() != 1 {
+		t.Errorf("%d connections, %d descriptors", b.Connections(), b.share.Used())
+	}
+	if r := run(t, b, testAttempt(b, two.Address())); r.Ending != woodpick.Success || two.Opened() != 1 {
+		t.Errorf("ending %d on connection %d: the one idle for longest should have gone", r.Ending, two.Opened())
+	}
+	other := NewBack(clock.New(), b.share, Limits{Most: 10, ConnectTimeout: standin.Limit, Idle: time.Minute})
+	b.share.Resize(1)
+	if r := run(t, other, testAttempt(other, one.Address())); r.Ending != woodpick.Void {
+		t.Errorf("with no descriptor left for servers: ending %d, want Void", r.Ending)
+	}
+	b.Close()
+	if b.Connections() != 0 || b.share.Used() != 0 {
+		t.Errorf("%d connections, %d descriptors after Close", b.Connections(), b.share.Used())
+	}
+	if r := run(t, other, testAttempt(other, one.Address())); r.Ending != woodpick.Success {
+		t.Errorf("ending %d", r.Ending)
+	}
+	if r := run(t, b, testAttempt(b, one.Address())); r.Ending != woodpick.Void { // the other has the only one
+		t.Errorf("ending %d", r.Ending)
+	}
+	other.Close()
+	if r := run(t, b, testAttempt(b, one.Address())); r.Ending != woodpick.Success || b.Connections() != 0 {
+		t.Errorf("after Close: ending %d, %d connections kept", r.Ending, b.Connections())
 	}
 }
--- a/internal/http1/callers.go
+++ b/internal/http1/callers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -31,12 +32,12 @@
 // place without a request makes room first; only if nobody does, requests are refused.
 type Callers struct {
 	clock   clock.Clock
-	room    int        // descriptors for callers and servers together
-	least   int        // of these the servers' connections may always have
-	servers func() int // how many they have
+	servers func() int // how many descriptors the servers' connections have
 	spare   int        // descriptors beyond room for callers whose requests are read only to be refused
 
 	mu      sync.Mutex
+	room    int // descriptors for callers and servers together
+	least   int // of these the servers' connections may always have
 	conns   map[*callerConn]struct{}
 	leaving int // let go and not closed yet
 	opened  int // with a request open
@@ -90,6 +91,7 @@
 	cut      bool      // leaving, whatever still comes
 	deadline time.Time // as net/http wants it
 
+	front    *Front
 	callers  *Callers
 	activity // guarded by Callers.mu
 }
@@ -170,6 +172,7 @@
 // callerListener makes callerConns.
 type callerListener struct {
 	net.Listener
+	front   *Front
 	callers *Callers
 }
 
@@ -178,6 +181,9 @@
 func (l callerListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, errReleased
+		}
 		if err != nil {
 			return nil, err // as it is: net/http looks at its kind
 		}
@@ -185,10 +191,17 @@
 			c.Close()
 			continue
 		}
-		return &callerConn{Conn: c, callers: l.callers}, nil
+		return &callerConn{Conn: c, front: l.front, callers: l.callers}, nil
 	}
 }
 
+// errReleased ends a front's accepting from a listener that goes on without it. The deadline itself would look
+// passing to net/http, which would wait and accept again.
+var errReleased = errors.New("the listener is released")
+
+// Close leaves the listener to whoever opened it: net/http closes what it has accepted from.
+func (callerListener) Close() error { return nil }
+
 type connKey struct{}
 
 // withConn has a request's context tell its connection.
@@ -343,17 +356,21 @@
 	}
 }
 
-// LetQuietGo closes the callers' idle connections, and those that have sent nothing yet. It returns how
-// many of all are left.
-func (s *Callers) LetQuietGo() int {
+// letQuietGo closes the idle connections of a front, and those that have sent nothing yet. It returns how
+// many of all that it has are left.
+func (s *Callers) letQuietGo(f *Front) (left int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
+		if c.front != f {
+			continue
+		}
+		left++
 		if c.phase == idle || c.phase == silent && !c.hasBegun() {
 			s.letGo(c)
 		}
 	}
-	return len(s.conns)
+	return left
 }
 
 // Held is how many connections there are.
@@ -363,6 +380,15 @@
 	return len(s.conns)
 }
 
+// Resize changes how many descriptors there are for callers and servers together. Callers beyond are let go
+// as others come.
+func (s *Callers) Resize(room int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.room, s.least = room, room/4
+	s.makeRoom()
+}
+
 // Report tells, for the log, what became of connections since the last report, and how many there are.
 func (s *Callers) Report() []any {
 	s.mu.Lock()
--- a/internal/http1/callers_test.go
+++ b/internal/http1/callers_test.go
@@ -87,7 +87,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { theirs.Close() })
-		c, err := callerListener{ln, f}.Accept()
+		c, err := callerListener{ln, nil, f}.Accept()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"math"
@@ -16,7 +17,10 @@
 
 	"woodpick"
 	"woodpick/internal/clock"
+	"woodpick/internal/config"
+	"woodpick/internal/dispatch"
 	"woodpick/internal/engine"
+	"woodpick/internal/route"
 )
 
 // Limits on what a caller may make the node wait for.
@@ -30,33 +34,20 @@
 	deadlineSlack = 2 // times the class's deadline that X-Deadline may be
 )
 
-// Service is what a Front takes calls for.
-type Service interface {
-	// Ready says that callers may be sent here.
-	Ready() bool
-	// Class tells of a class of calls, if there is one of that name.
-	Class(name string) (woodpick.Class, bool)
-	// Take takes a call over; its answer comes on its channel.
-	Take(*engine.Call)
-	// Leave says that a call's caller has gone at a clock time.
-	Leave(c *engine.Call, at time.Duration)
-}
-
-// Front serves callers: exactly one answer for each request taken.
+// Front serves callers of one listener: exactly one answer for each request taken.
 type Front struct {
+	listener string // its name in the configuration
 	clock    clock.Clock
-	service  Service
+	calls    *dispatch.Dispatcher
 	callers  *Callers
 	draining atomic.Bool // unready
 	closing  atomic.Bool // each answer closes its connection
 	server   *http.Server
-	advice   time.Duration // when to come back after a refusal for want of descriptors
 }
 
-// NewFront returns a Front that serves nobody before Serve. advice is when to come back after a refusal for
-// want of descriptors.
-func NewFront(c clock.Clock, callers *Callers, service Service, advice time.Duration, log *slog.Logger) *Front {
-	f := &Front{clock: c, service: service, callers: callers, advice: advice}
+// NewFront returns a Front that serves nobody before Serve.
+func NewFront(listener string, c clock.Clock, callers *Callers, calls *dispatch.Dispatcher, log *slog.Logger) *Front {
+	f := &Front{listener: listener, clock: c, calls: calls, callers: callers}
 	f.server = &http.Server{
 		Handler:                      f,
 		ReadTimeout:                  readTimeout,
@@ -70,8 +61,9 @@
 	return f
 }
 
-// Serve accepts callers until the listener fails or is closed, and returns its error.
-func (f *Front) Serve(ln net.Listener) error { return f.server.Serve(callerListener{ln, f.callers}) }
+// Serve accepts callers until the listener fails, is closed or has a deadline in the past, and returns its
+// error.
+func (f *Front) Serve(ln net.Listener) error { return f.server.Serve(callerListener{ln, f, f.callers}) }
 
 // Unready has the health answer say from now on that no callers should be sent here.
 func (f *Front) Unready() { f.draining.Store(true) }
@@ -79,6 +71,9 @@
 // Close has each answer from now on close its connection.
 func (f *Front) Close() { f.closing.Store(true) }
 
+// LetQuietGo closes the connections of callers that ask nothing. It returns how many are left.
+func (f *Front) LetQuietGo() int { return f.callers.letQuietGo(f) }
+
 // health tells the front whether to send callers here.
 func (f *Front) health(w http.ResponseWriter, r *http.Request) {
 	switch {
@@ -86,7 +81,7 @@
 		http.Error(w, "only GET is served", http.StatusMethodNotAllowed)
 		return
 	case f.draining.Load():
-	case !f.service.Ready():
+	case !f.calls.View().Ready():
 		w.Header().Del("Connection")
 	default:
 		w.Header().Del("Connection")
@@ -104,14 +99,10 @@
 		f.health(w, r)
 		return
 	}
-	c, err := f.readCall(w, r)
+	view := f.calls.View()
+	in, err := f.readRequest(view, r)
 	if err != nil {
-		status := http.StatusBadRequest
-		var no *rejected
-		if errors.As(err, &no) {
-			status = no.status
-		}
-		http.Error(w, err.Error(), status)
+		f.reject(w, view, err)
 		return
 	}
 	rc := http.NewResponseController(w)
@@ -120,16 +111,61 @@
 		w.Header().Del("Connection")
 	}
 	if !f.callers.open(connOf(r.Context())) {
-		f.write(w, engine.Answer{Kind: engine.Refused, RetryAfter: f.advice})
+		f.write(w, engine.Answer{Kind: engine.Refused, RetryAfter: view.ComeBack()})
+		return
+	}
+	c, err := f.take(view, in, r)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		f.reject(w, view, err)
 		return
 	}
-	f.service.Take(c)
 	select {
 	case a := <-c.Answer():
 		f.write(w, a)
 	case <-r.Context().Done():
-		f.service.Leave(c, f.clock.Now())
+		c.Leave(f.clock.Now())
+	}
+}
+
+// take has a request taken under the view of now. One that was read under another is looked at again: what it
+// may do can have changed meanwhile.
+func (f *Front) take(view *dispatch.View, in request, r *http.Request) (*engine.Call, error) {
+	for {
+		c := engine.NewCall(in.id, engine.Request{Method: r.Method, Target: in.target, Key: in.key,
+			ContentType: r.Header.Get("Content-Type"), Body: in.body})
+		c.Class, c.At, c.Deadline = in.class, in.at, in.at+in.wait
+		switch err := f.calls.Take(view, c, &in.route); {
+		case err == nil:
+			return c, nil
+		case errors.Is(err, dispatch.ErrNoRoute):
+			return nil, &rejected{http.StatusNotFound, err.Error()}
+		}
+		view = f.calls.View()
+		again, err := f.check(view, r)
+		if err != nil {
+			return nil, err
+		}
+		again.body, again.at = in.body, in.at
+		in = again
+	}
+}
+
+// errGone says that the listener that a request came by is no longer there.
+var errGone = errors.New("this listener is gone")
+
+// reject answers a request that can't be used, or whose listener has gone, with its connection's end.
+func (f *Front) reject(w http.ResponseWriter, view *dispatch.View, err error) {
+	if errors.Is(err, errGone) {
+		f.write(w, engine.Answer{Kind: engine.Refused, RetryAfter: view.ComeBack()})
+		return
+	}
+	status := http.StatusBadRequest
+	var no *rejected
+	if errors.As(err, &no) {
+		status = no.status
 	}
+	http.Error(w, err.Error(), status)
 }
 
 // rejected is a request that can't be used: it is answered without a look at any server.
@@ -140,60 +176,98 @@
 
 func (r *rejected) Error() string { return r.reason }
 
-// readCall reads a request whole and checks what the node and the servers rely on. What it turns away
-// here has been sent to no server.
-func (f *Front) readCall(w http.ResponseWriter, r *http.Request) (*engine.Call, error) {
-	c := engine.NewCall(r.Header.Get("X-Request-Id"), engine.Request{Method: r.Method, Target: r.RequestURI,
-		Key: r.Header.Get("Idempotency-Key"), ContentType: r.Header.Get("Content-Type")})
-	if err := f.check(c, r); err != nil {
-		return nil, err
+// request is what the node needs of a request.
+type request struct {
+	id, key, class string
+	target         string        // path and query, as servers are to get them
+	wait           time.Duration // how long its caller waits
+	route          route.Call
+	body           []byte
+	at             time.Duration // clock time when its last byte was read
+}
+
+// readRequest reads a request whole and checks what the node and the servers rely on. What it turns away here
+// has been sent to no server.
+func (f *Front) readRequest(view *dispatch.View, r *http.Request) (request, error) {
+	in, err := f.check(view, r)
+	if err != nil {
+		return request{}, err
 	}
 	if r.ContentLength > 0 {
-		var err error
-		if c.Request.Body, err = io.ReadAll(r.Body); err != nil {
-			return nil, &rejected{http.StatusBadRequest, "the body is not whole"}
+		if in.body, err = io.ReadAll(r.Body); err != nil {
+			return request{}, &rejected{http.StatusBadRequest, "the body is not whole"}
 		}
 	}
-	c.At = f.clock.Now()
-	c.Deadline += c.At
-	return c, nil
+	in.at = f.clock.Now()
+	return in, nil
 }
 
-// check tells what is wrong with a request's head, and fills in its class and how long it may take. A
-// class that does not exist would be sent on as an unsafe one, only for the servers to turn it away,
-// and the module would take that for their ill health.
-func (f *Front) check(c *engine.Call, r *http.Request) error {
-	path, _, _ := strings.Cut(c.Request.Target, "?")
-	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	class, known := f.service.Class(name)
+// check tells what is wrong with a request's head, and reads its class and how long it may take. A class that
+// does not exist would be sent on as an unsafe one, only for the servers to turn it away, and the module would
+// take that for their ill health.
+func (f *Front) check(view *dispatch.View, r *http.Request) (request, error) {
+	l, listening := view.Listener(f.listener)
+	if !listening || l.Protocol != config.HTTP1 {
+		return request{}, errGone
+	}
+	in := request{id: r.Header.Get("X-Request-Id"), key: r.Header.Get("Idempotency-Key"), target: r.RequestURI}
+	path, query, asked := strings.Cut(r.RequestURI, "?")
+	path, misread := readPath(path, l.Paths)
+	if asked && misread == nil && l.Paths != config.PathsAsSent {
+		in.target = path + "?" + query
+	} else if l.Paths != config.PathsAsSent {
+		in.target = path
+	}
+	in.class, _, _ = strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	class, known := view.Class(in.class)
 	wait, err := parseWait(r.Header["X-Deadline"])
 	keyed := len(r.Header["Idempotency-Key"])
 	switch {
-	case c.Request.Method != http.MethodGet && c.Request.Method != http.MethodPost:
-		return &rejected{http.StatusMethodNotAllowed, "only GET and POST are served"}
+	case r.Method != http.MethodGet && r.Method != http.MethodPost:
+		return request{}, &rejected{http.StatusMethodNotAllowed, "only GET and POST are served"}
 	case len(r.TransferEncoding) > 0:
 		// net/http drops a Content-Length beside it, so a request hidden in the body would pass on
 		// unseen. The protocol has lengths only.
-		return &rejected{http.StatusLengthRequired, "a body needs a Content-Length and no transfer coding"}
+		return request{}, &rejected{http.StatusLengthRequired, "a body needs a Content-Length and no transfer coding"}
+	case misread != nil:
+		return request{}, &rejected{http.StatusBadRequest, "the path: " + misread.Error()}
 	case !strings.HasPrefix(path, "/") || !known:
-		return &rejected{http.StatusNotFound, "the path names no class"}
-	case (class.Effect == woodpick.Safe) != (c.Request.Method == http.MethodGet):
-		return &rejected{http.StatusMethodNotAllowed, "the class is not asked for by this method"}
-	case keyed > 1 || (keyed == 1) != (class.Effect == woodpick.Keyed) || keyed == 1 && c.Request.Key == "":
-		return &rejected{http.StatusBadRequest, "Idempotency-Key does not fit the class, or comes twice"}
-	case c.ID == "" || len(c.ID) > maxID || len(r.Header["X-Request-Id"]) > 1:
-		return &rejected{http.StatusBadRequest, "X-Request-Id is missing, too long, or comes twice"}
+		return request{}, &rejected{http.StatusNotFound, "the path names no class"}
+	case l.Paths == config.PathsAsSent && !route.Agrees(path, in.class):
+		return request{}, &rejected{http.StatusBadRequest, "the path can be read as one of another class"}
+	case (class.Effect == woodpick.Safe) != (r.Method == http.MethodGet):
+		return request{}, &rejected{http.StatusMethodNotAllowed, "the class is not asked for by this method"}
+	case keyed > 1 || (keyed == 1) != (class.Effect == woodpick.Keyed) || keyed == 1 && in.key == "":
+		return request{}, &rejected{http.StatusBadRequest, "Idempotency-Key does not fit the class, or comes twice"}
+	case in.id == "" || len(in.id) > maxID || len(r.Header["X-Request-Id"]) > 1:
+		return request{}, &rejected{http.StatusBadRequest, "X-Request-Id is missing, too long, or comes twice"}
 	case err != nil:
-		return &rejected{http.StatusBadRequest, err.Error()}
+		return request{}, &rejected{http.StatusBadRequest, err.Error()}
 	case wait > deadlineSlack*class.Deadline:
-		return &rejected{http.StatusBadRequest, "X-Deadline is far beyond the class's"}
+		return request{}, &rejected{http.StatusBadRequest, "X-Deadline is far beyond the class's"}
 	case r.ContentLength > maxBody:
-		return &rejected{http.StatusRequestEntityTooLarge, "the body is too long"}
-	case r.ContentLength > 0 && c.Request.Method == http.MethodGet:
-		return &rejected{http.StatusBadRequest, "GET has no body"}
+		return request{}, &rejected{http.StatusRequestEntityTooLarge, "the body is too long"}
+	case r.ContentLength > 0 && r.Method == http.MethodGet:
+		return request{}, &rejected{http.StatusBadRequest, "GET has no body"}
+	}
+	in.wait = wait
+	in.route = route.Call{Listener: f.listener, Class: in.class, Host: r.Host, Path: path, Headers: r.Header, Draw: in.id}
+	if class.Effect == woodpick.Keyed {
+		in.route.Draw = in.key // a repeat must meet the servers that know its key
+	}
+	return in, nil
+}
+
+// readPath is the path that class and routes are told by, and unless paths pass as sent, that servers get.
+func readPath(raw string, how config.Paths) (string, error) {
+	if how == config.PathsAsSent || !strings.HasPrefix(raw, "/") {
+		return raw, nil
+	}
+	plain, reading, err := route.Read(raw)
+	if err == nil && reading == route.Moved && how != config.NormalizePaths {
+		err = fmt.Errorf("servers could read it otherwise; its plain form is %s", plain)
 	}
-	c.Class, c.Deadline = name, wait
-	return nil
+	return plain, err
 }
 
 // parseWait reads X-Deadline: seconds in digits, with decimals or without, and nothing else that
--- a/internal/http1/front_test.go
+++ b/internal/http1/front_test.go
@@ -10,7 +10,9 @@
 	"testing"
 	"time"
 
+	"woodpick/internal/config"
 	"woodpick/internal/discovery"
+	"woodpick/internal/route"
 	"woodpick/internal/standin"
 )
 
@@ -133,8 +135,8 @@
 		return false
 	})
 	cfg := testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service")))
-	for i := range cfg.Settings.Classes {
-		cfg.Settings.Classes[i].Aim = 300 * time.Millisecond
+	for i := range cfg.Classes {
+		cfg.Classes[i].Aim = config.Duration(300 * time.Millisecond)
 	}
 	n := start(t, cfg, nil)
 	c := standin.Dial(t, n.Addr())
@@ -327,3 +329,98 @@
 		b.Want(t, 200, fmt.Sprint("for held-", i))
 	}
 }
+
+// How a path reaches servers follows from its listener's setting, and no path carries a call of one class to
+// where a server could take it for another's.
+func TestPaths(t *testing.T) {
+	got := make(chan string, 1)
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		got <- r.RequestURI
+		return standin.Reply200(c, "")
+	})
+	for _, c := range []struct {
+		paths          config.Paths
+		method, target string
+		status         int
+		sent           string
+	}{
+		{config.StrictPaths, "GET", "/view/k?a=/../b", 200, "/view/k?a=/../b"},
+		{config.StrictPaths, "GET", "/view/%c3%a9?x", 200, "/view/%C3%A9?x"},
+		{config.StrictPaths, "GET", "/view/../note/k", 400, ""},
+		{config.StrictPaths, "GET", "/view/a//b", 400, ""},
+		{config.StrictPaths, "GET", "/view/a%2fb", 400, ""},
+		{config.StrictPaths, "GET", "/view/..;/note/k", 400, ""},
+		{config.NormalizePaths, "GET", "/view/a/../b//c?d", 200, "/view/b/c?d"},
+		{config.NormalizePaths, "GET", "/view/../note/k", 405, ""}, // it is a note, and those are posted
+		{config.NormalizePaths, "POST", "/view/../note/k", 200, "/note/k"},
+		{config.NormalizePaths, "GET", "/%76iew/k", 200, "/view/k"},
+		{config.NormalizePaths, "GET", "/view/..%2fnote/k", 400, ""},
+		{config.PathsAsSent, "GET", "/view//x/../y%2f?", 200, "/view//x/../y%2f?"},
+		{config.PathsAsSent, "GET", "/view/../note/k", 400, ""},
+		{config.PathsAsSent, "GET", "/view/..%2fnote/k", 400, ""},
+		{config.PathsAsSent, "GET", `/view/..\note`, 400, ""},
+	} {
+		cfg := testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service")))
+		cfg.Listeners[0].Paths = c.paths
+		n := start(t, cfg, nil)
+		caller := standin.Dial(t, n.Addr())
+		caller.Send(c.method, c.target, "id", "", "60")
+		r, body := caller.Answer(t)
+		sent := ""
+		if r.StatusCode == 200 {
+			sent = standin.Receive(t, got, "the request")
+		}
+		if r.StatusCode != c.status || sent != c.sent || len(got) > 0 {
+			t.Errorf("%s: %s %s: %d %q, sent %q; want %d, %q", c.paths, c.method, c.target, r.StatusCode, body, sent, c.status, c.sent)
+		}
+	}
+}
+
+// A request whose head was read under one configuration and whose body came under another is taken under the
+// new one: as what it is there, or not at all.
+func TestRequestIsTakenUnderTheConfigurationOfNow(t *testing.T) {
+	s := standin.NewServer(t, standin.Echo)
+	for _, c := range []struct {
+		name   string
+		change func(*config.Config)
+		status int
+	}{
+		{"nothing of it changes", func(c *config.Config) { c.Classes[1].Worth = 7 }, 200},
+		{"its class is gone", func(c *config.Config) { c.Classes = c.Classes[:1] }, 404},
+		{"its class turns safe", func(c *config.Config) { c.Classes[1].Effect = config.Safe }, 405},
+		{"its class turns keyed", func(c *config.Config) { c.Classes[1].Effect = config.Keyed }, 400},
+		{"its deadline is too long now", func(c *config.Config) { c.Classes[1].Deadline = config.Duration(time.Second) }, 400},
+		{"its listener is gone", func(c *config.Config) { c.Listeners[0].Name = "other" }, 503},
+		{"no route takes it", func(c *config.Config) {
+			c.Routes[0] = route.Route{Name: "r", Classes: []string{"view", "keyed"}, To: c.Routes[0].To}
+			c.Routes = append(c.Routes, route.Route{Name: "n", Classes: []string{"note"}, Hosts: []string{"x"}, To: c.Routes[0].To})
+		}, 404},
+		{"its path is not strict", func(c *config.Config) { c.Listeners[0].Paths = config.StrictPaths }, 400},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), nil)
+			caller := standin.Dial(t, n.Addr())
+			fmt.Fprint(caller, "POST /note//k HTTP/1.1\r\nHost: h\r\nX-Request-Id: id\r\nX-Deadline: 60\r\nContent-Length: 2\r\n\r\no")
+			standin.Until(t, "its head to be read", func() bool {
+				n.callers.mu.Lock()
+				defer n.callers.mu.Unlock()
+				for c := range n.callers.conns {
+					return c.phase == reading
+				}
+				return false
+			})
+			before := s.Seen()
+			next := standin.Config()
+			c.change(next)
+			n.calls.Swap(n.view(t, next), func() {})
+			io.WriteString(caller, "k")
+			r, body := caller.Answer(t)
+			if r.StatusCode != c.status || (s.Seen() > before) != (c.status == 200) {
+				t.Errorf("%d %q, %d reached the server; want %d", r.StatusCode, body, s.Seen()-before, c.status)
+			}
+			if c.status == 503 && (r.Header.Get("Retry-After") == "" || !r.Close) {
+				t.Errorf("Retry-After %q, close %v", r.Header.Get("Retry-After"), r.Close)
+			}
+		})
+	}
+}
--- a/internal/http1/health_test.go
+++ b/internal/http1/health_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"woodpick/internal/config"
 	"woodpick/internal/standin"
 )
 
@@ -171,8 +172,8 @@
 		list = append(list, f.serve(t, uid))
 	}
 	cfg := testConfig(standin.Whole(list...))
-	for i := range cfg.Settings.Classes {
-		cfg.Settings.Classes[i].Aim = 900 * time.Millisecond
+	for i := range cfg.Classes {
+		cfg.Classes[i].Aim = config.Duration(900 * time.Millisecond)
 	}
 	n := start(t, cfg, nil)
 	load(t, n, 24, 8)
@@ -189,7 +190,7 @@
 	f := newFleet(0, 0)
 	f.hangs = 5
 	cfg := testConfig(standin.Whole(f.serve(t, "s1"), f.serve(t, "s2"), f.serve(t, "s3"), f.serve(t, "s4")))
-	cfg.Settings.Tier = 1
+	cfg.Pools[0].Tier = 1
 	n := start(t, cfg, nil)
 	const callers, each = 8, 20
 	var served [2]atomic.Int64 // of the views and of the notes
--- a/internal/http1/rig_test.go
+++ b/internal/http1/rig_test.go
@@ -9,9 +9,11 @@
 	"testing"
 	"time"
 
-	"woodpick"
 	"woodpick/internal/clock"
+	"woodpick/internal/config"
+	"woodpick/internal/descriptors"
 	"woodpick/internal/discovery"
+	"woodpick/internal/dispatch"
 	"woodpick/internal/engine"
 	"woodpick/internal/standin"
 )
@@ -20,30 +22,26 @@
 type rig struct {
 	front   *Front
 	callers *Callers
+	calls   *dispatch.Dispatcher
 	engine  *engine.Engine
 	back    *Back
 	ln      net.Listener
-	classes map[string]woodpick.Class
 }
 
 // rigConfig is what a rig is made of.
 type rigConfig struct {
-	Settings woodpick.Settings
-	Room     int    // descriptors for callers and servers
-	Known    string // the list
+	*config.Config
+	Room  int    // descriptors for callers and servers
+	Known string // the list
 }
 
-// testConfig is a deployment with a class of each kind and long limits.
 func testConfig(known string) rigConfig {
-	class := func(name string, e woodpick.Effect) woodpick.Class {
-		return woodpick.Class{Name: name, Effect: e, Scope: woodpick.ScopeAll, Window: standin.Limit,
-			Aim: standin.Limit, Deadline: 2 * standin.Limit, Worth: 1}
-	}
-	return rigConfig{Room: 976, Known: strings.Replace(known, "%d", "1", 1),
-		Settings: woodpick.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true,
-			Tick: time.Millisecond, MaxRetryAfter: 2 * time.Second, ColdFrom: 1, WholeWeight: 1,
-			Classes: []woodpick.Class{class("view", woodpick.Safe), class("note", woodpick.Unsafe),
-				class("keyed", woodpick.Keyed)}}}
+	return rigConfig{Config: standin.Config(), Room: 976, Known: strings.Replace(known, "%d", "1", 1)}
+}
+
+// newBack is a Back with so many connections at most.
+func newBack(c clock.Clock, most int) *Back {
+	return NewBack(c, descriptors.NewShare(most), Limits{Most: most, ConnectTimeout: standin.Limit, Idle: time.Minute})
 }
 
 // start runs a rig until the test ends.
@@ -51,18 +49,15 @@
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	c := clock.New()
-	n := &rig{classes: map[string]woodpick.Class{}}
-	n.back = NewBack(BackOptions{Clock: c, Most: cfg.Room / 2, ConnectTimeout: standin.Limit, Idle: time.Minute})
+	n := &rig{back: newBack(c, cfg.Room/2)}
 	n.callers = NewCallers(c, cfg.Room, 24, n.back.Connections)
-	for _, c := range cfg.Settings.Classes {
-		n.classes[c.Name] = c
-	}
 	var err error
-	if n.engine, err = engine.New(engine.Options{Settings: cfg.Settings, Seed: 1, Clock: c, Backend: n.back,
+	if n.engine, err = engine.New(engine.Options{Settings: cfg.Settings(cfg.Pools[0]), Seed: 1, Clock: c, Backend: n.back,
 		Subscribe: func() {}, Pushed: true, Log: log}); err != nil {
 		t.Fatal(err)
 	}
-	n.front = NewFront(c, n.callers, n, time.Millisecond, log)
+	n.calls = dispatch.New(n.view(t, cfg.Config))
+	n.front = NewFront("main", c, n.callers, n.calls, log)
 	list, err := discovery.Parse([]byte(cfg.Known))
 	if err != nil {
 		t.Fatal(err)
@@ -82,18 +77,21 @@
 	return n
 }
 
-func (n *rig) Addr() string { return n.ln.Addr().String() }
-
-// The rig is the front's Service.
-
-func (n *rig) Class(name string) (woodpick.Class, bool) {
-	c, ok := n.classes[name]
-	return c, ok
+// view is a configuration over the rig's one engine.
+func (n *rig) view(t *testing.T, cfg *config.Config) *dispatch.View {
+	t.Helper()
+	engines := map[string]*engine.Engine{}
+	for _, p := range cfg.Pools {
+		engines[p.Name] = n.engine
+	}
+	v, err := dispatch.NewView(cfg, engines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
 }
 
-func (n *rig) Ready() bool                            { return n.engine.Ready() }
-func (n *rig) Take(c *engine.Call)                    { n.engine.Take(c) }
-func (n *rig) Leave(c *engine.Call, at time.Duration) { n.engine.Leave(c, at) }
+func (n *rig) Addr() string { return n.ln.Addr().String() }
 
 // tell gives the rig another list.
 func (n *rig) tell(t *testing.T, text string) {
--- a/internal/node/ending.go
+++ b/internal/node/ending.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
 	"woodpick/internal/clock"
 	"woodpick/internal/config"
+	"woodpick/internal/http1"
 )
 
 // How a node ends: it accepts for a while after it was told to, and is done before it would be killed,
@@ -44,26 +44,57 @@
 // then each answer closes its connection. It returns once all are gone, or with an error when it takes too
 // long. http.Server.Shutdown would wait for seconds on connections that never sent a request, past SIGKILL,
 // and close idle ones under a request just read.
-func (n *Node) drain(ctx context.Context, ln net.Listener, e ending) error {
-	ctx, cancel := context.WithTimeout(ctx, e.most)
+func (n *Node) drain() error {
+	n.mu.Lock()
+	n.ending = true
+	close(n.draining)
+	e := endingOf(n.cfg)
+	if n.options.ending != nil {
+		e = *n.options.ending
+	}
+	var fronts []*http1.Front
+	for _, l := range n.listeners {
+		fronts = append(fronts, l.front)
+	}
+	sockets, pools := n.sockets, n.allPools()
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(n.life, e.most)
 	defer cancel()
 	begin := n.clock.Now()
 	since := func() time.Duration { return n.clock.Now() - begin }
-	n.front.Unready()
+	for _, f := range fronts {
+		f.Unready()
+	}
 	clock.Sleep(ctx, e.accept)
-	ln.Close()
+	for _, s := range sockets {
+		if err := s.shut(); err != nil {
+			return err
+		}
+	}
 	for serve := max(e.serve, e.accept+quietGrace); since() < serve && n.callers.Held() > 0; {
 		clock.Sleep(ctx, drainStep)
 	}
-	n.front.Close()
-	for told := false; n.callers.LetQuietGo() > 0; clock.Sleep(ctx, drainStep) {
+	for _, f := range fronts {
+		f.Close()
+	}
+	for told := false; letGo(fronts, n.callers) > 0; clock.Sleep(ctx, drainStep) {
 		if ctx.Err() != nil {
 			return fmt.Errorf("callers are left: %w", ctx.Err())
 		}
 		if !told && since() >= e.last {
-			n.engine.LastCall()
+			for _, p := range pools {
+				p.engine.LastCall()
+			}
 			told = true
 		}
 	}
 	return nil
 }
+
+// letGo closes the fronts' quiet connections and tells how many are left of all.
+func letGo(fronts []*http1.Front, callers *http1.Callers) int {
+	for _, f := range fronts {
+		f.LetQuietGo()
+	}
+	return callers.Held()
+}
--- /dev/null
+++ b/internal/node/listen.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"woodpick/internal/clock"
+	"woodpick/internal/config"
+	"woodpick/internal/http1"
+)
+
+// socket is a listening socket. Which front accepts from it can change while it stays open, so that no caller
+// is refused when a listener gets another name or protocol.
+type socket struct {
+	net.Listener
+	key   string        // of the address in configurations
+	front *http1.Front  // that accepts from it; nil: none yet
+	ended chan error    // what its Serve returned
+	leave chan struct{} // closed when Serve is to return without a failure
+}
+
+// socketKey tells whether two listeners, of one configuration or of two, would have the same socket. One whose
+// port the system chooses is its listener's own.
+func socketKey(l config.Listener) string {
+	if _, port, err := net.SplitHostPort(l.Address); err == nil && port == "0" {
+		return l.Name + " " + l.Address
+	}
+	return l.Address
+}
+
+// accept has a front accept from the socket. If that fails, failed is told why.
+func (s *socket) accept(f *http1.Front, failed func(error)) {
+	s.front, s.ended, s.leave = f, make(chan error, 1), make(chan struct{})
+	ended, leave := s.ended, s.leave
+	go func() {
+		err := f.Serve(s.Listener)
+		select {
+		case <-leave:
+		default:
+			failed(fmt.Errorf("accept at %s: %w", s.Addr(), err))
+		}
+		ended <- err
+	}()
+}
+
+// release has the front accept no more, from a while after now on; callers that have connected by then are
+// its own.
+func (s *socket) release(after time.Duration) error {
+	if s.front == nil {
+		return nil
+	}
+	close(s.leave)
+	if d, ok := s.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		if err := d.SetDeadline(time.Now().Add(after)); err != nil && !errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		<-s.ended
+		s.front = nil
+		return d.SetDeadline(time.Time{})
+	}
+	return errors.ErrUnsupported
+}
+
+// shut closes the socket.
+func (s *socket) shut() error {
+	if s.front != nil && !isClosed(s.leave) {
+		close(s.leave)
+	}
+	err := s.Close()
+	if s.front != nil {
+		<-s.ended
+		s.front = nil
+	}
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// listener is a front and the socket that it accepts from, as a configuration names them.
+type listener struct {
+	cfg    config.Listener
+	socket *socket
+	front  *http1.Front
+}
+
+// Times of a listener that goes: callers that have connected but were not accepted yet are heard, and then
+// each has its answer and is let go.
+const (
+	lastAccepts = 50 * time.Millisecond
+	letGoStep   = 20 * time.Millisecond
+)
+
+// retireFront lets the callers of a front go until none is left.
+func (n *Node) retireFront(f *http1.Front) {
+	f.Close()
+	for f.LetQuietGo() > 0 {
+		clock.Sleep(n.life, letGoStep)
+		if n.life.Err() != nil {
+			return
+		}
+	}
+}
+
+// listen opens a socket; nothing is accepted yet.
+func (n *Node) listen(l config.Listener) (*socket, error) {
+	ln, err := n.options.Listen("tcp", l.Address)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) {
+			var sys *os.SyscallError
+			if errors.As(op.Err, &sys) {
+				err = sys.Err
+			}
+		}
+		return nil, fmt.Errorf("listener %q: %s: %w", l.Name, l.Address, err)
+	}
+	return &socket{Listener: ln, key: socketKey(l)}, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,109 +1,158 @@
-// Package node puts the parts of a node together from a configuration, starts them and ends them. It has
-// no logic of its own: what is decided is the module's, what is spoken is the protocols' packages'.
+// Package node puts the parts of a node together from a configuration, starts them, changes them and ends
+// them. It decides nothing: what is decided is the module's, and that of internal/route and internal/plan;
+// what is spoken is the protocols' packages'.
 package node
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"reflect"
 	"runtime"
 	"runtime/debug"
-	"time"
+	"sync"
 
-	"woodpick"
 	"woodpick/internal/clock"
 	"woodpick/internal/config"
+	"woodpick/internal/descriptors"
 	"woodpick/internal/discovery"
-	"woodpick/internal/engine"
+	"woodpick/internal/dispatch"
 	"woodpick/internal/http1"
 )
 
 // Node is one load balancer on sockets.
 type Node struct {
-	cfg      *config.Config // as started with
-	clock    clock.Clock
-	engine   *engine.Engine
-	back     *http1.Back
-	front    *http1.Front
-	callers  *http1.Callers
-	watch    *discovery.Watch
-	listener net.Listener
-	push     bool
-	ending   ending
-	log      *slog.Logger
-}
-
-// Limit keeps the process within its core and its memory.
+	clock   clock.Clock
+	log     *slog.Logger
+	options Options
+	named   bool // pools are told apart in the log
+	start   *first
+	servers *descriptors.Share // of the connections to servers
+	callers *http1.Callers
+	calls   *dispatch.Dispatcher
+
+	life       context.Context // ends with the node
+	stop       context.CancelFunc
+	failed     chan error    // takes the first failure of a part
+	draining   chan struct{} // closed when the end begins
+	behindWork sync.WaitGroup
+
+	mu        sync.Mutex
+	cfg       *config.Config // that runs; nil before the first
+	sockets   map[string]*socket
+	listeners map[string]*listener
+	pools     map[string]*pool
+	retiring  map[*pool]bool
+	change    *Change // under way
+	serving   bool
+	ending    bool
+}
+
+// first is what the first configuration's pools begin with.
+type first struct {
+	seed  uint64
+	known discovery.List
+}
+
+// Options are what a node is given beside its configuration. The zero value will do.
+type Options struct {
+	Listen func(network, address string) (net.Listener, error) // nil: net.Listen
+	Limit  func(config.Limits)                                 // keeps the process within its limits; nil: nothing does
+	Fault  func(point string) error                            // for tests: an error has a step of a change fail
+	ending *ending                                             // for tests: instead of what follows from the configuration
+	watch  func(*discovery.Watch)                              // for tests: changes a watch before it begins
+}
+
+// Limit keeps the process within its cores and its memory.
 func Limit(l config.Limits) {
 	runtime.GOMAXPROCS(l.Cores)
 	debug.SetMemoryLimit(int64(l.Memory) * 3 / 4)
 }
 
-// service is what the front takes calls for: one engine.
-type service struct {
-	*engine.Engine
-	classes map[string]woodpick.Class
+// NewPlatform puts a node together from the platform's configuration.
+func NewPlatform(cfg *config.Config, start config.Start, log *slog.Logger, o Options) (*Node, error) {
+	known, err := discovery.Parse(start.Known)
+	if err != nil {
+		log.Warn("the known list is dropped", "error", err)
+		known = discovery.List{Full: true, Rev: -1}
+	}
+	return newNode(cfg, &first{start.Seed, known}, log, o)
 }
 
-// Class implements http1.Service.
-func (s service) Class(name string) (woodpick.Class, bool) {
-	c, ok := s.classes[name]
-	return c, ok
+// New puts a node together from a checked configuration and begins to listen. Nothing is served before Run.
+func New(cfg *config.Config, log *slog.Logger, o Options) (*Node, error) {
+	return newNode(cfg, nil, log, o)
 }
 
-// New puts a node together and begins to listen. Nothing is served before Run.
-func New(cfg *config.Config, start config.Start, log *slog.Logger) (*Node, error) {
-	pool := cfg.Pools[0]
-	set := cfg.Settings(pool)
-	room := cfg.Node.Limits.Descriptors - config.Reserved
-	n := &Node{cfg: cfg, log: log, clock: clock.New(), push: !set.AskDiscovery, ending: endingOf(cfg)}
-	n.back = http1.NewBack(http1.BackOptions{Clock: n.clock, Most: pool.Connections.Most,
-		ConnectTimeout: time.Duration(pool.Connections.ConnectTimeout), Idle: time.Duration(pool.Connections.Idle)})
-	n.callers = http1.NewCallers(n.clock, room, config.Reserved/2, n.back.Connections)
-	var err error
-	n.engine, err = engine.New(engine.Options{Settings: set, Seed: start.Seed, Clock: n.clock, Backend: n.back,
-		Subscribe: func() { n.watch.Subscribe() }, Pushed: n.push, Log: log,
-		Report: func() []any { return append(n.callers.Report(), "servers", n.back.Connections()) }})
-	if err != nil {
-		return nil, fmt.Errorf("node: %w", err)
-	}
-	s := service{n.engine, map[string]woodpick.Class{}}
-	for _, c := range set.Classes {
-		s.classes[c.Name] = c
+func newNode(cfg *config.Config, start *first, log *slog.Logger, o Options) (*Node, error) {
+	if o.Listen == nil {
+		o.Listen = net.Listen
 	}
-	n.front = http1.NewFront(n.clock, n.callers, s, max(set.Tick, time.Millisecond), log)
-	known, err := discovery.Parse(start.Known)
-	rev := int64(-1)
+	n := &Node{clock: clock.New(), log: log, options: o, named: start == nil, start: start, servers: descriptors.NewShare(0),
+		failed: make(chan error, 1), draining: make(chan struct{}), sockets: map[string]*socket{},
+		listeners: map[string]*listener{}, pools: map[string]*pool{}, retiring: map[*pool]bool{}}
+	n.life, n.stop = context.WithCancel(context.Background())
+	n.callers = http1.NewCallers(n.clock, 0, config.Reserved/2, n.servers.Used)
+	n.resize(cfg)
+	c, err := n.Prepare(n.life, cfg, 0)
 	if err != nil {
-		log.Warn("the known list is dropped", "error", err)
-		known = discovery.List{Full: true}
-	} else {
-		rev = known.Rev
+		return nil, fmt.Errorf("node: %w", err)
 	}
-	n.watch = discovery.NewWatch(pool.Registry.Address, rev, n.engine, log)
-	n.engine.Hold(known)
-	if n.listener, err = net.Listen("tcp", cfg.Listeners[0].Address); err != nil {
+	if err := c.Commit(); err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
 	return n, nil
 }
 
-// Addr is where the node listens.
-func (n *Node) Addr() string { return n.listener.Addr().String() }
+// resize shares the descriptors of a configuration out: half of what is not the node's own may be servers'
+// connections, and callers have what servers leave.
+func (n *Node) resize(cfg *config.Config) {
+	room := cfg.Node.Limits.Descriptors - cfg.OwnDescriptors()
+	n.servers.Resize(room / 2)
+	n.callers.Resize(room)
+	if n.options.Limit != nil {
+		n.options.Limit(cfg.Node.Limits)
+	}
+}
+
+// fail ends the node for a part that can't go on.
+func (n *Node) fail(err error) {
+	select {
+	case n.failed <- err:
+	default:
+	}
+}
+
+// Addr is where a listener listens.
+func (n *Node) Addr(listener string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l := n.listeners[listener]; l != nil {
+		return l.socket.Addr().String()
+	}
+	return ""
+}
+
+// Config is the configuration that runs.
+func (n *Node) Config() *config.Config {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cfg
+}
 
-// Reload takes over what may change in a running node: where discovery is. The module, the callers and
-// the connections to servers stay as they are.
+// Reload takes over what may change of the platform's configuration in a running node: where discovery is. The
+// module, the callers and the connections to servers stay as they are.
 func (n *Node) Reload(cfg *config.Config) {
-	old, next := *n.cfg, *cfg
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old := n.cfg
 	for _, f := range []struct {
 		name    string
 		changed bool
 	}{
-		{"listen", old.Listeners[0].Address != next.Listeners[0].Address}, {"limits", old.Node.Limits != next.Node.Limits},
-		{"settings", !reflect.DeepEqual(old.Settings(old.Pools[0]), next.Settings(next.Pools[0]))},
+		{"listen", old.Listeners[0].Address != cfg.Listeners[0].Address}, {"limits", old.Node.Limits != cfg.Node.Limits},
+		{"settings", !reflect.DeepEqual(old.Settings(old.Pools[0]), cfg.Settings(cfg.Pools[0]))},
 	} {
 		if f.changed {
 			n.log.Warn("a change in the configuration waits for the next start", "field", f.name)
@@ -111,33 +160,95 @@
 	}
 	at := cfg.Pools[0].Registry.Address
 	n.log.Info("the configuration is read again", "discovery", at)
-	n.watch.Move(at)
+	n.pools[config.PlatformPool].source.Load().watch.Move(at)
 }
 
 // Run serves until ctx ends, and then until all that was taken is answered.
 func (n *Node) Run(ctx context.Context) error {
-	inner, stop := context.WithCancel(context.Background())
-	defer stop()
-	go n.engine.Run(inner)
-	go n.back.Sweep(inner)
-	if n.push {
-		go n.watch.Push(inner)
-	} else {
-		go n.watch.Ask(inner)
-	}
-	gone := make(chan error, 1)
-	go func() { gone <- n.front.Serve(n.listener) }()
+	n.mu.Lock()
+	n.serving = true
+	for _, l := range n.listeners {
+		l.socket.accept(l.front, n.fail)
+	}
+	n.mu.Unlock()
+	defer n.close()
 	select {
-	case err := <-gone:
+	case err := <-n.failed:
 		return fmt.Errorf("node: %w", err)
 	case <-ctx.Done():
 	}
 	n.log.Info("draining")
-	if err := n.drain(inner, n.listener, n.ending); err != nil {
+	if err := n.drain(); err != nil {
 		return fmt.Errorf("node: drain: %w", err)
 	}
-	if err := <-gone; !errors.Is(err, net.ErrClosed) {
-		return fmt.Errorf("node: %w", err)
-	}
 	return nil
 }
+
+// close ends all parts; nothing is taken any more, and what was is answered.
+func (n *Node) close() {
+	n.mu.Lock()
+	if !n.ending {
+		n.ending = true
+		close(n.draining)
+	}
+	sockets, pools := n.sockets, n.allPools()
+	n.mu.Unlock()
+	n.stop()
+	for _, s := range sockets {
+		s.shut()
+	}
+	for _, p := range pools {
+		p.close()
+	}
+	n.behindWork.Wait()
+}
+
+// allPools are those that run and those that are being retired. The caller holds mu.
+func (n *Node) allPools() (all []*pool) {
+	for _, p := range n.pools {
+		all = append(all, p)
+	}
+	for p := range n.retiring {
+		all = append(all, p)
+	}
+	return all
+}
+
+// Status is what a node holds.
+type Status struct {
+	Listeners map[string]ListenerStatus `json:"listeners"`
+	Pools     map[string]PoolStatus     `json:"pools"`
+	Retiring  []string                  `json:"retiring,omitempty"` // pools of earlier configurations that still have calls
+	Callers   int                       `json:"callers"`            // connections
+	Ready     bool                      `json:"ready"`
+}
+
+// ListenerStatus is what a listener does.
+type ListenerStatus struct {
+	Address string `json:"address"` // that it listens at
+}
+
+// PoolStatus is what a pool holds.
+type PoolStatus struct {
+	Calls       any `json:"calls"`
+	Connections int `json:"connections"` // to servers
+}
+
+// Status tells what the node holds now.
+func (n *Node) Status() Status {
+	n.mu.Lock()
+	s := Status{Listeners: map[string]ListenerStatus{}, Pools: map[string]PoolStatus{}, Callers: n.callers.Held(),
+		Ready: n.calls.View().Ready() && !n.ending}
+	for name, l := range n.listeners {
+		s.Listeners[name] = ListenerStatus{l.socket.Addr().String()}
+	}
+	for p := range n.retiring {
+		s.Retiring = append(s.Retiring, p.name)
+	}
+	pools := n.pools
+	n.mu.Unlock()
+	for name, p := range pools {
+		s.Pools[name] = PoolStatus{p.engine.Status(), p.back.Connections()}
+	}
+	return s
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,41 +13,30 @@
 	"time"
 
 	"woodpick/internal/config"
-	"woodpick/internal/route"
+	"woodpick/internal/discovery"
 	"woodpick/internal/standin"
 )
 
 // testNode is what a node of these tests is started with.
 type testNode struct {
 	*config.Config
-	Known string
+	Known   string
+	Options Options
 }
 
 // registry is where the only pool's list comes from.
 func (n testNode) registry() *string { return &n.Pools[0].Registry.Address }
 
-// testConfig is a deployment with a class of each kind and long limits.
 func testConfig(known string) testNode {
-	class := func(name string, e config.Effect) config.Class {
-		return config.Class{Name: name, Effect: e, Aim: config.Duration(standin.Limit), Deadline: config.Duration(2 * standin.Limit), Worth: 1}
-	}
-	keyed := class("keyed", config.Keyed)
-	keyed.KeyScope, keyed.Window = config.AllScope, config.Duration(standin.Limit)
-	return testNode{Known: strings.Replace(known, "%d", "1", 1), Config: &config.Config{
-		Node:      config.Node{Name: "n", Limits: config.Limits{Memory: 192 << 20, Descriptors: 1024, Cores: 1}},
-		Classes:   []config.Class{class("view", config.Safe), class("note", config.Unsafe), keyed},
-		Listeners: []config.Listener{{Name: "main", Address: "127.0.0.1:0", Protocol: config.HTTP1, Paths: config.PathsAsSent}},
-		Pools: []config.Pool{{Name: "servers", Protocol: config.HTTP1, Attempts: 4, Cancel: true, Tick: config.Duration(time.Millisecond),
-			RetryAfter: config.Duration(2 * time.Second), Copies: config.Copies{Count: 1}, Shedding: config.Shedding{Whole: 1},
-			Connections: config.Connections{Most: 488, Idle: config.Duration(time.Minute), ConnectTimeout: config.Duration(standin.Limit)},
-			SlowStart:   config.SlowStart{From: 1}, Registry: &config.Registry{Address: "127.0.0.1:1", Mode: config.Pushed}}},
-		Routes: []route.Route{{Name: "default", Default: true, To: []route.Target{{Pool: "servers", Weight: 1}}}}}}
+	return testNode{Known: strings.Replace(known, "%d", "1", 1), Config: standin.Config()}
 }
 
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
 // startNode runs a node until the test ends, or until the returned function is called.
 func startNode(t *testing.T, cfg testNode, change func(*Node)) (n *Node, stop func() error) {
 	t.Helper()
-	n, err := New(cfg.Config, config.Start{Seed: 1, Known: []byte(cfg.Known)}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	n, err := NewPlatform(cfg.Config, config.Start{Seed: 1, Known: []byte(cfg.Known)}, quiet(), cfg.Options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -72,7 +61,7 @@
 	cfg := testConfig(standin.Whole(standin.Entry("s1", a.Address(), "in_service"), standin.Entry("s2", b.Address(), "in_service")))
 	*cfg.registry() = ag.Address()
 	n, _ := startNode(t, cfg, nil)
-	c := standin.Dial(t, n.Addr())
+	c := standin.Dial(t, n.Addr("main"))
 	i := 0
 	ask := func() {
 		i++
@@ -86,7 +75,7 @@
 		ag.Tell(false, `{"rev":%d,"all":false,"targets":[`+standin.Entry("s1", a.Address(), state)+`]}`)
 		for told := ag.Rev(); !strings.Contains(standin.Receive(t, ag.Asked, "the next watch"), fmt.Sprint("from=", told)); {
 		}
-		standin.Until(t, "the idle connections to be closed", func() bool { return n.back.Connections() <= 1 })
+		standin.Until(t, "the idle connections to be closed", func() bool { return n.pools["servers"].back.Connections() <= 1 })
 		before := a.Seen()
 		for range 30 {
 			ask()
@@ -104,15 +93,14 @@
 	ag.Tell(true, "")
 	cfg := testConfig(standin.Whole())
 	*cfg.registry() = ag.Address()
-	n, _ := startNode(t, cfg, func(n *Node) {
-		n.watch.Hold, n.watch.Grace = 20*time.Millisecond, 20*time.Millisecond
-	})
+	cfg.Options.watch = func(w *discovery.Watch) { w.Hold, w.Grace = 20*time.Millisecond, 20*time.Millisecond }
+	n, _ := startNode(t, cfg, nil)
 	for range 3 {
 		if q := standin.Receive(t, ag.Asked, "a watch"); q != "from=1&hold_ms=20" {
 			t.Fatalf("asked %q", q)
 		}
 	}
-	c := standin.Dial(t, n.Addr())
+	c := standin.Dial(t, n.Addr("main"))
 	fmt.Fprint(c, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
 	c.Want(t, 503, "")
 	ag.Tell(false, standin.Whole(standin.Entry("s1", s.Address(), "in_service")))
@@ -134,10 +122,11 @@
 	next.Tell(false, standin.Whole(standin.Entry("s2", b.Address(), "in_service")))
 	cfg := testConfig(standin.Whole(standin.Entry("s1", a.Address(), "in_service")))
 	*cfg.registry() = old.Address()
-	n, _ := startNode(t, cfg, func(n *Node) { n.watch.Hold = standin.Limit })
+	cfg.Options.watch = func(w *discovery.Watch) { w.Hold = standin.Limit }
+	n, _ := startNode(t, cfg, nil)
 	for !strings.Contains(standin.Receive(t, old.Asked, "the watch"), "from=1001&") {
 	}
-	c := standin.Dial(t, n.Addr())
+	c := standin.Dial(t, n.Addr("main"))
 	c.Get("before")
 	c.Want(t, 200, "for before")
 	n.Reload(cfg.Config) // the same address: nothing moves
@@ -173,9 +162,9 @@
 		return standin.Echo(c, r, body)
 	})
 	n, stop := startNode(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), func(n *Node) {
-		n.ending = ending{accept: time.Second, serve: 2 * time.Second, last: standin.Limit, most: 2 * standin.Limit}
+		n.options.ending = &ending{accept: time.Second, serve: 2 * time.Second, last: standin.Limit, most: 2 * standin.Limit}
 	})
-	idle, held, mute := standin.Dial(t, n.Addr()), standin.Dial(t, n.Addr()), standin.Dial(t, n.Addr())
+	idle, held, mute := standin.Dial(t, n.Addr("main")), standin.Dial(t, n.Addr("main")), standin.Dial(t, n.Addr("main"))
 	idle.Get("before")
 	idle.Want(t, 200, "for before")
 	held.Get("held")
@@ -183,7 +172,7 @@
 	end := make(chan error, 1)
 	go func() { end <- stop() }()
 	standin.Until(t, "it to be told", func() bool {
-		probe := standin.Dial(t, n.Addr())
+		probe := standin.Dial(t, n.Addr("main"))
 		defer probe.Close()
 		fmt.Fprint(probe, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
 		r, _ := probe.Answer(t)
@@ -191,7 +180,7 @@
 	})
 	idle.Get("during") // whoever has a connection is served on it for a while
 	idle.Want(t, 200, "for during")
-	late := standin.Dial(t, n.Addr()) // new connections still come for a while
+	late := standin.Dial(t, n.Addr("main")) // new connections still come for a while
 	late.Get("late")
 	r, body := late.Answer(t)
 	if r.StatusCode != 200 || body != "for late" {
@@ -217,9 +206,9 @@
 		return false
 	})
 	n, stop := startNode(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), func(n *Node) {
-		n.ending = ending{last: 500 * time.Millisecond, most: standin.Limit}
+		n.options.ending = &ending{last: 500 * time.Millisecond, most: standin.Limit}
 	})
-	c := standin.Dial(t, n.Addr())
+	c := standin.Dial(t, n.Addr("main"))
 	c.Send("POST", "/note/k", "held", "x", "60")
 	standin.Receive(t, got, "the attempt")
 	end := make(chan error, 1)
@@ -242,7 +231,7 @@
 	if q := standin.Receive(t, ag.Asked, "the call after the bad list"); q != "" {
 		t.Errorf("asked %q, want the whole list", q)
 	}
-	c := standin.Dial(t, n.Addr())
+	c := standin.Dial(t, n.Addr("main"))
 	c.Get("r")
 	c.Want(t, 200, "for r")
 }
--- /dev/null
+++ b/internal/node/pool.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"sync/atomic"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/config"
+	"woodpick/internal/discovery"
+	"woodpick/internal/engine"
+	"woodpick/internal/http1"
+)
+
+// pool is one Balancer with its back end and the source of its list. It lives for as long as configurations
+// name it, and then until what it has taken is over.
+type pool struct {
+	name   string
+	engine *engine.Engine
+	back   *http1.Back
+	source atomic.Pointer[source] // nil: the configuration holds the list
+	cancel context.CancelFunc     // ends the engine and the back
+
+	// Of the running configuration; guarded by Node.mu.
+	cfg      config.Pool
+	settings woodpick.Settings
+	static   map[string]discovery.Target // the list that the configuration holds
+}
+
+func limitsOf(p config.Pool) http1.Limits {
+	return http1.Limits{Most: p.Connections.Most, ConnectTimeout: time.Duration(p.Connections.ConnectTimeout),
+		Idle: time.Duration(p.Connections.Idle)}
+}
+
+// newPool makes a pool that knows the list that is known, or the one that its configuration holds, and
+// watches its registry from then on. Nothing runs before start.
+func (n *Node) newPool(cfg *config.Config, p config.Pool, seed uint64, known discovery.List) (*pool, error) {
+	out := &pool{name: p.Name, cfg: p, settings: cfg.Settings(p), back: http1.NewBack(n.clock, n.servers, limitsOf(p))}
+	log := n.log
+	if n.named {
+		log = log.With("pool", p.Name)
+	}
+	var err error
+	out.engine, err = engine.New(engine.Options{Settings: out.settings, Seed: seed, Clock: n.clock, Backend: out.back,
+		Subscribe: out.subscribe, Pushed: !out.settings.AskDiscovery, Log: log,
+		Report: func() []any { return append(n.callers.Report(), "servers", out.back.Connections()) }})
+	if err != nil {
+		return nil, fmt.Errorf("pool %q: %w", p.Name, err)
+	}
+	if p.Registry == nil {
+		list := staticList(p, nil, 0)
+		out.static = targetsOf(list)
+		out.engine.Hold(list)
+		return out, nil
+	}
+	rev := int64(-1)
+	if known.Full {
+		rev = known.Rev
+	}
+	s := n.newSource(*p.Registry, rev, log)
+	s.relay.attach(out.engine)
+	out.source.Store(s)
+	out.engine.Hold(discovery.List{Full: true, Targets: known.Targets})
+	return out, nil
+}
+
+// subscribe has the registry asked. It never blocks.
+func (p *pool) subscribe() {
+	if s := p.source.Load(); s != nil {
+		s.watch.Subscribe()
+	}
+}
+
+// start has the pool run until close.
+func (p *pool) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	go p.engine.Run(ctx)
+	go p.back.Sweep(ctx)
+	if s := p.source.Load(); s != nil {
+		s.start()
+	}
+}
+
+// close ends the pool at once; what is out is called off.
+func (p *pool) close() {
+	if s := p.source.Load(); s != nil {
+		s.stop()
+	}
+	p.cancel()
+	<-p.engine.Done()
+	p.back.Close()
+}
+
+// retire closes the pool once all that it has taken is answered.
+func (p *pool) retire() {
+	p.engine.Retire()
+	<-p.engine.Done()
+	p.close()
+}
+
+// update is what becomes of a pool that stays.
+type update struct {
+	pool     *pool
+	cfg      config.Pool
+	settings woodpick.Settings
+	source   *source // a watch that has been tried; nil: the old one stays, or the configuration holds the list
+}
+
+// move says that the list comes from elsewhere than before.
+func (u update) move() bool { return !reflect.DeepEqual(u.pool.cfg.Registry, u.cfg.Registry) }
+
+// commit has the pool go by the new configuration: the module first, then the list. It returns the watch that
+// is of no use any more.
+func (u update) commit(now time.Duration) (old *source) {
+	p := u.pool
+	if !reflect.DeepEqual(p.settings, u.settings) {
+		p.engine.Reconfigure(u.settings, !u.settings.AskDiscovery)
+	}
+	if u.move() {
+		if old = p.source.Load(); old != nil {
+			old.relay.close()
+		}
+		p.source.Store(u.source)
+		if u.source != nil {
+			u.source.relay.attach(p.engine)
+		}
+	}
+	if u.cfg.Registry == nil && (u.move() || !reflect.DeepEqual(p.cfg.Servers, u.cfg.Servers)) {
+		list := staticList(u.cfg, p.static, now)
+		p.static = targetsOf(list)
+		p.engine.TakeList(list)
+	}
+	if u.cfg.Registry != nil {
+		p.static = nil // what a later list of the configuration's names is no news to the registry's
+	}
+	p.cfg, p.settings = u.cfg, u.settings
+	return old
+}
--- /dev/null
+++ b/internal/node/source.go
@@ -0,0 +1,173 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/config"
+	"woodpick/internal/discovery"
+)
+
+// relay passes what a watch finds on to a pool's engine. Until it has one it keeps the news, so that a watch
+// can be tried before anything goes by it.
+type relay struct {
+	mu     sync.Mutex
+	to     discovery.Sink
+	kept   []discovery.List
+	closed bool
+
+	ready  map[string]bool // ids of the listed servers in service
+	listed chan struct{}   // closed once a whole list has come
+	warm   chan struct{}   // closed once one has come and a server of it is in service
+}
+
+func newRelay() *relay {
+	return &relay{ready: map[string]bool{}, listed: make(chan struct{}), warm: make(chan struct{})}
+}
+
+// TakeList implements discovery.Sink.
+func (r *relay) TakeList(l discovery.List) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
+	r.note(l)
+	if r.to != nil {
+		r.to.TakeList(l)
+		return
+	}
+	r.kept = append(r.kept, l)
+}
+
+// note follows how warm the list is. The caller holds mu.
+func (r *relay) note(l discovery.List) {
+	if l.Full {
+		clear(r.ready)
+		closeOnce(r.listed)
+	}
+	for _, t := range l.Targets {
+		if t.State == woodpick.Ready {
+			r.ready[t.ID] = true
+		} else {
+			delete(r.ready, t.ID)
+		}
+	}
+	if isClosed(r.listed) && len(r.ready) > 0 {
+		closeOnce(r.warm)
+	}
+}
+
+// ListFailed implements discovery.Sink.
+func (r *relay) ListFailed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.closed && r.to != nil {
+		r.to.ListFailed()
+	}
+}
+
+// attach has the news go to an engine from now on, those that were kept first.
+func (r *relay) attach(to discovery.Sink) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.to = to
+	for _, l := range r.kept {
+		to.TakeList(l)
+	}
+	r.kept = nil
+}
+
+// close drops whatever still comes.
+func (r *relay) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+func closeOnce(c chan struct{}) {
+	if !isClosed(c) {
+		close(c)
+	}
+}
+
+// source is where a pool's list comes from: a watch of a registry, with its goroutine.
+type source struct {
+	watch  *discovery.Watch
+	relay  *relay
+	pushed bool
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// newSource watches a registry from the version rev on; -1: from none.
+func (n *Node) newSource(r config.Registry, rev int64, log *slog.Logger) *source {
+	s := &source{relay: newRelay(), pushed: r.Mode != config.Asked, done: make(chan struct{})}
+	s.watch = discovery.NewWatch(r.Address, rev, s.relay, log)
+	if n.options.watch != nil {
+		n.options.watch(s.watch)
+	}
+	return s
+}
+
+// start begins to ask. Where the registry is asked, nothing is before Subscribe.
+func (s *source) start() {
+	var ctx context.Context
+	ctx, s.cancel = context.WithCancel(context.Background())
+	go func() {
+		defer close(s.done)
+		if s.pushed {
+			s.watch.Push(ctx)
+		} else {
+			s.watch.Ask(ctx)
+		}
+	}()
+}
+
+// stop ends the watch; nothing comes from it any more.
+func (s *source) stop() {
+	s.relay.close()
+	s.cancel()
+	<-s.done
+}
+
+// staticList is the whole list that a configuration holds. A server is held for one that has been running for
+// long, unless it is new to a list that was there before: then it has just begun as far as anybody knows, and
+// slow start is for it.
+func staticList(p config.Pool, before map[string]discovery.Target, now time.Duration) discovery.List {
+	l := discovery.List{Full: true}
+	for _, s := range p.Servers {
+		t := discovery.Target{Endpoint: s.Address, Server: woodpick.Server{ID: s.Name, Zone: s.Zone, Cell: s.Cell, Size: s.Size}}
+		if s.State == config.Draining {
+			t.State = woodpick.Draining
+		}
+		if was, known := before[s.Name]; known && was.Endpoint == s.Address {
+			t.Boot = was.Boot
+		} else if before != nil {
+			t.Boot = now
+		}
+		l.Targets = append(l.Targets, t)
+	}
+	return l
+}
+
+// targetsOf indexes a list by the servers' names.
+func targetsOf(l discovery.List) map[string]discovery.Target {
+	out := make(map[string]discovery.Target, len(l.Targets))
+	for _, t := range l.Targets {
+		out[t.ID] = t
+	}
+	return out
+}
