Tests that change a running node: every fault point, and 200 changes under load

Need: a change must be whole or not at all, and nothing may be lost by it.

A change that wants an address whose socket an earlier one is still closing waits for it (found by the load: address already in use).

--- a/internal/node/change.go
+++ b/internal/node/change.go
@@ -137,6 +137,13 @@
 	if err := c.fault("bind " + l.Name); err != nil {
 		return fmt.Errorf("listener %q: %w", l.Name, err)
 	}
+	// A socket of this address that an earlier change left behind is still being closed, a moment at most.
+	c.node.mu.Lock()
+	closing := c.node.closing[key]
+	c.node.mu.Unlock()
+	if closing != nil {
+		<-closing
+	}
 	s, err := c.node.listen(l)
 	if err != nil {
 		return err
@@ -372,7 +379,15 @@
 		n.behind(func() { s.stop() })
 	}
 	for _, s := range gone.sockets {
+		closed := make(chan struct{})
+		n.closing[s.key] = closed
 		n.behind(func() {
+			defer func() {
+				close(closed)
+				n.mu.Lock()
+				delete(n.closing, s.key)
+				n.mu.Unlock()
+			}()
 			if err := s.release(lastAccepts); err != nil {
 				n.log.Warn("a listener's socket", "address", s.Addr(), "error", err)
 			}
--- /dev/null
+++ b/internal/node/change_test.go
@@ -0,0 +1,625 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"woodpick/internal/config"
+	"woodpick/internal/route"
+	"woodpick/internal/standin"
+)
+
+// box starts a server that answers with a name.
+func box(t *testing.T, name string) *standin.Server {
+	return standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool { return standin.Reply200(c, name) })
+}
+
+// pooled is a pool whose list the configuration holds.
+func pooled(name string, servers ...*standin.Server) config.Pool {
+	p := standin.Config().Pools[0]
+	p.Name, p.Registry, p.Connections.Most = name, nil, 40
+	for i, s := range servers {
+		p.Servers = append(p.Servers, config.Server{Name: fmt.Sprint("s", i), Address: s.Address(), Size: 1, State: config.Ready})
+	}
+	return p
+}
+
+// ownConfig has one listener and these pools; all calls go to the first.
+func ownConfig(pools ...config.Pool) *config.Config {
+	cfg := standin.Config()
+	cfg.Node.Limits.Descriptors = 512
+	cfg.Pools = pools
+	cfg.Routes = []route.Route{defaultTo(pools[0].Name)}
+	return cfg
+}
+
+func defaultTo(pool string) route.Route {
+	return route.Route{Name: "default", Default: true, To: []route.Target{{Pool: pool, Weight: 1}}}
+}
+
+// startOwn runs a node with a configuration of our own until the test ends.
+func startOwn(t *testing.T, cfg *config.Config, o Options) *Node {
+	t.Helper()
+	if err := cfg.Check().Err(); err != nil {
+		t.Fatal(err)
+	}
+	if o.ending == nil {
+		o.ending = &ending{last: 100 * time.Millisecond, most: standin.Limit}
+	}
+	n, err := New(cfg, quiet(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	end := make(chan error, 1)
+	go func() { end <- n.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := standin.Receive(t, end, "the node's end"); err != nil {
+			t.Error(err)
+		}
+	})
+	return n
+}
+
+// change puts another configuration in place.
+func change(t *testing.T, n *Node, cfg *config.Config) {
+	t.Helper()
+	if err := cfg.Check().Err(); err != nil {
+		t.Fatal(err)
+	}
+	c, err := n.Prepare(t.Context(), cfg, standin.Limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Commit(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// ask sends a call on a connection of its own and returns its answer, or "" if none comes up.
+func ask(t *testing.T, address, method, target string) (status int, body string) {
+	t.Helper()
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0, ""
+	}
+	nc.Close()
+	c := standin.Dial(t, address)
+	defer c.Close()
+	c.Send(method, target, fmt.Sprint("ask-", time.Now().UnixNano()), "x", "60")
+	r, body := c.Answer(t)
+	return r.StatusCode, body
+}
+
+func wantServed(t *testing.T, n *Node, listener, target, by string) {
+	t.Helper()
+	method := "GET"
+	if strings.HasPrefix(target, "/note") {
+		method = "POST"
+	}
+	if status, body := ask(t, n.Addr(listener), method, target); status != 200 || body != by {
+		t.Errorf("%s at %s: %d %q, want it served by %s", target, listener, status, body, by)
+	}
+}
+
+func TestChangeOfListenersPoolsAndRoutes(t *testing.T) {
+	a, b := box(t, "a"), box(t, "b")
+	first := ownConfig(pooled("pa", a))
+	n := startOwn(t, first, Options{})
+	wantServed(t, n, "main", "/view/k", "a")
+
+	second := ownConfig(pooled("pa", a), pooled("pb", b))
+	second.Listeners = append(second.Listeners, config.Listener{Name: "side", Address: "127.0.0.1:0", Protocol: config.HTTP1, Paths: config.StrictPaths})
+	second.Listeners[0].Paths = config.StrictPaths
+	second.Routes = append(second.Routes, route.Route{Name: "side", Listeners: []string{"side"}, To: []route.Target{{Pool: "pb", Weight: 1}}},
+		route.Route{Name: "notes", Paths: []string{"/note/b/*"}, To: []route.Target{{Pool: "pb", Weight: 1}}})
+	main := n.Addr("main")
+	kept := standin.Dial(t, main)
+	kept.Get("kept")
+	kept.Want(t, 200, "a")
+	opened := a.Opened()
+	change(t, n, second)
+	if n.Addr("main") != main {
+		t.Errorf("the listener moved from %s to %s", main, n.Addr("main"))
+	}
+	wantServed(t, n, "main", "/view/k", "a")
+	wantServed(t, n, "main", "/note/b/k", "b")
+	wantServed(t, n, "side", "/view/k", "b")
+	kept.Get("kept again") // a caller's connection stays with its listener
+	kept.Want(t, 200, "a")
+	if a.Opened() != opened {
+		t.Errorf("%d more connections to a server of a pool that stayed", a.Opened()-opened)
+	}
+
+	side := n.Addr("side")
+	change(t, n, ownConfig(pooled("pb", b)))
+	wantServed(t, n, "main", "/view/k", "b")
+	standin.Until(t, "the removed listener to close", func() bool {
+		status, _ := ask(t, side, "GET", "/view/k")
+		return status == 0
+	})
+	standin.Until(t, "the removed pool to go", func() bool { return len(n.StillDraining()) == 0 })
+}
+
+// A pool that stays keeps its Balancer, which goes on from what it learned; what is new in its list is taken
+// as fresh, what stays is not.
+func TestAPoolThatStaysKeepsItsBalancer(t *testing.T) {
+	a, b := box(t, "a"), box(t, "b")
+	n := startOwn(t, ownConfig(pooled("p", a)), Options{})
+	wantServed(t, n, "main", "/view/k", "a")
+	was := n.pools["p"]
+	next := ownConfig(pooled("p", a, b))
+	next.Pools[0].Attempts, next.Pools[0].SlowStart = 2, config.SlowStart{From: 0.2, Over: config.Duration(time.Hour)}
+	change(t, n, next)
+	if n.pools["p"] != was || was.engine.Status().Calls != 1 {
+		t.Error("the pool was made anew")
+	}
+	if s0, s1 := was.static["s0"], was.static["s1"]; s0.Boot != 0 || s1.Boot == 0 {
+		t.Errorf("started at %v and %v", s0.Boot, s1.Boot)
+	}
+	fresh := was.static["s1"].Boot
+	next = ownConfig(pooled("p", a, b))
+	next.Pools[0].Servers[0].Address, next.Pools[0].Servers[1].Address = b.Address(), a.Address()
+	change(t, n, next)
+	if s0, s1 := was.static["s0"], was.static["s1"]; s0.Boot == 0 || s1.Boot <= fresh {
+		t.Errorf("after another address: started at %v and %v", s0.Boot, s1.Boot)
+	}
+}
+
+// What a removed pool has out is answered once, by what sent it; an unsafe call is never sent to the new one.
+func TestRemovedPoolAnswersWhatItHasOut(t *testing.T) {
+	hold, got := make(chan struct{}), make(chan string, 10)
+	old := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		id := r.Header.Get("X-Request-Id")
+		got <- id
+		<-hold
+		if strings.HasPrefix(id, "break") {
+			return false
+		}
+		return standin.Reply200(c, "old")
+	})
+	next := box(t, "new")
+	n := startOwn(t, ownConfig(pooled("p1", old)), Options{})
+	served, broken := standin.Dial(t, n.Addr("main")), standin.Dial(t, n.Addr("main"))
+	served.Send("POST", "/note/k", "serve", "x", "60")
+	broken.Send("POST", "/note/k", "break", "x", "60")
+	standin.Receive(t, got, "an attempt")
+	standin.Receive(t, got, "an attempt")
+	change(t, n, ownConfig(pooled("p2", next)))
+	wantServed(t, n, "main", "/note/k", "new")
+	if d := n.StillDraining(); len(d) != 1 || d[0] != "p1" {
+		t.Errorf("still draining: %v", d)
+	}
+	close(hold)
+	served.Want(t, 200, "old")
+	broken.Want(t, http.StatusBadGateway, "")
+	standin.Until(t, "the old pool to go", func() bool { return len(n.StillDraining()) == 0 })
+	if next.Seen() != 1 || old.Seen() != 2 {
+		t.Errorf("%d calls at the new server, %d at the old", next.Seen(), old.Seen())
+	}
+}
+
+// A class that turns unsafe while its calls are out: none is sent again, be its pool one that stays or goes.
+func TestClassThatTurnsUnsafe(t *testing.T) {
+	for _, pool := range []string{"p", "another"} {
+		hold, got := make(chan struct{}), make(chan struct{}, 10)
+		s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+			got <- struct{}{}
+			<-hold
+			return false
+		})
+		other := box(t, "other")
+		n := startOwn(t, ownConfig(pooled("p", s)), Options{})
+		c := standin.Dial(t, n.Addr("main"))
+		c.Get("view")
+		standin.Receive(t, got, "the attempt")
+		next := ownConfig(pooled(pool, s, other))
+		next.Classes[0].Effect = config.Unsafe
+		change(t, n, next)
+		close(hold)
+		c.Want(t, http.StatusBadGateway, "")
+		if s.Seen() != 1 || other.Seen() != 0 {
+			t.Errorf("pool %s: %d and %d attempts, want one", pool, s.Seen(), other.Seen())
+		}
+	}
+}
+
+// An address can pass from one listener to another, or two can change places, and no caller is turned away.
+func TestAddressesPassBetweenListeners(t *testing.T) {
+	a, b := box(t, "a"), box(t, "b")
+	free := func() string { return standin.ClosedPort(t) }
+	one, two := free(), free()
+	cfg := func(first, second string) *config.Config {
+		c := ownConfig(pooled("pa", a), pooled("pb", b))
+		c.Listeners = []config.Listener{{Name: first, Address: one, Protocol: config.HTTP1, Paths: config.StrictPaths},
+			{Name: second, Address: two, Protocol: config.HTTP1, Paths: config.StrictPaths}}
+		c.Routes = append(c.Routes, route.Route{Name: "y", Listeners: []string{"y"}, To: []route.Target{{Pool: "pb", Weight: 1}}})
+		return c
+	}
+	n := startOwn(t, cfg("x", "y"), Options{})
+	at := func(address, by string) {
+		t.Helper()
+		if status, body := ask(t, address, "GET", "/view/k"); status != 200 || body != by {
+			t.Errorf("%s: %d %q, want it served by %s", address, status, body, by)
+		}
+	}
+	at(one, "a")
+	at(two, "b")
+	onX := standin.Dial(t, one)
+	onX.Get("before")
+	onX.Want(t, 200, "a")
+	change(t, n, cfg("y", "x"))
+	at(one, "b")
+	at(two, "a")
+	onX.Get("after") // it is x's caller still
+	onX.Want(t, 200, "a")
+	change(t, n, cfg("z", "y"))
+	at(one, "a")
+	at(two, "b")
+	onX.WantClosed(t, "an idle connection of a listener that has gone")
+}
+
+// openFiles counts the process's open files.
+func openFiles(t *testing.T) int {
+	t.Helper()
+	list, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(list)
+}
+
+// Whatever fails before the commit undoes all of it: the node goes on as before, asked by calls; no descriptor
+// and no goroutine is left; and the same change goes through afterwards.
+func TestEveryFaultOfAChangeIsUndone(t *testing.T) {
+	a, b := box(t, "a"), box(t, "b")
+	agent, other := standin.NewAgent(t), standin.NewAgent(t)
+	agent.Tell(false, standin.Whole(standin.Entry("a", a.Address(), "in_service")))
+	other.Tell(false, standin.Whole(standin.Entry("b", b.Address(), "in_service")))
+	registered := func(name string, at *standin.Agent) config.Pool {
+		p := pooled(name)
+		p.Registry = &config.Registry{Address: at.Address(), Mode: config.Pushed}
+		return p
+	}
+	first := func() *config.Config { return ownConfig(pooled("p1", a), registered("p2", agent)) }
+	second := func() *config.Config {
+		c := ownConfig(pooled("p1", b), registered("p2", other), pooled("p3", b), registered("p4", other))
+		c.Listeners = append(c.Listeners, config.Listener{Name: "l2", Address: "127.0.0.1:0", Protocol: config.HTTP1, Paths: config.StrictPaths},
+			config.Listener{Name: "l3", Address: "127.0.0.1:0", Protocol: config.HTTP1, Paths: config.StrictPaths})
+		c.Routes = append(c.Routes, route.Route{Name: "r2", Paths: []string{"/view/2/*"}, To: []route.Target{{Pool: "p2", Weight: 1}}},
+			route.Route{Name: "r3", Paths: []string{"/view/3/*"}, To: []route.Target{{Pool: "p3", Weight: 1}}},
+			route.Route{Name: "r4", Paths: []string{"/view/4/*"}, To: []route.Target{{Pool: "p4", Weight: 1}}})
+		for i := range c.Listeners {
+			c.Listeners[i].Paths = config.StrictPaths
+		}
+		return c
+	}
+	var (
+		mu     sync.Mutex
+		points []string
+		failAt int
+	)
+	injected := errors.New("injected")
+	fault := func(point string) error {
+		mu.Lock()
+		defer mu.Unlock()
+		points = append(points, point)
+		if failAt > 0 && len(points) == failAt {
+			return injected
+		}
+		return nil
+	}
+	reset := func(at int) {
+		mu.Lock()
+		defer mu.Unlock()
+		points, failAt = nil, at
+	}
+	n := startOwn(t, func() *config.Config {
+		c := first()
+		c.Routes = append(c.Routes, route.Route{Name: "r2", Classes: []string{"view"}, Hosts: []string{"two"}, To: []route.Target{{Pool: "p2", Weight: 1}}})
+		return c
+	}(), Options{Fault: fault})
+	if err := second().Check().Err(); err != nil {
+		t.Fatal(err)
+	}
+	same := func(what string) {
+		t.Helper()
+		wantServed(t, n, "main", "/view/k", "a")
+		wantServed(t, n, "main", "/view/4/k", "a")
+		wantServed(t, n, "main", "/note/k", "a")
+		if n.Addr("l2") != "" || len(n.pools) != 2 || n.Config().Fingerprint() == second().Fingerprint() {
+			t.Errorf("%s: half of the change is there", what)
+		}
+	}
+	same("before")
+	// Once through to the end without a commit, to count the points.
+	reset(0)
+	c, err := n.Prepare(t.Context(), second(), standin.Limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	same("prepared")
+	if _, err := n.Prepare(t.Context(), second(), standin.Limit); !errors.Is(err, ErrBusy) {
+		t.Errorf("a second change at once: %v", err)
+	}
+	c.Undo()
+	all := points
+	if len(all) < 14 {
+		t.Fatalf("only %d points: %v", len(all), all)
+	}
+	settle := func() (goroutines, files int) {
+		runtime.GC()
+		return runtime.NumGoroutine(), openFiles(t)
+	}
+	same("undone")
+	goroutines, files := settle()
+	for i, point := range all {
+		reset(i + 1)
+		_, err := n.Prepare(t.Context(), second(), standin.Limit)
+		if !errors.Is(err, injected) {
+			t.Fatalf("failing %q: %v", point, err)
+		}
+		reset(0)
+		same(point)
+		standin.Until(t, "what "+point+" left to go", func() bool {
+			g, f := settle()
+			return g <= goroutines+2 && f <= files+2
+		})
+	}
+	t.Logf("%d points failed in turn: %s", len(all), strings.Join(all, ", "))
+	change(t, n, second())
+	wantServed(t, n, "main", "/view/k", "b")
+	wantServed(t, n, "l3", "/view/2/k", "b")
+	wantServed(t, n, "l2", "/view/4/k", "b")
+}
+
+func TestTakenPortIsNamedAndUndone(t *testing.T) {
+	a := box(t, "a")
+	n := startOwn(t, ownConfig(pooled("p", a)), Options{})
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	free := standin.ClosedPort(t)
+	next := ownConfig(pooled("p", a))
+	next.Listeners = append(next.Listeners,
+		config.Listener{Name: "l2", Address: free, Protocol: config.HTTP1, Paths: config.StrictPaths},
+		config.Listener{Name: "l3", Address: taken.Addr().String(), Protocol: config.HTTP1, Paths: config.StrictPaths})
+	_, err = n.Prepare(t.Context(), next, standin.Limit)
+	if err == nil || !strings.Contains(err.Error(), `listener "l3": `+taken.Addr().String()+": address already in use") {
+		t.Errorf("%v", err)
+	}
+	if status, _ := ask(t, free, "GET", "/view/k"); status != 0 {
+		t.Error("the listener before it listens")
+	}
+	wantServed(t, n, "main", "/view/k", "a")
+}
+
+// A registry that never answers, or lists nobody, fails the change within its time; one that answers is
+// waited for.
+func TestListsAreWaitedFor(t *testing.T) {
+	a := box(t, "a")
+	n := startOwn(t, ownConfig(pooled("p", a)), Options{})
+	silent, empty, late := standin.NewAgent(t), standin.NewAgent(t), standin.NewAgent(t)
+	silent.Tell(true, "")
+	empty.Tell(false, standin.Whole(standin.Entry("a", a.Address(), "terminating")))
+	late.Tell(true, "")
+	with := func(name string, at *standin.Agent) *config.Config {
+		p := pooled(name)
+		p.Registry = &config.Registry{Address: at.Address(), Mode: config.Pushed}
+		return ownConfig(p)
+	}
+	for _, name := range []string{"p", "new"} {
+		for _, c := range []struct {
+			at   *standin.Agent
+			want string
+		}{{silent, "has not answered with a list within"}, {empty, "lists no server in service"}} {
+			if _, err := n.Prepare(t.Context(), with(name, c.at), 200*time.Millisecond); err == nil ||
+				!strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), fmt.Sprintf("pool %q", name)) {
+				t.Errorf("%v, want %q", err, c.want)
+			}
+		}
+	}
+	wantServed(t, n, "main", "/view/k", "a")
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() {
+		_, err := n.Prepare(ctx, with("p", silent), standin.Limit)
+		stopped <- err
+	}()
+	standin.Until(t, "the change to be under way", func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.change != nil
+	})
+	cancel()
+	if err := standin.Receive(t, stopped, "its end"); !errors.Is(err, context.Canceled) {
+		t.Errorf("%v", err)
+	}
+	done := make(chan error, 1)
+	go func() {
+		c, err := n.Prepare(t.Context(), with("p", late), standin.Limit)
+		if err == nil {
+			err = c.Commit()
+		}
+		done <- err
+	}()
+	standin.Receive(t, late.Asked, "a call")
+	late.Tell(false, standin.Whole(standin.Entry("a", a.Address(), "in_service")))
+	if err := standin.Receive(t, done, "the change"); err != nil {
+		t.Error(err)
+	}
+	wantServed(t, n, "main", "/view/k", "a")
+}
+
+// What a change needs is held against the limits, with what retiring pools still have open.
+func TestDescriptorsOfRetiringPoolsCount(t *testing.T) {
+	hold, got := make(chan struct{}), make(chan struct{}, 10)
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		got <- struct{}{}
+		<-hold
+		return standin.Reply200(c, "held")
+	})
+	b := box(t, "b")
+	tight := func(name string, s *standin.Server) *config.Config {
+		c := ownConfig(pooled(name, s))
+		c.Pools[0].Connections.Most = (512 - config.Reserved) / 2
+		return c
+	}
+	n := startOwn(t, tight("p1", s), Options{})
+	c := standin.Dial(t, n.Addr("main"))
+	c.Get("held")
+	standin.Receive(t, got, "the attempt")
+	change(t, n, tight("p2", b))
+	_, err := n.Prepare(t.Context(), tight("p3", b), standin.Limit)
+	if err == nil || !strings.Contains(err.Error(), "513 descriptors are needed, 1 of them until pools that are being retired") {
+		t.Errorf("%v", err)
+	}
+	close(hold)
+	c.Want(t, 200, "held")
+	standin.Until(t, "the old pool to go", func() bool { return len(n.StillDraining()) == 0 })
+	change(t, n, tight("p3", b))
+	wantServed(t, n, "main", "/view/k", "b")
+	over := tight("p4", b)
+	over.Pools[0].Connections.Most++
+	if _, err := n.Prepare(t.Context(), over, 0); err == nil || !strings.Contains(err.Error(), "514 descriptors are needed") {
+		t.Errorf("%v", err)
+	}
+	over = tight("p4", b)
+	over.Node.Limits.Memory = 16 << 20
+	if _, err := n.Prepare(t.Context(), over, 0); err == nil || !strings.Contains(err.Error(), "of memory are needed; node.limits.memory is 16MiB") {
+		t.Errorf("%v", err)
+	}
+}
+
+// A node that ends takes no change any more, and one that is being prepared is undone.
+func TestEndAndChange(t *testing.T) {
+	a := box(t, "a")
+	silent := standin.NewAgent(t)
+	silent.Tell(true, "")
+	n, err := New(ownConfig(pooled("p", a)), quiet(), Options{ending: &ending{accept: 300 * time.Millisecond, last: time.Second, most: standin.Limit}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	end := make(chan error, 1)
+	go func() { end <- n.Run(ctx) }()
+	wantServed(t, n, "main", "/view/k", "a")
+	waiting := pooled("p")
+	waiting.Registry = &config.Registry{Address: silent.Address(), Mode: config.Pushed}
+	prepared := make(chan error, 1)
+	go func() {
+		_, err := n.Prepare(t.Context(), ownConfig(waiting), standin.Limit)
+		prepared <- err
+	}()
+	standin.Receive(t, silent.Asked, "the watch that is tried")
+	cancel()
+	if err := standin.Receive(t, prepared, "the change"); !errors.Is(err, ErrEnding) {
+		t.Errorf("%v", err)
+	}
+	if _, err := n.Prepare(t.Context(), ownConfig(pooled("q", a)), 0); !errors.Is(err, ErrEnding) {
+		t.Errorf("%v", err)
+	}
+	if err := standin.Receive(t, end, "the node's end"); err != nil {
+		t.Error(err)
+	}
+}
+
+// A change that was prepared before the end began is undone, not committed, after it.
+func TestCommitAfterTheEndChangesNothing(t *testing.T) {
+	a, b := box(t, "a"), box(t, "b")
+	n, err := New(ownConfig(pooled("p", a)), quiet(), Options{ending: &ending{last: time.Second, most: standin.Limit}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	end := make(chan error, 1)
+	go func() { end <- n.Run(ctx) }()
+	c, err := n.Prepare(t.Context(), ownConfig(pooled("q", b)), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	standin.Until(t, "the end to begin", func() bool {
+		select {
+		case <-n.draining:
+			return true
+		default:
+			return false
+		}
+	})
+	if err := c.Commit(); !errors.Is(err, ErrEnding) {
+		t.Errorf("%v", err)
+	}
+	if err := standin.Receive(t, end, "the node's end"); err != nil {
+		t.Error(err)
+	}
+}
+
+// Under a load of views and notes, listeners, pools and routes come and go: every call is answered once, no
+// note runs twice, none is lost.
+func TestChangesUnderLoad(t *testing.T) {
+	changes := 200
+	if testing.Short() {
+		changes = 30
+	}
+	var boxes []*standin.Box
+	var servers []*standin.Server
+	for i := range 4 {
+		b := standin.NewBox(standin.BoxOptions{Name: fmt.Sprint("b", i), Service: 2 * time.Millisecond, Seed: uint64(i),
+			Faults: standin.Faults{Fail: 0.01, Refuse: 0.02, Reset: 0.01, Cut: 0.005}})
+		boxes = append(boxes, b)
+		servers = append(servers, standin.NewServer(t, b.Serve))
+	}
+	one, two := standin.ClosedPort(t), standin.ClosedPort(t)
+	configOf := func(i int) *config.Config {
+		p := []config.Pool{pooled("stays", servers[0], servers[1+i%3]), pooled(fmt.Sprint("p", i/3), servers[2], servers[3])}
+		p[0].Attempts = 2 + i%3
+		c := ownConfig(p...)
+		c.Listeners = []config.Listener{{Name: "main", Address: one, Protocol: config.HTTP1, Paths: config.StrictPaths}}
+		if i%40 < 20 {
+			c.Listeners = append(c.Listeners, config.Listener{Name: fmt.Sprint("side", i%5), Address: two, Protocol: config.HTTP1, Paths: config.StrictPaths})
+		}
+		c.Routes = append(c.Routes, route.Route{Name: fmt.Sprint("r", i%2), Classes: []string{[]string{"view", "note"}[i%2]},
+			To: []route.Target{{Pool: p[1].Name, Weight: 1 + i%3}, {Pool: "stays", Weight: 1}}})
+		return c
+	}
+	n := startOwn(t, configOf(0), Options{})
+	audit := standin.NewAudit()
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		standin.Load{Audit: audit, Callers: 16, Addresses: func() []string { return []string{one, one, two} }, Notes: 0.5,
+			Deadline: standin.Limit, Pause: time.Millisecond, Seed: 1}.Run(ctx)
+		close(done)
+	}()
+	for i := 1; i <= changes; i++ {
+		change(t, n, configOf(i))
+		time.Sleep(5 * time.Millisecond) // a moment of service between two changes
+	}
+	stop()
+	standin.Receive(t, done, "the callers' last answers")
+	standin.Until(t, "all retired pools to go", func() bool { return len(n.StillDraining()) == 0 })
+	v := audit.Judge(boxes...)
+	for i, w := range v.Wrong {
+		if i < 10 {
+			t.Error(w)
+		}
+	}
+	if v.Calls < 500 || v.Served < v.Calls/2 {
+		t.Errorf("only %d calls, %d served", v.Calls, v.Served)
+	}
+	t.Logf("%d changes; %d calls: %d served, %d refused (%.2f %%), %d failed, %d not taken", changes, v.Calls, v.Served, v.Refused,
+		100*float64(v.Refused)/float64(v.Calls), v.Failed, v.NotTaken)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,7 +44,8 @@
 	listeners map[string]*listener
 	pools     map[string]*pool
 	retiring  map[*pool]bool
-	change    *Change // under way
+	closing   map[string]chan struct{} // by the keys of sockets that a change left behind, closed once they are
+	change    *Change                  // under way
 	serving   bool
 	ending    bool
 }
@@ -91,7 +92,7 @@
 	}
 	n := &Node{clock: clock.New(), log: log, options: o, named: start == nil, start: start, servers: descriptors.NewShare(0),
 		failed: make(chan error, 1), draining: make(chan struct{}), sockets: map[string]*socket{},
-		listeners: map[string]*listener{}, pools: map[string]*pool{}, retiring: map[*pool]bool{}}
+		listeners: map[string]*listener{}, pools: map[string]*pool{}, retiring: map[*pool]bool{}, closing: map[string]chan struct{}{}}
 	n.life, n.stop = context.WithCancel(context.Background())
 	n.callers = http1.NewCallers(n.clock, 0, config.Reserved/2, n.servers.Used)
 	n.resize(cfg)
