--- /dev/null
+++ b/internal/config/configtest/draw.go
@@ -0,0 +1,81 @@
+// Package configtest draws configurations for tests of properties.
+package configtest
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"woodpick/internal/config"
+	"woodpick/internal/route"
+)
+
+// World is what configurations are drawn from.
+type World struct {
+	Servers   []string // addresses
+	Listeners []string // addresses; no two of a configuration share one
+}
+
+// Draw makes a configuration that passes every check, of up to three listeners, pools and further routes, with
+// names that other draws use too.
+func Draw(t *rapid.T, w World) *config.Config {
+	c := &config.Config{Node: config.Node{Name: "n", StateFolder: "/state", AdminSocket: "/run/admin",
+		Limits: config.Limits{Memory: config.Size(rapid.IntRange(128, 132).Draw(t, "memory")) << 20,
+			Descriptors: rapid.IntRange(600, 604).Draw(t, "descriptors"), Cores: rapid.IntRange(1, 2).Draw(t, "cores")}}}
+	names := func(label string, least int, all ...string) []string {
+		return rapid.SliceOfNDistinct(rapid.SampledFrom(all), least, len(all), rapid.ID[string]).Draw(t, label)
+	}
+	classes := names("classes", 1, "view", "note", "keyed")
+	for _, name := range classes {
+		k := config.Class{Name: name, Effect: map[string]config.Effect{"view": config.Safe, "note": config.Unsafe, "keyed": config.Keyed}[name],
+			Aim: config.Duration(time.Duration(rapid.IntRange(900, 902).Draw(t, "aim")) * time.Millisecond), Deadline: config.Duration(4 * time.Second),
+			Worth: float64(rapid.IntRange(1, 3).Draw(t, "worth")), LateShare: rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "late")}
+		if name == "keyed" {
+			k.KeyScope, k.Window = rapid.SampledFrom([]config.Scope{config.CellScope, config.AllScope}).Draw(t, "scope"), config.Duration(time.Second)
+		}
+		c.Classes = append(c.Classes, k)
+	}
+	listeners := names("listeners", 1, "l1", "l2", "l3")
+	addresses := rapid.Permutation(w.Listeners).Draw(t, "addresses")
+	for i, name := range listeners {
+		c.Listeners = append(c.Listeners, config.Listener{Name: name, Address: addresses[i], Protocol: config.HTTP1,
+			Paths: rapid.SampledFrom([]config.Paths{config.StrictPaths, config.NormalizePaths}).Draw(t, "paths")})
+	}
+	pools := names("pools", 1, "p1", "p2", "p3")
+	for _, name := range pools {
+		p := config.Pool{Name: name, Protocol: config.HTTP1, Attempts: rapid.IntRange(1, 3).Draw(t, "attempts"), Cancel: rapid.Bool().Draw(t, "cancel"),
+			Tick: config.Duration(time.Millisecond), RetryAfter: config.Duration(time.Second), Copies: config.Copies{Count: 1},
+			Shedding: config.Shedding{Whole: 0.5, WorstClass: 0.5}, SlowStart: config.SlowStart{From: 1},
+			Connections: config.Connections{Most: rapid.IntRange(20, 22).Draw(t, "most"), Idle: config.Duration(time.Minute),
+				ConnectTimeout: config.Duration(time.Duration(rapid.IntRange(1, 2).Draw(t, "connect")) * time.Second)}}
+		servers := names("servers", 1, "s1", "s2", "s3")
+		at := rapid.Permutation(w.Servers).Draw(t, "at")
+		for i, s := range servers {
+			p.Servers = append(p.Servers, config.Server{Name: s, Address: at[i], Size: 1, State: config.Ready, Cell: rapid.IntRange(0, 1).Draw(t, "cell")})
+		}
+		c.Pools = append(c.Pools, p)
+	}
+	to := func() []route.Target {
+		var out []route.Target
+		for _, p := range rapid.SliceOfNDistinct(rapid.SampledFrom(pools), 1, 2, rapid.ID[string]).Draw(t, "to") {
+			out = append(out, route.Target{Pool: p, Weight: rapid.IntRange(1, 3).Draw(t, "weight")})
+		}
+		return out
+	}
+	c.Routes = append(c.Routes, route.Route{Name: "default", Default: true, To: to()})
+	for i, host := range names("hosts", 0, "a.example", "*.example", "b.example") {
+		r := route.Route{Name: fmt.Sprint("r", i), Hosts: []string{host}, To: to()}
+		if rapid.Bool().Draw(t, "by class") {
+			r.Classes = []string{classes[0]}
+		}
+		if rapid.Bool().Draw(t, "by header") {
+			r.Headers = []route.Header{{Name: "X-Team"}}
+		}
+		c.Routes = append(c.Routes, r)
+	}
+	if p := c.Check().Errors(); len(p) > 0 {
+		t.Fatalf("a drawn configuration does not pass: %v", p)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/plan/machine.go
@@ -0,0 +1,202 @@
+package plan
+
+import (
+	"errors"
+	"fmt"
+
+	"woodpick/internal/config"
+)
+
+// Machine is the order in which an apply's steps come. It is fed what happened and says what to do next, one
+// step at a time; nothing of what runs changes before Commit, and whatever fails before it is undone.
+//
+//	Offer -> Prepare -> Persist -> Commit -> Retire
+//	            |          |          |
+//	           Undo      Restore -> Undo
+//
+// Restore is for a record that may have reached the disk: the old one is written again, so that the next start
+// finds what runs now. If that fails too, the machine remembers it, and the next apply begins with another try.
+type Machine struct {
+	running  Running
+	phase    phase
+	offer    *Offer
+	cause    error // why the one under way fails
+	diverged bool  // the disk may hold another record than what runs
+	ending   bool
+}
+
+type phase int
+
+const (
+	idle phase = iota
+	repairing
+	preparing
+	persisting
+	committing
+	restoring
+	undoing
+	retiring
+)
+
+var phaseNames = [...]string{"idle", "repairing the state", "preparing", "persisting", "committing", "restoring the state", "undoing", "retiring"}
+
+// Offer is a change that is asked for.
+type Offer struct {
+	By     string // who asks, for the log: apply, rollback, reload
+	Plan   *Plan  // nil for a rollback or a reload
+	Config *config.Config
+	Base   Running // what it was made for
+}
+
+// Step is what to do next.
+type Step int
+
+// Steps. After each of them but Nothing the machine is told how it ended.
+const (
+	Nothing Step = iota
+	Repair       // write the record of what runs again
+	Prepare      // make the new configuration ready beside the old
+	Persist      // write the record of the new one
+	Commit       // put it in place
+	Restore      // write the record of the old one again
+	Undo         // take down what was prepared
+	Retire       // what went is being closed; nothing can fail any more
+)
+
+// Errors of offers.
+var (
+	// ErrBusy says that another change is under way.
+	ErrBusy = errors.New("another change is under way")
+	// ErrEnding says that the node is ending.
+	ErrEnding = errors.New("the node is ending")
+)
+
+// NewMachine returns a Machine for what runs. diverged: the state folder may hold something else.
+func NewMachine(running Running, diverged bool) *Machine {
+	return &Machine{running: running, diverged: diverged}
+}
+
+// Running is what runs now.
+func (m *Machine) Running() Running { return m.running }
+
+// Phase is where the change under way is, for people.
+func (m *Machine) Phase() string { return phaseNames[m.phase] }
+
+// Diverged says that the state folder may hold another record than that of what runs.
+func (m *Machine) Diverged() bool { return m.diverged }
+
+// Next is the serial and fingerprint that the change under way leads to.
+func (m *Machine) Next() Running {
+	r := m.running
+	if m.offer != nil {
+		r.Serial++
+		r.Fingerprint = m.offer.Config.Fingerprint()
+	}
+	return r
+}
+
+// Offer asks for a change. It is refused, with nothing done, while another is under way, while the node ends,
+// and if it was made for something else than what runs.
+func (m *Machine) Offer(o Offer) (Step, error) {
+	switch {
+	case m.ending:
+		return Nothing, ErrEnding
+	case m.phase != idle:
+		return Nothing, fmt.Errorf("%w: %s is %s; try again when it is over", ErrBusy, m.offer.By, m.Phase())
+	}
+	if err := o.fits(m.running); err != nil {
+		return Nothing, err
+	}
+	m.offer, m.cause = &o, nil
+	if m.diverged {
+		m.phase = repairing
+		return Repair, nil
+	}
+	m.phase = preparing
+	return Prepare, nil
+}
+
+func (o Offer) fits(now Running) error {
+	if o.Plan != nil {
+		return o.Plan.Fits(now)
+	}
+	if o.Base != now {
+		return fmt.Errorf("%w: serial %d (%s) runs, not serial %d (%s)", ErrStale, now.Serial, Short(now.Fingerprint),
+			o.Base.Serial, Short(o.Base.Fingerprint))
+	}
+	if o.Config.Node.Name != now.Node {
+		return fmt.Errorf("%w: the configuration is for %q, this is %q", ErrOtherNode, o.Config.Node.Name, now.Node)
+	}
+	return nil
+}
+
+// Done tells how the last step ended, and returns the next.
+func (m *Machine) Done(err error) Step {
+	switch m.phase {
+	case repairing:
+		if err != nil {
+			return m.stop(fmt.Errorf("the state folder could not be brought up to what runs: %w", err))
+		}
+		m.diverged = false
+		if m.ending {
+			return m.stop(ErrEnding)
+		}
+		m.phase = preparing
+		return Prepare
+	case preparing:
+		if err != nil { // it has been undone where it failed
+			return m.stop(err)
+		}
+		if m.ending {
+			return m.undo(ErrEnding)
+		}
+		m.phase = persisting
+		return Persist
+	case persisting:
+		if err != nil {
+			m.cause = fmt.Errorf("the state folder: %w", err)
+			m.phase = restoring
+			return Restore
+		}
+		m.phase = committing
+		return Commit
+	case committing:
+		if err != nil {
+			m.cause = err
+			m.phase = restoring
+			return Restore
+		}
+		m.running = m.Next()
+		m.phase = retiring
+		return Retire
+	case restoring:
+		if err != nil {
+			m.diverged = true
+			m.cause = errors.Join(m.cause, fmt.Errorf("the state folder may hold serial %d now, though serial %d runs on: %w",
+				m.running.Serial+1, m.running.Serial, err))
+		}
+		return m.undo(m.cause)
+	case undoing:
+		return m.stop(m.cause)
+	case retiring:
+		return m.stop(nil)
+	}
+	return Nothing
+}
+
+func (m *Machine) undo(cause error) Step {
+	m.cause, m.phase = cause, undoing
+	return Undo
+}
+
+// stop ends the change under way.
+func (m *Machine) stop(err error) Step {
+	m.cause, m.phase, m.offer = err, idle, nil
+	return Nothing
+}
+
+// Err is why the last change failed; nil if it did not.
+func (m *Machine) Err() error { return m.cause }
+
+// End says that the node is ending: nothing new is begun, and what has not been persisted yet will be undone.
+func (m *Machine) End() { m.ending = true }
