--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -17,7 +17,8 @@
 )
 
 // Config is a whole configuration. Its JSON form, in which plans and the state folder hold it, has the names
-// that our own file has.
+// that our own file has. A field that is added later must mean what was before by its zero value and be left
+// out then, or records of before would no longer fit their fingerprints.
 type Config struct {
 	Node      Node          `json:"node"`
 	Classes   []Class       `json:"classes"`
