--- /dev/null
+++ b/cmd/damsontrestle/plan.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"github.com/spf13/cobra"
+
+	"woodpick/internal/config"
+	"woodpick/internal/plan"
+)
+
+// Exit codes of plan with -detailed-exitcode, as Terraform has them.
+const (
+	exitNoChange = 0
+	exitChanges  = 2
+)
+
+func newPlan() *cobra.Command {
+	var (
+		path, socket     string
+		asJSON, detailed bool
+	)
+	cmd := &cobra.Command{
+		Use:   "plan FILE",
+		Short: "Show what a file would change in the running node",
+		Long: "plan reads a file and shows what it would change in the node that runs, down to the field, and what each\n" +
+			"change does. It changes nothing. With -out the plan is written to a file that apply carries out exactly.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			cfg, problems := config.Parse(text, args[0])
+			if err := problems.Err(); err != nil {
+				return err
+			}
+			if socket == "" {
+				socket = cfg.Node.AdminSocket
+			}
+			if socket, err = socketOf(socket, nil); err != nil {
+				return err
+			}
+			_, show, err := running(cmd.Context(), socket)
+			if err != nil {
+				return err
+			}
+			source := plan.Source{Path: args[0], Digest: plan.Digest(text)}
+			if source.Path, err = filepath.Abs(args[0]); err != nil {
+				return err
+			}
+			p := plan.Make(show.Running, show.Config, cfg, source, socket, time.Now())
+			if err := p.Fits(show.Running); err != nil {
+				return err
+			}
+			if path != "" {
+				enc, err := p.Encode()
+				if err != nil {
+					return err
+				}
+				if err := renameio.WriteFile(path, enc, 0o600); err != nil {
+					return fmt.Errorf("plan: %w", err)
+				}
+			}
+			if asJSON {
+				err = writePlanJSON(cmd.OutOrStdout(), p, cfg, problems.Warnings())
+			} else {
+				writePlanText(cmd.OutOrStdout(), p, cfg, problems.Warnings(), path)
+			}
+			if err == nil && detailed && len(p.Changes) > 0 {
+				return exit{code: exitChanges}
+			}
+			return err
+		},
+	}
+	cmd.Flags().StringVar(&path, "out", "", "write the plan to this file, for apply")
+	cmd.Flags().StringVar(&socket, "socket", "", "the node's admin socket (default: the file's)")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "write the plan as JSON, for programs")
+	cmd.Flags().BoolVar(&detailed, "detailed-exitcode", false, "end with 0 for no change, 2 for changes, 1 for an error")
+	return cmd
+}
+
+// planJSON is a plan for programs.
+type planJSON struct {
+	Format   int             `json:"format_version"`
+	Base     plan.Running    `json:"base"`
+	Result   string          `json:"result"`
+	Changes  []plan.Change   `json:"changes"`
+	Summary  plan.Summary    `json:"summary"`
+	Restart  []string        `json:"needs_restart"`
+	Needs    config.Needs    `json:"needs"`
+	Limits   config.Limits   `json:"limits"`
+	Warnings config.Problems `json:"warnings"`
+}
+
+func writePlanJSON(to io.Writer, p *plan.Plan, cfg *config.Config, warnings config.Problems) error {
+	out := planJSON{Format: plan.Format, Base: p.Base, Result: p.Result, Changes: p.Changes, Summary: plan.Summarize(p.Changes),
+		Restart: plan.Restarts(p.Changes), Needs: cfg.Needs(), Limits: cfg.Node.Limits, Warnings: warnings}
+	if out.Changes == nil {
+		out.Changes = []plan.Change{}
+	}
+	if out.Restart == nil {
+		out.Restart = []string{}
+	}
+	if out.Warnings == nil {
+		out.Warnings = config.Problems{}
+	}
+	return json.NewEncoder(to).Encode(out)
+}
+
+func writePlanText(to io.Writer, p *plan.Plan, cfg *config.Config, warnings config.Problems, path string) {
+	for _, w := range warnings {
+		fmt.Fprintln(to, w.Error())
+	}
+	if len(p.Changes) == 0 {
+		fmt.Fprintf(to, "No changes. Node %q runs what the file says (serial %d, %s).\n", p.Base.Node, p.Base.Serial, plan.Short(p.Base.Fingerprint))
+		return
+	}
+	fmt.Fprintf(to, "Node %q runs serial %d (%s). The file would change:\n\n", p.Base.Node, p.Base.Serial, plan.Short(p.Base.Fingerprint))
+	io.WriteString(to, plan.Text(p.Changes))
+	n := cfg.Needs()
+	fmt.Fprintf(to, "Needs %d of %d descriptors and about %v of %v memory.\n", n.Descriptors, cfg.Node.Limits.Descriptors, n.Memory.Rounded(), cfg.Node.Limits.Memory)
+	if r := plan.Restarts(p.Changes); len(r) > 0 {
+		fmt.Fprintf(to, "Takes effect at the next start only: %s.\n", join(r))
+	}
+	if path != "" {
+		fmt.Fprintf(to, "\nSaved to %s. To do exactly this:\n    damsontrestle apply %s\n", path, path)
+	}
+}
--- /dev/null
+++ b/cmd/damsontrestle/serve.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"woodpick/internal/daemon"
+	"woodpick/internal/node"
+)
+
+func newServe() *cobra.Command {
+	var o daemon.Options
+	cmd := &cobra.Command{
+		Use:   "serve FILE",
+		Short: "Run a node by a file",
+		Long: "serve runs a node by a file. Where the file names a state folder that holds a configuration which was\n" +
+			"applied since, that one runs, and the log says so: a file takes effect by plan and apply.\n\n" +
+			"SIGHUP reads the file again and puts it in place, if it passes. SIGTERM and SIGINT end the node once\n" +
+			"all that it has taken is answered.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			// SIGHUP ends a program that does not catch it: it is caught before anything else.
+			again := make(chan os.Signal, 1)
+			signal.Notify(again, syscall.SIGHUP)
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			o.File = args[0]
+			o.Log = slog.New(slog.NewTextHandler(cmd.ErrOrStderr(), nil))
+			o.Node.Limit = node.Limit
+			d, err := daemon.Start(o)
+			if err != nil {
+				return err
+			}
+			go func() {
+				for range again {
+					d.Reload()
+				}
+			}()
+			return d.Run(ctx)
+		},
+	}
+	cmd.Flags().BoolVar(&o.FromFile, "from-file", false, "run the file, whatever the state folder holds")
+	cmd.Flags().DurationVar(&o.Wait, "wait", 10*time.Second, "how long a reload waits for new lists of servers")
+	return cmd
+}
--- /dev/null
+++ b/cmd/damsontrestle/show.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"woodpick/internal/admin"
+	"woodpick/internal/plan"
+)
+
+func newShow() *cobra.Command {
+	var (
+		socket string
+		asJSON bool
+	)
+	cmd := &cobra.Command{
+		Use:   "show [FILE]",
+		Short: "Show what a node runs and does",
+		Long:  "show tells what runs (serial and fingerprint, since when, put in place by what), its listeners and pools, and what\nof earlier configurations still drains. The file only names the node, by its admin socket.",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			path, err := socketOf(socket, args)
+			if err != nil {
+				return err
+			}
+			_, show, err := running(cmd.Context(), path)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(show)
+			}
+			writeShow(cmd.OutOrStdout(), show)
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&socket, "socket", "", "the node's admin socket (default: the file's)")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "write everything as JSON, the configuration among it")
+	return cmd
+}
+
+func writeShow(out io.Writer, s admin.Show) {
+	p := func(format string, args ...any) { fmt.Fprintf(out, format+"\n", args...) }
+	ready := "ready"
+	if !s.Status.Ready {
+		ready = "not ready"
+	}
+	p("node         %s, %s", s.Node, ready)
+	p("running      serial %d, %s, by %s at %s", s.Serial, plan.Short(s.Fingerprint), s.By, s.Since.Format(time.RFC3339))
+	p("found        %s", s.Start)
+	if s.Previous != nil {
+		p("before       serial %d, %s", s.Previous.Serial, plan.Short(s.Previous.Fingerprint))
+	}
+	if s.Memory {
+		p("state        in memory only: a restart forgets what is applied")
+	}
+	if s.Diverged {
+		p("state        may hold another configuration than what runs: the next apply mends it first")
+	}
+	if len(s.Restart) > 0 {
+		p("restart      needed for %s", join(s.Restart))
+	}
+	p("needs        %d of %d descriptors, about %v of %v memory", s.Needs.Descriptors, s.Config.Node.Limits.Descriptors, s.Needs.Memory.Rounded(), s.Config.Node.Limits.Memory)
+	if s.Under != "" {
+		p("under way    %s", s.Under)
+	}
+	if s.Last != nil {
+		what := "done"
+		if s.Last.Error != "" {
+			what = "failed: " + s.Last.Error
+		}
+		p("last change  %s at %s, %s", s.Last.By, s.Last.At.Format(time.RFC3339), what)
+	}
+	p("callers      %d connections", s.Status.Callers)
+	for _, name := range slices.Sorted(maps.Keys(s.Status.Listeners)) {
+		p("listener     %s at %s", name, s.Status.Listeners[name].Address)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Status.Pools)) {
+		pool := s.Status.Pools[name]
+		c := pool.Calls
+		p("pool         %s: %d servers ready, %d draining, %d connections; calls: %d open, %d taken, %d served, %d refused, %d failed, %d left by their callers",
+			name, c.Ready, c.Draining, pool.Connections, c.Open, c.Calls, c.Served, c.Refused, c.Failed, c.Gone)
+	}
+	for _, name := range s.Status.Retiring {
+		p("draining     pool %s of an earlier configuration", name)
+	}
+}
--- /dev/null
+++ b/cmd/damsontrestle/validate.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"woodpick/internal/config"
+)
+
+func newValidate() *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "validate FILE",
+		Short: "Check a file without asking any node",
+		Long:  "validate checks a file whole and tells all that is wrong with it. It ends with 0 if a node could run it, else with 1.",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			cfg, problems := config.Load(args[0])
+			out := cmd.OutOrStdout()
+			if asJSON {
+				r := struct {
+					Valid    bool            `json:"valid"`
+					Problems config.Problems `json:"problems"`
+				}{problems.Err() == nil, problems}
+				if r.Problems == nil {
+					r.Problems = config.Problems{}
+				}
+				if err := json.NewEncoder(out).Encode(r); err != nil {
+					return err
+				}
+				if !r.Valid {
+					return exit{code: 1}
+				}
+				return nil
+			}
+			for _, p := range problems {
+				fmt.Fprintln(cmd.ErrOrStderr(), p.Error())
+			}
+			if e := problems.Errors(); len(e) > 0 {
+				return exit{1, fmt.Errorf("%d in %s", len(e), args[0])}
+			}
+			n := cfg.Needs()
+			fmt.Fprintf(out, "%s is valid: %d classes, %d listeners, %d pools, %d routes; needs %d of %d descriptors and about %v of %v memory.\n",
+				args[0], len(cfg.Classes), len(cfg.Listeners), len(cfg.Pools), len(cfg.Routes), n.Descriptors, cfg.Node.Limits.Descriptors,
+				n.Memory.Rounded(), cfg.Node.Limits.Memory)
+			return nil
+		},
+	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "write the result as JSON")
+	return cmd
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -401,11 +401,12 @@
 			l, n.Descriptors, k.OwnDescriptors(), (n.Descriptors-k.OwnDescriptors())/2)
 	}
 	if l := k.Node.Limits.Memory; n.Memory > l {
-		k.fail("node.limits.memory", "found %v, but about %v are needed with all connections open", l, roundMiB(n.Memory))
+		k.fail("node.limits.memory", "found %v, but about %v are needed with all connections open", l, n.Memory.Rounded())
 	}
 }
 
-func roundMiB(s Size) Size { return (s + 1<<20 - 1) &^ (1<<20 - 1) }
+// Rounded is the size in whole MiB, for people.
+func (s Size) Rounded() Size { return (s + 1<<20 - 1) &^ (1<<20 - 1) }
 
 // validate has the module look at the settings that it is to be given.
 func (c *Config) validate() error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"woodpick/internal/descriptors"
 	"woodpick/internal/discovery"
 	"woodpick/internal/dispatch"
+	"woodpick/internal/engine"
 	"woodpick/internal/http1"
 )
 
@@ -186,6 +187,9 @@
 }
 
 // close ends all parts; nothing is taken any more, and what was is answered.
+// Close ends a node that was not run.
+func (n *Node) Close() { n.close() }
+
 func (n *Node) close() {
 	n.mu.Lock()
 	if !n.ending {
@@ -231,8 +235,8 @@
 
 // PoolStatus is what a pool holds.
 type PoolStatus struct {
-	Calls       any `json:"calls"`
-	Connections int `json:"connections"` // to servers
+	Calls       engine.Status `json:"calls"`
+	Connections int           `json:"connections"` // to servers
 }
 
 // Status tells what the node holds now.
--- a/internal/plan/machine.go
+++ b/internal/plan/machine.go
@@ -96,7 +96,7 @@
 }
 
 // Offer asks for a change. It is refused, with nothing done, while another is under way, while the node ends,
-// and if it was made for something else than what runs.
+// and if it was made for something else than what runs. Nothing is done for one to what runs already.
 func (m *Machine) Offer(o Offer) (Step, error) {
 	switch {
 	case m.ending:
@@ -107,6 +107,10 @@
 	if err := o.fits(m.running); err != nil {
 		return Nothing, err
 	}
+	if o.Config.Fingerprint() == m.running.Fingerprint {
+		m.cause = nil
+		return Nothing, nil
+	}
 	m.offer, m.cause = &o, nil
 	if m.diverged {
 		m.phase = repairing
--- a/internal/plan/machine_test.go
+++ b/internal/plan/machine_test.go
@@ -39,6 +39,7 @@
 		"another after a failed one":   "offer prepare fail nothing offer prepare ok persist ok commit ok retire ok nothing",
 		"stale once one has come":      "offer prepare ok persist ok commit ok retire ok nothing stale!",
 		"and not after one that fails": "offer prepare fail nothing same prepare",
+		"to what runs already":         "nothing! nothing offer prepare",
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := NewMachine(runningOf(example(t), 1), false)
@@ -50,9 +51,15 @@
 				var err error
 				switch word {
 				case "offer", "offer!":
-					step, err = m.Offer(scripted(t, m.Running(), 2))
+					step, err = m.Offer(scripted(t, m.Running(), 5+i))
 				case "stale!", "same":
-					step, err = m.Offer(scripted(t, first, 2))
+					step, err = m.Offer(scripted(t, first, 3))
+				case "nothing!":
+					o := scripted(t, first, 4) // as the example has it
+					if step, err = m.Offer(o); err != nil {
+						t.Fatal(err)
+					}
+					continue
 				case "ok":
 					step = m.Done(nil)
 				case "fail":
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -39,6 +39,7 @@
 	Made    time.Time      `json:"made"`
 	Base    Running        `json:"base"`   // what ran when it was made
 	Source  Source         `json:"source"` // what it was made from
+	Socket  string         `json:"socket"` // the admin socket that it was made through
 	Result  string         `json:"result"` // fingerprint of the configuration
 	Config  *config.Config `json:"config"` // whole
 	Changes []Change       `json:"changes"`
@@ -46,8 +47,8 @@
 }
 
 // Make plans the change from what runs to another configuration.
-func Make(base Running, old, next *config.Config, source Source, now time.Time) *Plan {
-	p := &Plan{Format: Format, Made: now.UTC().Truncate(time.Second), Base: base, Source: source, Result: next.Fingerprint(),
+func Make(base Running, old, next *config.Config, source Source, socket string, now time.Time) *Plan {
+	p := &Plan{Format: Format, Made: now.UTC().Truncate(time.Second), Base: base, Source: source, Socket: socket, Result: next.Fingerprint(),
 		Config: next, Changes: Diff(old, next)}
 	p.Digest = p.digest()
 	return p
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -118,7 +118,7 @@
 func TestPlanIsReadBackWhole(t *testing.T) {
 	old, next := example(t), example(t)
 	next.Pools[0].Attempts = 2
-	p := Make(runningOf(old, 3), old, next, Source{"f.hcl", Digest([]byte("text"))}, made)
+	p := Make(runningOf(old, 3), old, next, Source{"f.hcl", Digest([]byte("text"))}, "/run/admin", made)
 	text, err := p.Encode()
 	if err != nil {
 		t.Fatal(err)
@@ -138,7 +138,7 @@
 func TestPlansThatAreRefused(t *testing.T) {
 	old, next := example(t), example(t)
 	next.Pools[0].Attempts = 2
-	p := Make(runningOf(old, 3), old, next, Source{"f.hcl", "d"}, made)
+	p := Make(runningOf(old, 3), old, next, Source{"f.hcl", "d"}, "/run/admin", made)
 	text, _ := p.Encode()
 	edit := func(old, new string) []byte {
 		out := bytes.Replace(text, []byte(old), []byte(new), 1)
@@ -149,7 +149,7 @@
 	}
 	invalid := example(t)
 	invalid.Pools[0].Attempts = 99
-	invalidText, _ := Make(runningOf(old, 3), old, invalid, Source{}, made).Encode()
+	invalidText, _ := Make(runningOf(old, 3), old, invalid, Source{}, "/run/admin", made).Encode()
 	for name, c := range map[string]struct {
 		text []byte
 		is   error
@@ -193,7 +193,7 @@
 	}
 	renamed := example(t)
 	renamed.Node.Name = "n2"
-	if err := Make(runningOf(old, 3), old, renamed, Source{}, made).Fits(runningOf(old, 3)); !errors.Is(err, ErrOtherNode) {
+	if err := Make(runningOf(old, 3), old, renamed, Source{}, "/run/admin", made).Fits(runningOf(old, 3)); !errors.Is(err, ErrOtherNode) {
 		t.Errorf("another name: %v", err)
 	}
 }
@@ -210,7 +210,7 @@
 				t.Fatal(err)
 			}
 		}
-		p := Make(runningOf(a, 1), a, b, Source{}, made)
+		p := Make(runningOf(a, 1), a, b, Source{}, "/run/admin", made)
 		if (len(p.Changes) == 0) != (a.Fingerprint() == b.Fingerprint()) {
 			t.Fatalf("%d changes, fingerprints %s and %s", len(p.Changes), a.Fingerprint(), b.Fingerprint())
 		}
@@ -239,7 +239,7 @@
 func FuzzDecode(f *testing.F) {
 	old, next := example(f), example(f)
 	next.Pools[0].Attempts = 2
-	text, _ := Make(runningOf(old, 3), old, next, Source{"f.hcl", "d"}, made).Encode()
+	text, _ := Make(runningOf(old, 3), old, next, Source{"f.hcl", "d"}, "/run/admin", made).Encode()
 	f.Add(text)
 	f.Add(text[:len(text)/2])
 	for _, s := range []string{"", "{}", `{"format":2}`, `{"format":1,"config":null}`, `[]`, `{"format":1}{}`, `{"format":1e9}`} {
@@ -295,7 +295,7 @@
 		if err := next.Check().Err(); err != nil {
 			b.Fatal(err)
 		}
-		p := Make(runningOf(old, 1), old, next, Source{}, made)
+		p := Make(runningOf(old, 1), old, next, Source{}, "/run/admin", made)
 		text, err := p.Encode()
 		if err != nil {
 			b.Fatal(err)
