--- a/internal/http1/rig_test.go
+++ b/internal/http1/rig_test.go
@@ -73,7 +73,7 @@
 	go n.engine.Run(ctx)
 	go n.back.Sweep(ctx)
 	go n.front.Serve(n.ln)
-	t.Cleanup(func() { n.front.server.Close(); cancel() })
+	t.Cleanup(func() { n.ln.Close(); n.front.server.Close(); cancel() })
 	return n
 }
 
