show tells of listeners that still drain; 200 plans and 20 rollbacks under load

Change: what is being retired is named as "pool a" and "listener b". A test applies plans over the admin socket while 16 callers ask, and rolls every tenth back.

--- a/cmd/damsontrestle/show.go
+++ b/cmd/damsontrestle/show.go
@@ -87,7 +87,7 @@
 		p("pool         %s: %d servers ready, %d draining, %d connections; calls: %d open, %d taken, %d served, %d refused, %d failed, %d left by their callers",
 			name, c.Ready, c.Draining, pool.Connections, c.Open, c.Calls, c.Served, c.Refused, c.Failed, c.Gone)
 	}
-	for _, name := range s.Status.Retiring {
-		p("draining     pool %s of an earlier configuration", name)
+	for _, name := range s.Status.Draining {
+		p("draining     %s of an earlier configuration", name)
 	}
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -707,3 +707,65 @@
 		}
 	}
 }
+
+// Under a load of views and notes, plans are applied that add, change and remove listeners, pools and routes,
+// and some are rolled back: every call is answered once, no note runs twice, none is lost.
+func TestPlansUnderLoad(t *testing.T) {
+	plans := 200
+	if testing.Short() {
+		plans = 30
+	}
+	var boxes []*standin.Box
+	var at []string
+	for i := range 4 {
+		b := standin.NewBox(standin.BoxOptions{Name: fmt.Sprint("b", i), Service: 2 * time.Millisecond, Seed: uint64(i),
+			Faults: standin.Faults{Fail: 0.01, Refuse: 0.02, Reset: 0.01, Cut: 0.005}})
+		boxes = append(boxes, b)
+		at = append(at, standin.NewServer(t, b.Serve).Address())
+	}
+	r := newRig(t)
+	side := standin.ClosedPort(t)
+	text := func(i int) string {
+		more := fmt.Sprintf("pool \"q%d\" {\n attempts = %d\n server \"s\" {\n address = %q\n }\n}\n", i/3, 1+i%3, at[2+i%2])
+		more += fmt.Sprintf("route \"r%d\" {\n classes = [%q]\n to \"q%d\" {\n weight = %d\n }\n to \"p\" {\n weight = 1\n }\n}\n",
+			i%2, []string{"view", "note"}[i%2], i/3, 1+i%3)
+		if i%40 < 20 {
+			more += fmt.Sprintf("listener \"side%d\" {\n address = %q\n}\n", i%5, side)
+		}
+		return r.text("p", at[i%2], more)
+	}
+	r.write(t, text(0))
+	r.start(t)
+	audit := standin.NewAudit()
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		standin.Load{Audit: audit, Callers: 16, Addresses: func() []string { return []string{r.listen, r.listen, side} }, Notes: 0.5,
+			Deadline: 15 * time.Second, Pause: time.Millisecond, Seed: 1}.Run(ctx)
+		close(done)
+	}()
+	for i := 1; i <= plans; i++ {
+		if _, err := r.apply(t, r.plan(t, text(i))); err != nil {
+			t.Fatal(err)
+		}
+		if i%10 == 0 {
+			if _, err := r.client().Rollback(t.Context(), r.show(t).Running, standin.Limit, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	stop()
+	standin.Receive(t, done, "the callers' last answers")
+	standin.Until(t, "all that went to be over", func() bool { return len(r.show(t).Status.Draining) == 0 })
+	v := audit.Judge(boxes...)
+	for i, w := range v.Wrong {
+		if i < 10 {
+			t.Error(w)
+		}
+	}
+	if v.Calls < 300 || v.Served < v.Calls/2 {
+		t.Errorf("only %d calls, %d served", v.Calls, v.Served)
+	}
+	t.Logf("%d plans and %d rollbacks; %d calls: %d served, %d refused (%.2f %%), %d failed, %d not taken", plans, plans/10, v.Calls, v.Served,
+		v.Refused, 100*float64(v.Refused)/float64(v.Calls), v.Failed, v.NotTaken)
+}
--- a/internal/node/change.go
+++ b/internal/node/change.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"woodpick/internal/config"
@@ -289,7 +290,7 @@
 type remains struct {
 	pools   []*pool
 	sources []*source
-	fronts  []*http1.Front
+	fronts  []*listener
 	sockets []*socket
 }
 
@@ -349,7 +350,7 @@
 	}
 	for name, old := range n.listeners {
 		if next := listeners[name]; next == nil || next.front != old.front {
-			gone.fronts = append(gone.fronts, old.front)
+			gone.fronts = append(gone.fronts, old)
 		}
 	}
 	for key, s := range n.sockets {
@@ -394,9 +395,15 @@
 			s.shut()
 		})
 	}
-	for _, f := range gone.fronts {
-		f.Unready()
-		n.behind(func() { n.retireFront(f) })
+	for _, l := range gone.fronts {
+		l.front.Unready()
+		n.leaving[l] = true
+		n.behind(func() {
+			n.retireFront(l.front)
+			n.mu.Lock()
+			delete(n.leaving, l)
+			n.mu.Unlock()
+		})
 	}
 	for _, p := range gone.pools {
 		n.retiring[p] = true
@@ -428,12 +435,21 @@
 	return sum
 }
 
-// StillDraining names what earlier changes left behind and is not over yet.
-func (n *Node) StillDraining() (pools []string) {
+// StillDraining names what earlier changes left behind and is not over yet: "pool a", "listener b".
+func (n *Node) StillDraining() (names []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.remains()
+}
+
+// remains names what is being retired. The caller holds mu.
+func (n *Node) remains() (names []string) {
 	for p := range n.retiring {
-		pools = append(pools, p.name)
+		names = append(names, "pool "+p.name)
+	}
+	for l := range n.leaving {
+		names = append(names, "listener "+l.cfg.Name)
 	}
-	return pools
+	slices.Sort(names)
+	return names
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,7 @@
 	listeners map[string]*listener
 	pools     map[string]*pool
 	retiring  map[*pool]bool
+	leaving   map[*listener]bool       // whose callers are being let go
 	closing   map[string]chan struct{} // by the keys of sockets that a change left behind, closed once they are
 	change    *Change                  // under way
 	serving   bool
@@ -93,7 +94,7 @@
 	}
 	n := &Node{clock: clock.New(), log: log, options: o, named: start == nil, start: start, servers: descriptors.NewShare(0),
 		failed: make(chan error, 1), draining: make(chan struct{}), sockets: map[string]*socket{},
-		listeners: map[string]*listener{}, pools: map[string]*pool{}, retiring: map[*pool]bool{}, closing: map[string]chan struct{}{}}
+		listeners: map[string]*listener{}, pools: map[string]*pool{}, retiring: map[*pool]bool{}, leaving: map[*listener]bool{}, closing: map[string]chan struct{}{}}
 	n.life, n.stop = context.WithCancel(context.Background())
 	n.callers = http1.NewCallers(n.clock, 0, config.Reserved/2, n.servers.Used)
 	n.resize(cfg)
@@ -223,7 +224,7 @@
 type Status struct {
 	Listeners map[string]ListenerStatus `json:"listeners"`
 	Pools     map[string]PoolStatus     `json:"pools"`
-	Retiring  []string                  `json:"retiring,omitempty"` // pools of earlier configurations that still have calls
+	Draining  []string                  `json:"draining,omitempty"` // of earlier configurations, as "pool a"
 	Callers   int                       `json:"callers"`            // connections
 	Ready     bool                      `json:"ready"`
 }
@@ -247,9 +248,7 @@
 	for name, l := range n.listeners {
 		s.Listeners[name] = ListenerStatus{l.socket.Addr().String()}
 	}
-	for p := range n.retiring {
-		s.Retiring = append(s.Retiring, p.name)
-	}
+	s.Draining = n.remains()
 	pools := n.pools
 	n.mu.Unlock()
 	for name, p := range pools {
