Checks of a request and callers' connections move out of HTTP/1.1: internal/intake, internal/callers

Need: a second protocol's front must take calls by the same checks and hold its connections within the same share of descriptors.

Change: intake checks a head (method, path, class, key, id, deadline, length) and has the call taken under one view; callers keeps the connections of all fronts by what they do, counts open requests rather than connections, and lets go those of least use. http1 keeps only what is HTTP/1.1's. Behaviour unchanged; callers has tests of its own without sockets.

--- /dev/null
+++ b/internal/callers/callers.go
@@ -0,0 +1,321 @@
+// Package callers keeps the callers' connections of all fronts within their share of the node's descriptors.
+// Whoever holds a place without a request makes room first; only if nobody does, requests are refused. It knows
+// what each connection does, and nothing of what is spoken on it.
+package callers
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"woodpick/internal/clock"
+)
+
+// Conn is a caller's connection, as its front has it. Its methods must not call back.
+type Conn interface {
+	// LetGo has it closed unless a request has begun on it; it tells whether it goes.
+	LetGo() bool
+	// CutOff ends the wait for the rest of a request; the caller may get an answer that says so.
+	CutOff()
+	// IsCut says that CutOff was called.
+	IsCut() bool
+	// HasBegun says that bytes of a request were read since the last answer.
+	HasBegun() bool
+	// Close closes it at once.
+	Close() error
+}
+
+// Graces tell how long a caller's connection is spared, when there are too many, in each of the states in
+// which it holds a place and no request is open on it.
+type Graces struct{ Lingering, Silent, Half, Idle time.Duration }
+
+// pressing shortens the graces while descriptors are about to run out.
+const pressing = 5
+
+// DefaultGraces spare a good caller, which sends its request as soon as it has connected, and in one piece; one
+// idle for a moment may meet its next request on the way.
+func DefaultGraces() Graces {
+	return Graces{Lingering: 50 * time.Millisecond, Silent: 100 * time.Millisecond, Half: time.Second,
+		Idle: 500 * time.Millisecond}
+}
+
+// Phase is what a connection does.
+type Phase int
+
+// Phases.
+const (
+	Silent    Phase = iota // new, no request read
+	Reading                // a request's head is read, its body may not be
+	Open                   // requests are with the module
+	Idle                   // answered
+	Lingering              // answered for good; what still comes is thrown away
+)
+
+// Set are the callers' connections of all fronts.
+type Set struct {
+	clock   clock.Clock
+	servers func() int // how many descriptors the servers' connections have
+
+	mu      sync.Mutex
+	share   Share
+	conns   map[Conn]*activity
+	leaving int // let go and not closed yet
+	opened  int // requests that are open
+	grace   Graces
+	counts  counts
+}
+
+// counts tell, for the log, what became of connections.
+type counts struct{ accepted, letGo, crowded, turnedAway int }
+
+// activity is what a connection does, and since when.
+type activity struct {
+	group any // its front
+	phase Phase
+	since time.Duration
+	open  int  // requests with the module
+	going bool // let go, and counted as leaving
+}
+
+// Share is how descriptors are shared out.
+type Share struct {
+	Room  int // for callers and servers together
+	Least int // of these the servers' connections may always have
+	Spare int // beyond these, for callers whose requests are read only to be refused
+}
+
+// New returns the callers' side of a share of descriptors, of which servers tells how many the servers'
+// connections have.
+func New(c clock.Clock, share Share, servers func() int) *Set {
+	return &Set{clock: c, share: share, servers: servers, conns: map[Conn]*activity{}, grace: DefaultGraces()}
+}
+
+// SetGrace changes how long connections are spared.
+func (s *Set) SetGrace(g Graces) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grace = g
+}
+
+// most is how many connections callers may hold now: what servers leave. The caller holds mu.
+func (s *Set) most() int { return max(s.share.Room/2, s.share.Room-max(s.share.Least, s.servers())) }
+
+// Add notes a new connection of a front, and makes room when there are too many.
+func (s *Set) Add(c Conn, group any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.accepted++
+	s.conns[c] = &activity{group: group, phase: Silent, since: s.clock.Now()}
+	s.makeRoom()
+}
+
+// Move notes what a connection does from now on, and makes room when there are too many.
+func (s *Set) Move(c Conn, p Phase) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.conns[c]; a != nil {
+		s.move(a, p)
+		if p != Lingering {
+			s.makeRoom()
+		}
+	}
+}
+
+// Remove forgets a connection.
+func (s *Set) Remove(c Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.conns[c]; a != nil {
+		s.move(a, Lingering)
+		delete(s.conns, c)
+	}
+}
+
+// move notes what a connection does. The caller holds mu.
+func (s *Set) move(a *activity, p Phase) {
+	if a.going {
+		s.leaving--
+	}
+	if p != Open {
+		s.opened -= a.open
+		a.open = 0
+	}
+	a.phase, a.since, a.going = p, s.clock.Now(), false
+}
+
+// Begin notes that a request of a connection goes to the module, unless as many are there as servers'
+// connections are kept for, or the connection was to be cut off: its caller would seem to have gone. That there
+// are too many connections is no reason: others' silence must not cost a good caller its answer.
+func (s *Set) Begin(c Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.conns[c]
+	if a == nil {
+		return false
+	}
+	s.move(a, Open)
+	a.open++
+	s.opened++
+	if s.opened > s.share.Room/2 || c.IsCut() {
+		s.counts.crowded++
+		return false
+	}
+	return true
+}
+
+// End notes that one of a connection's requests is answered, and tells how many are left with the module.
+func (s *Set) End(c Conn) (left int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.conns[c]
+	if a == nil || a.open == 0 {
+		return 0
+	}
+	a.open--
+	s.opened--
+	return a.open
+}
+
+// over is by how many there are too many. The caller holds mu.
+func (s *Set) over() int { return len(s.conns) - s.leaving - s.most() }
+
+// Crowded says that there are too many: each answer had better close its connection.
+func (s *Set) Crowded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.over() > 0
+}
+
+// Full says that one more would leave the node without a descriptor.
+func (s *Set) Full() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) < s.share.Room+s.share.Spare-s.servers() {
+		return false
+	}
+	s.counts.turnedAway++
+	return true
+}
+
+// makeRoom lets connections without a request go while there are too many: those first that are of least
+// use to a good caller, and of these who has been so for longest. One idle for a moment only is spared:
+// a client sends again just once what crosses a close. While there are too many, each answer closes its
+// connection, which nothing can cross. The caller holds mu.
+func (s *Set) makeRoom() {
+	if s.over() <= 0 {
+		return
+	}
+	now := s.clock.Now()
+	type place struct {
+		conn Conn
+		a    *activity
+		rank int
+	}
+	var free []place
+	for c, a := range s.conns {
+		if rank := s.useless(c, a, now); !a.going && rank > 0 {
+			free = append(free, place{c, a, rank})
+		}
+	}
+	slices.SortFunc(free, func(x, y place) int {
+		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.a.since, y.a.since))
+	})
+	for _, f := range free {
+		if s.letGo(f.conn, f.a); s.over() <= 0 {
+			return
+		}
+	}
+}
+
+// useless ranks the connections that may be let go, from 1; 0 is none of them.
+func (s *Set) useless(c Conn, a *activity, now time.Duration) int {
+	age := now - a.since
+	if s.over() > s.share.Spare/2 {
+		age *= pressing
+	}
+	switch half := a.phase == Reading || a.phase != Open && c.HasBegun(); {
+	case a.phase == Lingering && age >= s.grace.Lingering:
+		return 1
+	case half && age >= s.grace.Half:
+		return 2
+	case a.phase == Silent && !half && age >= s.grace.Silent:
+		return 3
+	case a.phase == Idle && !half && age >= s.grace.Idle:
+		return 4
+	}
+	return 0
+}
+
+// letGo lets a connection go if it may be, and counts it as leaving. The caller holds mu.
+func (s *Set) letGo(c Conn, a *activity) {
+	gone := !a.going
+	switch {
+	case a.going:
+	case a.phase == Lingering:
+		c.Close()
+	case a.phase == Reading || a.phase == Silent && c.HasBegun():
+		c.CutOff()
+	default:
+		gone = c.LetGo()
+	}
+	if gone && !a.going {
+		a.going = true
+		s.leaving++
+		s.counts.letGo++
+	}
+}
+
+// LetQuietGo closes the idle connections of a front, and those that have sent nothing yet. It returns how
+// many of all that it has are left.
+func (s *Set) LetQuietGo(group any) (left int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, a := range s.conns {
+		if a.group != group {
+			continue
+		}
+		left++
+		if a.phase == Idle || a.phase == Silent && !c.HasBegun() {
+			s.letGo(c, a)
+		}
+	}
+	return left
+}
+
+// Held is how many connections there are.
+func (s *Set) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// In is how many connections are in a phase.
+func (s *Set) In(p Phase) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.conns {
+		if a.phase == p {
+			n++
+		}
+	}
+	return n
+}
+
+// Resize changes how descriptors are shared out. Callers beyond are let go now and as others come.
+func (s *Set) Resize(share Share) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.share = share
+	s.makeRoom()
+}
+
+// Report tells, for the log, what became of connections since the last report, and how many there are.
+func (s *Set) Report() []any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.counts
+	s.counts = counts{}
+	return []any{"callers", len(s.conns), "accepted", c.accepted, "let_go", c.letGo, "crowded", c.crowded,
+		"turned_away", c.turnedAway}
+}
--- /dev/null
+++ b/internal/callers/callers_test.go
@@ -0,0 +1,148 @@
+package callers
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"woodpick/internal/clock"
+)
+
+// fake is a connection that notes what is done to it.
+type fake struct {
+	name  string
+	begun bool
+	cut   bool
+	done  *[]string
+}
+
+func (f *fake) LetGo() bool {
+	if f.begun {
+		return false
+	}
+	*f.done = append(*f.done, f.name+" let go")
+	return true
+}
+
+func (f *fake) CutOff()        { f.cut = true; *f.done = append(*f.done, f.name+" cut off") }
+func (f *fake) IsCut() bool    { return f.cut }
+func (f *fake) HasBegun() bool { return f.begun }
+func (f *fake) Close() error   { *f.done = append(*f.done, f.name+" closed"); return nil }
+
+func newSet(room int, servers int) *Set {
+	s := New(clock.New(), Share{Room: room, Least: room / 4, Spare: 100}, func() int { return servers })
+	s.SetGrace(Graces{})
+	return s
+}
+
+// When there are too many, those that are of least use to a good caller go first: answered for good, then half a
+// request, then silent, then idle. One with a request that is open never does.
+func TestWhoIsLetGoFirst(t *testing.T) {
+	var done []string
+	s := newSet(100, 0)
+	add := func(name string, begun bool, p Phase) *fake {
+		f := &fake{name: name, begun: begun, done: &done}
+		s.Add(f, nil)
+		if p == Open {
+			s.Begin(f)
+		} else if p != Silent {
+			s.Move(f, p)
+		}
+		return f
+	}
+	add("idle", false, Idle)
+	add("silent", false, Silent)
+	add("half", true, Silent)
+	add("reading", false, Reading)
+	add("lingering", false, Lingering)
+	add("open", true, Open)
+	add("next request", true, Idle)
+	for room := 14; room >= 2; room -= 2 { // callers may have half of it
+		s.Resize(Share{Room: room, Least: room / 2, Spare: 100})
+	}
+	want := []string{"lingering closed", "half cut off", "reading cut off", "silent let go", "idle let go"}
+	if len(done) < len(want) || !slices.Equal(done[:1], want[:1]) || !slices.Contains(done[1:4], "half cut off") || !slices.Contains(done[1:4], "reading cut off") ||
+		!slices.Equal(done[len(done)-2:], want[3:]) {
+		t.Errorf("%v", done)
+	}
+}
+
+// Requests that are open count, not connections; beyond what servers' connections are kept for, more are
+// refused, and so are those of a connection that was to be cut off.
+func TestRequestsThatAreOpen(t *testing.T) {
+	var done []string
+	s := newSet(8, 0)
+	f, other := &fake{name: "f", done: &done}, &fake{name: "other", done: &done}
+	s.Add(f, nil)
+	s.Add(other, nil)
+	for i := range 4 {
+		if !s.Begin(f) {
+			t.Fatalf("request %d is refused", i)
+		}
+	}
+	if s.Begin(other) {
+		t.Error("a fifth request of four that may be open")
+	}
+	s.Move(other, Idle)
+	for want := 3; want >= 0; want-- {
+		if left := s.End(f); left != want {
+			t.Errorf("%d left, want %d", left, want)
+		}
+	}
+	if s.End(f) != 0 {
+		t.Error("more ends than requests")
+	}
+	other.cut = true
+	if s.Begin(other) {
+		t.Error("a connection that was cut off")
+	}
+	if s.Begin(&fake{}) {
+		t.Error("a connection that nobody added")
+	}
+	s.Remove(other)
+	s.Remove(f)
+	if s.Held() != 0 || s.opened != 0 || s.leaving != 0 {
+		t.Errorf("%d held, %d open, %d leaving", s.Held(), s.opened, s.leaving)
+	}
+}
+
+// A front lets go its own only.
+func TestLetQuietGo(t *testing.T) {
+	var done []string
+	s := newSet(1000, 0)
+	for i := range 6 {
+		f := &fake{name: fmt.Sprint(i), done: &done}
+		s.Add(f, i%2)
+		if i < 4 {
+			s.Move(f, Idle)
+		}
+		if i == 2 {
+			s.Begin(f)
+		}
+	}
+	if left := s.LetQuietGo(0); left != 3 || !slices.Equal(slices.Sorted(slices.Values(done)), []string{"0 let go", "4 let go"}) {
+		t.Errorf("%d left, %v", left, done)
+	}
+}
+
+// One that has been so for a moment only is spared, unless descriptors are about to run out.
+func TestGraces(t *testing.T) {
+	var done []string
+	s := New(clock.New(), Share{Room: 4, Least: 4, Spare: 2}, func() int { return 0 })
+	s.SetGrace(Graces{Lingering: time.Hour, Silent: time.Hour, Half: time.Hour, Idle: time.Hour})
+	for i := range 4 {
+		f := &fake{name: fmt.Sprint(i), done: &done}
+		s.Add(f, nil)
+		s.Move(f, Idle)
+	}
+	if len(done) != 0 || !s.Crowded() || s.Full() {
+		t.Errorf("%v, crowded %v, full %v", done, s.Crowded(), s.Full())
+	}
+	for i := range 2 {
+		s.Add(&fake{name: fmt.Sprint("more", i), done: &done}, nil)
+	}
+	if !s.Full() {
+		t.Error("not full with all and the spare ones held")
+	}
+}
--- a/internal/http1/back.go
+++ b/internal/http1/back.go
@@ -22,10 +22,8 @@
 	"woodpick/internal/engine"
 )
 
-const (
-	maxBody   = 64 << 10 // the longest body of a request or an answer
-	maxAnswer = 16 << 10 // all of an answer but its body: heads, 1xx before them, chunks' sizes
-)
+// maxAnswer bounds all of an answer but its body: heads, 1xx before them, chunks' sizes.
+const maxAnswer = 16 << 10
 
 // reply is what came back on a connection: an answer read whole, or why there is none.
 type reply struct {
--- a/internal/http1/callers_test.go
+++ b/internal/http1/callers_test.go
@@ -14,24 +14,23 @@
 	"testing"
 	"time"
 
+	"woodpick/internal/callers"
 	"woodpick/internal/clock"
 	"woodpick/internal/discovery"
 	"woodpick/internal/standin"
 )
 
+// idleFor are the usual graces, but for idle connections.
+func idleFor(d time.Duration) callers.Graces {
+	g := callers.DefaultGraces()
+	g.Idle = d
+	return g
+}
+
 // untilIdle waits for a connection to be idle: a request is over a little after its answer.
 func untilIdle(t *testing.T, n *rig) {
 	t.Helper()
-	standin.Until(t, "a connection to be idle", func() bool {
-		n.callers.mu.Lock()
-		defer n.callers.mu.Unlock()
-		for c := range n.callers.conns {
-			if c.phase == idle {
-				return true
-			}
-		}
-		return false
-	})
+	standin.Until(t, "a connection to be idle", func() bool { return n.callers.In(callers.Idle) > 0 })
 }
 
 func TestCallersBeyondTheBudget(t *testing.T) {
@@ -45,8 +44,8 @@
 	})
 	const most = 4
 	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), func(n *rig) {
-		n.callers.room, n.callers.least = 2*most, most
-		n.callers.grace.idle = 0
+		n.callers.Resize(callers.Share{Room: 2 * most, Least: most, Spare: 24})
+		n.callers.SetGrace(idleFor(0))
 	})
 	idle := standin.Dial(t, n.Addr())
 	idle.Get("idle")
@@ -80,14 +79,15 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	f := NewCallers(clock.New(), 2, 10, func() int { return 1 })
+	set := callers.New(clock.New(), callers.Share{Room: 2, Spare: 10}, func() int { return 1 })
+	f := &Front{callers: set}
 	pair := func() (ours *callerConn, theirs net.Conn) {
 		theirs, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { theirs.Close() })
-		c, err := callerListener{ln, nil, f}.Accept()
+		c, err := callerListener{ln, set}.Accept()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -113,19 +113,19 @@
 	say(caller, a) // the next request's first byte
 	f.track(a, http.StateIdle)
 	f.track(b, http.StateNew) // one too many
-	if a.going || !f.crowded() {
+	if a.leaving || !set.Crowded() {
 		t.Fatal("a connection with a request on it was let go")
 	}
 	say(caller, a)
 	say(a, caller)
-	f.grace.idle = standin.Limit
+	set.SetGrace(idleFor(standin.Limit))
 	f.track(a, http.StateIdle)
-	if a.going || !f.crowded() {
+	if a.leaving || !set.Crowded() {
 		t.Fatal("a connection idle for a moment only was let go")
 	}
-	f.grace.idle = 0
+	set.SetGrace(idleFor(0))
 	f.track(b, http.StateActive)
-	if !a.going || f.crowded() {
+	if !a.leaving || set.Crowded() {
 		t.Fatal("the idle connection was not let go")
 	}
 	a.SetReadDeadline(time.Time{}) // net/http does, after it has said that it is idle
@@ -133,8 +133,8 @@
 		t.Errorf("the wait goes on: %v", err)
 	}
 	f.track(a, http.StateClosed)
-	if f.leaving != 0 || len(f.conns) != 1 {
-		t.Errorf("%d leaving of %d", f.leaving, len(f.conns))
+	if set.Held() != 1 || set.Crowded() {
+		t.Errorf("%d held, crowded %v", set.Held(), set.Crowded())
 	}
 }
 
@@ -143,8 +143,8 @@
 func TestNothingReadIsLostWhileIdleConnectionsAreLetGo(t *testing.T) {
 	s := standin.NewServer(t, standin.Echo)
 	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), func(n *rig) {
-		n.callers.room, n.callers.least = 8, 4
-		n.callers.grace.idle = 0
+		n.callers.Resize(callers.Share{Room: 8, Least: 4, Spare: 24})
+		n.callers.SetGrace(idleFor(0))
 	})
 	var mu sync.Mutex
 	answered := map[string]bool{}
@@ -205,7 +205,7 @@
 	cfg.Room = 256 - 48
 	n := start(t, cfg, func(n *rig) {
 		n.front.server.ReadTimeout = 2 * standin.Limit // what is let go is let go for want of room
-		n.callers.grace = graces{idle: standin.Limit}
+		n.callers.SetGrace(callers.Graces{Idle: standin.Limit})
 	})
 	const body = "POST /note/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: half\r\nX-Deadline: 60\r\nContent-Length: 9\r\n\r\nhal"
 	good := standin.Dial(t, n.Addr())
@@ -221,11 +221,7 @@
 			fresh.Close()
 		}
 	}
-	standin.Until(t, "the rest to be let go", func() bool {
-		n.callers.mu.Lock()
-		defer n.callers.mu.Unlock()
-		return n.callers.over() <= 0
-	})
+	standin.Until(t, "the rest to be let go", func() bool { return !n.callers.Crowded() })
 }
 
 // Silent and half-spoken connections end by themselves, and so do those that ask no more.
@@ -270,12 +266,10 @@
 		round(50 + i)
 	}
 	standin.Until(t, "all that has gone to be forgotten", func() bool {
-		b, f := n.back, n.callers
+		b := n.back
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		return len(f.conns) == 0 && len(b.seen) == 1 && len(b.idle) <= 1 && b.open <= 1 &&
+		return n.callers.Held() == 0 && len(b.seen) == 1 && len(b.idle) <= 1 && b.open <= 1 &&
 			runtime.NumGoroutine() <= before+5
 	})
 }
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -4,10 +4,8 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,23 +13,21 @@
 	"sync/atomic"
 	"time"
 
-	"woodpick"
+	"woodpick/internal/callers"
 	"woodpick/internal/clock"
 	"woodpick/internal/config"
 	"woodpick/internal/dispatch"
 	"woodpick/internal/engine"
-	"woodpick/internal/route"
+	"woodpick/internal/intake"
 )
 
 // Limits on what a caller may make the node wait for.
 const (
-	readTimeout   = 2500 * time.Millisecond // for a request, from its connection's start or its first bytes
-	idleTimeout   = 4 * time.Second         // a caller that asks no more is let go
-	writeTimeout  = 5 * time.Second
-	maxHeader     = 16 << 10
-	maxID         = 128
-	maxWait       = time.Hour
-	deadlineSlack = 2 // times the class's deadline that X-Deadline may be
+	readTimeout  = 2500 * time.Millisecond // for a request, from its connection's start or its first bytes
+	idleTimeout  = 4 * time.Second         // a caller that asks no more is let go
+	writeTimeout = 5 * time.Second
+	maxHeader    = 16 << 10
+	maxBody      = intake.MaxBody // the longest body of a request or an answer
 )
 
 // Front serves callers of one listener: exactly one answer for each request taken.
@@ -39,22 +35,22 @@
 	listener string // its name in the configuration
 	clock    clock.Clock
 	calls    *dispatch.Dispatcher
-	callers  *Callers
+	callers  *callers.Set
 	draining atomic.Bool // unready
 	closing  atomic.Bool // each answer closes its connection
 	server   *http.Server
 }
 
 // NewFront returns a Front that serves nobody before Serve.
-func NewFront(listener string, c clock.Clock, callers *Callers, calls *dispatch.Dispatcher, log *slog.Logger) *Front {
-	f := &Front{listener: listener, clock: c, calls: calls, callers: callers}
+func NewFront(listener string, c clock.Clock, set *callers.Set, calls *dispatch.Dispatcher, log *slog.Logger) *Front {
+	f := &Front{listener: listener, clock: c, calls: calls, callers: set}
 	f.server = &http.Server{
 		Handler:                      f,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
 		MaxHeaderBytes:               maxHeader,
 		DisableGeneralOptionsHandler: true,
-		ConnState:                    callers.track,
+		ConnState:                    f.track,
 		ConnContext:                  withConn,
 		ErrorLog:                     slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
@@ -63,7 +59,7 @@
 
 // Serve accepts callers until the listener fails, is closed or has a deadline in the past, and returns its
 // error.
-func (f *Front) Serve(ln net.Listener) error { return f.server.Serve(callerListener{ln, f, f.callers}) }
+func (f *Front) Serve(ln net.Listener) error { return f.server.Serve(callerListener{ln, f.callers}) }
 
 // Unready has the health answer say from now on that no callers should be sent here.
 func (f *Front) Unready() { f.draining.Store(true) }
@@ -72,7 +68,7 @@
 func (f *Front) Close() { f.closing.Store(true) }
 
 // LetQuietGo closes the connections of callers that ask nothing. It returns how many are left.
-func (f *Front) LetQuietGo() int { return f.callers.letQuietGo(f) }
+func (f *Front) LetQuietGo() int { return f.callers.LetQuietGo(f) }
 
 // health tells the front whether to send callers here.
 func (f *Front) health(w http.ResponseWriter, r *http.Request) {
@@ -100,21 +96,30 @@
 		return
 	}
 	view := f.calls.View()
-	in, err := f.readRequest(view, r)
+	head := f.head(r)
+	in, err := intake.Check(view, &head)
 	if err != nil {
 		f.reject(w, view, err)
 		return
 	}
+	var body []byte
+	if r.ContentLength > 0 {
+		if body, err = io.ReadAll(r.Body); err != nil {
+			f.reject(w, view, &intake.Rejected{Status: http.StatusBadRequest, Reason: "the body is not whole"})
+			return
+		}
+	}
+	at := f.clock.Now()
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(time.Time{}) // it was for reading the request
 	if !f.closing.Load() {
 		w.Header().Del("Connection")
 	}
-	if !f.callers.open(connOf(r.Context())) {
+	if !f.callers.Begin(connOf(r.Context())) {
 		f.write(w, engine.Answer{Kind: engine.Refused, RetryAfter: view.ComeBack()})
 		return
 	}
-	c, err := f.take(view, in, r)
+	c, err := intake.Take(f.calls, view, &head, in, body, at)
 	if err != nil {
 		w.Header().Set("Connection", "close")
 		f.reject(w, view, err)
@@ -128,173 +133,32 @@
 	}
 }
 
-// take has a request taken under the view of now. One that was read under another is looked at again: what it
-// may do can have changed meanwhile.
-func (f *Front) take(view *dispatch.View, in request, r *http.Request) (*engine.Call, error) {
-	for {
-		c := engine.NewCall(in.id, engine.Request{Method: r.Method, Target: in.target, Key: in.key,
-			ContentType: r.Header.Get("Content-Type"), Body: in.body})
-		c.Class, c.At, c.Deadline = in.class, in.at, in.at+in.wait
-		switch err := f.calls.Take(view, c, &in.route); {
-		case err == nil:
-			return c, nil
-		case errors.Is(err, dispatch.ErrNoRoute):
-			return nil, &rejected{http.StatusNotFound, err.Error()}
-		}
-		view = f.calls.View()
-		again, err := f.check(view, r)
-		if err != nil {
-			return nil, err
-		}
-		again.body, again.at = in.body, in.at
-		in = again
-	}
+// head is what a request's head says. net/http drops a Content-Length beside a transfer coding, so a request
+// hidden in the body would pass on unseen: the protocol has lengths only.
+func (f *Front) head(r *http.Request) intake.Head {
+	return intake.Head{Listener: f.listener, Protocol: config.HTTP1, Method: r.Method, Target: r.RequestURI, Host: r.Host,
+		ID: r.Header["X-Request-Id"], Wait: r.Header["X-Deadline"], Key: r.Header["Idempotency-Key"],
+		Type: r.Header.Get("Content-Type"), Coded: len(r.TransferEncoding) > 0, Length: r.ContentLength, Headers: r.Header}
 }
 
-// errGone says that the listener that a request came by is no longer there.
-var errGone = errors.New("this listener is gone")
-
 // reject answers a request that can't be used, or whose listener has gone, with its connection's end.
 func (f *Front) reject(w http.ResponseWriter, view *dispatch.View, err error) {
-	if errors.Is(err, errGone) {
+	var no *intake.Rejected
+	if !errors.As(err, &no) {
 		f.write(w, engine.Answer{Kind: engine.Refused, RetryAfter: view.ComeBack()})
 		return
 	}
-	status := http.StatusBadRequest
-	var no *rejected
-	if errors.As(err, &no) {
-		status = no.status
-	}
-	http.Error(w, err.Error(), status)
-}
-
-// rejected is a request that can't be used: it is answered without a look at any server.
-type rejected struct {
-	status int
-	reason string
-}
-
-func (r *rejected) Error() string { return r.reason }
-
-// request is what the node needs of a request.
-type request struct {
-	id, key, class string
-	target         string        // path and query, as servers are to get them
-	wait           time.Duration // how long its caller waits
-	route          route.Call
-	body           []byte
-	at             time.Duration // clock time when its last byte was read
-}
-
-// readRequest reads a request whole and checks what the node and the servers rely on. What it turns away here
-// has been sent to no server.
-func (f *Front) readRequest(view *dispatch.View, r *http.Request) (request, error) {
-	in, err := f.check(view, r)
-	if err != nil {
-		return request{}, err
-	}
-	if r.ContentLength > 0 {
-		if in.body, err = io.ReadAll(r.Body); err != nil {
-			return request{}, &rejected{http.StatusBadRequest, "the body is not whole"}
-		}
-	}
-	in.at = f.clock.Now()
-	return in, nil
-}
-
-// check tells what is wrong with a request's head, and reads its class and how long it may take. A class that
-// does not exist would be sent on as an unsafe one, only for the servers to turn it away, and the module would
-// take that for their ill health.
-func (f *Front) check(view *dispatch.View, r *http.Request) (request, error) {
-	l, listening := view.Listener(f.listener)
-	if !listening || l.Protocol != config.HTTP1 {
-		return request{}, errGone
-	}
-	in := request{id: r.Header.Get("X-Request-Id"), key: r.Header.Get("Idempotency-Key"), target: r.RequestURI}
-	path, query, asked := strings.Cut(r.RequestURI, "?")
-	path, misread := readPath(path, l.Paths)
-	if asked && misread == nil && l.Paths != config.PathsAsSent {
-		in.target = path + "?" + query
-	} else if l.Paths != config.PathsAsSent {
-		in.target = path
-	}
-	in.class, _, _ = strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	class, known := view.Class(in.class)
-	wait, err := parseWait(r.Header["X-Deadline"])
-	keyed := len(r.Header["Idempotency-Key"])
-	switch {
-	case r.Method != http.MethodGet && r.Method != http.MethodPost:
-		return request{}, &rejected{http.StatusMethodNotAllowed, "only GET and POST are served"}
-	case len(r.TransferEncoding) > 0:
-		// net/http drops a Content-Length beside it, so a request hidden in the body would pass on
-		// unseen. The protocol has lengths only.
-		return request{}, &rejected{http.StatusLengthRequired, "a body needs a Content-Length and no transfer coding"}
-	case misread != nil:
-		return request{}, &rejected{http.StatusBadRequest, "the path: " + misread.Error()}
-	case !strings.HasPrefix(path, "/") || !known:
-		return request{}, &rejected{http.StatusNotFound, "the path names no class"}
-	case l.Paths == config.PathsAsSent && !route.Agrees(path, in.class):
-		return request{}, &rejected{http.StatusBadRequest, "the path can be read as one of another class"}
-	case (class.Effect == woodpick.Safe) != (r.Method == http.MethodGet):
-		return request{}, &rejected{http.StatusMethodNotAllowed, "the class is not asked for by this method"}
-	case keyed > 1 || (keyed == 1) != (class.Effect == woodpick.Keyed) || keyed == 1 && in.key == "":
-		return request{}, &rejected{http.StatusBadRequest, "Idempotency-Key does not fit the class, or comes twice"}
-	case in.id == "" || len(in.id) > maxID || len(r.Header["X-Request-Id"]) > 1:
-		return request{}, &rejected{http.StatusBadRequest, "X-Request-Id is missing, too long, or comes twice"}
-	case err != nil:
-		return request{}, &rejected{http.StatusBadRequest, err.Error()}
-	case wait > deadlineSlack*class.Deadline:
-		return request{}, &rejected{http.StatusBadRequest, "X-Deadline is far beyond the class's"}
-	case r.ContentLength > maxBody:
-		return request{}, &rejected{http.StatusRequestEntityTooLarge, "the body is too long"}
-	case r.ContentLength > 0 && r.Method == http.MethodGet:
-		return request{}, &rejected{http.StatusBadRequest, "GET has no body"}
-	}
-	in.wait = wait
-	in.route = route.Call{Listener: f.listener, Class: in.class, Host: r.Host, Path: path, Headers: r.Header, Draw: in.id}
-	if class.Effect == woodpick.Keyed {
-		in.route.Draw = in.key // a repeat must meet the servers that know its key
-	}
-	return in, nil
-}
-
-// readPath is the path that class and routes are told by, and unless paths pass as sent, that servers get.
-func readPath(raw string, how config.Paths) (string, error) {
-	if how == config.PathsAsSent || !strings.HasPrefix(raw, "/") {
-		return raw, nil
-	}
-	plain, reading, err := route.Read(raw)
-	if err == nil && reading == route.Moved && how != config.NormalizePaths {
-		err = fmt.Errorf("servers could read it otherwise; its plain form is %s", plain)
-	}
-	return plain, err
-}
-
-// parseWait reads X-Deadline: seconds in digits, with decimals or without, and nothing else that
-// strconv would take (signs, exponents, hexadecimals, underscores).
-func parseWait(values []string) (time.Duration, error) {
-	if len(values) != 1 {
-		return 0, errors.New("X-Deadline is missing or comes twice")
-	}
-	if strings.Trim(values[0], "0123456789.") != "" {
-		return 0, errors.New("X-Deadline is no plain number")
-	}
-	s, err := strconv.ParseFloat(values[0], 64)
-	if err != nil || !(s > 0 && s <= maxWait.Seconds()) {
-		return 0, errors.New("X-Deadline is no number or out of range")
-	}
-	return time.Duration(math.Round(s * 1e9)), nil
+	http.Error(w, no.Reason, no.Status)
 }
 
 // write gives the answer to the caller.
 func (f *Front) write(w http.ResponseWriter, a engine.Answer) {
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
-	if f.callers.crowded() || f.closing.Load() {
+	if f.callers.Crowded() || f.closing.Load() {
 		h.Set("Connection", "close")
 	}
-	switch a.Kind {
-	case engine.Served:
+	if a.Kind == engine.Served {
 		if a.Reply.ContentType == "" {
 			h["Content-Type"] = nil // none, rather than a guess
 		} else {
@@ -302,14 +166,11 @@
 		}
 		h.Set("Content-Length", strconv.Itoa(len(a.Reply.Body)))
 		w.Write(a.Reply.Body)
-	case engine.Refused:
-		if a.RetryAfter > 0 {
-			h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64))
-		}
-		http.Error(w, "refused", http.StatusServiceUnavailable)
-	case engine.Failed:
-		http.Error(w, "failed", http.StatusBadGateway)
-	case engine.Duplicate:
-		http.Error(w, "X-Request-Id is in use", http.StatusConflict)
+		return
+	}
+	status, words := intake.Words(a)
+	if retry := intake.RetryAfter(a); retry != "" {
+		h.Set("Retry-After", retry)
 	}
+	http.Error(w, words, status)
 }
--- a/internal/http1/front_test.go
+++ b/internal/http1/front_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"woodpick/internal/callers"
 	"woodpick/internal/config"
 	"woodpick/internal/discovery"
 	"woodpick/internal/route"
@@ -401,14 +402,7 @@
 			n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), nil)
 			caller := standin.Dial(t, n.Addr())
 			fmt.Fprint(caller, "POST /note//k HTTP/1.1\r\nHost: h\r\nX-Request-Id: id\r\nX-Deadline: 60\r\nContent-Length: 2\r\n\r\no")
-			standin.Until(t, "its head to be read", func() bool {
-				n.callers.mu.Lock()
-				defer n.callers.mu.Unlock()
-				for c := range n.callers.conns {
-					return c.phase == reading
-				}
-				return false
-			})
+			standin.Until(t, "its head to be read", func() bool { return n.callers.In(callers.Reading) > 0 })
 			before := s.Seen()
 			next := standin.Config()
 			c.change(next)
--- a/internal/http1/rig_test.go
+++ b/internal/http1/rig_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"woodpick/internal/callers"
 	"woodpick/internal/clock"
 	"woodpick/internal/config"
 	"woodpick/internal/descriptors"
@@ -21,7 +22,7 @@
 // rig is a front, an engine and a back, as a node joins them.
 type rig struct {
 	front   *Front
-	callers *Callers
+	callers *callers.Set
 	calls   *dispatch.Dispatcher
 	engine  *engine.Engine
 	back    *Back
@@ -50,7 +51,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	c := clock.New()
 	n := &rig{back: newBack(c, cfg.Room/2)}
-	n.callers = NewCallers(c, cfg.Room, 24, n.back.Connections)
+	n.callers = callers.New(c, callers.Share{Room: cfg.Room, Least: cfg.Room / 4, Spare: 24}, n.back.Connections)
 	var err error
 	if n.engine, err = engine.New(engine.Options{Settings: cfg.Settings(cfg.Pools[0]), Seed: 1, Clock: c, Backend: n.back,
 		Subscribe: func() {}, Pushed: true, Log: log}); err != nil {
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,198 @@
+// Package intake reads what callers ask for, whatever protocol they ask in: it checks a request's head against
+// the view of now and has it taken under one view whole. What it turns away has been sent to no server. The
+// fronts bring heads and bodies in, and words to answers.
+package intake
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/config"
+	"woodpick/internal/dispatch"
+	"woodpick/internal/engine"
+	"woodpick/internal/route"
+)
+
+// Bounds of a request.
+const (
+	MaxBody       = 64 << 10 // bytes of a request's body or an answer's
+	maxID         = 128
+	maxWait       = time.Hour
+	deadlineSlack = 2 // times the class's deadline that a caller may say it waits
+)
+
+// Head is a request's head, as a protocol's front reads it. Fields that may come once hold all values that
+// came, so that one that came twice is seen.
+type Head struct {
+	Listener string          // by whose name it came
+	Protocol config.Protocol // that it came in
+	Method   string
+	Target   string // path and query, as they came
+	Host     string
+	ID       []string // X-Request-Id
+	Wait     []string // X-Deadline, in seconds
+	Key      []string // Idempotency-Key
+	Type     string   // Content-Type
+	Coded    bool     // a transfer coding stands where only lengths may
+	Length   int64    // of the body
+	Headers  route.Headers
+}
+
+// Request is a request whose head has passed.
+type Request struct {
+	Call  engine.Request
+	ID    string
+	Class string
+	Wait  time.Duration // how long its caller waits, from the request's end
+	route route.Call
+}
+
+// Rejected says why a request can't be used, with the status that HTTP has for it (RFC 9110 section 15).
+type Rejected struct {
+	Status int
+	Reason string
+}
+
+func (r *Rejected) Error() string { return r.Reason }
+
+// ErrGone says that the listener that a request came by is no longer there: it is refused, and its connection
+// closed.
+var ErrGone = errors.New("this listener is gone")
+
+// Check tells what is wrong with a request's head, and reads its class and how long it may take. A class that
+// does not exist would be sent on as an unsafe one, only for the servers to turn it away, and the module would
+// take that for their ill health.
+func Check(view *dispatch.View, h *Head) (Request, error) {
+	l, listening := view.Listener(h.Listener)
+	if !listening || l.Protocol != h.Protocol {
+		return Request{}, ErrGone
+	}
+	target := h.Target
+	path, query, asked := strings.Cut(h.Target, "?")
+	path, misread := readPath(path, l.Paths)
+	if l.Paths != config.PathsAsSent {
+		target = path
+		if asked {
+			target += "?" + query
+		}
+	}
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	class, known := view.Class(name)
+	wait, err := parseWait(h.Wait)
+	id, key := first(h.ID), first(h.Key)
+	no := func(status int, reason string) (Request, error) { return Request{}, &Rejected{status, reason} }
+	switch {
+	case h.Method != http.MethodGet && h.Method != http.MethodPost:
+		return no(http.StatusMethodNotAllowed, "only GET and POST are served")
+	case h.Coded:
+		return no(http.StatusLengthRequired, "a body needs a Content-Length and no transfer coding")
+	case misread != nil:
+		return no(http.StatusBadRequest, "the path: "+misread.Error())
+	case !strings.HasPrefix(path, "/") || !known:
+		return no(http.StatusNotFound, "the path names no class")
+	case l.Paths == config.PathsAsSent && !route.Agrees(path, name):
+		return no(http.StatusBadRequest, "the path can be read as one of another class")
+	case (class.Effect == woodpick.Safe) != (h.Method == http.MethodGet):
+		return no(http.StatusMethodNotAllowed, "the class is not asked for by this method")
+	case len(h.Key) > 1 || (len(h.Key) == 1) != (class.Effect == woodpick.Keyed) || len(h.Key) == 1 && key == "":
+		return no(http.StatusBadRequest, "Idempotency-Key does not fit the class, or comes twice")
+	case id == "" || len(id) > maxID || len(h.ID) > 1:
+		return no(http.StatusBadRequest, "X-Request-Id is missing, too long, or comes twice")
+	case err != nil:
+		return no(http.StatusBadRequest, err.Error())
+	case wait > deadlineSlack*class.Deadline:
+		return no(http.StatusBadRequest, "X-Deadline is far beyond the class's")
+	case h.Length > MaxBody:
+		return no(http.StatusRequestEntityTooLarge, "the body is too long")
+	case h.Length > 0 && h.Method == http.MethodGet:
+		return no(http.StatusBadRequest, "GET has no body")
+	}
+	r := Request{ID: id, Class: name, Wait: wait, Call: engine.Request{Method: h.Method, Target: target, Key: key, ContentType: h.Type},
+		route: route.Call{Listener: h.Listener, Class: name, Host: h.Host, Path: path, Headers: h.Headers, Draw: id}}
+	if class.Effect == woodpick.Keyed {
+		r.route.Draw = key // a repeat must meet the servers that know its key
+	}
+	return r, nil
+}
+
+func first(values []string) string {
+	if len(values) == 0 {
+		return ""
+	}
+	return values[0]
+}
+
+// Take has a request taken whose last byte was read at a clock time. One whose head was checked under a view
+// that is not that of now is looked at again: what it may do can have changed meanwhile. With no error, exactly
+// one answer comes on the call's channel.
+func Take(calls *dispatch.Dispatcher, view *dispatch.View, h *Head, r Request, body []byte, at time.Duration) (*engine.Call, error) {
+	for {
+		r.Call.Body = body
+		c := engine.NewCall(r.ID, r.Call)
+		c.Class, c.At, c.Deadline = r.Class, at, at+r.Wait
+		err := calls.Take(view, c, &r.route)
+		switch {
+		case err == nil:
+			return c, nil
+		case errors.Is(err, dispatch.ErrNoRoute):
+			return nil, &Rejected{http.StatusNotFound, err.Error()}
+		}
+		view = calls.View()
+		if r, err = Check(view, h); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// readPath is the path that class and routes are told by, and unless paths pass as sent, that servers get.
+func readPath(raw string, how config.Paths) (string, error) {
+	if how == config.PathsAsSent || !strings.HasPrefix(raw, "/") {
+		return raw, nil
+	}
+	plain, reading, err := route.Read(raw)
+	if err == nil && reading == route.Moved && how != config.NormalizePaths {
+		err = fmt.Errorf("servers could read it otherwise; its plain form is %s", plain)
+	}
+	return plain, err
+}
+
+// parseWait reads X-Deadline: seconds in digits, with decimals or without, and nothing else that
+// strconv would take (signs, exponents, hexadecimals, underscores).
+func parseWait(values []string) (time.Duration, error) {
+	if len(values) != 1 {
+		return 0, errors.New("X-Deadline is missing or comes twice")
+	}
+	if strings.Trim(values[0], "0123456789.") != "" {
+		return 0, errors.New("X-Deadline is no plain number")
+	}
+	s, err := strconv.ParseFloat(values[0], 64)
+	if err != nil || !(s > 0 && s <= maxWait.Seconds()) {
+		return 0, errors.New("X-Deadline is no number or out of range")
+	}
+	return time.Duration(math.Round(s * 1e9)), nil
+}
+
+// Words are the status and the text of an answer that no server made.
+func Words(a engine.Answer) (status int, text string) {
+	switch a.Kind {
+	case engine.Refused:
+		return http.StatusServiceUnavailable, "refused"
+	case engine.Duplicate:
+		return http.StatusConflict, "X-Request-Id is in use"
+	}
+	return http.StatusBadGateway, "failed"
+}
+
+// RetryAfter is when to come back after a refusal, in seconds with decimals; empty: not said.
+func RetryAfter(a engine.Answer) string {
+	if a.Kind != engine.Refused || a.RetryAfter <= 0 {
+		return ""
+	}
+	return strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64)
+}
--- a/internal/node/ending.go
+++ b/internal/node/ending.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"woodpick/internal/callers"
 	"woodpick/internal/clock"
 	"woodpick/internal/config"
 	"woodpick/internal/http1"
@@ -92,9 +93,9 @@
 }
 
 // letGo closes the fronts' quiet connections and tells how many are left of all.
-func letGo(fronts []*http1.Front, callers *http1.Callers) int {
+func letGo(fronts []*http1.Front, set *callers.Set) int {
 	for _, f := range fronts {
 		f.LetQuietGo()
 	}
-	return callers.Held()
+	return set.Held()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,13 +13,13 @@
 	"runtime/debug"
 	"sync"
 
+	"woodpick/internal/callers"
 	"woodpick/internal/clock"
 	"woodpick/internal/config"
 	"woodpick/internal/descriptors"
 	"woodpick/internal/discovery"
 	"woodpick/internal/dispatch"
 	"woodpick/internal/engine"
-	"woodpick/internal/http1"
 )
 
 // Node is one load balancer on sockets.
@@ -30,7 +30,7 @@
 	named   bool // pools are told apart in the log
 	start   *first
 	servers *descriptors.Share // of the connections to servers
-	callers *http1.Callers
+	callers *callers.Set
 	calls   *dispatch.Dispatcher
 
 	life       context.Context // ends with the node
@@ -96,7 +96,7 @@
 		failed: make(chan error, 1), draining: make(chan struct{}), sockets: map[string]*socket{},
 		listeners: map[string]*listener{}, pools: map[string]*pool{}, retiring: map[*pool]bool{}, leaving: map[*listener]bool{}, closing: map[string]chan struct{}{}}
 	n.life, n.stop = context.WithCancel(context.Background())
-	n.callers = http1.NewCallers(n.clock, 0, config.Reserved/2, n.servers.Used)
+	n.callers = callers.New(n.clock, callers.Share{}, n.servers.Used)
 	n.resize(cfg)
 	c, err := n.Prepare(n.life, cfg, 0)
 	if err != nil {
@@ -113,7 +113,7 @@
 func (n *Node) resize(cfg *config.Config) {
 	room := cfg.Node.Limits.Descriptors - cfg.OwnDescriptors()
 	n.servers.Resize(room / 2)
-	n.callers.Resize(room)
+	n.callers.Resize(callers.Share{Room: room, Least: room / 4, Spare: config.Reserved / 2})
 	if n.options.Limit != nil {
 		n.options.Limit(cfg.Node.Limits)
 	}
