A door for operators, clients sent away and back, and upgrades at one address

Design: internal/duty decides, without I/O, when a node is ready and when it parts with its callers; internal/mgmt is the door (bounded connections, the longest silent one goes when another comes); internal/figures counts by class where fronts and back ends see the end; internal/succession listens with SO_REUSEPORT, steers new connections to the younger process by a one-instruction classic BPF program on the socket group, and tells processes of one another by locks on two files in TMPDIR. While there are two, each keeps to half of memory and descriptors. An old process that is followed stays ready, closes each connection with its answer, and so sends callers to its successor.

Ways not taken: passing the listening descriptor over a Unix socket (needs the old process to cooperate, and a listener that the platform does not give); closing the old socket without steering (the kernel resets what its accept queue holds, some connections in each upgrade); a file with process ids (stale after a kill, where a lock goes with its process).

Found on the way: Go listens with Multipath TCP by default, and such a socket refuses the program with EOPNOTSUPP; it is switched off for this listener.

--- a/cmd/damsontrestle/main.go
+++ b/cmd/damsontrestle/main.go
@@ -14,6 +14,7 @@
 
 	"woodpick/internal/config"
 	"woodpick/internal/node"
+	"woodpick/internal/succession"
 )
 
 func main() {
@@ -38,7 +39,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Node.Name, "zone", cfg.Node.Zone)
-	n, err := node.NewPlatform(cfg, start, log, node.Options{Limit: node.Limit})
+	n, err := node.NewPlatform(cfg, start, log, node.Options{Limit: node.Limit, Listen: succession.Listen, Line: enter(cfg, log)})
 	if err != nil {
 		return err
 	}
@@ -55,6 +56,19 @@
 	return n.Run(ctx)
 }
 
+// enter joins the processes of the node that the platform has in its folder while one takes over from another.
+func enter(cfg *config.Config, log *slog.Logger) *succession.Line {
+	folder := os.Getenv("TMPDIR")
+	if folder == "" {
+		return nil // what is not the node's own could hold another's files
+	}
+	line, err := succession.Enter(folder, "node")
+	if err != nil {
+		log.Warn("this process knows of no other of its node", "error", err)
+	}
+	return line
+}
+
 // exit is an error with the code that the program ends with.
 type exit struct {
 	code int
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -35,6 +35,9 @@
 // written, and callers whose requests are read only to be refused.
 const Reserved = 48
 
+// managementDescriptors are for the operators' door, beside those of the reserved ones that it may use.
+const managementDescriptors = 8
+
 // Check tells all that is wrong with a configuration that was read from our own file or that a plan holds.
 // Warnings are among it.
 func (c *Config) Check() Problems {
@@ -129,6 +132,17 @@
 	if n.AdminSocket != "" {
 		k.socket("node.admin_socket", n.AdminSocket)
 	}
+	if n.Management != "" {
+		door, err := netip.ParseAddrPort(n.Management)
+		if err != nil {
+			k.fail("node.management", "found %q; allowed: an IP address with a port, such as \"127.0.0.1:9100\"", n.Management)
+		}
+		for _, l := range k.Listeners {
+			if addr, bad := netip.ParseAddrPort(l.Address); err == nil && bad == nil && meets(addr, door) {
+				k.fail("node.management", "found %q, which listener %q takes with %q", n.Management, l.Name, l.Address)
+			}
+		}
+	}
 	if v := n.Limits.Memory; v < minMemory || v > maxMemory {
 		k.fail("node.limits.memory", "found %v; allowed: %v to %v", v, Size(minMemory), Size(maxMemory))
 	}
@@ -390,7 +404,11 @@
 			registries++
 		}
 	}
-	return Reserved + max(0, len(c.Listeners)-1) + 2*max(0, registries-1)
+	door := 0
+	if c.Node.Management != "" {
+		door = managementDescriptors
+	}
+	return Reserved + door + max(0, len(c.Listeners)-1) + 2*max(0, registries-1)
 }
 
 // needs compares what is asked for with the limits.
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -409,6 +409,7 @@
 		{"zone", false, text(&n.Zone)},
 		{"state_folder", false, text(&n.StateFolder)},
 		{"admin_socket", false, text(&n.AdminSocket)},
+		{"management", false, text(&n.Management)},
 	}, []block{
 		{kind: "limits", required: true, single: true, read: func(b *hclsyntax.Body, path, _ string) {
 			r.body(b, path, []field{
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -33,6 +33,7 @@
 	Zone        string `json:"zone,omitempty"`
 	StateFolder string `json:"state_folder,omitempty"` // empty: nothing outlives the process
 	AdminSocket string `json:"admin_socket,omitempty"` // path of a Unix socket; empty: none
+	Management  string `json:"management,omitempty"`   // address of the operators' door; empty: none
 	Limits      Limits `json:"limits"`
 }
 
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -31,6 +31,7 @@
 type platformFile struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
+	Mgmt      string `json:"mgmt"`
 	Discovery string `json:"discovery"`
 	Seed      string `json:"seed"`
 	Limits    struct {
@@ -60,7 +61,15 @@
 	if err != nil {
 		return nil, Start{}, fmt.Errorf("config: %w", err)
 	}
-	return ParsePlatform(text)
+	cfg, start, err := ParsePlatform(text)
+	if own := os.Getenv("BALANCER_MGMT"); err == nil && own != "" {
+		// A second process of the same node has an address of its own, whatever a shared file says.
+		if _, bad := netip.ParseAddrPort(own); bad != nil {
+			return nil, Start{}, fmt.Errorf("config: BALANCER_MGMT: %w", bad)
+		}
+		cfg.Node.Management = own
+	}
+	return cfg, start, err
 }
 
 // ParsePlatform reads the platform's JSON: one listener, one pool whose list a registry tells, and one route
@@ -89,7 +98,10 @@
 	if err != nil {
 		return nil, Start{}, err
 	}
-	for _, a := range [][2]string{{"listen", f.Listen}, {"discovery", f.Discovery}} {
+	for _, a := range [][2]string{{"listen", f.Listen}, {"discovery", f.Discovery}, {"mgmt", f.Mgmt}} {
+		if a[0] == "mgmt" && a[1] == "" {
+			continue
+		}
 		if _, err := netip.ParseAddrPort(a[1]); err != nil {
 			return nil, Start{}, fmt.Errorf("%s: %w", a[0], err)
 		}
@@ -113,7 +125,7 @@
 		}
 	}
 	c := &Config{
-		Node: Node{Name: f.Name, Zone: s.Zone,
+		Node: Node{Name: f.Name, Zone: s.Zone, Management: f.Mgmt,
 			Limits: Limits{Memory: Size(int64(f.Limits.MemoryMB) << 20), Descriptors: f.Limits.Sockets, Cores: 1}},
 		Listeners: []Listener{{Name: PlatformListener, Address: f.Listen, Protocol: HTTP1, Paths: PathsAsSent}},
 		Pools: []Pool{{Name: PlatformPool, Protocol: HTTP1, Tier: set.Tier, Attempts: set.MaxAttempts, Cancel: set.MayCancel,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -126,6 +126,7 @@
 	Open     int `json:"open"`     // calls that are unanswered, or have an attempt out
 	Ready    int `json:"ready"`    // listed servers by their state
 	Draining int `json:"draining"` //
+	Avoided  int `json:"avoided"`  // of the listed, those that nothing new is sent to
 }
 
 // New returns an Engine that knows no servers yet and does nothing before Run. The error names the setting
@@ -291,7 +292,7 @@
 }
 
 func (eng *Engine) status() Status {
-	s := Status{Totals: eng.total, Open: len(eng.pending)}
+	s := Status{Totals: eng.total, Open: len(eng.pending), Avoided: eng.balancer.Avoided()}
 	s.add(eng.stats)
 	for _, t := range eng.listed {
 		switch t.State {
--- /dev/null
+++ b/internal/figures/figures.go
@@ -0,0 +1,98 @@
+// Package figures counts what became of requests since the process began, as callers and servers saw it, for the
+// operators' door. What is counted is told by the fronts and the back ends; the package knows nothing of either.
+package figures
+
+import "sync"
+
+// Result is how a request ended for its caller.
+type Result int
+
+// Results.
+const (
+	Fulfilled Result = iota // served, with the whole of a server's answer
+	Throttled               // refused
+	Faulted                 // anything else
+)
+
+// Counts are of one class.
+type Counts [3]int64
+
+// Set counts. The zero value is ready, and its methods are safe for any number of goroutines.
+type Set struct {
+	mu      sync.Mutex
+	classes map[string]Counts
+	relayed int64
+	open    int64
+}
+
+// Know has classes stand among the figures before anything of them was counted.
+func (s *Set) Know(classes ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range classes {
+		s.add(c, Faulted, 0)
+	}
+}
+
+// Begin notes that a request was taken. End or Left must follow.
+func (s *Set) Begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open++
+}
+
+// End notes how a request ended.
+func (s *Set) End(class string, r Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+	s.add(class, r, 1)
+}
+
+// Left notes that a request's caller went before its end, whatever that would have been.
+func (s *Set) Left() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+}
+
+// Relay notes that an attempt was written whole to a server.
+func (s *Set) Relay() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relayed++
+}
+
+func (s *Set) add(class string, r Result, n int64) {
+	if s.classes == nil {
+		s.classes = map[string]Counts{}
+	}
+	c := s.classes[class]
+	c[r] += n
+	s.classes[class] = c
+}
+
+// Report is all figures at one moment, by the names that operators know.
+type Report struct {
+	Fulfilled map[string]int64 `json:"fulfilled"` // by class
+	Throttled map[string]int64 `json:"throttled"`
+	Faulted   map[string]int64 `json:"faulted"`
+	Relayed   int64            `json:"relayed"`       // attempts written whole to servers
+	Open      int64            `json:"open_requests"` // taken and not ended
+
+	// Of the servers' list; its owner fills them in.
+	Listed  int `json:"registry_entries"`
+	Avoided int `json:"out_of_rotation"` // listed servers that nothing new is sent to
+}
+
+// Report tells what was counted.
+func (s *Set) Report() Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := Report{Fulfilled: map[string]int64{}, Throttled: map[string]int64{}, Faulted: map[string]int64{},
+		Relayed: s.relayed, Open: s.open}
+	for class, c := range s.classes {
+		r.Fulfilled[class], r.Throttled[class], r.Faulted[class] = c[Fulfilled], c[Throttled], c[Faulted]
+	}
+	return r
+}
--- a/internal/http1/back.go
+++ b/internal/http1/back.go
@@ -20,6 +20,7 @@
 	"woodpick/internal/descriptors"
 	"woodpick/internal/discovery"
 	"woodpick/internal/engine"
+	"woodpick/internal/figures"
 )
 
 // maxAnswer bounds all of an answer but its body: heads, 1xx before them, chunks' sizes.
@@ -77,6 +78,7 @@
 type Back struct {
 	clock clock.Clock
 	share *descriptors.Share // of all connections to servers, over all pools
+	count *figures.Set
 
 	mu     sync.Mutex
 	limits Limits
@@ -99,8 +101,8 @@
 func (l Limits) keep() time.Duration { return l.Idle - l.Idle/10 }
 
 // NewBack returns a Back that knows no servers yet.
-func NewBack(c clock.Clock, share *descriptors.Share, l Limits) *Back {
-	return &Back{clock: c, share: share, limits: l, idle: map[discovery.Host][]*conn{}, seen: map[string]discovery.Target{}}
+func NewBack(c clock.Clock, share *descriptors.Share, count *figures.Set, l Limits) *Back {
+	return &Back{clock: c, share: share, count: count, limits: l, idle: map[discovery.Host][]*conn{}, seen: map[string]discovery.Target{}}
 }
 
 // SetLimits changes the limits. Connections that are being opened go by the old ones; idle ones beyond the new
@@ -176,6 +178,7 @@
 		b.giveUp(c, waiter)
 	} else {
 		b.wrote(c)
+		b.count.Relay()
 	}
 	got := <-waiter
 	switch {
--- a/internal/http1/back_test.go
+++ b/internal/http1/back_test.go
@@ -343,7 +343,7 @@
 	if r := run(t, b, testAttempt(b, two.Address())); r.Ending != woodpick.Success || two.Opened() != 1 {
 		t.Errorf("ending %d on connection %d: the one idle for longest should have gone", r.Ending, two.Opened())
 	}
-	other := NewBack(clock.New(), b.share, Limits{Most: 10, ConnectTimeout: standin.Limit, Idle: time.Minute})
+	other := NewBack(clock.New(), b.share, b.count, Limits{Most: 10, ConnectTimeout: standin.Limit, Idle: time.Minute})
 	b.share.Resize(1)
 	if r := run(t, other, testAttempt(other, one.Address())); r.Ending != woodpick.Void {
 		t.Errorf("with no descriptor left for servers: ending %d, want Void", r.Ending)
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -18,6 +18,7 @@
 	"woodpick/internal/config"
 	"woodpick/internal/dispatch"
 	"woodpick/internal/engine"
+	"woodpick/internal/figures"
 	"woodpick/internal/intake"
 )
 
@@ -36,14 +37,15 @@
 	clock    clock.Clock
 	calls    *dispatch.Dispatcher
 	callers  *callers.Set
+	figures  *figures.Set
 	draining atomic.Bool // unready
 	closing  atomic.Bool // each answer closes its connection
 	server   *http.Server
 }
 
 // NewFront returns a Front that serves nobody before Serve.
-func NewFront(listener string, c clock.Clock, set *callers.Set, calls *dispatch.Dispatcher, log *slog.Logger) *Front {
-	f := &Front{listener: listener, clock: c, calls: calls, callers: set}
+func NewFront(listener string, c clock.Clock, set *callers.Set, calls *dispatch.Dispatcher, count *figures.Set, log *slog.Logger) *Front {
+	f := &Front{listener: listener, clock: c, calls: calls, callers: set, figures: count}
 	f.server = &http.Server{
 		Handler:                      f,
 		ReadTimeout:                  readTimeout,
@@ -61,11 +63,11 @@
 // error.
 func (f *Front) Serve(ln net.Listener) error { return f.server.Serve(callerListener{ln, f.callers}) }
 
-// Unready has the health answer say from now on that no callers should be sent here.
-func (f *Front) Unready() { f.draining.Store(true) }
+// SetReady has the health answer say from now on whether callers should be sent here.
+func (f *Front) SetReady(is bool) { f.draining.Store(!is) }
 
-// Close has each answer from now on close its connection.
-func (f *Front) Close() { f.closing.Store(true) }
+// SetClosing says whether each answer from now on closes its connection.
+func (f *Front) SetClosing(is bool) { f.closing.Store(is) }
 
 // LetQuietGo closes the connections of callers that ask nothing. It returns how many are left.
 func (f *Front) LetQuietGo() int { return f.callers.LetQuietGo(f) }
@@ -78,14 +80,21 @@
 		return
 	case f.draining.Load():
 	case !f.calls.View().Ready():
-		w.Header().Del("Connection")
+		f.keep(w)
 	default:
-		w.Header().Del("Connection")
+		f.keep(w)
 		return
 	}
 	http.Error(w, "not ready", http.StatusServiceUnavailable)
 }
 
+// keep leaves a connection open behind its answer, as it is unless it was to be closed.
+func (f *Front) keep(w http.ResponseWriter) {
+	if !f.closing.Load() {
+		w.Header().Del("Connection")
+	}
+}
+
 // ServeHTTP answers one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// Whatever is answered before the request has been read whole closes the connection: cheap, and
@@ -112,25 +121,39 @@
 	at := f.clock.Now()
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(time.Time{}) // it was for reading the request
-	if !f.closing.Load() {
-		w.Header().Del("Connection")
-	}
+	f.keep(w)
+	f.figures.Begin()
 	if !f.callers.Begin(connOf(r.Context())) {
 		f.write(w, engine.Answer{Kind: engine.Refused, RetryAfter: view.ComeBack()})
+		f.figures.End(in.Class, figures.Throttled)
 		return
 	}
 	c, err := intake.Take(f.calls, view, &head, in, body, at)
 	if err != nil {
 		w.Header().Set("Connection", "close")
 		f.reject(w, view, err)
+		f.figures.End(in.Class, figures.Faulted)
 		return
 	}
 	select {
 	case a := <-c.Answer():
 		f.write(w, a)
+		f.figures.End(in.Class, resultOf(a))
 	case <-r.Context().Done():
 		c.Leave(f.clock.Now())
+		f.figures.Left()
+	}
+}
+
+// resultOf is how an answer counts.
+func resultOf(a engine.Answer) figures.Result {
+	switch a.Kind {
+	case engine.Served:
+		return figures.Fulfilled
+	case engine.Refused:
+		return figures.Throttled
 	}
+	return figures.Faulted
 }
 
 // head is what a request's head says. net/http drops a Content-Length beside a transfer coding, so a request
--- a/internal/http1/rig_test.go
+++ b/internal/http1/rig_test.go
@@ -16,6 +16,7 @@
 	"woodpick/internal/discovery"
 	"woodpick/internal/dispatch"
 	"woodpick/internal/engine"
+	"woodpick/internal/figures"
 	"woodpick/internal/standin"
 )
 
@@ -42,7 +43,7 @@
 
 // newBack is a Back with so many connections at most.
 func newBack(c clock.Clock, most int) *Back {
-	return NewBack(c, descriptors.NewShare(most), Limits{Most: most, ConnectTimeout: standin.Limit, Idle: time.Minute})
+	return NewBack(c, descriptors.NewShare(most), &figures.Set{}, Limits{Most: most, ConnectTimeout: standin.Limit, Idle: time.Minute})
 }
 
 // start runs a rig until the test ends.
@@ -58,7 +59,7 @@
 		t.Fatal(err)
 	}
 	n.calls = dispatch.New(n.view(t, cfg.Config))
-	n.front = NewFront("main", c, n.callers, n.calls, log)
+	n.front = NewFront("main", c, n.callers, n.calls, &figures.Set{}, log)
 	list, err := discovery.Parse([]byte(cfg.Known))
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/mgmt/mgmt.go
@@ -0,0 +1,163 @@
+// Package mgmt is the operators' door: a second address where each connection carries one line and gets one
+// answer, "+OK" or "-ERR" and a reason, and is closed. It must answer whatever else the node is busy with, so it
+// holds a bounded number of connections and lets go of the one that has been silent for longest when another comes.
+package mgmt
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"woodpick/internal/figures"
+)
+
+// Bounds of what operators may make the node hold.
+const (
+	Connections  = 12 // at once; beyond, the one that came first without a whole line goes
+	maxLine      = 256
+	lineTimeout  = 10 * time.Second // for a whole line
+	writeTimeout = 2 * time.Second
+	retryAccept  = 20 * time.Millisecond // after a failed accept, as when descriptors run out
+)
+
+// Control is what the door opens to. Its methods return soon.
+type Control interface {
+	// Health is nil if this process is ready to serve.
+	Health() error
+	Figures() figures.Report
+	// Quiesce sends callers away; Resume takes them again.
+	Quiesce() error
+	Resume() error
+}
+
+// Server is the door.
+type Server struct {
+	listener net.Listener
+	control  Control
+	log      *slog.Logger
+	done     sync.WaitGroup
+
+	mu     sync.Mutex
+	open   []net.Conn // in the order in which they came
+	closed bool
+}
+
+// Serve opens the door on a listener until Close.
+func Serve(ln net.Listener, c Control, log *slog.Logger) *Server {
+	s := &Server{listener: ln, control: c, log: log}
+	s.done.Add(1)
+	go s.accept()
+	return s
+}
+
+// Addr is where the door is.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// Close closes the door and every connection.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.listener.Close()
+	for _, c := range s.open {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.done.Wait()
+}
+
+func (s *Server) accept() {
+	defer s.done.Done()
+	for {
+		c, err := s.listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			s.log.Warn("the operators' door", "error", err)
+			time.Sleep(retryAccept)
+		case s.add(c):
+			s.done.Add(1)
+			go func() {
+				defer s.done.Done()
+				defer s.remove(c)
+				s.serve(c)
+			}()
+		}
+	}
+}
+
+// add makes room for a connection. That its predecessor is closed costs nobody: one that has sent its line is
+// answered at once, so who has been there for longest has not.
+func (s *Server) add(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		c.Close()
+		return false
+	}
+	if len(s.open) >= Connections {
+		s.open[0].Close()
+		s.open = s.open[1:]
+	}
+	s.open = append(s.open, c)
+	return true
+}
+
+func (s *Server) remove(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.Close()
+	for i, o := range s.open {
+		if o == c {
+			s.open = append(s.open[:i], s.open[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	c.SetReadDeadline(time.Now().Add(lineTimeout))
+	line, err := bufio.NewReaderSize(c, maxLine).ReadSlice('\n')
+	answer := ""
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		answer = fmt.Sprintf("-ERR a line holds %d bytes at most\n", maxLine)
+	case err != nil:
+		return // gone, or silent for too long
+	default:
+		answer = s.answer(strings.TrimSpace(string(line)))
+	}
+	c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	c.Write([]byte(answer))
+}
+
+// answer does what a line asks for.
+func (s *Server) answer(call string) string {
+	said := func(ok string, err error) string {
+		if err != nil {
+			return "-ERR " + err.Error() + "\n"
+		}
+		return "+OK " + ok + "\n"
+	}
+	switch call {
+	case "health":
+		return said("ready", s.control.Health())
+	case "counters":
+		text, err := json.Marshal(s.control.Figures())
+		if err != nil {
+			return said("", err)
+		}
+		return "+OK\n" + string(text) + "\n.\n"
+	case "quiesce":
+		return said("clients are sent away", s.control.Quiesce())
+	case "resume":
+		return said("clients are taken", s.control.Resume())
+	}
+	return fmt.Sprintf("-ERR %.40q is no call; there are health, counters, quiesce and resume\n", call)
+}
--- /dev/null
+++ b/internal/mgmt/mgmt_test.go
@@ -0,0 +1,122 @@
+package mgmt
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"woodpick/internal/figures"
+	"woodpick/internal/standin"
+)
+
+// desk is a Control that notes what is asked of it.
+type desk struct {
+	sick  error
+	calls []string
+}
+
+func (d *desk) Health() error { return d.sick }
+func (d *desk) Figures() figures.Report {
+	var s figures.Set
+	s.Know("view")
+	return s.Report()
+}
+func (d *desk) Quiesce() error { d.calls = append(d.calls, "quiesce"); return nil }
+func (d *desk) Resume() error {
+	d.calls = append(d.calls, "resume")
+	return errors.New("the node is ending")
+}
+
+func open(t *testing.T, d *desk) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := Serve(ln, d, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	t.Cleanup(func() { s.Close(); goleak.VerifyNone(t) })
+	return ln.Addr().String()
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(standin.Limit))
+	return c
+}
+
+// ask sends pieces of a line and returns all that comes back.
+func ask(t *testing.T, address string, pieces ...string) string {
+	t.Helper()
+	c := dial(t, address)
+	for _, p := range pieces {
+		if _, err := io.WriteString(c, p); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := io.ReadAll(c)
+	if err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Fatal(err)
+	}
+	return string(got)
+}
+
+func TestEachLineIsAnswered(t *testing.T) {
+	d := &desk{}
+	at := open(t, d)
+	for _, c := range []struct{ line, want string }{
+		{"health\n", "+OK ready\n"},
+		{"health\r\n", "+OK ready\n"},
+		{"counters\n", "+OK\n" + `{"fulfilled":{"view":0},"throttled":{"view":0},"faulted":{"view":0},"relayed":0,"open_requests":0,"registry_entries":0,"out_of_rotation":0}` + "\n.\n"},
+		{"quiesce\n", "+OK clients are sent away\n"},
+		{"resume\n", "-ERR the node is ending\n"},
+		{"HEALTH\n", "-ERR \"HEALTH\" is no call; there are health, counters, quiesce and resume\n"},
+		{"\n", "-ERR \"\" is no call; there are health, counters, quiesce and resume\n"},
+	} {
+		if got := ask(t, at, c.line); got != c.want {
+			t.Errorf("%q: got %q, want %q", c.line, got, c.want)
+		}
+	}
+	if got := ask(t, at, "hea", "lth", "\nmore that nobody asked for"); got != "+OK ready\n" {
+		t.Errorf("in pieces: got %q", got)
+	}
+	if got := ask(t, at, strings.Repeat("x", maxLine)); !strings.HasPrefix(got, "-ERR a line holds") {
+		t.Errorf("too long: got %q", got)
+	}
+	if strings.Join(d.calls, " ") != "quiesce resume" {
+		t.Errorf("asked for %v", d.calls)
+	}
+}
+
+func TestNotReadyIsAnError(t *testing.T) {
+	if got := ask(t, open(t, &desk{sick: errors.New("no server is listed")}), "health\n"); got != "-ERR no server is listed\n" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// Callers that hold a connection and send half a line must not keep others from being answered, however many
+// they are; the ones that came first are let go.
+func TestSilentCallersDoNotBarTheDoor(t *testing.T) {
+	at := open(t, &desk{})
+	first := dial(t, at)
+	io.WriteString(first, "heal")
+	for range 4 * Connections {
+		io.WriteString(dial(t, at), "heal")
+	}
+	if got := ask(t, at, "health\n"); got != "+OK ready\n" {
+		t.Errorf("got %q", got)
+	}
+	if _, err := io.ReadAll(first); err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Errorf("the one that came first is still there: %v", err)
+	}
+}
--- a/internal/node/change.go
+++ b/internal/node/change.go
@@ -277,6 +277,9 @@
 	c.undo = nil
 	gone := c.swap()
 	n.resize(c.cfg)
+	for _, class := range c.cfg.Classes {
+		n.figures.Know(class.Name)
+	}
 	for _, u := range c.updates {
 		u.pool.back.SetLimits(limitsOf(u.cfg))
 	}
@@ -344,7 +347,7 @@
 		if old != nil && old.cfg.Protocol == l.Protocol {
 			next.front = old.front // the callers that it has stay
 		} else {
-			next.front = http1.NewFront(l.Name, n.clock, n.callers, n.calls, n.log)
+			next.front = http1.NewFront(l.Name, n.clock, n.callers, n.calls, &n.figures, n.log)
 		}
 		listeners[l.Name] = next
 	}
@@ -359,6 +362,7 @@
 		}
 	}
 	n.sockets, n.listeners = sockets, listeners
+	n.follow(n.duty.At(n.clock.Now()))
 	if !n.serving {
 		return
 	}
@@ -396,7 +400,7 @@
 		})
 	}
 	for _, l := range gone.fronts {
-		l.front.Unready()
+		l.front.SetReady(false)
 		n.leaving[l] = true
 		n.behind(func() {
 			n.retireFront(l.front)
--- a/internal/node/ending.go
+++ b/internal/node/ending.go
@@ -9,6 +9,7 @@
 	"woodpick/internal/clock"
 	"woodpick/internal/config"
 	"woodpick/internal/http1"
+	"woodpick/internal/succession"
 )
 
 // How a node ends: it accepts for a while after it was told to, and is done before it would be killed,
@@ -48,6 +49,7 @@
 func (n *Node) drain() error {
 	n.mu.Lock()
 	n.ending = true
+	n.duty.End()
 	close(n.draining)
 	e := endingOf(n.cfg)
 	if n.options.ending != nil {
@@ -63,8 +65,20 @@
 	defer cancel()
 	begin := n.clock.Now()
 	since := func() time.Duration { return n.clock.Now() - begin }
+	// Where another process of this node goes on at the same addresses, they stay ready: new connections go to
+	// that one, and each answer sends its caller there.
+	followed := n.options.Line != nil && n.options.Line.Followed()
 	for _, f := range fronts {
-		f.Unready()
+		f.SetReady(followed)
+		f.SetClosing(followed)
+	}
+	if followed {
+		n.log.Info("another process of this node goes on")
+		for _, s := range sockets {
+			if err := succession.Yield(s.Listener); err != nil {
+				n.log.Warn("callers may still come here", "address", s.Addr(), "error", err)
+			}
+		}
 	}
 	clock.Sleep(ctx, e.accept)
 	for _, s := range sockets {
@@ -76,7 +90,7 @@
 		clock.Sleep(ctx, drainStep)
 	}
 	for _, f := range fronts {
-		f.Close()
+		f.SetClosing(true)
 	}
 	for told := false; letGo(fronts, n.callers) > 0; clock.Sleep(ctx, drainStep) {
 		if ctx.Err() != nil {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -96,7 +96,7 @@
 
 // retireFront lets the callers of a front go until none is left.
 func (n *Node) retireFront(f *http1.Front) {
-	f.Close()
+	f.SetClosing(true)
 	for f.LetQuietGo() > 0 {
 		clock.Sleep(n.life, letGoStep)
 		if n.life.Err() != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,7 +19,11 @@
 	"woodpick/internal/descriptors"
 	"woodpick/internal/discovery"
 	"woodpick/internal/dispatch"
+	"woodpick/internal/duty"
 	"woodpick/internal/engine"
+	"woodpick/internal/figures"
+	"woodpick/internal/mgmt"
+	"woodpick/internal/succession"
 )
 
 // Node is one load balancer on sockets.
@@ -30,6 +34,8 @@
 	named   bool // pools are told apart in the log
 	start   *first
 	servers *descriptors.Share // of the connections to servers
+	figures figures.Set
+	door    *mgmt.Server // nil: none
 	callers *callers.Set
 	calls   *dispatch.Dispatcher
 
@@ -50,6 +56,9 @@
 	change    *Change                  // under way
 	serving   bool
 	ending    bool
+	duty      duty.Duty
+	parting   context.CancelFunc // ends the letting go of callers that Quiesce began; nil: none is under way
+	two       bool               // another process of this node shares its limits
 }
 
 // first is what the first configuration's pools begin with.
@@ -62,6 +71,7 @@
 type Options struct {
 	Listen func(network, address string) (net.Listener, error) // nil: net.Listen
 	Limit  func(config.Limits)                                 // keeps the process within its limits; nil: nothing does
+	Line   *succession.Line                                    // of this node's processes; nil: this one is alone
 	Fault  func(point string) error                            // for tests: an error has a step of a change fail
 	ending *ending                                             // for tests: instead of what follows from the configuration
 	watch  func(*discovery.Watch)                              // for tests: changes a watch before it begins
@@ -97,6 +107,9 @@
 		listeners: map[string]*listener{}, pools: map[string]*pool{}, retiring: map[*pool]bool{}, leaving: map[*listener]bool{}, closing: map[string]chan struct{}{}}
 	n.life, n.stop = context.WithCancel(context.Background())
 	n.callers = callers.New(n.clock, callers.Share{}, n.servers.Used)
+	if o.Line != nil {
+		n.two = !o.Line.Seated()
+	}
 	n.resize(cfg)
 	c, err := n.Prepare(n.life, cfg, 0)
 	if err != nil {
@@ -105,17 +118,25 @@
 	if err := c.Commit(); err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
+	if err := n.openDoor(cfg.Node.Management); err != nil {
+		n.close()
+		return nil, fmt.Errorf("node: %w", err)
+	}
 	return n, nil
 }
 
 // resize shares the descriptors of a configuration out: half of what is not the node's own may be servers'
-// connections, and callers have what servers leave.
+// connections, and callers have what servers leave. Two processes of one node have half of all each. The caller
+// holds mu.
 func (n *Node) resize(cfg *config.Config) {
-	room := cfg.Node.Limits.Descriptors - cfg.OwnDescriptors()
+	limits, room, spare := cfg.Node.Limits, cfg.Node.Limits.Descriptors-cfg.OwnDescriptors(), config.Reserved/2
+	if n.two {
+		limits.Memory, room, spare = limits.Memory/2, room/2, spare/2
+	}
 	n.servers.Resize(room / 2)
-	n.callers.Resize(callers.Share{Room: room, Least: room / 4, Spare: config.Reserved / 2})
+	n.callers.Resize(callers.Share{Room: room, Least: room / 4, Spare: spare})
 	if n.options.Limit != nil {
-		n.options.Limit(cfg.Node.Limits)
+		n.options.Limit(limits)
 	}
 }
 
@@ -175,6 +196,9 @@
 	}
 	n.mu.Unlock()
 	defer n.close()
+	if n.options.Line != nil {
+		n.behind(func() { n.options.Line.Watch(n.life, n.share) })
+	}
 	select {
 	case err := <-n.failed:
 		return fmt.Errorf("node: %w", err)
@@ -200,6 +224,9 @@
 	sockets, pools := n.sockets, n.allPools()
 	n.mu.Unlock()
 	n.stop()
+	if n.door != nil {
+		n.door.Close()
+	}
 	for _, s := range sockets {
 		s.shut()
 	}
@@ -244,7 +271,7 @@
 func (n *Node) Status() Status {
 	n.mu.Lock()
 	s := Status{Listeners: map[string]ListenerStatus{}, Pools: map[string]PoolStatus{}, Callers: n.callers.Held(),
-		Ready: n.calls.View().Ready() && !n.ending}
+		Ready: n.calls.View().Ready() && n.duty.At(n.clock.Now()).Ready}
 	for name, l := range n.listeners {
 		s.Listeners[name] = ListenerStatus{l.socket.Addr().String()}
 	}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -37,7 +37,7 @@
 // newPool makes a pool that knows the list that is known, or the one that its configuration holds, and
 // watches its registry from then on. Nothing runs before start.
 func (n *Node) newPool(cfg *config.Config, p config.Pool, seed uint64, known discovery.List) (*pool, error) {
-	out := &pool{name: p.Name, cfg: p, settings: cfg.Settings(p), back: http1.NewBack(n.clock, n.servers, limitsOf(p))}
+	out := &pool{name: p.Name, cfg: p, settings: cfg.Settings(p), back: http1.NewBack(n.clock, n.servers, &n.figures, limitsOf(p))}
 	log := n.log
 	if n.named {
 		log = log.With("pool", p.Name)
--- a/internal/plan/diff.go
+++ b/internal/plan/diff.go
@@ -226,7 +226,7 @@
 // effectOf is what the change of a field does.
 func effectOf(kind, path string) Effect {
 	switch kind + "." + path {
-	case "node.name", "node.zone", "node.state_folder", "node.admin_socket":
+	case "node.name", "node.zone", "node.state_folder", "node.admin_socket", "node.management":
 		return NeedsRestart
 	case "listener.address", "listener.protocol", "pool.protocol":
 		return Drains
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -24,9 +24,12 @@
 	}
 	t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(2 * Limit))
-	return &Caller{c, bufio.NewReader(c)}
+	return On(c)
 }
 
+// On is a caller on a connection that is there already.
+func On(c net.Conn) *Caller { return &Caller{c, bufio.NewReader(c)} }
+
 // Get writes a GET for the class view.
 func (c *Caller) Get(id string) { c.Send("GET", "/view/k", id, "", "60") }
 
--- /dev/null
+++ b/internal/succession/succession.go
@@ -0,0 +1,151 @@
+// Package succession is for two processes of one node that overlap while the one takes over from the other: they
+// listen at the same address, they know of one another, and connections go to the one that stays. What the kernel
+// holds for a process ends with it, so nothing has to be mended after a kill.
+package succession
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"woodpick/internal/clock"
+)
+
+// Listen opens a TCP socket that another process of the same user may share the address of (SO_REUSEPORT, socket(7)).
+// The kernel spreads new connections over all that listen there.
+func Listen(network, address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	lc.SetMultipathTCP(false) // such a socket, the default since Go 1.24, takes no rule for its address
+	lc.Control = func(_, _ string, raw syscall.RawConn) error {
+		return control(raw, func(fd int) error {
+			return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		})
+	}
+	ln, err := lc.Listen(context.Background(), network, address)
+	if err != nil {
+		return nil, err
+	}
+	// An earlier process may have left a rule for all that listen here.
+	return ln, steer(ln, spread)
+}
+
+// Sockets of one address are numbered in the order in which they began to listen, and one that is closed gives its
+// number to the last. A number that no socket has leaves the choice to the kernel.
+const (
+	youngest = 1 // of two
+	spread   = 1 << 16
+)
+
+// Yield has new connections go to the process that began to listen after this one, if there is one. Those that
+// the kernel has completed already, or is about to, still come here and have to be accepted.
+func Yield(ln net.Listener) error { return steer(ln, youngest) }
+
+// steer has all new connections at an address go to the socket of a number (SO_ATTACH_REUSEPORT_CBPF, socket(7)):
+// the program is one instruction that returns it. It needs no privilege.
+func steer(ln net.Listener, number uint32) error {
+	sc, ok := ln.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return control(raw, func(fd int) error {
+		const returnConstant = unix.BPF_RET | unix.BPF_K
+		code := []unix.SockFilter{{Code: returnConstant, K: number}}
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
+			&unix.SockFprog{Len: uint16(len(code)), Filter: &code[0]})
+	})
+}
+
+func control(raw syscall.RawConn, do func(fd int) error) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) { failed = do(int(fd)) })
+	return errors.Join(err, failed)
+}
+
+// Line is a node's processes, the oldest first: the one that holds the seat, and the one that waits for it. Each
+// holds a lock on a file of its own in a folder that they share.
+type Line struct {
+	seat, next *os.File
+}
+
+// Enter joins the processes of a name in a folder. It fails if one waits there already, or the folder can't be used.
+func Enter(folder, name string) (*Line, error) {
+	l := &Line{}
+	for _, f := range []struct {
+		to   **os.File
+		file string
+	}{{&l.seat, name + ".seat"}, {&l.next, name + ".next"}} {
+		file, err := os.OpenFile(filepath.Join(folder, f.file), os.O_CREATE|os.O_RDWR, 0o600)
+		if err != nil {
+			l.Leave()
+			return nil, fmt.Errorf("succession: %w", err)
+		}
+		*f.to = file
+	}
+	if l.Seated() {
+		return l, nil
+	}
+	// The one that has the seat takes this lock for a moment when it looks whether it is followed.
+	for range 20 {
+		if lock(l.next) {
+			return l, nil
+		}
+		time.Sleep(look / 20)
+	}
+	l.Leave()
+	return nil, fmt.Errorf("succession: another process waits for the seat of %s already", name)
+}
+
+// Seated says that this process has the seat, and takes it if it is free.
+func (l *Line) Seated() bool { return lock(l.seat) }
+
+// Followed says, of the process that has the seat, that another waits for it.
+func (l *Line) Followed() bool {
+	if !lock(l.next) {
+		return true
+	}
+	unix.Flock(int(l.next.Fd()), unix.LOCK_UN)
+	return false
+}
+
+// Leave gives up what is held, as the process's end would.
+func (l *Line) Leave() {
+	for _, f := range []*os.File{l.seat, l.next} {
+		if f != nil {
+			f.Close()
+		}
+	}
+}
+
+// lock takes a file's lock or finds that this process has it (flock(2)).
+func lock(f *os.File) bool {
+	return unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB) == nil
+}
+
+// look is how often a process looks whether it is alone.
+const look = 100 * time.Millisecond
+
+// Watch tells whenever this process begins or ceases to be one of two, until ctx ends. The first word comes before
+// it waits.
+func (l *Line) Watch(ctx context.Context, tell func(two bool)) {
+	for known, was, seated := false, false, false; ctx.Err() == nil; clock.Sleep(ctx, look) {
+		if !seated && l.Seated() {
+			seated = true
+			unix.Flock(int(l.next.Fd()), unix.LOCK_UN)
+		}
+		if two := !seated || l.Followed(); !known || two != was {
+			known, was = true, two
+			tell(two)
+		}
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -625,6 +625,16 @@
 	return nil
 }
 
+// Avoided counts the listed servers that are to get nothing new now, by their state or their health.
+func (b *Balancer) Avoided() (n int) {
+	for _, s := range b.servers {
+		if s.listed && (s.State != Ready || b.now < s.until || b.silent(s)) {
+			n++
+		}
+	}
+	return n
+}
+
 // ruleOut marks the servers that health keeps out. When many look bad to one node, the fault is
 // likelier its own or the tier below's, and those left would take all the load: only the worst are
 // kept out, up to a set share of the list, and fewer the more is shed: in overload every server is
