--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -1,5 +1,5 @@
 // Package mgmt is the operators' door: a second address where each connection carries one line and gets one
-// answer, "+OK" or "-ERR" and a reason, and is closed. It must answer whatever else the node is busy with, so it
+// answer, "+OK" or "-ERR" and a reason, or the figures as JSON and a line with a full stop, and is closed. It must answer whatever else the node is busy with, so it
 // holds a bounded number of connections and lets go of the one that has been silent for longest when another comes.
 package mgmt
 
@@ -153,7 +153,7 @@
 		if err != nil {
 			return said("", err)
 		}
-		return "+OK\n" + string(text) + "\n.\n"
+		return string(text) + "\n.\n"
 	case "quiesce":
 		return said("clients are sent away", s.control.Quiesce())
 	case "resume":
--- a/policy.go
+++ b/policy.go
@@ -626,19 +626,26 @@
 }
 
 // Avoided counts the listed servers that are to get nothing new now, by their state or their health.
-func (b *Balancer) Avoided() (n int) {
+func (b *Balancer) Avoided() int {
+	sick, leaving := 0, 0
 	for _, s := range b.servers {
-		if s.listed && (s.State != Ready || b.now < s.until || b.silent(s)) {
-			n++
+		switch {
+		case s.listed && s.State != Ready:
+			leaving++
+		case s.listed && (b.now < s.until || b.silent(s)):
+			sick++
 		}
 	}
-	return n
+	return leaving + min(sick, b.mostSick())
 }
 
+// mostSick is how many servers health may keep out: fewer the more is shed, for in overload every server is
+// missed, and time-outs show load rather than ill health.
+func (b *Balancer) mostSick() int { return int(mostOut * (1 - b.shed) * float64(len(b.ready))) }
+
 // ruleOut marks the servers that health keeps out. When many look bad to one node, the fault is
 // likelier its own or the tier below's, and those left would take all the load: only the worst are
-// kept out, up to a set share of the list, and fewer the more is shed: in overload every server is
-// missed, and time-outs show load rather than ill health.
+// kept out, up to a set share of the list.
 func (b *Balancer) ruleOut(g groups, r *request, shun bool) {
 	var sick []*server
 	for _, s := range slices.Concat(g.left, g.right) {
@@ -648,8 +655,7 @@
 			sick = append(sick, s)
 		}
 	}
-	most := int(mostOut * (1 - b.shed) * float64(len(b.ready)))
-	if len(sick) > most {
+	if most := b.mostSick(); len(sick) > most {
 		sort.SliceStable(sick, func(i, j int) bool { return sick[i].streak > sick[j].streak })
 		for _, s := range sick[most:] {
 			s.out = false
