Long bodies and answers pass through: 33 MiB each way, in chunks, slowly, in pieces

What fits in 64 KiB is kept whole as before, so that it can be sent again. A longer answer is handed over with its first bytes and read from the server only as its caller takes it. A longer body goes to the server as it comes; the module hears of it by Request.Partial and Uploaded, so that the request's time and the attempt's begin with the last byte, an upload fills no place in the admission window and no server is blamed for a slow caller. Once part of it is gone (Outcome.Spent) it is not tried again, and refused if it never ran. A caller must keep a rate of 32 KiB/s but for a grace of 2.8 s. A body with both a length and chunks is told from the raw head and turned away, and a connection is closed behind any body in chunks, so that nothing can hide there.

Ways not taken: keeping long bodies in memory or in TMPDIR, which counts as memory (a few uploads fill 64 MB); asking the module only at the last byte (then nobody has read the body).

Failed tries: reading rates counted from the request's start cut callers whom the node itself had held up, so only the time spent in reads counts; a read deadline lifted after a time-out had net/http wait without end for the rest of a body.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -2,18 +2,20 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"woodpick"
 	"woodpick/internal/discovery"
 )
 
-// Call is a caller's request, read whole, whatever protocol brought it. The engine looks at its id, class
+// Call is a caller's request, whatever protocol brought it: read whole, or at least its head and as much of its
+// body as is kept. The engine looks at its id, class
 // and times only; the Request is for the back end that carries its attempts out.
 type Call struct {
 	ID, Class string
-	At        time.Duration // clock time when its last byte was read
-	Deadline  time.Duration // clock time until which its caller waits
+	At        time.Duration // clock time when its last byte was read; with a Rest, when it was handed over
+	Deadline  time.Duration // clock time until which its caller waits; with a Rest, as if At were that of the last byte
 	Request   Request
 
 	answer chan Answer // takes one answer without blocking
@@ -28,6 +30,8 @@
 	Key         string // idempotency key
 	ContentType string
 	Body        []byte
+	Rest        io.Reader // what follows Body, to be read once; nil: nothing. An error tells that the caller has cut it
+	Length      int64     // of Body and Rest; negative: not known before its end
 }
 
 // NewCall returns a Call that can be answered.
@@ -40,7 +44,20 @@
 
 // Leave tells the engine that took the call that its caller has gone at a clock time: nothing more is owed
 // to it. It is for whoever had the call taken.
-func (c *Call) Leave(at time.Duration) { c.owner.post(callerGone{c, at}) }
+func (c *Call) Leave(at time.Duration) {
+	if !c.owner.post(callerGone{c, at}) {
+		c.discard()
+	}
+}
+
+// discard drops an answer that nobody waits for any more.
+func (c *Call) discard() {
+	select {
+	case a := <-c.answer:
+		a.Reply.discard()
+	default:
+	}
+}
 
 // Answer is the one final answer to a call.
 type Answer struct {
@@ -52,7 +69,15 @@
 // Reply is what a server made for a call.
 type Reply struct {
 	Body        []byte
-	ContentType string // empty: none was given
+	ContentType string        // empty: none was given
+	Rest        io.ReadCloser // what follows Body, as it comes from the server; nil: nothing. Whoever gets it closes it
+	Length      int64         // of Body and Rest; negative: not known before its end
+}
+
+func (r Reply) discard() {
+	if r.Rest != nil {
+		r.Rest.Close()
+	}
 }
 
 // Kind says what an answer promises.
@@ -71,7 +96,8 @@
 	Call           *Call
 	N              int // from 0 for the first of its call
 	To             discovery.Host
-	Sent, Deadline time.Duration // clock times: when it was decided on, and until when it is waited for
+	Sent, Deadline time.Duration // clock times: when it was decided on, and until when it is waited for. With a Rest
+	// the time between the two runs from Uploaded on
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -87,6 +113,15 @@
 // Context ends when the attempt is called off.
 func (a *Attempt) Context() context.Context { return a.ctx }
 
+// Uploaded tells the engine that the last byte of a call with a Rest was written to the server at a clock time.
+// It returns until when the attempt is waited for.
+func (a *Attempt) Uploaded(at time.Duration) (deadline time.Duration) {
+	if a.Call.owner != nil {
+		a.Call.owner.post(uploaded{a, at})
+	}
+	return at + a.Deadline - a.Sent
+}
+
 // Cancel calls the attempt off. Its Outcome still comes.
 func (a *Attempt) Cancel() { a.cancel() }
 
@@ -96,6 +131,7 @@
 	Ending woodpick.Ending
 	At     time.Duration // clock time: for an answer, when its last byte was read
 	Reply  Reply         // for Success
+	Spent  bool          // some of the call's Rest was read: it can't be sent again
 }
 
 // Backend carries attempts out.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -24,6 +24,10 @@
 		call *Call
 		at   time.Duration
 	}
+	uploaded struct {
+		attempt *Attempt
+		at      time.Duration
+	}
 	ended struct {
 		attempt *Attempt
 		outcome Outcome
@@ -145,10 +149,12 @@
 }
 
 // post hands an event to the loop, or to nobody once that has ended.
-func (eng *Engine) post(e event) {
+func (eng *Engine) post(e event) bool {
 	select {
 	case eng.events <- e:
+		return true
 	case <-eng.done:
+		return false
 	}
 }
 
@@ -260,7 +266,8 @@
 			return
 		}
 		eng.pending[e.call.ID] = &pending{call: e.call}
-		eng.handle(e.call.At, woodpick.Request{ID: e.call.ID, Class: e.call.Class, Deadline: e.call.Deadline})
+		eng.handle(e.call.At, woodpick.Request{ID: e.call.ID, Class: e.call.Class, Deadline: e.call.Deadline,
+			Partial: e.call.Request.Rest != nil})
 	case callerGone:
 		eng.lag(e.at)
 		if p := eng.pending[e.call.ID]; p != nil && p.call == e.call && !p.answered {
@@ -269,6 +276,14 @@
 			eng.handle(e.at, woodpick.ClientGone{ID: e.call.ID})
 			eng.forget(p)
 		}
+		e.call.discard()
+	case uploaded:
+		eng.lag(e.at)
+		if p := eng.pending[e.attempt.Call.ID]; p != nil && p.call == e.attempt.Call {
+			p.call.Deadline += e.at - p.call.At
+			p.call.At = e.at
+			eng.handle(e.at, woodpick.Uploaded{ID: p.call.ID, Attempt: e.attempt.N, Deadline: p.call.Deadline})
+		}
 	case ended:
 		eng.lag(e.outcome.At)
 		eng.end(e.attempt, e.outcome)
@@ -336,9 +351,11 @@
 	if r.Ending == woodpick.Success && !p.answered {
 		eng.stats.Served++
 		eng.answer(p, Answer{Kind: Served, Reply: r.Reply})
+	} else {
+		r.Reply.discard()
 	}
 	eng.handle(r.At, woodpick.Outcome{ID: a.Call.ID, Attempt: a.N, Server: a.To.Server, Ending: r.Ending,
-		Latency: r.At - a.Sent, Ended: p.answered})
+		Latency: r.At - a.Sent, Ended: p.answered, Spent: r.Spent})
 	eng.forget(p)
 }
 
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -22,7 +23,9 @@
 type callerConn struct {
 	net.Conn
 	mu       sync.Mutex
-	begun    bool // bytes were read since the last answer
+	begun    bool      // bytes were read since the last answer
+	at       time.Time // when the first of them were
+	scan     headScan
 	leaving  bool
 	cut      bool      // leaving, whatever still comes
 	deadline time.Time // as net/http wants it
@@ -35,7 +38,11 @@
 	if n > 0 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		if !c.begun {
+			c.at = time.Now()
+		}
 		c.begun = true
+		c.scan.feed(p[:n])
 		if c.leaving && !c.cut {
 			c.leaving = false
 			c.Conn.SetReadDeadline(c.deadline)
@@ -47,11 +54,28 @@
 // Write begins before the client can have sent its next request.
 func (c *callerConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	c.begun = false
+	if !bytes.HasPrefix(p, []byte("HTTP/1.1 100 ")) { // the body that this asks for is no next request
+		c.begun = false
+		c.scan.again()
+	}
 	c.mu.Unlock()
 	return c.Conn.Write(p)
 }
 
+// Begun is when the first bytes of the request that is read were.
+func (c *callerConn) Begun() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at
+}
+
+// takeHead tells of the head of the request that net/http has just read; see headScan.take.
+func (c *callerConn) takeHead(coded bool) (unframed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scan.take(coded)
+}
+
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -62,6 +86,13 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// reset has the connection's close tell that something was cut.
+func (c *callerConn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+}
+
 // CloseWrite lets net/http linger after an answer to a request that it did not read whole: at once
 // closed, the connection would be reset, and the answer could be lost.
 func (c *callerConn) CloseWrite() error {
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -24,11 +24,11 @@
 
 // Limits on what a caller may make the node wait for.
 const (
-	readTimeout  = 2500 * time.Millisecond // for a request, from its connection's start or its first bytes
+	headTimeout  = 2800 * time.Millisecond // for a request's head, from its connection's start or its first bytes
 	idleTimeout  = 4 * time.Second         // a caller that asks no more is let go
 	writeTimeout = 5 * time.Second
 	maxHeader    = 16 << 10
-	maxBody      = intake.MaxBody // the longest body of a request or an answer
+	maxBody      = intake.MaxBody // the longest body that is kept whole
 )
 
 // Front serves callers of one listener: exactly one answer for each request taken.
@@ -38,17 +38,18 @@
 	calls    *dispatch.Dispatcher
 	callers  *callers.Set
 	figures  *figures.Set
-	draining atomic.Bool // unready
-	closing  atomic.Bool // each answer closes its connection
+	draining atomic.Bool   // unready
+	closing  atomic.Bool   // each answer closes its connection
+	grace    time.Duration // by which a body may be behind the least rate
 	server   *http.Server
 }
 
 // NewFront returns a Front that serves nobody before Serve.
 func NewFront(listener string, c clock.Clock, set *callers.Set, calls *dispatch.Dispatcher, count *figures.Set, log *slog.Logger) *Front {
-	f := &Front{listener: listener, clock: c, calls: calls, callers: set, figures: count}
+	f := &Front{listener: listener, clock: c, calls: calls, callers: set, figures: count, grace: bodyGrace}
 	f.server = &http.Server{
 		Handler:                      f,
-		ReadTimeout:                  readTimeout,
+		ReadHeaderTimeout:            headTimeout,
 		IdleTimeout:                  idleTimeout,
 		MaxHeaderBytes:               maxHeader,
 		DisableGeneralOptionsHandler: true,
@@ -104,6 +105,10 @@
 		f.health(w, r)
 		return
 	}
+	rc := http.NewResponseController(w)
+	if r.ContentLength != 0 {
+		rc.SetReadDeadline(time.Now().Add(f.grace))
+	}
 	view := f.calls.View()
 	head := f.head(r)
 	in, err := intake.Check(view, &head)
@@ -111,24 +116,32 @@
 		f.reject(w, view, err)
 		return
 	}
-	var body []byte
-	if r.ContentLength > 0 {
-		if body, err = io.ReadAll(r.Body); err != nil {
-			f.reject(w, view, &intake.Rejected{Status: http.StatusBadRequest, Reason: "the body is not whole"})
-			return
-		}
+	body, rest, err := f.readBody(rc, r)
+	if err != nil {
+		f.reject(w, view, errNotWhole)
+		return
 	}
 	at := f.clock.Now()
-	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(time.Time{}) // it was for reading the request
-	f.keep(w)
+	rc.SetReadDeadline(time.Time{})   // it was for reading the request
+	if len(r.TransferEncoding) == 0 { // what is behind such a body is read by nobody, whoever put it there
+		f.keep(w)
+	}
 	f.figures.Begin()
 	if !f.callers.Begin(connOf(r.Context())) {
 		f.write(w, engine.Answer{Kind: engine.Refused, RetryAfter: view.ComeBack()})
 		f.figures.End(in.Class, figures.Throttled)
 		return
 	}
-	c, err := intake.Take(f.calls, view, &head, in, body, at)
+	var (
+		more io.Reader
+		cut  chan struct{}
+	)
+	if rest != nil {
+		rc.EnableFullDuplex() // the answer may come while the body still does
+		more, cut = rest, rest.cut
+		defer rest.end()
+	}
+	c, err := intake.Take(f.calls, view, &head, in, body, more, at)
 	if err != nil {
 		w.Header().Set("Connection", "close")
 		f.reject(w, view, err)
@@ -137,11 +150,46 @@
 	}
 	select {
 	case a := <-c.Answer():
-		f.write(w, a)
-		f.figures.End(in.Class, resultOf(a))
+		f.finish(w, r, in.Class, a, rest)
+	case <-cut:
+		f.leave(c)
+		w.Header().Set("Connection", "close")
+		f.reject(w, view, errNotWhole)
 	case <-r.Context().Done():
-		c.Leave(f.clock.Now())
-		f.figures.Left()
+		f.leave(c)
+		if rest != nil && !rest.end() { // net/http takes a body that comes too slowly for its caller's end
+			w.Header().Set("Connection", "close")
+			f.reject(w, view, errNotWhole)
+		}
+	}
+}
+
+// leave has a call end for a caller that has gone.
+func (f *Front) leave(c *engine.Call) {
+	c.Leave(f.clock.Now())
+	f.figures.Left()
+}
+
+// errNotWhole answers a caller that has not sent its body whole, or not within its time.
+var errNotWhole = &intake.Rejected{Status: http.StatusBadRequest, Reason: "the body is not whole, or came too slowly"}
+
+// finish gives a request its answer, also where the rest of its body has not come yet.
+func (f *Front) finish(w http.ResponseWriter, r *http.Request, class string, a engine.Answer, rest *upload) {
+	early := rest != nil && !rest.end()
+	if early {
+		w.Header().Set("Connection", "close")
+	}
+	if err := f.write(w, a); err != nil {
+		f.figures.End(class, figures.Faulted)
+		if c := connOf(r.Context()); c != nil && !r.ProtoAtLeast(1, 1) {
+			c.reset() // its end alone would look like the answer's
+		}
+		panic(http.ErrAbortHandler) // so that the caller can tell that the answer is not whole
+	}
+	f.figures.End(class, resultOf(a))
+	if early {
+		http.NewResponseController(w).Flush()
+		rest.discard()
 	}
 }
 
@@ -156,12 +204,35 @@
 	return figures.Faulted
 }
 
-// head is what a request's head says. net/http drops a Content-Length beside a transfer coding, so a request
-// hidden in the body would pass on unseen: the protocol has lengths only.
+// head is what a request's head says. net/http drops a Content-Length beside a transfer coding, so that the
+// connection has to tell of it.
 func (f *Front) head(r *http.Request) intake.Head {
-	return intake.Head{Listener: f.listener, Protocol: config.HTTP1, Method: r.Method, Target: r.RequestURI, Host: r.Host,
+	coded := len(r.TransferEncoding) > 0
+	unframed := coded
+	if c := connOf(r.Context()); c != nil {
+		unframed = c.takeHead(coded)
+	}
+	return intake.Head{Listener: f.listener, Protocol: config.HTTP1, Method: r.Method, Target: originForm(r.RequestURI), Host: r.Host,
 		ID: r.Header["X-Request-Id"], Wait: r.Header["X-Deadline"], Key: r.Header["Idempotency-Key"],
-		Type: r.Header.Get("Content-Type"), Coded: len(r.TransferEncoding) > 0, Length: r.ContentLength, Headers: r.Header}
+		Type: r.Header.Get("Content-Type"), Unframed: unframed, Length: r.ContentLength, Headers: r.Header}
+}
+
+// originForm is a request's target without the authority that the absolute form has before it (RFC 9112 section
+// 3.2.2).
+func originForm(target string) string {
+	const scheme = "http://"
+	if len(target) < len(scheme) || !strings.EqualFold(target[:len(scheme)], scheme) {
+		return target
+	}
+	after := target[len(scheme):]
+	i := strings.IndexAny(after, "/?")
+	switch {
+	case i < 0:
+		return "/"
+	case after[i] == '?':
+		return "/" + after[i:]
+	}
+	return after[i:]
 }
 
 // reject answers a request that can't be used, or whose listener has gone, with its connection's end.
@@ -174,9 +245,10 @@
 	http.Error(w, no.Reason, no.Status)
 }
 
-// write gives the answer to the caller.
-func (f *Front) write(w http.ResponseWriter, a engine.Answer) {
-	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+// write gives the answer to the caller. With an error it was begun and is not whole.
+func (f *Front) write(w http.ResponseWriter, a engine.Answer) error {
+	rc := http.NewResponseController(w)
+	rc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
 	if f.callers.Crowded() || f.closing.Load() {
 		h.Set("Connection", "close")
@@ -187,13 +259,20 @@
 		} else {
 			h.Set("Content-Type", a.Reply.ContentType)
 		}
+		if a.Reply.Rest != nil {
+			if a.Reply.Length >= 0 {
+				h.Set("Content-Length", strconv.FormatInt(a.Reply.Length, 10))
+			}
+			return pass(w, rc, a.Reply)
+		}
 		h.Set("Content-Length", strconv.Itoa(len(a.Reply.Body)))
 		w.Write(a.Reply.Body)
-		return
+		return nil
 	}
 	status, words := intake.Words(a)
 	if retry := intake.RetryAfter(a); retry != "" {
 		h.Set("Retry-After", retry)
 	}
 	http.Error(w, words, status)
+	return nil
 }
--- /dev/null
+++ b/internal/http1/send.go
@@ -0,0 +1,109 @@
+package http1
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/engine"
+)
+
+// Times of an upload.
+const (
+	sendStall = 5 * time.Second        // that a server may take nothing of it
+	lastBytes = 200 * time.Millisecond // that an answer may be ahead of the note that its request is written whole
+)
+
+// watched reads the rest of a call and notes what became of it.
+type watched struct {
+	io.Reader
+	used atomic.Bool
+	cut  atomic.Bool // by its caller
+}
+
+func (w *watched) Read(p []byte) (int, error) {
+	w.used.Store(true)
+	n, err := w.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		w.cut.Store(true)
+	}
+	return n, err
+}
+
+// paced writes to a server that takes what it is given.
+type paced struct{ *conn }
+
+func (p paced) Write(text []byte) (int, error) {
+	p.SetWriteDeadline(time.Now().Add(sendStall))
+	return p.Conn.Write(text)
+}
+
+// upload sends a call whose body still comes, as it comes. Its time runs from the last byte on. An answer that
+// comes before that ends it: whatever it says, it is no answer to the whole.
+func (b *Back) upload(a *engine.Attempt, c *conn, waiter chan reply) engine.Outcome {
+	rest := &watched{Reader: a.Call.Request.Rest}
+	body := io.MultiReader(bytes.NewReader(a.Call.Request.Body), rest)
+	done := make(chan error, 1)
+	go func() { done <- request(a, a.Deadline-a.Sent, body).Write(paced{c}) }()
+	var (
+		got     reply
+		written bool
+		late    atomic.Bool
+	)
+	whole := func() {
+		written = true
+		c.SetWriteDeadline(time.Time{})
+		b.wrote(c)
+		b.count.Relay()
+		until := a.Uploaded(b.clock.Now())
+		timer := time.AfterFunc(b.clock.Until(until), func() { late.Store(true); b.giveUp(c, waiter) })
+		context.AfterFunc(a.Context(), func() { timer.Stop() })
+	}
+	select {
+	case err := <-done:
+		if err != nil {
+			b.giveUp(c, waiter)
+		} else {
+			whole()
+		}
+		got = <-waiter
+	case got = <-waiter:
+		select {
+		case err := <-done:
+			if err == nil {
+				whole()
+			}
+		case <-time.After(lastBytes):
+		}
+	}
+	out := got.Outcome
+	switch {
+	case got.err == nil && written:
+	case got.err == nil:
+		b.mu.Lock()
+		b.drop(c)
+		b.mu.Unlock()
+		if got.Reply.Rest != nil {
+			got.Reply.Rest.Close()
+		}
+		if out.Ending == woodpick.Success {
+			out = engine.Outcome{Ending: woodpick.Failure}
+		}
+	case errors.Is(a.Context().Err(), context.Canceled):
+		out.Ending = woodpick.Withdrawn
+	case rest.cut.Load():
+		out.Ending = woodpick.Void
+	case !written:
+		out.Ending = woodpick.Unreachable
+	case late.Load():
+		out.Ending = woodpick.TimedOut
+	default:
+		out.Ending = woodpick.Broken
+	}
+	out.Spent = rest.used.Load()
+	return out
+}
--- /dev/null
+++ b/internal/http1/upload.go
@@ -0,0 +1,123 @@
+package http1
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"woodpick/internal/intake"
+)
+
+// How slowly a caller may send a body: it may be behind the least rate by the grace, counted from its request's
+// first byte, as far as it was waited for.
+const (
+	bodyGrace = headTimeout
+	bodyRate  = 32 << 10 // bytes a second
+	firstPart = 16 << 10 // of a body that passes through, read before its request goes on
+	lateBytes = 3 * time.Second
+)
+
+// pacedBody reads a request's body, no slower than at the least rate.
+type pacedBody struct {
+	body   io.Reader
+	rc     *http.ResponseController
+	grace  time.Duration
+	waited time.Duration
+	got    int64
+}
+
+func (b *pacedBody) Read(p []byte) (int, error) {
+	begin := time.Now()
+	b.rc.SetReadDeadline(begin.Add(b.grace + time.Duration(b.got)*time.Second/bodyRate - b.waited))
+	n, err := b.body.Read(p)
+	b.waited += time.Since(begin)
+	if b.got += int64(n); b.got > intake.MaxLength {
+		return n, errTooLong
+	}
+	if err == io.EOF {
+		b.rc.SetReadDeadline(time.Time{}) // else net/http would wait without end for what it wants to throw away
+	}
+	return n, err
+}
+
+// upload is the rest of a body that passes through: the back end reads it while its caller sends.
+type upload struct {
+	body *pacedBody
+	cut  chan struct{} // closed when the caller has ended or left it before its end
+
+	mu    sync.Mutex // held while reading
+	whole bool
+	over  bool // nobody reads any more
+	err   error
+}
+
+var errOver = errors.New("the request is over")
+
+func (u *upload) Read(p []byte) (int, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.over {
+		return 0, errOver
+	}
+	return u.read(p)
+}
+
+func (u *upload) read(p []byte) (int, error) {
+	if u.err != nil {
+		return 0, u.err
+	}
+	n, err := u.body.Read(p)
+	if err != nil {
+		u.err, u.whole = err, err == io.EOF
+		if !u.whole {
+			close(u.cut)
+		}
+	}
+	return n, err
+}
+
+// end has nobody read any more, and tells whether all had come. Who waits for bytes now does no longer, and the
+// connection is of no further use then.
+func (u *upload) end() (whole bool) {
+	free := u.mu.TryLock()
+	if !free {
+		u.body.rc.SetReadDeadline(time.Unix(1, 0))
+		u.mu.Lock()
+	}
+	defer u.mu.Unlock()
+	u.over = true
+	return u.whole && free
+}
+
+// discard reads on for a while and throws away what comes: a connection that closed at once would be reset, and its
+// caller, which still sends, could miss the answer.
+func (u *upload) discard() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.body.rc.SetReadDeadline(time.Now().Add(lateBytes))
+	io.CopyN(io.Discard, u.body.body, bodyRate*8)
+}
+
+// readBody reads a body that is kept whole, or the first part of one that passes through, with the rest. The
+// error says that it was not whole, or too slow.
+func (f *Front) readBody(rc *http.ResponseController, r *http.Request) (part []byte, rest *upload, err error) {
+	if r.ContentLength == 0 {
+		return nil, nil, nil
+	}
+	begun := time.Now()
+	if c := connOf(r.Context()); c != nil {
+		begun = c.Begun()
+	}
+	body := &pacedBody{body: r.Body, rc: rc, grace: f.grace, waited: time.Since(begun)}
+	most := int64(intake.MaxBody)
+	if r.ContentLength > most {
+		most = firstPart
+	}
+	part, err = io.ReadAll(io.LimitReader(body, most+1))
+	if err != nil || int64(len(part)) <= most {
+		return part, nil, err
+	}
+	return part, &upload{body: body, cut: make(chan struct{})}, nil
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -21,7 +22,8 @@
 
 // Bounds of a request.
 const (
-	MaxBody       = 64 << 10 // bytes of a request's body or an answer's
+	MaxBody       = 64 << 10 // bytes of a request's body or an answer's that are kept; what is longer passes through
+	MaxLength     = 33 << 20 // bytes of a body that passes through
 	maxID         = 128
 	maxWait       = time.Hour
 	deadlineSlack = 2 // times the class's deadline that a caller may say it waits
@@ -39,8 +41,8 @@
 	Wait     []string // X-Deadline, in seconds
 	Key      []string // Idempotency-Key
 	Type     string   // Content-Type
-	Coded    bool     // a transfer coding stands where only lengths may
-	Length   int64    // of the body
+	Unframed bool     // where the body ends could be read in two ways
+	Length   int64    // of the body; negative: not known before its end
 	Headers  route.Headers
 }
 
@@ -90,8 +92,8 @@
 	switch {
 	case h.Method != http.MethodGet && h.Method != http.MethodPost:
 		return no(http.StatusMethodNotAllowed, "only GET and POST are served")
-	case h.Coded:
-		return no(http.StatusLengthRequired, "a body needs a Content-Length and no transfer coding")
+	case h.Unframed:
+		return no(http.StatusBadRequest, "a body has a Content-Length or a transfer coding, not both")
 	case misread != nil:
 		return no(http.StatusBadRequest, "the path: "+misread.Error())
 	case !strings.HasPrefix(path, "/") || !known:
@@ -108,9 +110,9 @@
 		return no(http.StatusBadRequest, err.Error())
 	case wait > deadlineSlack*class.Deadline:
 		return no(http.StatusBadRequest, "X-Deadline is far beyond the class's")
-	case h.Length > MaxBody:
+	case h.Length > MaxLength:
 		return no(http.StatusRequestEntityTooLarge, "the body is too long")
-	case h.Length > 0 && h.Method == http.MethodGet:
+	case h.Length != 0 && h.Method == http.MethodGet:
 		return no(http.StatusBadRequest, "GET has no body")
 	}
 	r := Request{ID: id, Class: name, Wait: wait, Call: engine.Request{Method: h.Method, Target: target, Key: key, ContentType: h.Type},
@@ -128,12 +130,15 @@
 	return values[0]
 }
 
-// Take has a request taken whose last byte was read at a clock time. One whose head was checked under a view
+// Take has a request taken whose last byte was read at a clock time, or whose body goes on with rest. One whose head was checked under a view
 // that is not that of now is looked at again: what it may do can have changed meanwhile. With no error, exactly
 // one answer comes on the call's channel.
-func Take(calls *dispatch.Dispatcher, view *dispatch.View, h *Head, r Request, body []byte, at time.Duration) (*engine.Call, error) {
+func Take(calls *dispatch.Dispatcher, view *dispatch.View, h *Head, r Request, body []byte, rest io.Reader, at time.Duration) (*engine.Call, error) {
 	for {
-		r.Call.Body = body
+		r.Call.Body, r.Call.Rest, r.Call.Length = body, rest, int64(len(body))
+		if rest != nil {
+			r.Call.Length = h.Length
+		}
 		c := engine.NewCall(r.ID, r.Call)
 		c.Class, c.At, c.Deadline = r.Class, at, at+r.Wait
 		err := calls.Take(view, c, &r.route)
--- a/policy.go
+++ b/policy.go
@@ -139,6 +139,8 @@
 	attempts  []*attempt
 	out       int
 	repeat    bool // by the client, where clients say so
+	partial   bool // its body still comes
+	spent     bool // and is gone in part
 	held      bool
 	answered  bool
 	streaming bool
@@ -155,6 +157,7 @@
 	cell   int
 	ended  bool
 	unsent bool // proven never to have run
+	begun  bool // its server may have begun, and it is counted there
 }
 
 // New returns a Balancer that knows no servers yet. The error names the setting at fault.
@@ -238,6 +241,8 @@
 		b.askAgain()
 	case Request:
 		b.accept(e)
+	case Uploaded:
+		b.takeUploaded(e)
 	case Outcome:
 		b.takeOutcome(e)
 	case Started:
@@ -357,7 +362,7 @@
 		c = b.order[len(b.order)-1] // unknown: unsafe
 	}
 	r := &request{id: e.ID, class: c, terms: terms{c.Effect, c.Scope, c.Window}, arrived: b.now,
-		deadline: e.Deadline, repeat: e.Repeat}
+		deadline: e.Deadline, repeat: e.Repeat, partial: e.Partial}
 	b.requests[e.ID] = r
 	b.backdate(r)
 	for _, k := range b.order {
@@ -406,11 +411,35 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	b.unhold(r)
-	s.calls++
-	s.open = append(s.open, a)
+	if !r.partial {
+		b.begin(a)
+	}
+	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.patience(r), b.set.Tick)})
+}
+
+// begin counts an attempt at its server. Before the last byte has come there it is no work, whoever sends it
+// however slowly, and its silence tells nothing.
+func (b *Balancer) begin(a *attempt) {
+	a.begun, a.sent = true, b.now
+	a.srv.calls++
+	a.srv.open = append(a.srv.open, a)
 	b.inFlight++
 	b.busy += memory * (float64(b.inFlight) - b.busy)
-	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.patience(r), b.set.Tick)})
+}
+
+// takeUploaded has a request's time run from now on, and its attempt be counted.
+func (b *Balancer) takeUploaded(e Uploaded) {
+	r := b.requests[e.ID]
+	if r == nil || !r.partial || e.Attempt < 0 || e.Attempt >= len(r.attempts) {
+		return
+	}
+	if r.attempts[e.Attempt].ended {
+		return
+	}
+	r.partial = false
+	r.arrived += e.Deadline - r.deadline
+	r.deadline = e.Deadline
+	b.begin(r.attempts[e.Attempt])
 }
 
 // patience is how long an attempt is waited for. A server that lets a call hang takes all the time that the
@@ -499,14 +528,21 @@
 	a.ended = true
 	a.unsent = e.Ending == Overloaded || e.Ending == Unreachable || e.Ending == Void
 	r.out--
-	b.inFlight--
-	a.srv.calls--
-	// A hung server's waits tell nothing of how crowded the others are.
-	if !b.silent(a.srv) {
-		b.steer(r, e)
-	}
-	a.srv.open = slices.DeleteFunc(a.srv.open, func(o *attempt) bool { return o == a })
-	b.judge(a, e)
+	r.spent = r.spent || e.Spent
+	if a.begun {
+		b.inFlight--
+		a.srv.calls--
+		// A hung server's waits tell nothing of how crowded the others are.
+		if !b.silent(a.srv) {
+			b.steer(r, e)
+		}
+		a.srv.open = slices.DeleteFunc(a.srv.open, func(o *attempt) bool { return o == a })
+	} else {
+		a.sent = b.now // how long its caller took to send it is not the server's doing
+	}
+	if a.begun || e.Ending != Success {
+		b.judge(a, e)
+	}
 	if !a.srv.listed && a.srv.calls == 0 && b.servers[a.srv.ID] == a.srv {
 		delete(b.servers, a.srv.ID)
 	}
@@ -837,7 +873,7 @@
 
 // maySendAgain says that the class's effect and the limits allow one more attempt now.
 func (b *Balancer) maySendAgain(r *request) bool {
-	if r.answered || r.streaming || len(r.attempts) >= max(1, b.set.MaxAttempts) {
+	if r.answered || r.streaming || r.spent || len(r.attempts) >= max(1, b.set.MaxAttempts) {
 		return false
 	}
 	return !slices.ContainsFunc(r.attempts, func(a *attempt) bool {
--- a/woodpick.go
+++ b/woodpick.go
@@ -171,6 +171,15 @@
 		Class    string
 		Deadline time.Duration // clock time
 		Repeat   bool          // the client marked it as a repeat
+		Partial  bool          // its body still comes: Uploaded tells when all of it is at a server
+	}
+	// Uploaded says that the last byte of a Partial request has come, and with an attempt has gone on to its
+	// server: only now may that begin, and only now the client's time, until Deadline, and the attempt's
+	// Timeout begin to run. It comes once a request at most.
+	Uploaded struct {
+		ID       string
+		Attempt  int
+		Deadline time.Duration // clock time
 	}
 	// Outcome ends one attempt. Ended: the request has its final answer.
 	Outcome struct {
@@ -180,6 +189,7 @@
 		Ending  Ending
 		Latency time.Duration
 		Ended   bool
+		Spent   bool // part of the request is gone: it can't be sent again
 		Load    *Load
 	}
 	// Started says that a streamed answer has begun: the attempt is the client's from here on.
@@ -199,6 +209,7 @@
 func (ServerList) event()  {}
 func (ListFailed) event()  {}
 func (Request) event()     {}
+func (Uploaded) event()    {}
 func (Outcome) event()     {}
 func (Started) event()     {}
 func (ClientGone) event()  {}
@@ -209,7 +220,8 @@
 type Action interface{ action() }
 
 type (
-	// Send starts the next attempt of a request (numbered from 0); it times out after Timeout.
+	// Send starts the next attempt of a request (numbered from 0); it times out after Timeout, which for a
+	// Partial request runs from Uploaded on.
 	Send struct {
 		ID, Server string
 		Timeout    time.Duration
