--- a/deploy/damsontrestle.hcl
+++ b/deploy/damsontrestle.hcl
@@ -6,6 +6,7 @@
   zone         = "chavara"
   state_folder = "/var/lib/damsontrestle"
   admin_socket = "/run/damsontrestle/admin.sock"
+  management   = "127.0.0.1:9100" # docs/operate/on-call.md
 
   limits {
     memory      = "192MiB"
--- a/internal/http1/passing_test.go
+++ b/internal/http1/passing_test.go
@@ -32,7 +32,7 @@
 }
 
 // raw is a server that gets each connection with the head of its first request read.
-func raw(t *testing.T, serve func(c net.Conn, r *http.Request)) net.Listener {
+func raw(t testing.TB, serve func(c net.Conn, r *http.Request)) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/http1/rig_test.go
+++ b/internal/http1/rig_test.go
@@ -47,7 +47,7 @@
 }
 
 // start runs a rig until the test ends.
-func start(t *testing.T, cfg rigConfig, change func(*rig)) *rig {
+func start(t testing.TB, cfg rigConfig, change func(*rig)) *rig {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	c := clock.New()
@@ -75,12 +75,12 @@
 	go n.engine.Run(ctx)
 	go n.back.Sweep(ctx)
 	go n.front.Serve(n.ln)
-	t.Cleanup(func() { n.ln.Close(); n.front.server.Close(); cancel() })
+	t.Cleanup(func() { n.ln.Close(); n.front.server.Close(); n.back.Close(); cancel() })
 	return n
 }
 
 // view is a configuration over the rig's one engine.
-func (n *rig) view(t *testing.T, cfg *config.Config) *dispatch.View {
+func (n *rig) view(t testing.TB, cfg *config.Config) *dispatch.View {
 	t.Helper()
 	engines := map[string]*engine.Engine{}
 	for _, p := range cfg.Pools {
@@ -96,7 +96,7 @@
 func (n *rig) Addr() string { return n.ln.Addr().String() }
 
 // tell gives the rig another list.
-func (n *rig) tell(t *testing.T, text string) {
+func (n *rig) tell(t testing.TB, text string) {
 	t.Helper()
 	list, err := discovery.Parse([]byte(strings.Replace(text, "%d", "9", 1)))
 	if err != nil {
--- a/policy.go
+++ b/policy.go
@@ -538,7 +538,9 @@
 		}
 		a.srv.open = slices.DeleteFunc(a.srv.open, func(o *attempt) bool { return o == a })
 	} else {
-		a.sent = b.now // how long its caller took to send it is not the server's doing
+		// How long its caller takes to send it is neither the server's doing nor the request's time.
+		r.arrived, r.deadline = r.arrived+b.now-a.sent, r.deadline+b.now-a.sent
+		a.sent = b.now
 	}
 	if a.begun || e.Ending != Success {
 		b.judge(a, e)
--- /dev/null
+++ b/uploads_test.go
@@ -0,0 +1,149 @@
+package woodpick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// upload asks for a request whose body still comes, and returns the server that it goes to.
+func upload(t *testing.T, b *Balancer, now time.Duration, id, class string) Send {
+	t.Helper()
+	s := sends(b.Handle(now, Request{ID: id, Class: class, Deadline: now + 1500*msec, Partial: true}))
+	if len(s) != 1 {
+		t.Fatalf("%s at %v: %d sends, want 1", id, now, len(s))
+	}
+	return s[0]
+}
+
+// Uploads under way are no work for anybody: they fill no place in the window, and other requests are sent as if
+// they were not there. With their last byte they count like any other.
+func TestUploadsCountFromTheirLastByte(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	room := 0
+	for i := 0; len(sends(b.Handle(msec, Request{ID: fmt.Sprint("r", i), Class: "get", Deadline: 1500 * msec}))) > 0; i++ {
+		room++
+	}
+	b = newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	for i := range 10 * room {
+		upload(t, b, msec, fmt.Sprint("u", i), "pay")
+	}
+	for i := range room {
+		if len(sends(b.Handle(2*msec, Request{ID: fmt.Sprint("r", i), Class: "get", Deadline: 1500 * msec}))) != 1 {
+			t.Fatalf("request %d of %d is not sent beside uploads", i, room)
+		}
+	}
+	if b.inFlight != room {
+		t.Errorf("%d in flight, want %d", b.inFlight, room)
+	}
+	b.Handle(time.Minute, Uploaded{ID: "u0", Deadline: time.Minute + 1500*msec})
+	b.Handle(time.Minute, Uploaded{ID: "u0", Deadline: time.Hour})
+	if b.inFlight != room+1 {
+		t.Errorf("%d in flight after a last byte that was told twice, want %d", b.inFlight, room+1)
+	}
+}
+
+// However long an upload takes, its time begins with its end: what fails before that long is over may be tried
+// again, and a server that answers soon after it is neither slow nor silent.
+func TestAnUploadsTimeBeginsWithItsEnd(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	first := upload(t, b, 0, "u", "pay")
+	now := time.Minute
+	b.Handle(now, Uploaded{ID: "u", Deadline: now + 1500*msec})
+	again := sends(b.Handle(now+10*msec, Outcome{ID: "u", Server: first.Server, Ending: Overloaded}))
+	if len(again) != 1 || again[0].Server == first.Server || again[0].Timeout < 400*msec {
+		t.Fatalf("after %+v, which never ran: %+v", first, again)
+	}
+	for i := range 200 {
+		now += 100 * msec
+		id := fmt.Sprint("u", i)
+		s := upload(t, b, now, id, "pay")
+		now += 10 * time.Second
+		b.Handle(now, Uploaded{ID: id, Deadline: now + 1500*msec})
+		now += 20 * msec
+		b.Handle(now, Outcome{ID: id, Server: s.Server, Ending: Success, Ended: true})
+	}
+	if n := b.Avoided(); n != 0 {
+		t.Errorf("%d servers are avoided that answered all in time", n)
+	}
+	if mean := time.Duration(b.classes["pay"].mean); mean > 40*msec {
+		t.Errorf("answers took 20ms, and the mean is %v", mean)
+	}
+}
+
+// A request of which a part is gone is not sent again: refused if no server ever had it whole, failed if one may
+// have run it. One of which nothing is gone goes on to another server.
+func TestWhatIsSpentIsNotSentAgain(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		class    string
+		uploaded bool
+		end      Outcome
+		want     string
+	}{
+		{"refused a connection", "pay", false, Outcome{Ending: Unreachable}, "send"},
+		{"broken halfway", "pay", false, Outcome{Ending: Unreachable, Spent: true}, "refuse"},
+		{"turned away at the end", "pay", true, Outcome{Ending: Overloaded, Spent: true}, "refuse"},
+		{"broken at the end", "pay", true, Outcome{Ending: Broken, Spent: true}, "fail"},
+		{"broken at the end, but safe", "get", true, Outcome{Ending: Broken, Spent: true}, "refuse"},
+		{"served", "pay", true, Outcome{Ending: Success, Spent: true, Ended: true}, ""},
+	} {
+		b := newBalancer(t, nil)
+		b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+		s := upload(t, b, 0, "u", c.class)
+		if c.uploaded {
+			b.Handle(time.Second, Uploaded{ID: "u", Deadline: 2500 * msec})
+		}
+		c.end.ID, c.end.Server = "u", s.Server
+		got := ""
+		for _, a := range b.Handle(time.Second+msec, c.end) {
+			switch a.(type) {
+			case Send:
+				got += "send"
+			case Refuse:
+				got += "refuse"
+			case Fail:
+				got += "fail"
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// Callers that leave their uploads cost no server its good name, and leave nothing behind.
+func TestUploadsThatAreLeftBlameNobody(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	for i := range 100 {
+		now := time.Duration(i+1) * 10 * time.Second
+		id := fmt.Sprint("u", i)
+		s := upload(t, b, now, id, "pay")
+		b.Handle(now+5*time.Second, ClientGone{ID: id})
+		b.Handle(now+5*time.Second, Outcome{ID: id, Server: s.Server, Ending: Withdrawn, Ended: true, Spent: true})
+	}
+	if b.Avoided() != 0 || b.inFlight != 0 || len(b.requests) != 0 {
+		t.Errorf("%d servers avoided, %d in flight, %d requests", b.Avoided(), b.inFlight, len(b.requests))
+	}
+}
+
+// What health keeps out is counted up to the share of the list that it may keep out, and draining servers with it.
+func TestAvoidedCountsWhatGetsNothing(t *testing.T) {
+	b := newBalancer(t, nil)
+	l := servers(20)
+	l[19].State = Draining
+	b.Handle(0, ServerList{Full: true, Servers: l})
+	if n := b.Avoided(); n != 1 {
+		t.Errorf("%d avoided of a healthy list, want the draining one", n)
+	}
+	for _, s := range b.servers {
+		s.until = time.Hour
+	}
+	if n, most := b.Avoided(), b.mostSick(); most != 3 || n != 1+most {
+		t.Errorf("%d avoided where all are ill, want 1 and %d", n, most)
+	}
+}
