--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -127,11 +127,6 @@
 		f.keep(w)
 	}
 	f.figures.Begin()
-	if !f.callers.Begin(connOf(r.Context())) {
-		f.write(w, engine.Answer{Kind: engine.Refused, RetryAfter: view.ComeBack()})
-		f.figures.End(in.Class, figures.Throttled)
-		return
-	}
 	var (
 		more io.Reader
 		cut  chan struct{}
@@ -141,11 +136,19 @@
 		more, cut = rest, rest.cut
 		defer rest.end()
 	}
+	if !f.callers.Begin(connOf(r.Context())) {
+		f.finish(w, r, in.Class, engine.Answer{Kind: engine.Refused, RetryAfter: view.ComeBack()}, rest)
+		return
+	}
 	c, err := intake.Take(f.calls, view, &head, in, body, more, at)
 	if err != nil {
 		w.Header().Set("Connection", "close")
 		f.reject(w, view, err)
 		f.figures.End(in.Class, figures.Faulted)
+		if rest != nil && !rest.end() {
+			rc.Flush()
+			rest.discard()
+		}
 		return
 	}
 	select {
--- a/internal/http1/passing_test.go
+++ b/internal/http1/passing_test.go
@@ -290,6 +290,41 @@
 	standin.Until(t, "the connection to the server to be closed", func() bool { return n.back.Connections() == 0 })
 }
 
+// A server that turns an upload away before it has read any of it, and another that takes it: what the first attempt
+// had begun to read is not missing in the second, or there is no second.
+func TestAnUploadThatGoesOnToAnotherServerIsWhole(t *testing.T) {
+	const size = 300 << 10
+	text := noise(size)
+	full := raw(t, func(c net.Conn, r *http.Request) {
+		io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		io.Copy(io.Discard, c)
+	})
+	good := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		return standin.Reply200(c, fmt.Sprintf("%x", sha256.Sum256([]byte(body))))
+	})
+	n := start(t, testConfig(standin.Whole(entry("s1", full), standin.Entry("s2", good.Address(), "in_service"))), nil)
+	heard := map[int]int{}
+	for i := range 60 {
+		c := standin.Dial(t, n.Addr())
+		write, end := sendUpload(c, fmt.Sprint("u", i), size, i%2 == 0)
+		go func() {
+			for rest, part := text, 1+(i*7919)%(90<<10); len(rest) > 0; rest = rest[min(part, len(rest)):] {
+				if write(rest[:min(part, len(rest))]) != nil {
+					return
+				}
+			}
+			end()
+		}()
+		r, body := c.Answer(t)
+		if heard[r.StatusCode]++; r.StatusCode == 200 && body != fmt.Sprintf("%x", sha256.Sum256(text)) {
+			t.Errorf("upload %d came to the server otherwise than it was sent", i)
+		}
+	}
+	if heard[200] == 0 || heard[200]+heard[503] != 60 {
+		t.Errorf("heard %v", heard)
+	}
+}
+
 // A caller that leaves in the midst of its body, or stops sending: no server ever has it whole, and no server is
 // blamed for it.
 func TestAnUploadThatItsCallerCuts(t *testing.T) {
--- a/internal/http1/send.go
+++ b/internal/http1/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,22 +19,40 @@
 	lastBytes = 200 * time.Millisecond // that an answer may be ahead of the note that its request is written whole
 )
 
-// watched reads the rest of a call and notes what became of it.
+// watched reads the rest of a call for one attempt, and notes what became of it.
 type watched struct {
 	io.Reader
-	used atomic.Bool
-	cut  atomic.Bool // by its caller
+	mu   sync.Mutex
+	used bool // some of it may be gone
+	over bool // the attempt has ended
+	cut  bool // its caller has cut it
 }
 
 func (w *watched) Read(p []byte) (int, error) {
-	w.used.Store(true)
+	w.mu.Lock()
+	over := w.over
+	w.used = w.used || !over
+	w.mu.Unlock()
+	if over {
+		return 0, errOver
+	}
 	n, err := w.Reader.Read(p)
 	if err != nil && err != io.EOF {
-		w.cut.Store(true)
+		w.mu.Lock()
+		w.cut = true
+		w.mu.Unlock()
 	}
 	return n, err
 }
 
+// end keeps the attempt from reading more, which may be another one's by then, and tells whether it has.
+func (w *watched) end() (used, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.over = true
+	return w.used, w.cut
+}
+
 // paced writes to a server that takes what it is given.
 type paced struct{ *conn }
 
@@ -81,6 +100,7 @@
 		}
 	}
 	out := got.Outcome
+	used, cut := rest.end()
 	switch {
 	case got.err == nil && written:
 	case got.err == nil:
@@ -95,7 +115,7 @@
 		}
 	case errors.Is(a.Context().Err(), context.Canceled):
 		out.Ending = woodpick.Withdrawn
-	case rest.cut.Load():
+	case cut:
 		out.Ending = woodpick.Void
 	case !written:
 		out.Ending = woodpick.Unreachable
@@ -104,6 +124,6 @@
 	default:
 		out.Ending = woodpick.Broken
 	}
-	out.Spent = rest.used.Load()
+	out.Spent = used
 	return out
 }
