Callers that go on sending are not cut off when there are too many

A connection with half a request goes second when there are too many, once it has been so for 1 s (0.2 s when pressed), and a good caller may spend 2 s on a head among hundreds that stop halfway.

Change: the grace counts from the last bytes that came.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -22,12 +22,14 @@
 	IsCut() bool
 	// HasBegun says that bytes of a request were read since the last answer.
 	HasBegun() bool
+	// Quiet is how long ago the last bytes were.
+	Quiet() time.Duration
 	// Close closes it at once.
 	Close() error
 }
 
 // Graces tell how long a caller's connection is spared, when there are too many, in each of the states in
-// which it holds a place and no request is open on it.
+// which it holds a place and no request is open on it. Half counts from the last bytes of a request that came.
 type Graces struct{ Lingering, Silent, Half, Idle time.Duration }
 
 // pressing shortens the graces while descriptors are about to run out.
@@ -231,13 +233,14 @@
 // useless ranks the connections that may be let go, from 1; 0 is none of them.
 func (s *Set) useless(c Conn, a *activity, now time.Duration) int {
 	age := now - a.since
+	quiet := c.Quiet()
 	if s.over() > s.share.Spare/2 {
-		age *= pressing
+		age, quiet = age*pressing, quiet*pressing
 	}
 	switch half := a.phase == Reading || a.phase != Open && c.HasBegun(); {
 	case a.phase == Lingering && age >= s.grace.Lingering:
 		return 1
-	case half && age >= s.grace.Half:
+	case half && min(age, quiet) >= s.grace.Half: // one that goes on sending is slow, and no worse
 		return 2
 	case a.phase == Silent && !half && age >= s.grace.Silent:
 		return 3
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -14,6 +14,7 @@
 	name  string
 	begun bool
 	cut   bool
+	quiet time.Duration
 	done  *[]string
 }
 
@@ -28,7 +29,9 @@
 func (f *fake) CutOff()        { f.cut = true; *f.done = append(*f.done, f.name+" cut off") }
 func (f *fake) IsCut() bool    { return f.cut }
 func (f *fake) HasBegun() bool { return f.begun }
-func (f *fake) Close() error   { *f.done = append(*f.done, f.name+" closed"); return nil }
+
+func (f *fake) Quiet() time.Duration { return f.quiet }
+func (f *fake) Close() error         { *f.done = append(*f.done, f.name+" closed"); return nil }
 
 func newSet(room int, servers int) *Set {
 	s := New(clock.New(), Share{Room: room, Least: room / 4, Spare: 100}, func() int { return servers })
@@ -68,6 +71,24 @@
 	}
 }
 
+// Of two callers with half a request each, the one that has stopped sending goes, though the other began before it.
+func TestASlowCallerIsSparedASilentOneIsNot(t *testing.T) {
+	var done []string
+	s := newSet(100, 0)
+	s.SetGrace(Graces{Half: time.Minute})
+	slow := &fake{name: "slow", begun: true, quiet: time.Second, done: &done}
+	silent := &fake{name: "silent", begun: true, quiet: time.Hour, done: &done}
+	s.Add(slow, nil)
+	s.Add(silent, nil)
+	for _, a := range s.conns {
+		a.since -= 2 * time.Hour
+	}
+	s.Resize(Share{Room: 2, Least: 1, Spare: 100})
+	if !slices.Equal(done, []string{"silent cut off"}) {
+		t.Errorf("%v", done)
+	}
+}
+
 // Requests that are open count, not connections; beyond what servers' connections are kept for, more are
 // refused, and so are those of a connection that was to be cut off.
 func TestRequestsThatAreOpen(t *testing.T) {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -25,6 +25,7 @@
 	mu       sync.Mutex
 	begun    bool      // bytes were read since the last answer
 	at       time.Time // when the first of them were
+	heard    time.Time // when any were last
 	scan     headScan
 	leaving  bool
 	cut      bool      // leaving, whatever still comes
@@ -38,8 +39,9 @@
 	if n > 0 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		c.heard = time.Now()
 		if !c.begun {
-			c.at = time.Now()
+			c.at = c.heard
 		}
 		c.begun = true
 		c.scan.feed(p[:n])
@@ -62,6 +64,13 @@
 	return c.Conn.Write(p)
 }
 
+// Quiet implements callers.Conn.
+func (c *callerConn) Quiet() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.heard)
+}
+
 // Begun is when the first bytes of the request that is read were.
 func (c *callerConn) Begun() time.Time {
 	c.mu.Lock()
