FastCGI's records, pairs and both state machines: internal/fastcgi, no I/O, nothing allocated

Change: Reader and Writer of records, bounded to one record and 64 KiB; Pairs, fed in pieces of any size within limits that hold before anything is kept; Application, which tells what a web server's records come to (roles, OVERLOADED, ids used again and in use, aborts, GET_VALUES, UNKNOWN_TYPE); WebServer, which begins requests, multiplexes as far as the application allows, and tells of each end whether it proves that nothing ran. Errors name record type, request and offset.

Not taken: one machine for both sides (they share the codec and hardly a rule); buffering STDIN that comes before the end of PARAMS (no web server sends it so; it ends the connection).

Nothing of the node uses it yet.

--- /dev/null
+++ b/internal/fastcgi/pairs_test.go
@@ -0,0 +1,97 @@
+package fastcgi
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// feed gives pairs in pieces of a size and tells what is seen.
+func feed(p *Pairs, text []byte, size int) (seen []string, err error) {
+	for rest := text; len(rest) > 0 && err == nil; rest = rest[min(size, len(rest)):] {
+		err = p.Feed(rest[:min(size, len(rest))], func(name, value []byte) {
+			seen = append(seen, fmt.Sprintf("%s=%s", name, value))
+		})
+	}
+	if err == nil {
+		err = p.End()
+	}
+	return seen, err
+}
+
+func TestPairsInPiecesOfEverySize(t *testing.T) {
+	var text []byte
+	var want []string
+	for _, p := range [][2]string{{"", ""}, {"A", ""}, {"", "b"}, {strings.Repeat("n", 127), strings.Repeat("v", 128)},
+		{strings.Repeat("N", 300), "x"}, {"LAST", strings.Repeat("y", 1000)}} {
+		text = AppendPair(text, p[0], p[1])
+		want = append(want, p[0]+"="+p[1])
+	}
+	// A short length may be given in four bytes too.
+	text = append(text, "\x80\x00\x00\x01\x80\x00\x00\x02Zzz"...)
+	want = append(want, "Z=zz")
+	p := NewPairs(Limits{Bytes: 2000, Count: len(want)})
+	for size := 1; size <= len(text); size++ {
+		p.Reset()
+		if got, err := feed(p, text, size); err != nil || strings.Join(got, "|") != strings.Join(want, "|") {
+			t.Fatalf("in pieces of %d: %v, %q", size, err, got)
+		}
+	}
+}
+
+func TestBadPairsAreNamed(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		limits     Limits
+		want       error
+		says       string
+	}{
+		{"a length that promises 2 GB", "\xff\xff\xff\xff\x01x", Limits{100, 10}, ErrPairLong, "pair 1 at byte 0 of its stream: a name of 2147483647 and a value of 1 bytes"},
+		{"lengths that only together are too long", "\x40\x40", Limits{100, 10}, ErrPairLong, "which is 100"},
+		{"pairs that only together are too long", "\x02\x02nameX", Limits{5, 10}, nil, ""},
+		{"one too long behind another", "\x01\x01ab\x02\x02name", Limits{5, 10}, ErrPairLong, "pair 2 at byte 4"},
+		{"too many", "\x00\x00\x00\x00\x00\x00", Limits{5, 2}, ErrPairCount, "pair 3 at byte 4"},
+		{"half a length", "\x01\x80\x00", Limits{5, 2}, ErrPairCut, "pair 1 at byte 0"},
+		{"half a value", "\x01\x02nv", Limits{5, 2}, ErrPairCut, "pair 1 at byte 0"},
+	} {
+		if c.want == nil {
+			c.want, c.says = ErrPairCut, "pair 2 at byte 6"
+		}
+		for size := 1; size <= len(c.text); size++ {
+			p := NewPairs(c.limits)
+			_, err := feed(p, []byte(c.text), size)
+			if !errors.Is(err, c.want) || !strings.Contains(err.Error(), c.says) {
+				t.Errorf("%s, in pieces of %d: %v", c.name, size, err)
+			}
+			if again := p.Feed([]byte("\x00\x00"), nil); again != err {
+				t.Errorf("%s: then %v", c.name, again)
+			}
+			if len(p.part) > c.limits.Bytes+8 {
+				t.Errorf("%s: %d bytes are kept", c.name, len(p.part))
+			}
+		}
+	}
+}
+
+// Whatever comes, pieces of any size see the same pairs and end alike, and what is seen is within the limits.
+func FuzzPairs(f *testing.F) {
+	f.Add(AppendPair(AppendPair(nil, "REQUEST_METHOD", "GET"), "LONG", strings.Repeat("x", 200)), uint8(1))
+	f.Add([]byte("\xff\xff\xff\xff\x01x"), uint8(3))
+	f.Add([]byte("\x80\x00\x00\x01\x80\x00\x00\x02Zzz\x00"), uint8(2))
+	f.Fuzz(func(t *testing.T, text []byte, size uint8) {
+		limits := Limits{Bytes: 300, Count: 5}
+		whole, err1 := feed(NewPairs(limits), text, len(text)+1)
+		pieces, err2 := feed(NewPairs(limits), text, int(size)+1)
+		if strings.Join(whole, "\x00") != strings.Join(pieces, "\x00") || fmt.Sprint(err1) != fmt.Sprint(err2) {
+			t.Fatalf("%q, %v whole; %q, %v in pieces of %d", whole, err1, pieces, err2, int(size)+1)
+		}
+		sum := 0
+		for _, s := range whole {
+			sum += len(s) - 1
+		}
+		if sum > limits.Bytes || len(whole) > limits.Count {
+			t.Fatalf("%d pairs of %d bytes", len(whole), sum)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fastcgi/record_test.go
@@ -0,0 +1,257 @@
+package fastcgi
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+// written is what a writer makes of calls.
+func written(t testing.TB, calls ...func(*Writer) error) []byte {
+	t.Helper()
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	for _, call := range calls {
+		if err := call(w); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	return out.Bytes()
+}
+
+// exchange is a request and its answer, with all that a connection may carry beside them.
+func exchange(t testing.TB, body int) []byte {
+	return written(t,
+		func(w *Writer) error { return w.Values(GetValues, AppendPair(nil, "FCGI_MPXS_CONNS", "")) },
+		func(w *Writer) error { return w.Begin(1, Begin{Responder, true}) },
+		func(w *Writer) error { return w.Begin(0x1234, Begin{Role: Filter}) },
+		func(w *Writer) error {
+			return w.Stream(Params, 1, AppendPair(nil, "NAME", strings.Repeat("v", 200)))
+		},
+		func(w *Writer) error { return w.CloseStream(Params, 1) },
+		func(w *Writer) error { return w.Stream(Stdin, 1, make([]byte, body)) },
+		func(w *Writer) error { return w.Abort(0x1234) },
+		func(w *Writer) error { return w.CloseStream(Stdin, 1) },
+		func(w *Writer) error { return w.Stream(Stdout, 1, []byte("Status: 200 OK\r\n\r\nok")) },
+		func(w *Writer) error { return w.Stream(Stderr, 1, []byte("!")) },
+		func(w *Writer) error { return w.End(1, End{App: 0xfffffffe, Status: Overloaded}) },
+		func(w *Writer) error { return w.Unknown(77) })
+}
+
+// script tells records in words.
+func script(r *Reader) (lines []string, err error) {
+	for {
+		rec, err := r.Next()
+		if err != nil {
+			return lines, err
+		}
+		line := fmt.Sprintf("%v %d %d bytes", rec.Type, rec.ID, len(rec.Content))
+		switch rec.Type {
+		case BeginRequest:
+			b, err := rec.Begin()
+			line += fmt.Sprintf(" role %d keep %v %v", b.Role, b.Keep, err)
+		case EndRequest:
+			e, err := rec.End()
+			line += fmt.Sprintf(" app %#x status %d %v", e.App, e.Status, err)
+		}
+		lines = append(lines, line)
+	}
+}
+
+func TestWhatIsWrittenIsReadAgain(t *testing.T) {
+	want := strings.Split(`GET_VALUES 0 17 bytes
+BEGIN_REQUEST 1 8 bytes role 1 keep true <nil>
+BEGIN_REQUEST 4660 8 bytes role 3 keep false <nil>
+PARAMS 1 209 bytes
+PARAMS 1 0 bytes
+STDIN 1 65528 bytes
+STDIN 1 65528 bytes
+STDIN 1 18944 bytes
+ABORT_REQUEST 4660 0 bytes
+STDIN 1 0 bytes
+STDOUT 1 20 bytes
+STDERR 1 1 bytes
+END_REQUEST 1 8 bytes app 0xfffffffe status 2 <nil>
+UNKNOWN_TYPE 0 8 bytes`, "\n")
+	text := exchange(t, 150000)
+	if len(text)%8 != 0 {
+		t.Errorf("%d bytes: records are padded to a multiple of 8", len(text))
+	}
+	for name, in := range map[string]io.Reader{"whole": bytes.NewReader(text), "byte by byte": iotest.OneByteReader(bytes.NewReader(text))} {
+		got, err := script(NewReader(in))
+		if err != io.EOF || strings.Join(got, "\n") != strings.Join(want, "\n") {
+			t.Errorf("%s: %v\n%s", name, err, strings.Join(got, "\n"))
+		}
+	}
+}
+
+// A record that can't be is named with its type, its request and its place, and nothing is read behind it.
+func TestBadRecordsAreNamed(t *testing.T) {
+	before := written(t, func(w *Writer) error { return w.Abort(9) })
+	for _, c := range []struct {
+		name, record string
+		want         error
+		says         string
+	}{
+		{"another version", "\x02\x05\x00\x07\x00\x00\x00\x00", ErrVersion, "fastcgi: STDIN of request 7 at byte 8: its version is not 1 but 2"},
+		{"a management record of a request", "\x01\x09\x00\x01\x00\x00\x00\x00", ErrManagement, "GET_VALUES of request 1 at byte 8"},
+		{"a request's record of none", "\x01\x04\x00\x00\x00\x00\x00\x00", ErrNoRequest, "PARAMS of request 0 at byte 8"},
+		{"an unknown type of a request", "\x01\x63\x00\x05\x00\x00\x00\x00", ErrType, "type 99 of request 5 at byte 8"},
+		{"half a header", "\x01\x05\x00", ErrCut, "STDIN of request 0 at byte 8"},
+		{"half a content", "\x01\x05\x00\x02\x00\x05\x00\x00abc", ErrCut, "STDIN of request 2 at byte 8"},
+		{"half a padding", "\x01\x05\x00\x02\x00\x01\xff\x00abc", ErrCut, "STDIN of request 2 at byte 8"},
+	} {
+		r := NewReader(strings.NewReader(string(before) + c.record))
+		if _, err := r.Next(); err != nil {
+			t.Fatal(err)
+		}
+		for range 2 {
+			_, err := r.Next()
+			var e *Error
+			if !errors.Is(err, c.want) || !errors.As(err, &e) || e.Offset != 8 || !strings.Contains(err.Error(), c.says) {
+				t.Errorf("%s: %v", c.name, err)
+			}
+		}
+	}
+	for _, text := range []string{"\x01\x01\x00\x01\x00\x07\x00\x00\x00\x01\x00\x00\x00\x00\x00", "\x01\x03\x00\x01\x00\x00\x00\x00"} {
+		rec, err := NewReader(strings.NewReader(text)).Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, bad := rec.Begin()
+		if rec.Type == EndRequest {
+			_, bad = rec.End()
+		}
+		if !errors.Is(bad, ErrBody) {
+			t.Errorf("%v of %d bytes: %v", rec.Type, len(rec.Content), bad)
+		}
+	}
+}
+
+// An unknown management record, a thousand empty ones and padding of 255 are no reason to end.
+func TestOddRecordsAreRead(t *testing.T) {
+	text := "\x01\x63\x00\x00\x00\x02\xff\x00ab" + strings.Repeat("p", 255) + strings.Repeat("\x01\x05\x00\x03\x00\x00\x00\x00", 1000)
+	got, err := script(NewReader(strings.NewReader(text)))
+	if err != io.EOF || len(got) != 1001 || got[0] != "type 99 0 2 bytes" || got[1000] != "STDIN 3 0 bytes" {
+		t.Errorf("%d records, %v, the first %q", len(got), err, got[:1])
+	}
+}
+
+func TestSteadyPathAllocatesNothing(t *testing.T) {
+	text := exchange(t, 150000)
+	in := bytes.NewReader(text)
+	r := NewReader(in)
+	w := NewWriter(io.Discard)
+	pairs := NewPairs(Limits{Bytes: 1 << 16, Count: 100})
+	text = text[:len(text):len(text)]
+	round := func() {
+		in.Reset(text)
+		r.offset = 0
+		r.failed = nil
+		pairs.Reset()
+		for {
+			rec, err := r.Next()
+			if err == io.EOF {
+				return
+			}
+			if rec.Type == Params {
+				err = pairs.Feed(rec.Content, func(name, value []byte) {})
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.Stream(Stdout, 1, rec.Content)
+		}
+	}
+	round()
+	if n := testing.AllocsPerRun(100, round); n > 0 {
+		t.Errorf("%v allocations for %d bytes", n, len(text))
+	}
+}
+
+// Whatever comes is read as records that are the same once written, or refused with its place.
+func FuzzReader(f *testing.F) {
+	f.Add([]byte{})
+	f.Add(exchange(f, 50))
+	f.Add([]byte("\x01\x05\x00\x03\x00\x00\x00\x00\x01\x05\x00\x03\xff\xff\xff\x00"))
+	f.Add([]byte("\x01\x63\x00\x00\x00\x02\xff\x00ab"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r := NewReader(bytes.NewReader(text))
+		var again bytes.Buffer
+		w := NewWriter(&again)
+		var first []string
+		for {
+			rec, err := r.Next()
+			var e *Error
+			if err != nil {
+				if err != io.EOF && !errors.As(err, &e) {
+					t.Fatalf("%v names no record", err)
+				}
+				break
+			}
+			first = append(first, fmt.Sprintf("%v %d %x", rec.Type, rec.ID, rec.Content))
+			if err := w.record(rec.Type, rec.ID, rec.Content); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.Flush()
+		r = NewReader(&again)
+		for i, want := range first {
+			rec, err := r.Next()
+			if got := fmt.Sprintf("%v %d %x", rec.Type, rec.ID, rec.Content); err != nil || got != want {
+				t.Fatalf("record %d: %s, %v; want %s", i, got, err, want)
+			}
+		}
+		if _, err := r.Next(); err != io.EOF {
+			t.Fatalf("more is read than was written: %v", err)
+		}
+	})
+}
+
+// BenchmarkExchange reads and writes a small call's records.
+func BenchmarkExchange(b *testing.B) {
+	text := written(b,
+		func(w *Writer) error { return w.Begin(1, Begin{Responder, true}) },
+		func(w *Writer) error {
+			var pairs []byte
+			for _, p := range [][2]string{{"REQUEST_METHOD", "POST"}, {"REQUEST_URI", "/add-note/9"}, {"CONTENT_LENGTH", "200"},
+				{"HTTP_X_REQUEST_ID", "9b1f03aa5c7e2d41"}, {"HTTP_X_DEADLINE", "0.480"}} {
+				pairs = AppendPair(pairs, p[0], p[1])
+			}
+			return w.Stream(Params, 1, pairs)
+		},
+		func(w *Writer) error { return w.CloseStream(Params, 1) },
+		func(w *Writer) error { return w.Stream(Stdin, 1, make([]byte, 200)) },
+		func(w *Writer) error { return w.CloseStream(Stdin, 1) })
+	in := bytes.NewReader(text)
+	r := NewReader(in)
+	w := NewWriter(io.Discard)
+	pairs := NewPairs(Limits{Bytes: 1 << 16, Count: 100})
+	b.SetBytes(int64(len(text)))
+	b.ReportAllocs()
+	for b.Loop() {
+		in.Reset(text)
+		r.failed = nil
+		pairs.Reset()
+		for {
+			rec, err := r.Next()
+			if err != nil {
+				break
+			}
+			if rec.Type == Params {
+				pairs.Feed(rec.Content, func(name, value []byte) {})
+			}
+		}
+		w.Stream(Stdout, 1, text[:100])
+		w.CloseStream(Stdout, 1)
+		w.End(1, End{})
+		w.Flush()
+	}
+}
--- /dev/null
+++ b/internal/fastcgi/webserver_test.go
@@ -0,0 +1,270 @@
+package fastcgi
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/fcgi"
+	"strings"
+	"testing"
+	"time"
+)
+
+// heard gives a web server a stream of records and tells what it comes to, line by line.
+func heard(t testing.TB, s *WebServer, text []byte) (lines string, failed error) {
+	t.Helper()
+	r := NewReader(bytes.NewReader(text))
+	var all []string
+	for {
+		rec, err := r.Next()
+		if err == io.EOF {
+			break
+		}
+		var e Reply
+		if err == nil {
+			e, err = s.Take(rec)
+		}
+		if failed = err; err != nil {
+			break
+		}
+		switch e.Kind {
+		case Output:
+			all = append(all, fmt.Sprintf("%d says %q", e.ID, e.Data))
+		case OutputEnd:
+			all = append(all, fmt.Sprintf("%d has said all", e.ID))
+		case Complaint:
+			all = append(all, fmt.Sprintf("%d complains %q", e.ID, e.Data))
+		case Ended:
+			all = append(all, fmt.Sprintf("%d ended, status %d, whole %v, unrun %v", e.ID, e.End.Status, e.Whole, e.Unrun()))
+		case Learned:
+			all = append(all, fmt.Sprintf("room for %d", s.Room()))
+		}
+	}
+	return strings.Join(all, "\n"), failed
+}
+
+func values(pairs ...string) call {
+	var text []byte
+	for i := 0; i < len(pairs); i += 2 {
+		text = AppendPair(text, pairs[i], pairs[i+1])
+	}
+	return func(w *Writer) error { return w.Values(GetValuesResult, text) }
+}
+
+func ended(id uint16, status Status) call {
+	return func(w *Writer) error { return w.End(id, End{Status: status}) }
+}
+
+// began is a web server with requests 1 to n begun, those whose bodies are to be whole closed.
+func began(t *testing.T, n int, whole bool) *WebServer {
+	t.Helper()
+	s := NewWebServer(NewWriter(io.Discard))
+	s.most = n
+	for range n {
+		id, err := s.Begin(nil, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if whole {
+			if err := s.CloseSend(id); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	return s
+}
+
+func TestWebServerScripts(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		whole bool // bodies are sent whole
+		calls []call
+		want  string
+	}{
+		{"two answers interleaved", true, []call{stream(Stdout, 1, "a"), stream(Stdout, 2, "b"), stream(Stderr, 2, "!"), closed(Stderr, 2),
+			stream(Stdout, 1, "c"), closed(Stdout, 1), ended(1, Complete), closed(Stdout, 2), ended(2, Complete)},
+			"1 says \"a\"\n2 says \"b\"\n2 complains \"!\"\n1 says \"c\"\n1 has said all\n1 ended, status 0, whole true, unrun false\n" +
+				"2 has said all\n2 ended, status 0, whole true, unrun false"},
+		{"ended without the end of STDOUT", true, []call{stream(Stdout, 1, "a"), ended(1, Complete)}, "1 says \"a\"\n1 ended, status 0, whole false, unrun false"},
+		{"turned away", true, []call{ended(1, Overloaded), ended(2, CantMultiplex)},
+			"1 ended, status 2, whole false, unrun true\n2 ended, status 1, whole false, unrun true"},
+		{"another role", true, []call{ended(1, UnknownRole)}, "1 ended, status 3, whole false, unrun false"},
+		{"ended before the body was whole", false, []call{closed(Stdout, 1), ended(1, Complete)}, "1 has said all\n1 ended, status 0, whole true, unrun false"},
+		{"knows no values", true, []call{func(w *Writer) error { return w.Unknown(GetValues) }}, ""},
+	} {
+		if got, err := heard(t, began(t, 2, c.whole), written(t, c.calls...)); err != nil || got != c.want {
+			t.Errorf("%s: %v\n%s\nwant\n%s", c.name, err, got, c.want)
+		}
+	}
+}
+
+func TestWhatSpillsEndsTheConnection(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		calls []call
+		want  error
+	}{
+		{"a record of no request", []call{stream(Stdout, 3, "x")}, ErrSpill},
+		{"a record behind the end", []call{ended(1, Complete), stream(Stdout, 1, "x")}, ErrSpill},
+		{"an end behind the end", []call{ended(1, Complete), ended(1, Complete)}, ErrSpill},
+		{"STDOUT behind its end", []call{closed(Stdout, 1), stream(Stdout, 1, "x")}, ErrEnded},
+		{"a request", []call{begin(5, Responder)}, ErrDirection},
+		{"a status that does not exist", []call{ended(1, 9)}, ErrBody},
+		{"half an END_REQUEST", []call{func(w *Writer) error { return w.record(EndRequest, 1, []byte("half")) }}, ErrBody},
+		{"values that are cut", []call{func(w *Writer) error { return w.Values(GetValuesResult, []byte("\x05")) }}, ErrPairCut},
+	} {
+		_, err := heard(t, began(t, 1, true), written(t, c.calls...))
+		var e *Error
+		if !errors.Is(err, c.want) || !errors.As(err, &e) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
+
+// One request at a time until the application says otherwise, and as many as it says; ids that are free are used
+// again, that of an aborted request only once it has ended.
+func TestRoomOnAConnection(t *testing.T) {
+	s := NewWebServer(NewWriter(io.Discard))
+	one, err := s.Begin(nil, true)
+	if err != nil || one != 1 || s.Room() != 0 {
+		t.Fatalf("id %d, %v, room %d", one, err, s.Room())
+	}
+	if _, err := s.Begin(nil, true); !errors.Is(err, ErrFull) {
+		t.Errorf("a second one: %v", err)
+	}
+	for _, c := range []struct{ said, want string }{
+		{written2(t, values(mpxConns, "1", maxReqs, "3")), "room for 2"},
+		{written2(t, values(mpxConns, "0", maxReqs, "3")), "room for 0"},
+		{written2(t, values(mpxConns, "1", maxReqs, "many")), "room for 0"},
+		{written2(t, values(maxReqs, "3", "OTHER", "x", mpxConns, "1")), "room for 2"},
+	} {
+		if got, err := heard(t, s, []byte(c.said)); err != nil || got != c.want {
+			t.Errorf("%q, %v; want %q", got, err, c.want)
+		}
+	}
+	two, _ := s.Begin(nil, true)
+	if s.Abort(one); two != 2 {
+		t.Errorf("id %d", two)
+	}
+	three, _ := s.Begin(nil, true)
+	if three != 3 {
+		t.Errorf("id %d while an aborted one is open", three)
+	}
+	got, err := heard(t, s, written(t, stream(Stdout, one, "late"), ended(one, Complete)))
+	if err != nil || got != "1 ended, status 0, whole false, unrun false" {
+		t.Errorf("%q, %v", got, err)
+	}
+	if again, err := s.Begin(nil, true); again != one || err != nil {
+		t.Errorf("id %d, %v; want the one that is free", again, err)
+	}
+	if s.Send(9, nil) == nil || s.CloseSend(9) == nil || s.Abort(9) != nil {
+		t.Error("an id that was never begun")
+	}
+}
+
+func written2(t testing.TB, calls ...call) string { return string(written(t, calls...)) }
+
+// The standard library's responder as an application not written here: what goes out is understood, bodies of
+// several records among it, and what comes back is what it was told to answer.
+func TestStandardLibraryAsApplication(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go fcgi.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		w.Header().Set("X-Told", fmt.Sprint(r.Method, " ", r.URL.RequestURI(), " ", r.Header.Get("X-Request-Id"), " ", len(body), " ", err))
+		w.Write(bytes.Repeat([]byte("answer"), 20000))
+	}))
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(30 * time.Second))
+	w := NewWriter(c)
+	s, r := NewWebServer(w), NewReader(c)
+	for i := range 3 {
+		if err := s.Ask(); err != nil {
+			t.Fatal(err)
+		}
+		id, err := s.Begin([]Param{{"REQUEST_METHOD", "POST"}, {"SERVER_PROTOCOL", "HTTP/1.1"}, {"REQUEST_URI", "/add-note/k?q"},
+			{"HTTP_HOST", "h"}, {"CONTENT_LENGTH", "100000"}, {"HTTP_X_REQUEST_ID", fmt.Sprint("id", i)}}, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := errors.Join(s.Send(id, make([]byte, 100000)), s.CloseSend(id), w.Flush()); err != nil {
+			t.Fatal(err)
+		}
+		var answer bytes.Buffer
+		for over := false; !over; {
+			rec, err := r.Next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			e, err := s.Take(rec)
+			if err != nil {
+				t.Fatal(err)
+			}
+			switch e.Kind {
+			case Output:
+				answer.Write(e.Data)
+			case Ended:
+				if over = true; e.Unrun() || !e.Whole || e.End != (End{}) {
+					t.Errorf("%+v", e)
+				}
+			}
+		}
+		head, body, _ := strings.Cut(answer.String(), "\r\n\r\n")
+		if want := fmt.Sprintf("X-Told: POST /add-note/k?q id%d 100000 <nil>", i); !strings.Contains(head, want) || body != strings.Repeat("answer", 20000) {
+			t.Errorf("%q and %d bytes; want %q", head, len(body), want)
+		}
+	}
+}
+
+// Whatever an application sends, no reply is of a request that is not open, and each ends once.
+func FuzzWebServer(f *testing.F) {
+	f.Add(written(f, stream(Stdout, 1, "Status: 200\r\n\r\nok"), closed(Stdout, 1), ended(1, Complete)))
+	f.Add(written(f, values(mpxConns, "1", maxReqs, "50"), stream(Stderr, 2, "!"), ended(2, Overloaded), ended(1, 9)))
+	f.Add([]byte("\x01\x0a\x00\x00\x00\x03\x00\x00\x80\xff\xff"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s := NewWebServer(NewWriter(io.Discard))
+		s.most = 3
+		open := map[uint16]bool{}
+		for range 3 {
+			id, err := s.Begin([]Param{{"A", "b"}}, true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			open[id] = true
+		}
+		s.Abort(2)
+		r := NewReader(bytes.NewReader(text))
+		for {
+			rec, err := r.Next()
+			if err != nil {
+				return
+			}
+			e, err := s.Take(rec)
+			if err != nil {
+				var named *Error
+				if !errors.As(err, &named) {
+					t.Fatalf("%v names no record", err)
+				}
+				return
+			}
+			switch {
+			case e.Kind != None && e.Kind != Learned && !open[e.ID]:
+				t.Fatalf("%+v of a request that is not open", e)
+			case e.Kind == Output && e.ID == 2:
+				t.Fatalf("%+v of a request that was aborted", e)
+			case e.Kind == Ended:
+				delete(open, e.ID)
+			}
+		}
+	})
+}
