The node knows its fronts by an interface; accepting within the share moves to internal/callers

Need: a front of another protocol beside HTTP/1.1. Behaviour is unchanged: Serve, SetReady, SetClosing and LetQuietGo are what the node asks of a front, newFront makes it, and how a connection beyond the hard limit is closed unheard stands once, in callers.Set.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -5,6 +5,9 @@
 
 import (
 	"cmp"
+	"errors"
+	"net"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -80,6 +83,27 @@
 	going bool // let go, and counted as leaving
 }
 
+// ErrReleased ends the accepting from a listener that goes on without its front. The deadline that releases it
+// would itself look passing, to be waited for and tried again.
+var ErrReleased = errors.New("the listener is released")
+
+// Accept never lets the node run out of descriptors, or nobody could be accepted for a while: beyond the hard limit
+// whoever came last is closed unheard. Errors are the listener's as they are, but for its deadline.
+func (s *Set) Accept(ln net.Listener) (net.Conn, error) {
+	for {
+		c, err := ln.Accept()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, ErrReleased
+		case err != nil:
+			return nil, err
+		case !s.Full():
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
 // Share is how descriptors are shared out.
 type Share struct {
 	Room  int // for callers and servers together
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
@@ -151,29 +150,15 @@
 	set *callers.Set
 }
 
-// Accept never lets the node run out of descriptors, for then net/http would accept nobody for a while:
-// beyond the hard limit whoever came last is closed unheard.
+// Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, errReleased
-		}
-		if err != nil {
-			return nil, err // as it is: net/http looks at its kind
-		}
-		if l.set.Full() {
-			c.Close()
-			continue
-		}
-		return &callerConn{Conn: c, set: l.set}, nil
+	c, err := l.set.Accept(l.Listener)
+	if err != nil {
+		return nil, err
 	}
+	return &callerConn{Conn: c, set: l.set}, nil
 }
 
-// errReleased ends a front's accepting from a listener that goes on without it. The deadline itself would look
-// passing to net/http, which would wait and accept again.
-var errReleased = errors.New("the listener is released")
-
 // Close leaves the listener to whoever opened it: net/http closes what it has accepted from.
 func (callerListener) Close() error { return nil }
 
--- a/internal/node/change.go
+++ b/internal/node/change.go
@@ -12,7 +12,6 @@
 	"woodpick/internal/discovery"
 	"woodpick/internal/dispatch"
 	"woodpick/internal/engine"
-	"woodpick/internal/http1"
 )
 
 // Errors of a change.
@@ -347,7 +346,7 @@
 		if old != nil && old.cfg.Protocol == l.Protocol {
 			next.front = old.front // the callers that it has stay
 		} else {
-			next.front = http1.NewFront(l.Name, n.clock, n.callers, n.calls, &n.figures, n.log)
+			next.front = n.newFront(l)
 		}
 		listeners[l.Name] = next
 	}
--- a/internal/node/ending.go
+++ b/internal/node/ending.go
@@ -8,7 +8,6 @@
 	"woodpick/internal/callers"
 	"woodpick/internal/clock"
 	"woodpick/internal/config"
-	"woodpick/internal/http1"
 	"woodpick/internal/succession"
 )
 
@@ -55,7 +54,7 @@
 	if n.options.ending != nil {
 		e = *n.options.ending
 	}
-	var fronts []*http1.Front
+	var fronts []front
 	for _, l := range n.listeners {
 		fronts = append(fronts, l.front)
 	}
@@ -107,7 +106,7 @@
 }
 
 // letGo closes the fronts' quiet connections and tells how many are left of all.
-func letGo(fronts []*http1.Front, set *callers.Set) int {
+func letGo(fronts []front, set *callers.Set) int {
 	for _, f := range fronts {
 		f.LetQuietGo()
 	}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -17,7 +17,7 @@
 type socket struct {
 	net.Listener
 	key   string        // of the address in configurations
-	front *http1.Front  // that accepts from it; nil: none yet
+	front front         // that accepts from it; nil: none yet
 	ended chan error    // what its Serve returned
 	leave chan struct{} // closed when Serve is to return without a failure
 }
@@ -32,7 +32,7 @@
 }
 
 // accept has a front accept from the socket. If that fails, failed is told why.
-func (s *socket) accept(f *http1.Front, failed func(error)) {
+func (s *socket) accept(f front, failed func(error)) {
 	s.front, s.ended, s.leave = f, make(chan error, 1), make(chan struct{})
 	ended, leave := s.ended, s.leave
 	go func() {
@@ -84,7 +84,24 @@
 type listener struct {
 	cfg    config.Listener
 	socket *socket
-	front  *http1.Front
+	front  front
+}
+
+// front serves the callers of a listener in its protocol.
+type front interface {
+	// Serve accepts callers until the listener fails, is closed or has a deadline in the past, and returns its error.
+	Serve(net.Listener) error
+	// SetReady has health answers say from now on whether callers should be sent here.
+	SetReady(bool)
+	// SetClosing says whether each answer from now on ends its connection.
+	SetClosing(bool)
+	// LetQuietGo closes the connections of callers that ask nothing, and tells how many are left of all.
+	LetQuietGo() int
+}
+
+// newFront is a front for a listener; nothing is accepted before Serve.
+func (n *Node) newFront(l config.Listener) front {
+	return http1.NewFront(l.Name, n.clock, n.callers, n.calls, &n.figures, n.log)
 }
 
 // Times of a listener that goes: callers that have connected but were not accepted yet are heard, and then
@@ -95,7 +112,7 @@
 )
 
 // retireFront lets the callers of a front go until none is left.
-func (n *Node) retireFront(f *http1.Front) {
+func (n *Node) retireFront(f front) {
 	f.SetClosing(true)
 	for f.LetQuietGo() > 0 {
 		clock.Sleep(n.life, letGoStep)
