--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -192,7 +192,7 @@
 	named(k, "listener", k.Listeners, Listener.name)
 	for i, l := range k.Listeners {
 		path := "listener." + l.Name
-		word(k, path+".protocol", l.Protocol, HTTP1)
+		word(k, path+".protocol", l.Protocol, HTTP1, FastCGI)
 		word(k, path+".paths", l.Paths, StrictPaths, NormalizePaths, PathsAsSent)
 		addr, err := netip.ParseAddrPort(l.Address)
 		if err != nil {
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -143,7 +143,8 @@
 	ZoneScope Scope = "zone"
 	AllScope  Scope = "all"
 
-	HTTP1 Protocol = "http1"
+	HTTP1   Protocol = "http1"
+	FastCGI Protocol = "fastcgi" // of listeners
 
 	StrictPaths    Paths = "strict"    // what servers could read in another way is turned away
 	NormalizePaths Paths = "normalize" // or made plain, where there is one plain form
--- a/internal/fastcgi/application_test.go
+++ b/internal/fastcgi/application_test.go
@@ -45,21 +45,21 @@
 	return strings.Join(lines, "\n"), strings.Join(said, "\n"), app, failed
 }
 
-type call = func(*Writer) error
+type step = func(*Writer) error
 
-func begin(id uint16, role Role) call {
+func begin(id uint16, role Role) step {
 	return func(w *Writer) error { return w.Begin(id, Begin{role, true}) }
 }
 
-func stream(typ Type, id uint16, text string) call {
+func stream(typ Type, id uint16, text string) step {
 	return func(w *Writer) error { return w.Stream(typ, id, []byte(text)) }
 }
 
-func closed(typ Type, id uint16) call {
+func closed(typ Type, id uint16) step {
 	return func(w *Writer) error { return w.CloseStream(typ, id) }
 }
 
-func abort(id uint16) call { return func(w *Writer) error { return w.Abort(id) } }
+func abort(id uint16) step { return func(w *Writer) error { return w.Abort(id) } }
 
 var testBounds = Bounds{Requests: 3, Params: Limits{Bytes: 1000, Count: 10}}
 
@@ -69,24 +69,24 @@
 	pair := string(AppendPair(nil, "A", "b"))
 	for _, c := range []struct {
 		name            string
-		calls           []call
+		calls           []step
 		events, answers string
 		open            int
 	}{
-		{"interleaved", []call{begin(1, Responder), begin(7, Responder), stream(Params, 1, pair[:1]), stream(Params, 7, pair),
+		{"interleaved", []step{begin(1, Responder), begin(7, Responder), stream(Params, 1, pair[:1]), stream(Params, 7, pair),
 			closed(Params, 7), stream(Params, 1, pair[1:]), stream(Stdin, 7, "x"), closed(Params, 1), closed(Stdin, 1), closed(Stdin, 7)},
 			"7 called [{A b}]\n7 body \"x\"\n1 called [{A b}]\n1 body's end\n7 body's end", "", 2},
-		{"roles", []call{begin(1, Authorizer), begin(2, Filter), begin(3, 9), stream(Params, 1, pair), closed(Params, 1), stream(Data, 2, "d")},
+		{"roles", []step{begin(1, Authorizer), begin(2, Filter), begin(3, 9), stream(Params, 1, pair), closed(Params, 1), stream(Data, 2, "d")},
 			"", "END_REQUEST 1 8 bytes app 0x0 status 3 <nil>\nEND_REQUEST 2 8 bytes app 0x0 status 3 <nil>\nEND_REQUEST 3 8 bytes app 0x0 status 3 <nil>", 0},
-		{"one too many", []call{begin(1, Responder), begin(2, Responder), begin(3, Responder), begin(4, Responder), closed(Params, 4), closed(Params, 3)},
+		{"one too many", []step{begin(1, Responder), begin(2, Responder), begin(3, Responder), begin(4, Responder), closed(Params, 4), closed(Params, 3)},
 			"3 called []", "END_REQUEST 4 8 bytes app 0x0 status 2 <nil>", 3},
-		{"aborts", []call{abort(5), begin(5, Responder), abort(5), closed(Params, 5), abort(5), closed(Stdin, 5)},
+		{"aborts", []step{abort(5), begin(5, Responder), abort(5), closed(Params, 5), abort(5), closed(Stdin, 5)},
 			"5 aborted\n5 called []\n5 aborted\n5 body's end", "", 1},
-		{"data for a responder", []call{begin(1, Responder), stream(Data, 1, "d"), closed(Params, 1)}, "1 called []", "", 1},
-		{"values", []call{func(w *Writer) error {
+		{"data for a responder", []step{begin(1, Responder), stream(Data, 1, "d"), closed(Params, 1)}, "1 called []", "", 1},
+		{"values", []step{func(w *Writer) error {
 			return w.Values(GetValues, AppendPair(AppendPair(AppendPair(nil, mpxConns, ""), maxReqs, ""), "OTHER", ""))
 		}, func(w *Writer) error { return w.record(99, 0, nil) }}, "", "GET_VALUES_RESULT 0 34 bytes\nUNKNOWN_TYPE 0 8 bytes", 0},
-		{"a thousand empty records for what has ended", []call{func(w *Writer) error {
+		{"a thousand empty records for what has ended", []step{func(w *Writer) error {
 			for range 1000 {
 				if err := w.CloseStream(Stdin, 9); err != nil {
 					return err
@@ -105,18 +105,18 @@
 func TestWhatDoesNotFitEndsTheConnection(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		calls []call
+		calls []step
 		want  error
 		says  string
 	}{
-		{"an id in use", []call{begin(1, Responder), begin(1, Responder)}, ErrInUse, "BEGIN_REQUEST of request 1 at byte 16"},
-		{"PARAMS behind their end", []call{begin(1, Responder), closed(Params, 1), closed(Params, 1)}, ErrEnded, "PARAMS of request 1 at byte 24"},
-		{"STDIN behind its end", []call{begin(1, Responder), closed(Params, 1), closed(Stdin, 1), stream(Stdin, 1, "x")}, ErrEnded, "STDIN of request 1"},
-		{"STDIN before the end of PARAMS", []call{begin(1, Responder), stream(Stdin, 1, "x")}, ErrOrder, "STDIN of request 1 at byte 16"},
-		{"half a pair", []call{begin(1, Responder), stream(Params, 1, "\x01"), closed(Params, 1)}, ErrPairCut, "PARAMS of request 1"},
-		{"a pair of 2 GB", []call{begin(1, Responder), stream(Params, 1, "\xff\xff\xff\xff\x00")}, ErrPairLong, "PARAMS of request 1"},
-		{"an answer", []call{begin(1, Responder), stream(Stdout, 1, "x")}, ErrDirection, "STDOUT of request 1"},
-		{"an end", []call{func(w *Writer) error { return w.End(1, End{}) }}, ErrDirection, "END_REQUEST of request 1"},
+		{"an id in use", []step{begin(1, Responder), begin(1, Responder)}, ErrInUse, "BEGIN_REQUEST of request 1 at byte 16"},
+		{"PARAMS behind their end", []step{begin(1, Responder), closed(Params, 1), closed(Params, 1)}, ErrEnded, "PARAMS of request 1 at byte 24"},
+		{"STDIN behind its end", []step{begin(1, Responder), closed(Params, 1), closed(Stdin, 1), stream(Stdin, 1, "x")}, ErrEnded, "STDIN of request 1"},
+		{"STDIN before the end of PARAMS", []step{begin(1, Responder), stream(Stdin, 1, "x")}, ErrOrder, "STDIN of request 1 at byte 16"},
+		{"half a pair", []step{begin(1, Responder), stream(Params, 1, "\x01"), closed(Params, 1)}, ErrPairCut, "PARAMS of request 1"},
+		{"a pair of 2 GB", []step{begin(1, Responder), stream(Params, 1, "\xff\xff\xff\xff\x00")}, ErrPairLong, "PARAMS of request 1"},
+		{"an answer", []step{begin(1, Responder), stream(Stdout, 1, "x")}, ErrDirection, "STDOUT of request 1"},
+		{"an end", []step{func(w *Writer) error { return w.End(1, End{}) }}, ErrDirection, "END_REQUEST of request 1"},
 	} {
 		_, _, _, err := play(t, testBounds, written(t, c.calls...))
 		var e *Error
--- /dev/null
+++ b/internal/fastcgi/client.go
@@ -0,0 +1,426 @@
+package fastcgi
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"woodpick/internal/callers"
+	"woodpick/internal/engine"
+	"woodpick/internal/figures"
+	"woodpick/internal/intake"
+)
+
+// Limits on what a web server may make the node wait for.
+const (
+	partTimeout  = 2800 * time.Millisecond // for the next bytes of a request that has begun
+	wholeTimeout = 30 * time.Second        // for all of it
+	idleTimeout  = time.Minute             // a connection on which nothing is asked is let go
+	writeTimeout = 5 * time.Second         // for a part of an answer to be taken
+	stall        = 10 * time.Second        // the same of an answer that passes through
+	passSize     = 16 << 10                // of such an answer held at once
+)
+
+// client is a web server's connection.
+type client struct {
+	net.Conn
+	front *Front
+	in    *bufio.Reader
+
+	// The protocol's state. Held while something is written; callers.Set never waits for it.
+	mu    sync.Mutex
+	app   *Application
+	out   *Writer
+	calls map[uint16]*call
+	ended bool
+
+	// What callers.Set asks for. Never held while something is read or written.
+	state    sync.Mutex
+	midway   bool // within a record, as far as is known
+	reading  int  // requests that have begun and are not whole
+	oldest   time.Time
+	heard    time.Time
+	leaving  bool
+	cut      bool
+	deadline time.Time
+}
+
+// call is a request that is open.
+type call struct {
+	id   uint16
+	head intake.Head
+	in   intake.Request
+	body []byte
+	with *engine.Call // once the module has it
+	over bool         // its answer has been given, or nobody waits for it
+	gone chan struct{}
+}
+
+func (f *Front) serve(nc net.Conn) {
+	c := &client{Conn: nc, front: f, calls: map[uint16]*call{}}
+	c.out = NewWriter(nc)
+	c.app = NewApplication(f.bounds, c.out)
+	c.in = bufio.NewReader(reads{c})
+	f.callers.Add(c, f)
+	defer func() {
+		f.callers.Remove(c)
+		nc.Close()
+	}()
+	records := NewReader(c.in)
+	for {
+		c.await()
+		rec, err := records.Next()
+		if err == nil {
+			err = c.take(rec)
+		}
+		if err != nil {
+			var named *Error
+			if errors.As(err, &named) && !errors.Is(err, ErrCut) {
+				f.log.Debug("a FastCGI connection ends", "from", nc.RemoteAddr(), "error", err)
+			}
+			c.leave()
+			return
+		}
+	}
+}
+
+// reads notes what is read.
+type reads struct{ c *client }
+
+func (r reads) Read(p []byte) (int, error) {
+	c := r.c
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.state.Lock()
+		defer c.state.Unlock()
+		c.midway, c.heard = true, time.Now()
+		if c.leaving && !c.cut {
+			c.leaving = false
+			c.Conn.SetReadDeadline(c.deadline)
+		}
+	}
+	return n, err
+}
+
+// await sets until when the next record may come.
+func (c *client) await() {
+	c.mu.Lock()
+	open := len(c.calls)
+	c.mu.Unlock()
+	c.state.Lock()
+	defer c.state.Unlock()
+	if c.in.Buffered() == 0 {
+		c.midway = false
+	}
+	now := time.Now()
+	switch {
+	case c.reading > 0:
+		c.deadline = now.Add(partTimeout)
+		if last := c.oldest.Add(wholeTimeout); last.Before(c.deadline) {
+			c.deadline = last
+		}
+	case open > 0:
+		c.deadline = time.Time{} // its end tells that nobody waits any more
+	default:
+		c.deadline = now.Add(idleTimeout)
+	}
+	if !c.leaving {
+		c.Conn.SetReadDeadline(c.deadline)
+	}
+}
+
+// begins and whole follow how many requests are being read.
+func (c *client) begins() {
+	c.state.Lock()
+	defer c.state.Unlock()
+	if c.reading++; c.reading == 1 {
+		c.oldest = time.Now()
+	}
+}
+
+func (c *client) whole() {
+	c.state.Lock()
+	defer c.state.Unlock()
+	if c.reading--; c.reading > 0 {
+		c.oldest = time.Now()
+	}
+}
+
+// take does what a record comes to. An error ends the connection.
+func (c *client) take(rec Record) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.app.Open()
+	e, err := c.app.Take(rec)
+	if err != nil {
+		return err
+	}
+	if c.app.Open() > before {
+		c.calls[rec.ID] = &call{id: rec.ID, gone: make(chan struct{})}
+		c.begins()
+		c.phase()
+	}
+	if r := c.calls[e.ID]; e.Kind != Nothing && r != nil {
+		c.event(r, e)
+	}
+	return c.flush()
+}
+
+func (c *client) flush() error {
+	c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return c.out.Flush()
+}
+
+func (c *client) event(r *call, e Event) {
+	switch e.Kind {
+	case Called:
+		c.called(r, e.Params)
+	case Body:
+		switch {
+		case len(r.body)+len(e.Data) > intake.MaxBody:
+			c.reject(r, errTooLong)
+		case r.head.Length >= 0 && int64(len(r.body)+len(e.Data)) > r.head.Length:
+			c.reject(r, errLength)
+		default:
+			r.body = append(r.body, e.Data...)
+		}
+	case BodyEnd:
+		if r.head.Length >= 0 && int64(len(r.body)) != r.head.Length {
+			c.reject(r, errLength)
+			return
+		}
+		r.head.Length = int64(len(r.body))
+		c.whole()
+		c.ask(r)
+	case Aborted:
+		if r.with == nil {
+			c.whole()
+		} else {
+			r.with.Leave(c.front.clock.Now())
+			c.front.figures.Left()
+		}
+		c.finish(r, End{App: 1})
+	}
+}
+
+// called looks at a request's head.
+func (c *client) called(r *call, params []Param) {
+	head, no := headOf(c.front.listener, params)
+	if no != nil {
+		c.reject(r, no)
+		return
+	}
+	r.head = head
+	if path, _, _ := cutTarget(head.Target); path == "/health/ready" {
+		c.whole()
+		c.health(r)
+		return
+	}
+	view := c.front.calls.View()
+	probe := head
+	probe.Length = max(0, head.Length)
+	in, err := intake.Check(view, &probe)
+	switch {
+	case err != nil:
+		c.reject(r, err)
+	case head.Length > intake.MaxBody:
+		c.reject(r, errTooLong)
+	}
+	r.in = in
+}
+
+// ask has a request taken.
+func (c *client) ask(r *call) {
+	f := c.front
+	f.figures.Begin()
+	view := f.calls.View()
+	if !f.callers.Begin(c) {
+		c.answer(r, engine.Answer{Kind: engine.Refused, RetryAfter: view.ComeBack()})
+		f.callers.End(c)
+		return
+	}
+	with, err := intake.Take(f.calls, view, &r.head, r.in, r.body, nil, f.clock.Now())
+	if err != nil {
+		f.figures.End(r.in.Class, figures.Faulted)
+		c.say(r, wordsOf(err))
+		f.callers.End(c)
+		c.phase()
+		return
+	}
+	r.with = with
+	go c.wait(r)
+}
+
+// wait gives a request its answer, unless nobody waits for it any more.
+func (c *client) wait(r *call) {
+	f := c.front
+	select {
+	case a := <-r.with.Answer():
+		if a.Reply.Rest != nil {
+			c.pass(r, a)
+			break
+		}
+		c.mu.Lock()
+		if !r.over {
+			c.answer(r, a)
+			c.flush()
+		}
+		c.mu.Unlock()
+	case <-r.gone:
+	}
+	f.callers.End(c)
+	c.mu.Lock()
+	c.phase()
+	c.mu.Unlock()
+}
+
+// answer gives a request an answer that is whole. The caller holds mu.
+func (c *client) answer(r *call, a engine.Answer) {
+	c.front.figures.End(r.in.Class, resultOf(a))
+	if a.Kind != engine.Served {
+		status, words := intake.Words(a)
+		c.say(r, said{status, words, intake.RetryAfter(a)})
+		return
+	}
+	c.out.Stream(Stdout, r.id, headText(200, a.Reply.ContentType, int64(len(a.Reply.Body)), ""))
+	c.out.Stream(Stdout, r.id, a.Reply.Body)
+	c.finish(r, End{})
+}
+
+// pass gives a request a long answer as it comes. One that breaks off ends with a status of the application that is
+// not 0, and short of its length if it had one, so that the web server can tell.
+func (c *client) pass(r *call, a engine.Answer) {
+	defer a.Reply.Rest.Close()
+	put := func(p []byte) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if r.over {
+			return false
+		}
+		c.Conn.SetWriteDeadline(time.Now().Add(stall))
+		return errors.Join(c.out.Stream(Stdout, r.id, p), c.out.Flush()) == nil
+	}
+	on := put(headText(200, a.Reply.ContentType, a.Reply.Length, "")) && put(a.Reply.Body)
+	buf := make([]byte, passSize)
+	var err error
+	for on && err == nil {
+		var n int
+		n, err = a.Reply.Rest.Read(buf)
+		on = put(buf[:n])
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case r.over:
+		return // an abort or the connection's end has counted it
+	case on && err == io.EOF:
+		c.front.figures.End(r.in.Class, figures.Fulfilled)
+		c.finish(r, End{})
+	default:
+		c.front.figures.End(r.in.Class, figures.Faulted)
+		c.finish(r, End{App: 1})
+	}
+	c.flush()
+}
+
+// reject ends a request that can't be used; what still comes of it is passed over. The caller holds mu.
+func (c *client) reject(r *call, err error) {
+	c.whole()
+	c.say(r, wordsOf(err))
+}
+
+// say answers a request with a few words. The caller holds mu.
+func (c *client) say(r *call, s said) {
+	text := s.words + "\n"
+	c.out.Stream(Stdout, r.id, headText(s.status, "text/plain; charset=utf-8", int64(len(text)), s.retryAfter))
+	c.out.Stream(Stdout, r.id, []byte(text))
+	c.finish(r, End{})
+}
+
+// finish ends a request, and the connection if it is not to be kept. The caller holds mu.
+func (c *client) finish(r *call, e End) {
+	r.over = true
+	close(r.gone)
+	delete(c.calls, r.id)
+	keep, err := c.app.Finish(r.id, e)
+	if !keep || c.front.closing.Load() || c.front.callers.Crowded() {
+		c.ended = true
+	}
+	if err != nil || c.ended && len(c.calls) == 0 {
+		c.flush()
+		c.CutOff() // its reader ends, and closes it
+	}
+	c.phase()
+}
+
+// phase tells callers.Set what the connection does. The caller holds mu.
+func (c *client) phase() {
+	for _, r := range c.calls {
+		if r.with != nil {
+			return // Open, by Begin
+		}
+	}
+	if len(c.calls) > 0 {
+		c.front.callers.Move(c, callers.Reading)
+	} else {
+		c.front.callers.Move(c, callers.Idle)
+	}
+}
+
+// leave ends all that is open: the web server has gone, or can't be talked to any more.
+func (c *client) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.calls {
+		if r.with != nil {
+			r.with.Leave(c.front.clock.Now())
+			c.front.figures.Left()
+		}
+		r.over = true
+		close(r.gone)
+	}
+	clear(c.calls)
+}
+
+// LetGo implements callers.Conn.
+func (c *client) LetGo() bool {
+	c.state.Lock()
+	defer c.state.Unlock()
+	if !c.midway && c.reading == 0 {
+		c.leaving = true
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return c.leaving
+}
+
+// CutOff implements callers.Conn.
+func (c *client) CutOff() {
+	c.state.Lock()
+	defer c.state.Unlock()
+	c.leaving, c.cut = true, true
+	c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// IsCut implements callers.Conn.
+func (c *client) IsCut() bool {
+	c.state.Lock()
+	defer c.state.Unlock()
+	return c.cut
+}
+
+// HasBegun implements callers.Conn.
+func (c *client) HasBegun() bool {
+	c.state.Lock()
+	defer c.state.Unlock()
+	return c.midway || c.reading > 0
+}
+
+// Quiet implements callers.Conn.
+func (c *client) Quiet() time.Duration {
+	c.state.Lock()
+	defer c.state.Unlock()
+	return time.Since(c.heard)
+}
--- /dev/null
+++ b/internal/fastcgi/front.go
@@ -0,0 +1,133 @@
+package fastcgi
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"woodpick/internal/callers"
+	"woodpick/internal/clock"
+	"woodpick/internal/dispatch"
+	"woodpick/internal/engine"
+	"woodpick/internal/figures"
+	"woodpick/internal/intake"
+)
+
+// DefaultBounds are what a web server's connection may hold.
+func DefaultBounds() Bounds {
+	return Bounds{Requests: 64, Params: Limits{Bytes: 16 << 10, Count: 128}}
+}
+
+// Front serves web servers of one listener, as a responder: exactly one answer for each request taken.
+type Front struct {
+	listener string // its name in the configuration
+	clock    clock.Clock
+	calls    *dispatch.Dispatcher
+	callers  *callers.Set
+	figures  *figures.Set
+	log      *slog.Logger
+	bounds   Bounds
+	unready  atomic.Bool
+	closing  atomic.Bool
+}
+
+// NewFront returns a Front that serves nobody before Serve.
+func NewFront(listener string, c clock.Clock, set *callers.Set, calls *dispatch.Dispatcher, count *figures.Set, log *slog.Logger) *Front {
+	return &Front{listener: listener, clock: c, calls: calls, callers: set, figures: count, log: log, bounds: DefaultBounds()}
+}
+
+// retryAccept is how long a front waits after an accept that failed for a while, as when descriptors run out.
+const retryAccept = 5 * time.Millisecond
+
+// Serve accepts web servers until the listener fails, is closed or has a deadline in the past, and returns its
+// error.
+func (f *Front) Serve(ln net.Listener) error {
+	for {
+		c, err := f.callers.Accept(ln)
+		var passing interface{ Temporary() bool }
+		switch {
+		case err == nil:
+			go f.serve(c)
+		case errors.As(err, &passing) && passing.Temporary():
+			time.Sleep(retryAccept)
+		default:
+			return err
+		}
+	}
+}
+
+// SetReady has the health answer say from now on whether callers should be sent here.
+func (f *Front) SetReady(is bool) { f.unready.Store(!is) }
+
+// SetClosing says whether each connection from now on ends with its last answer.
+func (f *Front) SetClosing(is bool) { f.closing.Store(is) }
+
+// LetQuietGo closes the connections on which nothing is asked. It returns how many are left.
+func (f *Front) LetQuietGo() int { return f.callers.LetQuietGo(f) }
+
+// health tells whoever asks whether to send callers here.
+func (c *client) health(r *call) {
+	switch f := c.front; {
+	case r.head.Method != http.MethodGet && r.head.Method != http.MethodHead || r.head.Length > 0:
+		c.say(r, said{http.StatusMethodNotAllowed, "only GET is served", ""})
+	case f.unready.Load() || !f.calls.View().Ready():
+		c.say(r, said{http.StatusServiceUnavailable, "not ready", ""})
+	default:
+		c.say(r, said{http.StatusOK, "ready", ""})
+	}
+}
+
+// said is an answer that no server made.
+type said struct {
+	status     int
+	words      string
+	retryAfter string // empty: not said
+}
+
+// Reasons to turn a body away.
+var (
+	errTooLong = &intake.Rejected{Status: http.StatusRequestEntityTooLarge, Reason: "the body is too long"}
+	errLength  = &intake.Rejected{Status: http.StatusBadRequest, Reason: "STDIN does not have the bytes that CONTENT_LENGTH tells"}
+)
+
+// wordsOf are for a request that can't be used, or whose listener has gone.
+func wordsOf(err error) said {
+	var no *intake.Rejected
+	if errors.As(err, &no) {
+		return said{no.Status, no.Reason, ""}
+	}
+	return said{http.StatusServiceUnavailable, err.Error(), "1"}
+}
+
+// headText is an answer's head (RFC 3875 section 6.3). A negative length is not told.
+func headText(status int, contentType string, length int64, retryAfter string) []byte {
+	text := fmt.Appendf(nil, "Status: %d %s\r\n", status, http.StatusText(status))
+	if contentType != "" {
+		text = fmt.Appendf(text, "Content-Type: %s\r\n", contentType)
+	}
+	if length >= 0 {
+		text = fmt.Appendf(text, "Content-Length: %d\r\n", length)
+	}
+	if retryAfter != "" {
+		text = fmt.Appendf(text, "Retry-After: %s\r\n", retryAfter)
+	}
+	return append(text, "\r\n"...)
+}
+
+// resultOf is how an answer counts.
+func resultOf(a engine.Answer) figures.Result {
+	switch a.Kind {
+	case engine.Served:
+		return figures.Fulfilled
+	case engine.Refused:
+		return figures.Throttled
+	}
+	return figures.Faulted
+}
+
+func cutTarget(target string) (path, query string, asked bool) { return strings.Cut(target, "?") }
--- a/internal/fastcgi/record.go
+++ b/internal/fastcgi/record.go
@@ -1,6 +1,6 @@
 // Package fastcgi is FastCGI 1.0 (the specification of 29 April 1996; sections are named by its numbers): records
-// and name-value pairs, read and written within bounds and without allocating for each. It knows neither calls nor
-// servers.
+// and name-value pairs, read and written within bounds and without allocating for each; the two sides of a
+// connection as machines with no I/O (Application, WebServer); and Front, which serves web servers.
 package fastcgi
 
 import (
--- a/internal/fastcgi/webserver_test.go
+++ b/internal/fastcgi/webserver_test.go
@@ -46,7 +46,7 @@
 	return strings.Join(all, "\n"), failed
 }
 
-func values(pairs ...string) call {
+func values(pairs ...string) step {
 	var text []byte
 	for i := 0; i < len(pairs); i += 2 {
 		text = AppendPair(text, pairs[i], pairs[i+1])
@@ -54,7 +54,7 @@
 	return func(w *Writer) error { return w.Values(GetValuesResult, text) }
 }
 
-func ended(id uint16, status Status) call {
+func ended(id uint16, status Status) step {
 	return func(w *Writer) error { return w.End(id, End{Status: status}) }
 }
 
@@ -81,19 +81,19 @@
 	for _, c := range []struct {
 		name  string
 		whole bool // bodies are sent whole
-		calls []call
+		calls []step
 		want  string
 	}{
-		{"two answers interleaved", true, []call{stream(Stdout, 1, "a"), stream(Stdout, 2, "b"), stream(Stderr, 2, "!"), closed(Stderr, 2),
+		{"two answers interleaved", true, []step{stream(Stdout, 1, "a"), stream(Stdout, 2, "b"), stream(Stderr, 2, "!"), closed(Stderr, 2),
 			stream(Stdout, 1, "c"), closed(Stdout, 1), ended(1, Complete), closed(Stdout, 2), ended(2, Complete)},
 			"1 says \"a\"\n2 says \"b\"\n2 complains \"!\"\n1 says \"c\"\n1 has said all\n1 ended, status 0, whole true, unrun false\n" +
 				"2 has said all\n2 ended, status 0, whole true, unrun false"},
-		{"ended without the end of STDOUT", true, []call{stream(Stdout, 1, "a"), ended(1, Complete)}, "1 says \"a\"\n1 ended, status 0, whole false, unrun false"},
-		{"turned away", true, []call{ended(1, Overloaded), ended(2, CantMultiplex)},
+		{"ended without the end of STDOUT", true, []step{stream(Stdout, 1, "a"), ended(1, Complete)}, "1 says \"a\"\n1 ended, status 0, whole false, unrun false"},
+		{"turned away", true, []step{ended(1, Overloaded), ended(2, CantMultiplex)},
 			"1 ended, status 2, whole false, unrun true\n2 ended, status 1, whole false, unrun true"},
-		{"another role", true, []call{ended(1, UnknownRole)}, "1 ended, status 3, whole false, unrun false"},
-		{"ended before the body was whole", false, []call{closed(Stdout, 1), ended(1, Complete)}, "1 has said all\n1 ended, status 0, whole true, unrun false"},
-		{"knows no values", true, []call{func(w *Writer) error { return w.Unknown(GetValues) }}, ""},
+		{"another role", true, []step{ended(1, UnknownRole)}, "1 ended, status 3, whole false, unrun false"},
+		{"ended before the body was whole", false, []step{closed(Stdout, 1), ended(1, Complete)}, "1 has said all\n1 ended, status 0, whole true, unrun false"},
+		{"knows no values", true, []step{func(w *Writer) error { return w.Unknown(GetValues) }}, ""},
 	} {
 		if got, err := heard(t, began(t, 2, c.whole), written(t, c.calls...)); err != nil || got != c.want {
 			t.Errorf("%s: %v\n%s\nwant\n%s", c.name, err, got, c.want)
@@ -104,17 +104,17 @@
 func TestWhatSpillsEndsTheConnection(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		calls []call
+		calls []step
 		want  error
 	}{
-		{"a record of no request", []call{stream(Stdout, 3, "x")}, ErrSpill},
-		{"a record behind the end", []call{ended(1, Complete), stream(Stdout, 1, "x")}, ErrSpill},
-		{"an end behind the end", []call{ended(1, Complete), ended(1, Complete)}, ErrSpill},
-		{"STDOUT behind its end", []call{closed(Stdout, 1), stream(Stdout, 1, "x")}, ErrEnded},
-		{"a request", []call{begin(5, Responder)}, ErrDirection},
-		{"a status that does not exist", []call{ended(1, 9)}, ErrBody},
-		{"half an END_REQUEST", []call{func(w *Writer) error { return w.record(EndRequest, 1, []byte("half")) }}, ErrBody},
-		{"values that are cut", []call{func(w *Writer) error { return w.Values(GetValuesResult, []byte("\x05")) }}, ErrPairCut},
+		{"a record of no request", []step{stream(Stdout, 3, "x")}, ErrSpill},
+		{"a record behind the end", []step{ended(1, Complete), stream(Stdout, 1, "x")}, ErrSpill},
+		{"an end behind the end", []step{ended(1, Complete), ended(1, Complete)}, ErrSpill},
+		{"STDOUT behind its end", []step{closed(Stdout, 1), stream(Stdout, 1, "x")}, ErrEnded},
+		{"a request", []step{begin(5, Responder)}, ErrDirection},
+		{"a status that does not exist", []step{ended(1, 9)}, ErrBody},
+		{"half an END_REQUEST", []step{func(w *Writer) error { return w.record(EndRequest, 1, []byte("half")) }}, ErrBody},
+		{"values that are cut", []step{func(w *Writer) error { return w.Values(GetValuesResult, []byte("\x05")) }}, ErrPairCut},
 	} {
 		_, err := heard(t, began(t, 1, true), written(t, c.calls...))
 		var e *Error
@@ -165,7 +165,7 @@
 	}
 }
 
-func written2(t testing.TB, calls ...call) string { return string(written(t, calls...)) }
+func written2(t testing.TB, calls ...step) string { return string(written(t, calls...)) }
 
 // The standard library's responder as an application not written here: what goes out is understood, bodies of
 // several records among it, and what comes back is what it was told to answer.
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -9,6 +9,7 @@
 
 	"woodpick/internal/clock"
 	"woodpick/internal/config"
+	"woodpick/internal/fastcgi"
 	"woodpick/internal/http1"
 )
 
@@ -101,6 +102,9 @@
 
 // newFront is a front for a listener; nothing is accepted before Serve.
 func (n *Node) newFront(l config.Listener) front {
+	if l.Protocol == config.FastCGI {
+		return fastcgi.NewFront(l.Name, n.clock, n.callers, n.calls, &n.figures, n.log)
+	}
 	return http1.NewFront(l.Name, n.clock, n.callers, n.calls, &n.figures, n.log)
 }
 
