--- a/cmd/damsontrestle/main_test.go
+++ b/cmd/damsontrestle/main_test.go
@@ -58,15 +58,16 @@
 	}
 }
 
-// start runs the node with a configuration until it serves. It returns its log from then on.
-func start(t *testing.T, dir, run, config string) (cmd *exec.Cmd, address string, log <-chan string) {
+// start runs the node with a configuration, and more in its environment, until it serves. It returns its log from then
+// on.
+func start(t *testing.T, dir, run, config string, env ...string) (cmd *exec.Cmd, address string, log <-chan string) {
 	t.Helper()
 	path := filepath.Join(dir, "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	cmd = exec.Command("/bin/sh", "-c", run)
-	cmd.Dir, cmd.Env = dir, append(os.Environ(), "BALANCER_CONFIG="+path)
+	cmd.Dir, cmd.Env = dir, append(append(os.Environ(), "BALANCER_CONFIG="+path), env...)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fastcgi/client.go
+++ b/internal/fastcgi/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -214,7 +215,7 @@
 		return
 	}
 	r.head = head
-	if path, _, _ := cutTarget(head.Target); path == "/health/ready" {
+	if path, _, _ := strings.Cut(head.Target, "?"); path == "/health/ready" {
 		c.whole()
 		c.health(r)
 		return
@@ -279,7 +280,7 @@
 
 // answer gives a request an answer that is whole. The caller holds mu.
 func (c *client) answer(r *call, a engine.Answer) {
-	c.front.figures.End(r.in.Class, resultOf(a))
+	c.front.figures.End(r.in.Class, intake.Result(a))
 	if a.Kind != engine.Served {
 		status, words := intake.Words(a)
 		c.say(r, said{status, words, intake.RetryAfter(a)})
--- a/internal/fastcgi/front.go
+++ b/internal/fastcgi/front.go
@@ -6,14 +6,12 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"woodpick/internal/callers"
 	"woodpick/internal/clock"
 	"woodpick/internal/dispatch"
-	"woodpick/internal/engine"
 	"woodpick/internal/figures"
 	"woodpick/internal/intake"
 )
@@ -118,16 +116,3 @@
 	}
 	return append(text, "\r\n"...)
 }
-
-// resultOf is how an answer counts.
-func resultOf(a engine.Answer) figures.Result {
-	switch a.Kind {
-	case engine.Served:
-		return figures.Fulfilled
-	case engine.Refused:
-		return figures.Throttled
-	}
-	return figures.Faulted
-}
-
-func cutTarget(target string) (path, query string, asked bool) { return strings.Cut(target, "?") }
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -189,24 +189,13 @@
 		}
 		panic(http.ErrAbortHandler) // so that the caller can tell that the answer is not whole
 	}
-	f.figures.End(class, resultOf(a))
+	f.figures.End(class, intake.Result(a))
 	if early {
 		http.NewResponseController(w).Flush()
 		rest.discard()
 	}
 }
 
-// resultOf is how an answer counts.
-func resultOf(a engine.Answer) figures.Result {
-	switch a.Kind {
-	case engine.Served:
-		return figures.Fulfilled
-	case engine.Refused:
-		return figures.Throttled
-	}
-	return figures.Faulted
-}
-
 // head is what a request's head says. net/http drops a Content-Length beside a transfer coding, so that the
 // connection has to tell of it.
 func (f *Front) head(r *http.Request) intake.Head {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -17,6 +17,7 @@
 	"woodpick/internal/config"
 	"woodpick/internal/dispatch"
 	"woodpick/internal/engine"
+	"woodpick/internal/figures"
 	"woodpick/internal/route"
 )
 
@@ -201,3 +202,14 @@
 	}
 	return strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64)
 }
+
+// Result is how an answer that was given whole counts.
+func Result(a engine.Answer) figures.Result {
+	switch a.Kind {
+	case engine.Served:
+		return figures.Fulfilled
+	case engine.Refused:
+		return figures.Throttled
+	}
+	return figures.Faulted
+}
