--- a/internal/fastcgi/front_test.go
+++ b/internal/fastcgi/front_test.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -439,6 +440,35 @@
 	}
 }
 
+// BenchmarkIdleConnections tells what a quiet connection costs the process: heap, stacks and what the runtime keeps.
+func BenchmarkIdleConnections(b *testing.B) {
+	const held = 500
+	s := standin.NewServer(b, standin.Echo)
+	n := startRig(b, standin.Entry("s1", s.Address(), "in_service"))
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var quiet []net.Conn
+		for range held {
+			c, err := net.Dial("tcp", n.ln.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			quiet = append(quiet, c)
+		}
+		standin.Until(b, "all to be there", func() bool { return n.callers.Held() == held })
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		// The test's own side of each connection is among it.
+		b.ReportMetric(float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse)/held/1024, "KiB/conn")
+		for _, c := range quiet {
+			c.Close()
+		}
+		standin.Until(b, "all to be gone", func() bool { return n.callers.Held() == 0 })
+	}
+}
+
 // BenchmarkCalls passes small calls from one FastCGI connection to an HTTP/1.1 server, one after another and 16 at once.
 func BenchmarkCalls(b *testing.B) {
 	s := standin.NewServer(b, standin.Echo)
--- a/internal/succession/succession.go
+++ b/internal/succession/succession.go
@@ -32,8 +32,23 @@
 	if err != nil {
 		return nil, err
 	}
-	// An earlier process may have left a rule for all that listen here.
-	return ln, steer(ln, spread)
+	// An earlier process may have left a rule for all that listen here. Where the system knows no such rules nobody
+	// can have left one: then the end of the older process costs the connections that its queue holds, and no start.
+	if err := steer(ln, spread); err != nil && !unsupported(err) {
+		ln.Close()
+		return nil, fmt.Errorf("succession: %s: %w", address, err)
+	}
+	return ln, nil
+}
+
+// unsupported says that the system, or what it lets this process do, has no rules for shared addresses.
+func unsupported(err error) bool {
+	for _, e := range []error{unix.ENOPROTOOPT, unix.EOPNOTSUPP, unix.EPERM, unix.ENOSYS} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
 }
 
 // Sockets of one address are numbered in the order in which they began to listen, and one that is closed gives its
--- a/internal/succession/succession_test.go
+++ b/internal/succession/succession_test.go
@@ -88,6 +88,23 @@
 	call(t, 20, third)
 }
 
+// Where the system has no rules for shared addresses, a node starts all the same. Multipath TCP is such a place.
+func TestASystemWithoutRules(t *testing.T) {
+	lc := net.ListenConfig{}
+	lc.SetMultipathTCP(true)
+	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if err := steer(ln, spread); err != nil && !unsupported(err) {
+		t.Errorf("%v would keep a node from starting", err)
+	}
+	if unsupported(net.ErrClosed) {
+		t.Error("a closed socket passes for a system without rules")
+	}
+}
+
 // An address that somebody holds alone is not shared.
 func TestAnAddressHeldAloneIsAnError(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
