An upload on its way to a cold server is the one call that it may have

Cause, found on reading the change once more: uploads count at their server from their last byte, so any number could be on their way to a cold server, or to one on trial after an ejection, and end together. Both get one own call at a time.

Change: a server counts what is on its way beside its calls, and `idle` means neither. The stand-in that holds one request stood in four tests and stands once, as standin.Held.

Measured: the new test sends nothing more to a cold server while an upload is on its way, and fails with the count left out.

--- a/internal/http1/front_test.go
+++ b/internal/http1/front_test.go
@@ -173,13 +173,7 @@
 // one that started anew: whatever is still to come on them belongs to the old one.
 func TestConnectionsBelongToOneLifeOfAServer(t *testing.T) {
 	hold, got := make(chan struct{}), make(chan struct{}, 1)
-	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
-		if r.Header.Get("X-Request-Id") == "held" {
-			got <- struct{}{}
-			<-hold
-		}
-		return standin.Echo(c, r, body)
-	})
+	s := standin.NewServer(t, standin.Held(hold, got))
 	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), nil)
 	held, c := standin.Dial(t, n.Addr()), standin.Dial(t, n.Addr())
 	held.Get("held")
--- a/internal/node/fastcgi_test.go
+++ b/internal/node/fastcgi_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -83,7 +82,7 @@
 func TestAListenerChangesItsProtocol(t *testing.T) {
 	hold, got := make(chan struct{}), make(chan struct{}, 1)
 	a := standin.NewServer(t, standin.Echo)
-	a2 := held(t, hold, got)
+	a2 := standin.NewServer(t, standin.Held(hold, got))
 	cfg := ownConfig(pooled("boxes", a2))
 	n := startOwn(t, cfg, Options{})
 	address := n.Addr("main")
@@ -107,14 +106,3 @@
 	c.Get("back")
 	c.Want(t, 200, "for back")
 }
-
-// held is a server that keeps the request "held" until it is told.
-func held(t *testing.T, hold, got chan struct{}) *standin.Server {
-	return standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
-		if r.Header.Get("X-Request-Id") == "held" {
-			got <- struct{}{}
-			<-hold
-		}
-		return standin.Echo(c, r, body)
-	})
-}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -154,13 +154,7 @@
 
 func TestEndOfNodeAnswersAllThatWasTaken(t *testing.T) {
 	hold, got := make(chan struct{}), make(chan struct{}, 1)
-	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
-		if r.Header.Get("X-Request-Id") == "held" {
-			got <- struct{}{}
-			<-hold
-		}
-		return standin.Echo(c, r, body)
-	})
+	s := standin.NewServer(t, standin.Held(hold, got))
 	n, stop := startNode(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), func(n *Node) {
 		n.options.ending = &ending{accept: time.Second, serve: 2 * time.Second, last: standin.Limit, most: 2 * standin.Limit}
 	})
--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -47,13 +47,7 @@
 // serves all three, and parts with them; the node goes on, and takes callers again when told.
 func TestQuiesceSendsCallersAwayAndResumeTakesThemAgain(t *testing.T) {
 	hold, got := make(chan struct{}), make(chan struct{}, 1)
-	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
-		if r.Header.Get("X-Request-Id") == "held" {
-			got <- struct{}{}
-			<-hold
-		}
-		return standin.Echo(c, r, body)
-	})
+	s := standin.NewServer(t, standin.Held(hold, got))
 	cfg := testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service")))
 	cfg.Node.Management = "127.0.0.1:0"
 	n, _ := startNode(t, cfg, nil)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -113,6 +113,17 @@
 	return Reply200(c, "for "+r.Header.Get("X-Request-Id"))
 }
 
+// Held serves like Echo, but for the request "held": it tells when it has that one, and answers it once hold is closed.
+func Held(hold <-chan struct{}, got chan<- struct{}) Then {
+	return func(c net.Conn, r *http.Request, body string) bool {
+		if r.Header.Get("X-Request-Id") == "held" {
+			got <- struct{}{}
+			<-hold
+		}
+		return Echo(c, r, body)
+	}
+}
+
 // ClosedPort is an address where nobody listens.
 func ClosedPort(t TB) string {
 	t.Helper()
--- a/policy.go
+++ b/policy.go
@@ -97,6 +97,7 @@
 	Server
 	listed bool
 	calls  int        // own calls in flight
+	coming int        // own calls whose bodies still go there
 	open   []*attempt // the same calls in order of sending
 
 	streak   int // bad endings in a row
@@ -309,14 +310,14 @@
 			s = &server{failing: map[*class]fading{}}
 			b.servers[n.ID] = s
 		} else if s.Boot != n.Boot {
-			*s = server{calls: s.calls, open: s.open, failing: map[*class]fading{}}
+			*s = server{calls: s.calls, coming: s.coming, open: s.open, failing: map[*class]fading{}}
 		}
 		s.Server = n
 		s.listed = n.State != Gone
 	}
 	b.ready = b.ready[:0]
 	for id, s := range b.servers {
-		if !s.listed && s.calls == 0 {
+		if !s.listed && s.idle() {
 			delete(b.servers, id)
 		} else if s.listed && s.State == Ready {
 			b.ready = append(b.ready, s)
@@ -411,7 +412,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	b.unhold(r)
-	if !r.partial {
+	if s.coming++; !r.partial {
 		b.begin(a)
 	}
 	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.patience(r), b.set.Tick)})
@@ -421,6 +422,7 @@
 // however slowly, and its silence tells nothing.
 func (b *Balancer) begin(a *attempt) {
 	a.begun, a.sent = true, b.now
+	a.srv.coming--
 	a.srv.calls++
 	a.srv.open = append(a.srv.open, a)
 	b.inFlight++
@@ -538,6 +540,7 @@
 		}
 		a.srv.open = slices.DeleteFunc(a.srv.open, func(o *attempt) bool { return o == a })
 	} else {
+		a.srv.coming--
 		// How long its caller takes to send it is neither the server's doing nor the request's time.
 		r.arrived, r.deadline = r.arrived+b.now-a.sent, r.deadline+b.now-a.sent
 		a.sent = b.now
@@ -545,7 +548,7 @@
 	if a.begun || e.Ending != Success {
 		b.judge(a, e)
 	}
-	if !a.srv.listed && a.srv.calls == 0 && b.servers[a.srv.ID] == a.srv {
+	if !a.srv.listed && a.srv.idle() && b.servers[a.srv.ID] == a.srv {
 		delete(b.servers, a.srv.ID)
 	}
 	switch {
@@ -643,6 +646,9 @@
 
 // ---- Eligibility ----
 
+// idle says that no own call is at a server, or on its way there.
+func (s *server) idle() bool { return s.calls+s.coming == 0 }
+
 // chooseFrom picks among those servers that a request may go to: in its scope, not tried by it, fit,
 // warm enough and, as long as that leaves any, with room and not crowded with own calls. Only where
 // anyCold is set may all of them be cold, and may a first try go to an idle cold one whatever the
@@ -708,7 +714,7 @@
 		case s.out || s.calls >= limit(s) || !b.inScope(r, s) || tried(r, s):
 		case b.warmEnough(s):
 			warm = append(warm, s)
-		case s.calls == 0 && len(r.attempts) == 0:
+		case s.idle() && len(r.attempts) == 0:
 			idle = append(idle, s)
 		}
 	}
@@ -756,7 +762,7 @@
 	}
 	// After an ejection one safe trial at a time decides: a bad server must not eat a request that
 	// cannot be repeated, nor many at once.
-	return s.level > 0 && s.goods == 0 && (r.effect == Unsafe || s.calls > 0)
+	return s.level > 0 && s.goods == 0 && (r.effect == Unsafe || !s.idle())
 }
 
 // shuns says, by a draw, that a server should not get a class now, by its share of good endings against all
@@ -868,7 +874,7 @@
 // own call at a time: many nodes that each send a little would push it over together.
 func (b *Balancer) warmEnough(s *server) bool {
 	w := b.warmth(s)
-	return w == 1 || (s.calls == 0 && b.rng.Float64() < w)
+	return w == 1 || (s.idle() && b.rng.Float64() < w)
 }
 
 // ---- Further attempts ----
--- a/uploads_test.go
+++ b/uploads_test.go
@@ -131,6 +131,35 @@
 	}
 }
 
+// Cold servers get one own call at a time, also of those whose bodies still come: slow uploads to several would end
+// together. Once it has ended, or its caller has left, the next may go there.
+func TestUploadsDoNotCrowdAColdServer(t *testing.T) {
+	b := newBalancer(t, nil)
+	now := time.Hour
+	cold := servers(1)
+	cold[0].Boot = now
+	b.Handle(now, ServerList{Full: true, Servers: cold})
+	first := upload(t, b, now+msec, "first", "pay")
+	for i := range 50 {
+		e := Request{ID: fmt.Sprint("u", i), Class: "pay", Deadline: now + 1500*msec, Partial: i%2 == 0}
+		if s := sends(b.Handle(now+2*msec, e)); len(s) > 0 {
+			t.Fatalf("request %d goes to a cold server that an upload is on its way to", i)
+		}
+	}
+	if s := b.servers[first.Server]; s.coming != 1 || s.calls != 0 {
+		t.Errorf("%d coming, %d calls", s.coming, s.calls)
+	}
+	b.Handle(now+3*msec, ClientGone{ID: "first"})
+	b.Handle(now+3*msec, Outcome{ID: "first", Server: first.Server, Ending: Withdrawn, Ended: true, Spent: true})
+	out := 0
+	for _, s := range b.servers {
+		out += s.calls + s.coming
+	}
+	if out != 1 {
+		t.Errorf("%d calls at the server or on their way once it was free, want 1", out)
+	}
+}
+
 // What health keeps out is counted up to the share of the list that it may keep out, and draining servers with it.
 func TestAvoidedCountsWhatGetsNothing(t *testing.T) {
 	b := newBalancer(t, nil)
