--- a/cmd/damsontrestle/command_test.go
+++ b/cmd/damsontrestle/command_test.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -22,28 +21,6 @@
 	"woodpick/internal/standin"
 )
 
-// tools are the built programs, once for all tests.
-var tools = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "bin")
-	if err != nil {
-		return "", err
-	}
-	out, err := exec.Command("go", "build", "-o", dir+"/", "../...").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w\n%s", err, out)
-	}
-	return dir, nil
-})
-
-func program(t *testing.T) string {
-	t.Helper()
-	dir, err := tools()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return filepath.Join(dir, "damsontrestle")
-}
-
 // site is a folder with a node's file.
 type site struct {
 	dir, file, listen string
--- a/cmd/damsontrestle/main_test.go
+++ b/cmd/damsontrestle/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"debug/elf"
 	"fmt"
 	"io"
 	"net"
@@ -12,7 +13,9 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -25,49 +28,88 @@
 	"limits":{"max-attempts":3,"conn-idle-ms":60000,"connect-timeout-ms":20000,"cancelling":true,
 	"retry-after":true,"max-retry-after-ms":2000},"tick-ms":5,"balancers":1,"registry-mode":"pushed"}`
 
-// build makes what deploy/balancer.toml builds, in a folder of the test's own, and returns the
-// commands that it names as run and sim.
-func build(t *testing.T) (dir, run, sim string) {
-	t.Helper()
+// built is what deploy/balancer.toml builds, made once for all tests in a folder of their own, and the commands
+// that it names.
+type built struct{ dir, run, sim string }
+
+var buildOnce = sync.OnceValues(func() (b built, err error) {
 	deploy, err := os.ReadFile("../../deploy/balancer.toml")
 	if err != nil {
-		t.Fatal(err)
+		return b, err
 	}
-	command := func(key string) string {
-		m := regexp.MustCompile(`(?m)^` + key + ` = "(.*)"`).FindSubmatch(deploy)
-		if m == nil {
-			t.Fatalf("deploy/balancer.toml has no %s", key)
-		}
-		return string(m[1])
+	commands := map[string]string{}
+	for _, m := range regexp.MustCompile(`(?m)^(\w+) = "(.*)"$`).FindAllSubmatch(deploy, -1) {
+		commands[string(m[1])] = string(m[2])
+	}
+	if b.dir, err = os.MkdirTemp("", "built"); err != nil {
+		return b, err
+	}
+	b.run, b.sim = commands["run"], commands["sim"]
+	cmd := exec.Command("/bin/sh", "-c", strings.NewReplacer("-p bin", "-p "+b.dir+"/bin", "-o bin/", "-o "+b.dir+"/bin/").Replace(commands["build"]))
+	cmd.Dir = "../.."
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return b, fmt.Errorf("%s: %w\n%s", commands["build"], err, out)
+	}
+	return b, nil
+})
+
+// TestMain removes what was built.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if b, err := buildOnce(); err == nil {
+		os.RemoveAll(b.dir)
+	}
+	os.Exit(code)
+}
+
+func build(t *testing.T) built {
+	t.Helper()
+	b, err := buildOnce()
+	if err != nil {
+		t.Fatal(err)
 	}
-	dir = t.TempDir()
-	out, err := exec.Command("go", "build", "-o", filepath.Join(dir, "bin")+"/", "../...").CombinedOutput()
+	return b
+}
+
+// program is the path of the node's program.
+func program(t *testing.T) string { return filepath.Join(build(t).dir, "bin", "damsontrestle") }
+
+// The platform loads a library into each process, which takes a program that the machine's dynamic linker starts.
+func TestTheProgramIsLinkedAgainstTheCLibrary(t *testing.T) {
+	f, err := elf.Open(program(t))
 	if err != nil {
-		t.Fatalf("%v\n%s", err, out)
+		t.Fatal(err)
+	}
+	defer f.Close()
+	interpreted := slices.ContainsFunc(f.Progs, func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP })
+	libraries, err := f.ImportedLibraries()
+	if err != nil || !interpreted || !slices.ContainsFunc(libraries, func(l string) bool { return strings.HasPrefix(l, "libc.") }) {
+		t.Errorf("asks for a dynamic linker: %v; needs %v, %v", interpreted, libraries, err)
+	}
+	if !strings.HasPrefix(build(t).run, "exec ") {
+		t.Errorf("run is %q: the platform's signals and its library are for the one process that it ends in", build(t).run)
 	}
-	return dir, command("run"), command("sim")
 }
 
 func TestSimStarts(t *testing.T) {
-	dir, _, sim := build(t)
-	cmd := exec.Command("/bin/sh", "-c", sim)
-	cmd.Dir, cmd.Stdin = dir, strings.NewReader("sync\t1\neob\n")
+	b := build(t)
+	cmd := exec.Command("/bin/sh", "-c", b.sim)
+	cmd.Dir, cmd.Stdin = b.dir, strings.NewReader("sync\t1\neob\n")
 	out, err := cmd.CombinedOutput()
 	if err != nil || string(out) != "yield\n" {
 		t.Fatalf("%v, output %q", err, out)
 	}
 }
 
-// start runs the node with a configuration, and more in its environment, until it serves. It returns its log from then
+// start runs the node with a configuration, written to a path, and more in its environment, until it serves. It returns its log from then
 // on.
-func start(t *testing.T, dir, run, config string, env ...string) (cmd *exec.Cmd, address string, log <-chan string) {
+func start(t *testing.T, path, config string, env ...string) (cmd *exec.Cmd, address string, log <-chan string) {
 	t.Helper()
-	path := filepath.Join(dir, "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd = exec.Command("/bin/sh", "-c", run)
-	cmd.Dir, cmd.Env = dir, append(append(os.Environ(), "BALANCER_CONFIG="+path), env...)
+	cmd = exec.Command("/bin/sh", "-c", build(t).run)
+	cmd.Dir, cmd.Env = build(t).dir, append(append(os.Environ(), "BALANCER_CONFIG="+path), env...)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -111,7 +153,7 @@
 // changes nothing, nor does the same once more, and a new one moves the node to the servers that another
 // discovery names. No request is lost, and the caller's connection is kept.
 func TestSIGHUPUnderLoad(t *testing.T) {
-	dir, run, _ := build(t)
+	path := filepath.Join(t.TempDir(), "config.json")
 	list := func(name string) *httptest.Server {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			fmt.Fprint(w, name)
@@ -133,7 +175,7 @@
 	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
 		"limits":{"cores":1,"memory_mb":64,"sockets":256},"settings":%s}`,
 		strings.TrimPrefix(old.URL, "http://"), settings)
-	cmd, address, log := start(t, dir, run, config)
+	cmd, address, log := start(t, path, config)
 	c, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -157,7 +199,7 @@
 	}
 	hup := func(text string) {
 		t.Helper()
-		if err := os.WriteFile(filepath.Join(dir, "config.json"), []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
@@ -194,7 +236,7 @@
 // TestRunServesAndEndsOnSIGTERM runs the real program: it serves a request, is told to end while
 // another is out, answers that one too, and exits with 0.
 func TestRunServesAndEndsOnSIGTERM(t *testing.T) {
-	dir, run, _ := build(t)
+	path := filepath.Join(t.TempDir(), "config.json")
 	hold, got := make(chan struct{}), make(chan struct{}, 1)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasSuffix(r.URL.Path, "/slow") {
@@ -214,7 +256,7 @@
 		{"uid":"s-1","endpoint":%q,"az":"a","model":"m","pod_group":0,"state":"in_service",
 		"capacity_hint":1,"boot_ms":0}]},"settings":%s}`,
 		strings.TrimPrefix(discovery.URL, "http://"), endpoint, settings)
-	cmd, address, _ := start(t, dir, run, config)
+	cmd, address, _ := start(t, path, config)
 	ask := func(id, key string) (string, error) {
 		req, _ := http.NewRequest("GET", "http://"+address+"/view/"+key, nil)
 		req.Header.Set("X-Request-Id", id)
@@ -273,7 +315,7 @@
 }
 
 func TestBadConfigExitsWithOneLine(t *testing.T) {
-	dir, run, _ := build(t)
+	dir := t.TempDir()
 	for name, text := range map[string]string{"missing": "", "cut": `{"listen":`, "empty": `{}`} {
 		path := filepath.Join(dir, name)
 		if text != "" {
@@ -281,8 +323,8 @@
 				t.Fatal(err)
 			}
 		}
-		cmd := exec.Command("/bin/sh", "-c", run)
-		cmd.Dir, cmd.Env = dir, append(os.Environ(), "BALANCER_CONFIG="+path)
+		cmd := exec.Command("/bin/sh", "-c", build(t).run)
+		cmd.Dir, cmd.Env = build(t).dir, append(os.Environ(), "BALANCER_CONFIG="+path)
 		out, err := cmd.CombinedOutput()
 		if err == nil || !strings.HasPrefix(string(out), "damsontrestle: config: ") ||
 			strings.Count(string(out), "\n") != 1 {
--- a/cmd/damsontrestle/upgrade_test.go
+++ b/cmd/damsontrestle/upgrade_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -46,7 +47,7 @@
 // the second says that it is ready the first is told to end. Calls go on all the while, half of them on connections of
 // their own, and each is served.
 func TestASecondProcessTakesOver(t *testing.T) {
-	dir, run, _ := build(t)
+	path := filepath.Join(t.TempDir(), "config.json")
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprint(w, "for ", r.Header.Get("X-Request-Id"))
 	}))
@@ -61,7 +62,7 @@
 		{"uid":"s-1","endpoint":%q,"az":"a","model":"m","pod_group":0,"state":"in_service",
 		"capacity_hint":1,"boot_ms":0}]},"settings":%s}`, address, doors[0], strings.TrimPrefix(discovery.URL, "http://"),
 		strings.TrimPrefix(server.URL, "http://"), settings)
-	first, _, log := start(t, dir, run, config, "TMPDIR="+folder)
+	first, _, log := start(t, path, config, "TMPDIR="+folder)
 
 	var asked atomic.Int64
 	over := make(chan struct{})
@@ -103,7 +104,7 @@
 		}
 	}
 	progress()
-	second, _, _ := start(t, dir, run, config, "TMPDIR="+folder, "BALANCER_MGMT="+doors[1])
+	second, _, _ := start(t, path, config, "TMPDIR="+folder, "BALANCER_MGMT="+doors[1])
 	for _, d := range doors {
 		if got := door(t, d, "health"); got != "+OK ready\n" {
 			t.Errorf("health: %q", got)
--- a/deploy/first-minute.sh
+++ b/deploy/first-minute.sh
@@ -10,7 +10,7 @@
 
 mkdir -p bin "$dir"
 rm -rf "$dir/state"
-go build -o bin/ ./cmd/...
+CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 say() { printf '\n\033[1m$ %s\033[0m\n' "$*"; "$@"; }
 
