What several servers' silence says of their zone is used, and the window moves faster

Front nodes have 300 attempts a second time out and the nodes of the tier below 200, all on connections to the zone that is cut off; each node learns of some 70 servers one by one, at 2.1 s each. From 9 to 13 s, with a zone lost, 320 of 550 admitted calls a second end as a 500 after 2.0 to 2.13 s with an aim of 2.16: they are time-outs of the tier below, and steer (policy.go) took no errors; the window stood at 54 with 20 calls out, took 50 in, and moved by 5 a second.

Ruled out: slow servers (latency by server is even within each zone), the node itself (0.7 ms to the first attempt), the wrong half of the list (the list names the gone within 2 s).

Changed: zones.go weighs each answer for what it says of zones that have calls waiting and give none, whatever the load; a zone in doubt gets nothing new, one held for cut off has its safe calls run elsewhere, and trials go there one at a time, on a connection of their own (new action LetGo) that shows at once whether they can have run. A zone's silence is not held against its servers. The window moves by a whole call an answer (0.25 before) and late errors shrink it. A node whose pool hears nobody asks beyond it.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -27,6 +27,8 @@
 
 func (named) Servers([]discovery.Target, bool) {}
 
+func (named) LetGo(discovery.Host) {}
+
 func newEngine(t *testing.T, cfg *config.Config, name string) *engine.Engine {
 	t.Helper()
 	e, err := engine.New(engine.Options{Settings: cfg.Settings(cfg.Pools[0]), Clock: clock.New(), Backend: named(name),
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -141,4 +141,6 @@
 	Run(*Attempt) Outcome
 	// Servers tells of the list's news, before any attempt that follows from it. It must not block.
 	Servers(targets []discovery.Target, full bool)
+	// LetGo closes the idle connections to a server. It must not block.
+	LetGo(discovery.Host)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -420,6 +420,8 @@
 			if p := eng.pending[a.ID]; p != nil && a.Attempt < len(p.attempts) {
 				p.attempts[a.Attempt].Cancel()
 			}
+		case woodpick.LetGo:
+			eng.backend.LetGo(eng.listed[a.Server].Host())
 		case woodpick.Refuse:
 			eng.finish(a.ID, Answer{Kind: Refused, RetryAfter: a.RetryAfter})
 		case woodpick.Fail:
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"testing"
@@ -14,17 +15,20 @@
 
 // script is a Backend whose attempts end as a test says.
 type script struct {
-	told     int           // times that news of the servers came
-	attempts chan *Attempt // as they begin
+	told     int                 // times that news of the servers came
+	let      chan discovery.Host // whose idle connections were let go
+	attempts chan *Attempt       // as they begin
 	next     chan chan Outcome
 }
 
 func newScript() *script {
-	return &script{attempts: make(chan *Attempt, 100), next: make(chan chan Outcome, 100)}
+	return &script{attempts: make(chan *Attempt, 100), next: make(chan chan Outcome, 100), let: make(chan discovery.Host, 100)}
 }
 
 func (s *script) Servers([]discovery.Target, bool) { s.told++ }
 
+func (s *script) LetGo(h discovery.Host) { s.let <- h }
+
 func (s *script) Run(a *Attempt) Outcome {
 	end := make(chan Outcome, 1)
 	s.attempts <- a
@@ -113,6 +117,36 @@
 	}
 }
 
+// While a zone's servers say nothing and another's answer, a call that tries the silent ones goes on a connection of
+// its own: the back end is told before the attempt begins.
+func TestATrialOfASilentZoneHasAConnectionOfItsOwn(t *testing.T) {
+	s := newScript()
+	l := servers("s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8")
+	for i := range l.Targets {
+		l.Targets[i].Zone = fmt.Sprint("zone", i%2)
+	}
+	e := newEngine(t, s, l)
+	go e.Run(t.Context())
+	for i := 0; len(s.let) == 0; i++ {
+		if i == 10000 {
+			t.Fatal("no trial is made")
+		}
+		call := newCall(e, fmt.Sprint(i), "note")
+		e.Take(call)
+		a, end := s.expect(t)
+		if len(s.let) > 0 {
+			if h := <-s.let; h != a.To || a.To.Server > "s" && (a.To.Server[1]-'1')%2 != 1 {
+				t.Errorf("connections to %v were let go, the attempt goes to %v", h, a.To)
+			}
+			return
+		}
+		if (a.To.Server[1]-'1')%2 == 0 { // zone0
+			end <- Outcome{Ending: woodpick.Success, At: e.clock.Now()}
+			standin.Receive(t, call.Answer(), "the answer")
+		}
+	}
+}
+
 // An id that is in use gets an answer of its own, and the first call with it goes on.
 func TestIDInUse(t *testing.T) {
 	s := newScript()
--- a/internal/http1/back.go
+++ b/internal/http1/back.go
@@ -537,6 +537,13 @@
 	}
 }
 
+// LetGo implements engine.Backend.
+func (b *Back) LetGo(h discovery.Host) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dropIdle(h)
+}
+
 // dropIdle closes the idle connections to a host. The caller holds mu.
 func (b *Back) dropIdle(h discovery.Host) {
 	for free := b.idle[h]; len(free) > 0; free = b.idle[h] {
--- a/internal/http1/back_test.go
+++ b/internal/http1/back_test.go
@@ -307,6 +307,20 @@
 	}
 }
 
+// What was let go takes no attempt any more: the next one opens a connection.
+func TestAConnectionThatWasLetGoTakesNoAttempt(t *testing.T) {
+	s := standin.NewServer(t, standin.Echo)
+	b := testBackend(10)
+	for _, made := range []int{1, 1, 2} {
+		if made == 2 {
+			b.LetGo(testHost(b, s.Address()))
+		}
+		if r := run(t, b, testAttempt(b, s.Address())); r.Ending != woodpick.Success || b.made != made || b.open != 1 {
+			t.Errorf("ending %d, %d connections made, %d open; want %d and 1", r.Ending, b.made, b.open, made)
+		}
+	}
+}
+
 func TestIdleConnectionsCloseBeforeTheServersDo(t *testing.T) {
 	s := standin.NewServer(t, standin.Echo)
 	b := testBackend(10)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -434,6 +434,8 @@
 		fmt.Fprintf(e.w, "forward\t%s\t%s\t%s\n", a.ID, a.Server, ms(a.Timeout))
 	case woodpick.Cancel:
 		fmt.Fprintf(e.w, "retract\t%s\t%d\n", a.ID, a.Attempt)
+	case woodpick.LetGo:
+		fmt.Fprintf(e.w, "let_go\t%s\n", a.Server)
 	case woodpick.Refuse:
 		fmt.Fprintf(e.w, "turn_away\t%s\t%s\n", a.ID, ms(a.RetryAfter))
 	case woodpick.Fail:
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -81,11 +81,12 @@
 	e := NewEncoder(&out)
 	e.Action(3, woodpick.Send{ID: "a", Server: "s", Timeout: 80500 * time.Microsecond})
 	e.Action(3, woodpick.Cancel{ID: "a", Attempt: 1})
+	e.Action(5, woodpick.LetGo{Server: "s"})
 	e.Action(5, woodpick.Refuse{ID: "b"})
 	if err := e.Flush(); err != nil {
 		t.Fatal(err)
 	}
-	want := "instance\t3\nforward\ta\ts\t80.5\nretract\ta\t1\ninstance\t5\nturn_away\tb\t0\nyield\n"
+	want := "instance\t3\nforward\ta\ts\t80.5\nretract\ta\t1\ninstance\t5\nlet_go\ts\nturn_away\tb\t0\nyield\n"
 	if out.String() != want {
 		t.Fatalf("got %q, want %q", out.String(), want)
 	}
--- a/policy.go
+++ b/policy.go
@@ -44,7 +44,7 @@
 	baseFall    = 0.02   // and when it lies below: a noisy mean now and then is lower than any real one
 	leanness    = 0.3    // part of the target given up when all is shed
 	windowSlack = 2      // times the calls out on average up to which the window grows
-	windowGain  = 0.25   // window moved by an answer, for each target that it came under or over
+	windowGain  = 1.0    // window moved by an answer, for each target that it came under or over
 	windowStart = 13.0   // own calls for each server a node that are admitted before anything is known
 	hanging     = 0.05   // share of a class's attempts that may fail before a call that hangs is cut short
 	sameTry     = 0.05   // by how much times given to tries may differ and be held for the same
@@ -67,6 +67,8 @@
 	busy     float64   // calls in flight, averaged over sends
 	requests map[string]*request
 	held     []*request
+	zones    []*zone // in the order of their names
+	trying   *zone   // that a trial is drawn from
 	classes  map[string]*class
 	order    []*class // every class in the order of the settings, then the unknown one
 
@@ -95,6 +97,7 @@
 // server is a listed server, or one that left with calls of ours still out.
 type server struct {
 	Server
+	in     *zone
 	listed bool
 	calls  int        // own calls in flight
 	coming int        // own calls whose bodies still go there
@@ -153,6 +156,7 @@
 	req    *request
 	srv    *server
 	n      int
+	in     *zone
 	sent   time.Duration
 	zone   string
 	cell   int
@@ -312,7 +316,7 @@
 		} else if s.Boot != n.Boot {
 			*s = server{calls: s.calls, coming: s.coming, open: s.open, failing: map[*class]fading{}}
 		}
-		s.Server = n
+		s.Server, s.in = n, b.zoneOf(n.Zone)
 		s.listed = n.State != Gone
 	}
 	b.ready = b.ready[:0]
@@ -323,6 +327,7 @@
 			b.ready = append(b.ready, s)
 		}
 	}
+	b.forgetZones()
 	// The shared order: every copy sorts by id, which all see alike.
 	sort.Slice(b.ready, func(i, j int) bool { return b.ready[i].ID < b.ready[j].ID })
 	cut := int(math.Ceil(alpha * float64(len(b.ready))))
@@ -405,7 +410,11 @@
 }
 
 func (b *Balancer) send(r *request, s *server) {
-	a := &attempt{req: r, srv: s, n: len(r.attempts), sent: b.now, zone: s.Zone, cell: s.Cell}
+	a := &attempt{req: r, srv: s, n: len(r.attempts), in: s.in, sent: b.now, zone: s.Zone, cell: s.Cell}
+	if b.muted(s) {
+		s.in.trial = a
+		b.do(LetGo{Server: s.ID}) // a connection from before the cut would take the call and say nothing
+	}
 	if a.n == 0 {
 		b.shed -= memory / 4 * b.shed
 	}
@@ -425,6 +434,7 @@
 	a.srv.coming--
 	a.srv.calls++
 	a.srv.open = append(a.srv.open, a)
+	a.in.open = append(a.in.open, a)
 	b.inFlight++
 	b.busy += memory * (float64(b.inFlight) - b.busy)
 }
@@ -531,11 +541,12 @@
 	a.unsent = e.Ending == Overloaded || e.Ending == Unreachable || e.Ending == Void
 	r.out--
 	r.spent = r.spent || e.Spent
+	tells := b.hear(a, e.Ending)
 	if a.begun {
 		b.inFlight--
 		a.srv.calls--
 		// A hung server's waits tell nothing of how crowded the others are.
-		if !b.silent(a.srv) {
+		if tells && !b.silent(a.srv) {
 			b.steer(r, e)
 		}
 		a.srv.open = slices.DeleteFunc(a.srv.open, func(o *attempt) bool { return o == a })
@@ -545,7 +556,7 @@
 		r.arrived, r.deadline = r.arrived+b.now-a.sent, r.deadline+b.now-a.sent
 		a.sent = b.now
 	}
-	if a.begun || e.Ending != Success {
+	if tells && (a.begun || e.Ending != Success) {
 		b.judge(a, e)
 	}
 	if !a.srv.listed && a.srv.idle() && b.servers[a.srv.ID] == a.srv {
@@ -612,7 +623,14 @@
 // that fail more than others come last.
 func (b *Balancer) choose(r *request) *server {
 	b.fitPool()
-	for step, g := range []groups{b.pool, b.whole, b.whole} {
+	if s := b.tryZone(r); s != nil {
+		return s
+	}
+	first := b.pool
+	if b.unheard() {
+		first = b.whole
+	}
+	for step, g := range []groups{first, b.whole, b.whole} {
 		if s := b.chooseFrom(g, r, step > 0, step < 2); s != nil {
 			return s
 		}
@@ -671,16 +689,18 @@
 
 // Avoided counts the listed servers that are to get nothing new now, by their state or their health.
 func (b *Balancer) Avoided() int {
-	sick, leaving := 0, 0
+	sick, out := 0, 0
 	for _, s := range b.servers {
 		switch {
 		case s.listed && s.State != Ready:
-			leaving++
+			out++
+		case s.listed && b.muted(s):
+			out++
 		case s.listed && (b.now < s.until || b.silent(s)):
 			sick++
 		}
 	}
-	return leaving + min(sick, b.mostSick())
+	return out + min(sick, b.mostSick())
 }
 
 // mostSick is how many servers health may keep out: fewer the more is shed, for in overload every server is
@@ -693,7 +713,7 @@
 func (b *Balancer) ruleOut(g groups, r *request, shun bool) {
 	var sick []*server
 	for _, s := range slices.Concat(g.left, g.right) {
-		s.out = shun && b.shuns(s, r.class)
+		s.out = shun && (b.muted(s) || b.shuns(s, r.class))
 		if !s.out && b.unfit(s, r) {
 			s.out = true
 			sick = append(sick, s)
@@ -954,11 +974,13 @@
 // a multiple of the calls out: growing only while nearly full, it would sink by chance at a node whose
 // few calls seldom fill it.
 func (b *Balancer) steer(r *request, e Outcome) {
-	tells := e.Ending == Success || e.Ending == TimedOut || e.Ending == Overloaded || e.Ending == Unreachable
+	over := float64(b.now-r.attempts[e.Attempt].sent) / r.class.target(b.shed)
+	// An error that took as long as a slow answer is mostly a time-out of the tier below.
+	tells := e.Ending == Success || e.Ending == TimedOut || e.Ending == Overloaded ||
+		e.Ending == Unreachable || e.Ending == Failure && over > 1
 	if b.set.Tier > 0 || !tells {
 		return
 	}
-	over := float64(b.now-r.attempts[e.Attempt].sent) / r.class.target(b.shed)
 	if e.Ending != Success {
 		over = max(over, 2)
 	}
--- a/policy_test.go
+++ b/policy_test.go
@@ -431,6 +431,13 @@
 	}
 }
 
+// The tier below lets a call time out a little before this one would: its error, late as it is, tells of the crowd.
+func TestLateErrorsShrinkTheWindow(t *testing.T) {
+	if w := steered(t, 0, Failure, func(c *class) float64 { return 0.9 * float64(c.Aim) }); w >= 60 {
+		t.Errorf("fifty errors just before the aim moved the window from 100 to %.1f", w)
+	}
+}
+
 // A refused client is not sent away for long: it would come back when its aim is mostly over.
 func TestRefusalsBringClientsBackSoon(t *testing.T) {
 	b := newBalancer(t, nil)
--- a/woodpick.go
+++ b/woodpick.go
@@ -231,6 +231,8 @@
 		ID      string
 		Attempt int
 	}
+	// LetGo closes the idle connections to a server: the next Send there opens one.
+	LetGo struct{ Server string }
 	// Refuse is a final answer that promises that a retry does no harm.
 	Refuse struct {
 		ID         string
@@ -249,6 +251,7 @@
 
 func (Send) action()      {}
 func (Cancel) action()    {}
+func (LetGo) action()     {}
 func (Refuse) action()    {}
 func (Fail) action()      {}
 func (Wake) action()      {}
--- /dev/null
+++ b/zones_test.go
@@ -0,0 +1,284 @@
+package woodpick
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// zoned is a fleet of servers in zones, and one node that calls them: each call of it is answered after a drawn
+// time, but for zones that say nothing.
+type zoned struct {
+	b      *Balancer
+	rng    *rand.Rand
+	now    time.Duration
+	took   time.Duration   // mean time of an answer
+	silent map[string]bool // zones: calls there end with their time, or as unreachable where a connection is new
+	hung   map[string]bool // servers: the same of one
+	ends   []end
+	sent   map[string]int // to each zone, since it was cleared
+	served int
+	fresh  map[string]bool // servers whose idle connections were let go
+	let    int             // times that they were
+	next   int
+}
+
+type end struct {
+	at time.Duration
+	Outcome
+}
+
+func newZoned(t *testing.T, seed uint64, zones, each int, change func(*Settings)) *zoned {
+	t.Helper()
+	z := &zoned{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, took: 100 * msec, silent: map[string]bool{}, hung: map[string]bool{},
+		sent: map[string]int{}, fresh: map[string]bool{}}
+	set := testSettings()
+	set.Classes[0].Aim, set.Classes[0].Deadline = time.Second, time.Second
+	set.Classes[2].Aim, set.Classes[2].Deadline = time.Second, time.Second
+	set.Tier, set.Balancers = 1, 100
+	if change != nil {
+		change(&set)
+	}
+	b, err := New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	z.b = b
+	z.list(zones, each, nil)
+	return z
+}
+
+// list tells the node of the servers, those of a zone with the time of their start.
+func (z *zoned) list(zones, each int, boot map[string]time.Duration) {
+	l := ServerList{Full: true}
+	for i, n := range rand.New(rand.NewPCG(9, 9)).Perm(zones * each) { // ids tell nothing of zones
+		zone := fmt.Sprint("zone", i%zones)
+		l.Servers = append(l.Servers, Server{ID: fmt.Sprintf("s%04d", n), Zone: zone, Boot: boot[zone]})
+	}
+	z.carry(z.b.Handle(z.now, l))
+}
+
+func (z *zoned) zone(server string) string { return z.b.servers[server].Zone }
+
+// carry does what the node has decided.
+func (z *zoned) carry(acts []Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case LetGo:
+			z.fresh[a.Server] = true
+			z.let++
+		case Send:
+			r := z.b.requests[a.ID]
+			o := Outcome{ID: a.ID, Attempt: len(r.attempts) - 1, Server: a.Server, Ending: Success, Ended: true}
+			after := time.Duration((0.5 + 0.5*z.rng.ExpFloat64()) * float64(z.took))
+			if z.silent[z.zone(a.Server)] || z.hung[a.Server] {
+				o.Ending, o.Ended, after = TimedOut, false, a.Timeout
+				if z.fresh[a.Server] {
+					o.Ending, after = Unreachable, 50*msec
+				}
+			} else if after > a.Timeout {
+				o.Ending, o.Ended, after = TimedOut, false, a.Timeout
+			}
+			delete(z.fresh, a.Server)
+			z.sent[z.zone(a.Server)]++
+			z.ends = append(z.ends, end{z.now + after, o})
+		case Cancel:
+			i := slices.IndexFunc(z.ends, func(e end) bool { return e.ID == a.ID && e.Attempt == a.Attempt })
+			if i >= 0 {
+				z.ends[i].at, z.ends[i].Ending, z.ends[i].Ended = z.now+msec, Withdrawn, false
+			}
+		}
+	}
+}
+
+// run has calls of a class come for a while, so many a second, and returns how many were served of them.
+func (z *zoned) run(class string, rate float64, d time.Duration) (offered, served int) {
+	over, was := z.now+d, z.served
+	for arrival := z.now; z.now < over; {
+		i := -1
+		for k, e := range z.ends {
+			if i < 0 || e.at < z.ends[i].at {
+				i = k
+			}
+		}
+		if i >= 0 && z.ends[i].at <= arrival {
+			e := z.ends[i]
+			z.ends = slices.Delete(z.ends, i, i+1)
+			z.now = max(z.now, e.at)
+			if e.Ending == Success {
+				z.served++
+			}
+			z.carry(z.b.Handle(z.now, e.Outcome))
+			continue
+		}
+		z.now = arrival
+		z.next++
+		offered++
+		z.carry(z.b.Handle(z.now, Request{ID: fmt.Sprint(z.next), Class: class, Deadline: z.now + time.Second}))
+		arrival += time.Duration(z.rng.ExpFloat64() / rate * float64(time.Second))
+	}
+	return offered, z.served - was
+}
+
+// Nodes of ten calls a second have a call out at one or two of a zone's forty servers when it is cut off. From a second
+// and a half later on they send nothing there but a trial now and then, each on a connection of its own, so that it is
+// known at once not to have run; a second and a half after the cut has ended the zone has its share again.
+func TestAZoneThatIsCutOffGetsTrialsOnly(t *testing.T) {
+	const nodes = 40
+	before, during, trials, offered, served, after := 0, 0, 0, 0, 0, 0
+	for seed := range uint64(nodes) {
+		z := newZoned(t, seed, 3, 40, func(s *Settings) { s.Balancers, s.Index = nodes, int(seed) })
+		z.run("pay", 10, 5*time.Second)
+		clear(z.sent)
+		z.run("pay", 10, 5*time.Second)
+		before += z.sent["zone1"]
+		z.silent["zone1"] = true
+		z.run("pay", 10, 1500*msec)
+		clear(z.sent)
+		z.let = 0
+		o, s := z.run("pay", 10, 5*time.Second)
+		offered, served = offered+o, served+s
+		during, trials = during+z.sent["zone1"]-z.let, trials+z.let
+		delete(z.silent, "zone1")
+		z.run("pay", 10, 1500*msec)
+		clear(z.sent)
+		z.run("pay", 10, 5*time.Second)
+		after += z.sent["zone1"]
+	}
+	if during*20 > before || served*100 < 96*offered {
+		t.Errorf("%d calls to the zone that is cut off beside %d trials, %d before; %d of %d served", during, trials, before, served, offered)
+	}
+	if trials < nodes*5 || trials > nodes*50 {
+		t.Errorf("%d nodes made %d trials in five seconds", nodes, trials)
+	}
+	if after*4 < before*3 {
+		t.Errorf("the zone gets %d calls once it is back, %d before", after, before)
+	}
+}
+
+// Calls that may run again are taken back from a zone that is cut off and run elsewhere in time.
+func TestSafeCallsAreTakenBackFromAZoneThatIsCutOff(t *testing.T) {
+	rescued := func(class string) (offered, served int) {
+		for seed := range uint64(20) {
+			z := newZoned(t, seed, 3, 40, nil)
+			z.run(class, 30, 5*time.Second)
+			z.silent["zone1"] = true
+			o, _ := z.run(class, 30, 500*msec)
+			z.run("post", 0.001, time.Second) // until the last of them has ended
+			offered += o
+			served += z.served
+		}
+		return offered, served
+	}
+	z, safe := rescued("get")
+	_, unsafe := rescued("pay")
+	if lost := float64(unsafe-safe) / float64(z); lost > -0.1 {
+		t.Errorf("of %d calls in the half second of the cut %d more were served where they may run again", z, safe-unsafe)
+	}
+}
+
+// What tells of one server, of everybody or of this node itself is held against no zone.
+func TestSilenceThatIsNoZones(t *testing.T) {
+	for name, c := range map[string]func(*zoned){
+		"one server hangs":                   func(z *zoned) { z.hung["s0000"] = true },
+		"everybody is five times as slow":    func(z *zoned) { z.took *= 5 },
+		"this node is cut off":               func(z *zoned) { z.silent["zone0"], z.silent["zone1"], z.silent["zone2"] = true, true, true },
+		"nothing is wrong":                   func(z *zoned) {},
+		"few calls, of which some take long": func(z *zoned) { z.took *= 2 },
+	} {
+		muted, all := 0, 0
+		for seed := range uint64(10) {
+			z := newZoned(t, seed, 3, 40, nil)
+			z.run("pay", 20, 5*time.Second)
+			c(z)
+			for range 100 {
+				z.run("pay", 20, 100*msec)
+				for _, zone := range z.b.zones {
+					all++
+					if zone.hushed > 0 {
+						muted++
+					}
+				}
+			}
+		}
+		if share := float64(muted) / float64(all); share > 0.01 {
+			t.Errorf("%s: zones are held for cut off for %.3f of the time", name, share)
+		}
+	}
+}
+
+// A zone that was lost comes back as servers that have begun anew: they are no part of what was silent.
+func TestServersThatBeginAnewAreNoPartOfTheSilence(t *testing.T) {
+	z := newZoned(t, 1, 3, 10, func(s *Settings) { s.WarmAfter = 0 })
+	z.run("pay", 20, 5*time.Second)
+	z.silent["zone1"] = true
+	z.run("pay", 20, 3*time.Second)
+	if s := z.b.zoneOf("zone1"); s.hushed == 0 {
+		t.Fatal("the zone is not held for cut off")
+	}
+	delete(z.silent, "zone1")
+	z.list(3, 10, map[string]time.Duration{"zone1": z.now})
+	for _, s := range z.b.ready {
+		if z.b.muted(s) {
+			t.Errorf("%s of %s is kept out", s.ID, s.Zone)
+		}
+	}
+	z.list(2, 10, nil)
+	if len(z.b.zones) != 2 {
+		t.Errorf("%d zones are known of two that are listed", len(z.b.zones))
+	}
+}
+
+// A node whose pool lies in the zone that is cut off hears nobody: it asks beyond its pool, and learns that others answer.
+func TestANodeThatHearsNobodyAsksBeyondItsPool(t *testing.T) {
+	z := newZoned(t, 1, 3, 40, func(s *Settings) { s.Index = 0 })
+	l := ServerList{Full: true}
+	for i := range 120 { // the pool is a run from the start of each group, which begin with 0 and 60
+		zone := fmt.Sprint("zone", 1+i%2)
+		if i%60 < 30 {
+			zone = "zone0"
+		}
+		l.Servers = append(l.Servers, Server{ID: fmt.Sprintf("t%04d", i), Zone: zone})
+	}
+	z.carry(z.b.Handle(z.now, l))
+	z.run("pay", 10, 5*time.Second)
+	if len(z.sent) != 1 {
+		t.Fatalf("the pool lies in more than one zone: %v", z.sent)
+	}
+	z.silent["zone0"] = true
+	z.run("pay", 10, 2*time.Second)
+	if offered, served := z.run("pay", 10, 5*time.Second); served*10 < offered*7 {
+		t.Errorf("%d of %d served", served, offered)
+	}
+}
+
+// Over a fleet of any size the nodes that see only a few calls each send a zone that is cut off, all together and
+// after two seconds, less than a tenth of what they sent it before, and the servers of the others no more than
+// their share of that in turn.
+func TestFleetsOfAnySizeLeaveAZoneThatIsCutOff(t *testing.T) {
+	for _, copies := range []int{10, 100, 1000} {
+		before, during, others := 0, 0, 0
+		for i := range copies {
+			z := newZoned(t, uint64(i), 3, max(3, copies/5), func(s *Settings) { s.Balancers, s.Index = copies, i })
+			z.run("pay", 5, 2*time.Second)
+			clear(z.sent)
+			z.run("pay", 5, 2*time.Second)
+			before += z.sent["zone1"]
+			z.silent["zone1"] = true
+			z.run("pay", 5, 3*time.Second)
+			clear(z.sent)
+			z.let = 0
+			z.run("pay", 5, 2*time.Second)
+			during += z.sent["zone1"] - z.let
+			others += z.sent["zone0"] + z.sent["zone2"]
+		}
+		if during*10 > before {
+			t.Errorf("%d copies: %d calls to the zone that is cut off, beside trials, %d before", copies, during, before)
+		}
+		if most := 2*before + before*3/2; others > most {
+			t.Errorf("%d copies: the other two zones got %d calls, one got %d before", copies, others, before)
+		}
+	}
+}
