A node's admission window moves with care where few nodes admit

Cause: policy.go, steer: `step := max(windowGain, 1/b.window) * ...` with windowGain = 1.0. With as many calls out as the window holds, a whole call an answer moves the window by its own size within one latency.

Changed: the gain grows with the root of the number of copies, which the settings tell, up to a whole call. The test fails with a gain that does not.

--- a/policy.go
+++ b/policy.go
@@ -44,7 +44,7 @@
 	baseFall    = 0.02   // and when it lies below: a noisy mean now and then is lower than any real one
 	leanness    = 0.3    // part of the target given up when all is shed
 	windowSlack = 2      // times the calls out on average up to which the window grows
-	windowGain  = 1.0    // window moved by an answer, for each target that it came under or over
+	windowGain  = 0.15   // window moved by an answer, for each target that it came under or over, at a lone node
 	windowStart = 13.0   // own calls for each server a node that are admitted before anything is known
 	hanging     = 0.05   // share of a class's attempts that may fail before a call that hangs is cut short
 	sameTry     = 0.05   // by how much times given to tries may differ and be held for the same
@@ -972,7 +972,8 @@
 // steer moves the window so that latencies stay at their target: crowded servers choke and stay slow,
 // so the crowd must wait or be refused here. Slow answers shrink it and good ones open it alike, up to
 // a multiple of the calls out: growing only while nearly full, it would sink by chance at a node whose
-// few calls seldom fill it.
+// few calls seldom fill it. Each node's window swings about where it should be, the more the faster it moves;
+// where many admit, their swings cancel out by the root of their number, and so they may move faster by that.
 func (b *Balancer) steer(r *request, e Outcome) {
 	over := float64(b.now-r.attempts[e.Attempt].sent) / r.class.target(b.shed)
 	// An error that took as long as a slow answer is mostly a time-out of the tier below.
@@ -986,7 +987,8 @@
 	}
 	// A small window moves by up to one call a round of answers, or a node of many would take a day to
 	// open it.
-	step := max(windowGain, 1/b.window) * (1 - min(over, 2))
+	gain := min(1, windowGain*math.Sqrt(float64(b.set.Balancers)))
+	step := max(gain, 1/b.window) * (1 - min(over, 2))
 	if step < 0 || b.window < windowSlack*(b.busy+1) {
 		b.window += step
 	}
--- a/policy_test.go
+++ b/policy_test.go
@@ -396,7 +396,13 @@
 // steered is the window after many alike outcomes, each after share of what is aimed at, from 100.
 func steered(t *testing.T, shed float64, ending Ending, after func(*class) float64) float64 {
 	t.Helper()
-	b := newBalancer(t, nil)
+	return steeredAmong(t, 100, shed, ending, after)
+}
+
+// steeredAmong is the same at one of so many nodes.
+func steeredAmong(t *testing.T, copies int, shed float64, ending Ending, after func(*class) float64) float64 {
+	t.Helper()
+	b := newBalancer(t, func(s *Settings) { s.Balancers = copies })
 	b.Handle(msec, ServerList{Full: true, Servers: servers(10)})
 	b.window, b.busy = 100, 100
 	r := &request{class: b.classes["get"], attempts: []*attempt{{sent: 0}}}
@@ -438,6 +444,22 @@
 	}
 }
 
+// All nodes' windows together swing alike however many nodes there are: one of few moves its own with care, one of
+// hundreds by up to a whole call an answer.
+func TestWindowsOfAFleetSwingAlikeWhateverItsSize(t *testing.T) {
+	moved := func(copies int) float64 {
+		return 100 - steeredAmong(t, copies, 0, Success, func(c *class) float64 { return 1.5 * c.target(0) })
+	}
+	for copies, most := range map[int]float64{1: 5, 2: 7, 4: 10, 300: 26} {
+		if got := moved(copies); got <= 0 || got > most {
+			t.Errorf("at one of %d nodes fifty answers that came half too late moved the window by %.1f, want up to %.0f", copies, got, most)
+		}
+	}
+	if one, four := moved(1), moved(4); math.Abs(four-2*one) > 0.2 {
+		t.Errorf("a lone node's window moved by %.2f, one of four's by %.2f; want twice that", one, four)
+	}
+}
+
 // A refused client is not sent away for long: it would come back when its aim is mostly over.
 func TestRefusalsBringClientsBackSoon(t *testing.T) {
 	b := newBalancer(t, nil)
