Pools are arcs that cover servers evenly; servers' words are read and asked for

Need: with hundreds of nodes load was spread no better than by chance.

Changed: spread.go lays the pools out as arcs, exact for any numbers, dealt in another order in the right group; words of what a server holds (Outcome.Load, and the new event Known, the module's one input for what is known from elsewhere) weigh the draw by their age; with Settings.Asks a call first asks some servers of the pool (action Ask) and goes to one that holds little. A pool says so by load_reports { busy, ask, ask_path }; nothing is read or asked without it. internal/http1/report.go reads X-Load and asks, on connections that calls use too.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -29,6 +29,7 @@
 	maxWeight      = 1e12
 	maxSocketPath  = 107 // of a Unix socket's address on Linux
 	maxTier        = 16
+	maxAsks        = 16
 )
 
 // Reserved descriptors are for the log, the runtime, the admin socket and its clients, a snapshot being
@@ -243,6 +244,15 @@
 		k.duration(path+".connections.connect_timeout", p.Connections.ConnectTimeout, time.Millisecond, time.Minute)
 		k.float(path+".slow_start.from", p.SlowStart.From, 0.01, 1)
 		k.duration(path+".slow_start.over", p.SlowStart.Over, 0, time.Hour)
+		if p.LoadReports != (LoadReports{}) {
+			k.name(path+".load_reports.busy", p.LoadReports.Busy)
+			k.number(path+".load_reports.ask", p.LoadReports.Ask, 0, maxAsks)
+			if at := p.LoadReports.AskPath; p.LoadReports.Ask == 1 {
+				k.fail(path+".load_reports.ask", "found 1; allowed: 0, or 2 to %d: there is nothing to choose from one", maxAsks)
+			} else if (at != "") != (p.LoadReports.Ask > 0) || at != "" && (at[0] != '/' || strings.ContainsFunc(at, func(c rune) bool { return c <= ' ' || c > '~' })) {
+				k.fail(path+".load_reports.ask_path", "found %q; allowed: a path from \"/\" on of visible ASCII, and only with ask", at)
+			}
+		}
 		k.servers(path, p)
 		if !k.reached(p.Name) {
 			k.warn(path, "no route leads to it")
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -489,6 +489,16 @@
 				{"over", true, duration(&p.SlowStart.Over)},
 			}, nil)
 		}},
+		{kind: "load_reports", single: true, read: func(b *hclsyntax.Body, path, _ string) {
+			r.body(b, path, []field{
+				{"busy", true, text(&p.LoadReports.Busy)},
+				{"ask", false, integer(&p.LoadReports.Ask)},
+				{"ask_path", false, text(&p.LoadReports.AskPath)},
+			}, nil)
+			if p.LoadReports.Ask > 0 && p.LoadReports.AskPath == "" {
+				p.LoadReports.AskPath = "/stats"
+			}
+		}},
 		{kind: "registry", single: true, read: func(b *hclsyntax.Body, path, _ string) {
 			p.Registry = &Registry{Mode: Pushed}
 			r.body(b, path, []field{
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -27,6 +27,8 @@
 
 func (named) Servers([]discovery.Target, bool) {}
 
+func (named) Ask(discovery.Host, time.Duration) (float64, bool) { return 0, false }
+
 func (named) LetGo(discovery.Host) {}
 
 func newEngine(t *testing.T, cfg *config.Config, name string) *engine.Engine {
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -54,7 +54,7 @@
 func (c *Call) discard() {
 	select {
 	case a := <-c.answer:
-		a.Reply.discard()
+		a.Reply.Discard()
 	default:
 	}
 }
@@ -74,7 +74,8 @@
 	Length      int64         // of Body and Rest; negative: not known before its end
 }
 
-func (r Reply) discard() {
+// Discard closes what is left of the reply.
+func (r Reply) Discard() {
 	if r.Rest != nil {
 		r.Rest.Close()
 	}
@@ -129,9 +130,10 @@
 // Unreachable and Void it has not, whatever else happens.
 type Outcome struct {
 	Ending woodpick.Ending
-	At     time.Duration // clock time: for an answer, when its last byte was read
-	Reply  Reply         // for Success
-	Spent  bool          // some of the call's Rest was read: it can't be sent again
+	At     time.Duration  // clock time: for an answer, when its last byte was read
+	Reply  Reply          // for Success
+	Load   *woodpick.Load // that came with an answer; nil: none
+	Spent  bool           // some of the call's Rest was read: it can't be sent again
 }
 
 // Backend carries attempts out.
@@ -141,6 +143,8 @@
 	Run(*Attempt) Outcome
 	// Servers tells of the list's news, before any attempt that follows from it. It must not block.
 	Servers(targets []discovery.Target, full bool)
+	// Ask asks a server how much it holds, and waits for that no longer than within. false: it has not said.
+	Ask(to discovery.Host, within time.Duration) (busy float64, ok bool)
 	// LetGo closes the idle connections to a server. It must not block.
 	LetGo(discovery.Host)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -32,6 +32,12 @@
 		attempt *Attempt
 		outcome Outcome
 	}
+	known struct {
+		id     string // of the call that the asking was for
+		server string
+		busy   float64
+		asked  time.Duration // clock time
+	}
 	listNews    struct{ list discovery.List }
 	listFailed  struct{}
 	lastCall    struct{} // the node ends: what is unanswered is answered now
@@ -72,10 +78,10 @@
 
 // stats count what happened, for the log.
 type stats struct {
-	Requests, Served, Refused, Failed, Gone, Sends int
-	Endings                                        [8]int
-	LagMax, LagSum                                 time.Duration
-	Events                                         int
+	Requests, Served, Refused, Failed, Gone, Sends, Asks int
+	Endings                                              [8]int
+	LagMax, LagSum                                       time.Duration
+	Events                                               int
 }
 
 // Options are what an Engine is made of.
@@ -122,6 +128,7 @@
 	Failed  int64 `json:"failed"`
 	Gone    int64 `json:"gone"` // the caller left before its answer
 	Sends   int64 `json:"sends"`
+	Asks    int64 `json:"asks,omitempty"` // to servers, how much they hold
 }
 
 // Status is what an engine holds.
@@ -292,6 +299,9 @@
 		for _, p := range eng.pending {
 			eng.giveUp(p)
 		}
+	case known:
+		now := eng.clock.Now()
+		eng.handle(now, woodpick.Known{ID: e.id, Loads: []woodpick.ServerLoad{{Server: e.server, Busy: e.busy, Age: now - e.asked}}})
 	case listNews:
 		eng.takeList(e.list, false)
 	case listFailed:
@@ -328,6 +338,7 @@
 	t.Failed += int64(s.Failed)
 	t.Gone += int64(s.Gone)
 	t.Sends += int64(s.Sends)
+	t.Asks += int64(s.Asks)
 }
 
 // giveUp answers a call that the node will not be there for, as its caller leaving would end it.
@@ -352,10 +363,10 @@
 		eng.stats.Served++
 		eng.answer(p, Answer{Kind: Served, Reply: r.Reply})
 	} else {
-		r.Reply.discard()
+		r.Reply.Discard()
 	}
 	eng.handle(r.At, woodpick.Outcome{ID: a.Call.ID, Attempt: a.N, Server: a.To.Server, Ending: r.Ending,
-		Latency: r.At - a.Sent, Ended: p.answered, Spent: r.Spent})
+		Latency: r.At - a.Sent, Ended: p.answered, Spent: r.Spent, Load: r.Load})
 	eng.forget(p)
 }
 
@@ -416,6 +427,10 @@
 		switch a := a.(type) {
 		case woodpick.Send:
 			eng.send(a)
+		case woodpick.Ask:
+			for _, s := range a.Servers {
+				eng.ask(a.ID, eng.listed[s].Host(), a.Within)
+			}
 		case woodpick.Cancel:
 			if p := eng.pending[a.ID]; p != nil && a.Attempt < len(p.attempts) {
 				p.attempts[a.Attempt].Cancel()
@@ -447,6 +462,17 @@
 	}()
 }
 
+// ask has a server asked how much it holds.
+func (eng *Engine) ask(id string, to discovery.Host, within time.Duration) {
+	eng.stats.Asks++
+	asked := eng.clock.Now()
+	go func() {
+		if busy, ok := eng.backend.Ask(to, within); ok {
+			eng.post(known{id, to.Server, busy, asked})
+		}
+	}()
+}
+
 func (eng *Engine) finish(id string, a Answer) {
 	p := eng.pending[id]
 	if p == nil || p.answered {
@@ -479,7 +505,7 @@
 	}
 	e := s.Endings
 	eng.log.With(eng.more()...).Info("traffic", "requests", s.Requests, "served", s.Served, "refused", s.Refused,
-		"failed", s.Failed, "gone", s.Gone, "sends", s.Sends, "success", e[woodpick.Success],
+		"failed", s.Failed, "gone", s.Gone, "sends", s.Sends, "asks", s.Asks, "success", e[woodpick.Success],
 		"failure", e[woodpick.Failure], "overloaded", e[woodpick.Overloaded],
 		"timed_out", e[woodpick.TimedOut], "unreachable", e[woodpick.Unreachable],
 		"broken", e[woodpick.Broken], "withdrawn", e[woodpick.Withdrawn], "void", e[woodpick.Void],
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -15,6 +15,7 @@
 
 // script is a Backend whose attempts end as a test says.
 type script struct {
+	holds    map[string]float64  // what servers say they hold when they are asked; others say nothing
 	told     int                 // times that news of the servers came
 	let      chan discovery.Host // whose idle connections were let go
 	attempts chan *Attempt       // as they begin
@@ -27,6 +28,11 @@
 
 func (s *script) Servers([]discovery.Target, bool) { s.told++ }
 
+func (s *script) Ask(h discovery.Host, _ time.Duration) (float64, bool) {
+	busy, ok := s.holds[h.Server]
+	return busy, ok
+}
+
 func (s *script) LetGo(h discovery.Host) { s.let <- h }
 
 func (s *script) Run(a *Attempt) Outcome {
@@ -117,6 +123,36 @@
 	}
 }
 
+// Where the pool has servers asked, a call goes to the one that holds least, and its answer is the caller's as ever.
+func TestServersAreAskedBeforeACall(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newScript()
+		s.holds = map[string]float64{"s1": 4, "s2": 1, "s3": 4, "s4": 4}
+		set := settings()
+		set.Asks = 4
+		e, err := New(Options{Settings: set, Seed: seed, Clock: clock.New(), Backend: s, Subscribe: func() {}, Pushed: true,
+			Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.Hold(servers("s1", "s2", "s3", "s4"))
+		go e.Run(t.Context())
+		call := newCall(e, "id", "note")
+		e.Take(call)
+		a, end := s.expect(t)
+		if a.To.Server != "s2" {
+			t.Errorf("the call goes to %s; s2 holds least", a.To.Server)
+		}
+		end <- Outcome{Ending: woodpick.Success, At: e.clock.Now(), Load: &woodpick.Load{Busy: 1}}
+		if got := standin.Receive(t, call.Answer(), "the answer"); got.Kind != Served {
+			t.Errorf("the answer is of kind %d", got.Kind)
+		}
+		if got := e.Status().Asks; got != 4 {
+			t.Errorf("%d servers were asked; want 4", got)
+		}
+	}
+}
+
 // While a zone's servers say nothing and another's answer, a call that tries the silent ones goes on a connection of
 // its own: the back end is told before the attempt begins.
 func TestATrialOfASilentZoneHasAConnectionOfItsOwn(t *testing.T) {
--- a/internal/http1/back.go
+++ b/internal/http1/back.go
@@ -90,11 +90,13 @@
 	closed bool
 }
 
-// Limits bound connections to servers.
+// Limits bound connections to servers, and tell what their answers say.
 type Limits struct {
 	Most           int           // open or being opened
 	ConnectTimeout time.Duration // for one to come up
 	Idle           time.Duration // a server closes one that has been idle for so long
+	Busy           string        // name that X-Load has for the calls that a server holds; empty: none is read
+	AskPath        string        // where servers answer with their report alone; empty: they are not asked
 }
 
 // keep is how long a connection may be idle: closed a little before the server does, or a request might cross
@@ -437,7 +439,7 @@
 		return reply{err: errCut}, false
 	}
 	reusable := framed && !resp.Close
-	r := reply{Outcome: engine.Outcome{At: b.clock.Now()}}
+	r := reply{Outcome: engine.Outcome{At: b.clock.Now(), Load: b.load(resp.Header)}}
 	if ok {
 		r.Ending = woodpick.Success
 		r.Reply = engine.Reply{ContentType: resp.Header.Get("Content-Type"), Length: resp.ContentLength}
--- /dev/null
+++ b/internal/http1/report_test.go
@@ -0,0 +1,154 @@
+package http1
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/standin"
+)
+
+func TestFigure(t *testing.T) {
+	for report, want := range map[string]float64{
+		"TEXT inflight=7, queue=2, util=0.61": 7,
+		"TEXT queue=2,inflight=7.5":           7.5,
+		"TEXT inflight=0":                     0,
+		"TEXT inflight=-1":                    -1,
+		"TEXT inflight=NaN":                   -1,
+		"TEXT inflight=1e9":                   -1,
+		"TEXT inflight=":                      -1,
+		"TEXT xinflight=7":                    -1,
+		"JSON {\"inflight\":7}":               -1,
+		"":                                    -1,
+	} {
+		got, ok := figure(report, "inflight")
+		if !ok {
+			got = -1
+		}
+		if got != want {
+			t.Errorf("%q: %v, want %v", report, got, want)
+		}
+	}
+}
+
+func FuzzFigure(f *testing.F) {
+	for _, s := range []string{"TEXT inflight=7, queue=2, util=0.61", "TEXT inflight=1e400", "TEXT ,,=,inflight", "TEXT inflight=0x1p3"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		if v, ok := figure(s, "inflight"); ok && !(v >= 0 && v <= mostLoaded) {
+			t.Errorf("%q: %v", s, v)
+		}
+	})
+}
+
+// An answer's report reaches the module only where the pool says what it is called; an error may bring one too.
+func TestReportsComeWithAnswers(t *testing.T) {
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, _ string) bool {
+		status := "200 OK"
+		if r.URL.Path == "/note/bad" {
+			status = "500 Internal Server Error"
+		}
+		_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nX-Load: TEXT inflight=3, queue=1\r\nContent-Length: 2\r\n\r\nok", status)
+		return err == nil
+	})
+	b := testBackend(10)
+	if r := run(t, b, testAttempt(b, s.Address())); r.Load != nil {
+		t.Errorf("a report was read that nobody asked for: %+v", r.Load)
+	}
+	l := b.limits
+	l.Busy = "inflight"
+	b.SetLimits(l)
+	if r := run(t, b, testAttempt(b, s.Address())); r.Load == nil || r.Load.Busy != 3 || r.Load.Service >= 0 {
+		t.Errorf("the report is %+v, want 3 calls held", r.Load)
+	}
+	a := testAttempt(b, s.Address())
+	a.Call.Request.Target = "/note/bad"
+	if r := run(t, b, a); r.Load == nil || r.Load.Busy != 3 {
+		t.Errorf("an error's report is %+v, want 3 calls held", r.Load)
+	}
+}
+
+// A server that is asked says what it holds; nothing of a call goes there, and its connection serves calls afterwards.
+func TestServersAreAsked(t *testing.T) {
+	ids := make(chan string, 10)
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, _ string) bool {
+		ids <- r.URL.Path + " " + r.Header.Get("X-Request-Id")
+		body := "ok"
+		if r.URL.Path == "/stats" {
+			body = "TEXT inflight=5, queue=1\r\n"
+		}
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		return err == nil
+	})
+	b := testBackend(10)
+	to := testHost(b, s.Address())
+	if _, ok := b.Ask(to, standin.Limit); ok {
+		t.Error("a server was asked though the pool says nothing of it")
+	}
+	l := b.limits
+	l.Busy, l.AskPath = "inflight", "/stats"
+	b.SetLimits(l)
+	for range 3 {
+		if busy, ok := b.Ask(to, standin.Limit); !ok || busy != 5 {
+			t.Errorf("it says %v, %v; want 5", busy, ok)
+		}
+	}
+	if r := run(t, b, testAttempt(b, s.Address())); r.Ending != woodpick.Success || b.made != 1 || b.open != 1 {
+		t.Errorf("ending %d, %d connections made, %d open; want one that serves all", r.Ending, b.made, b.open)
+	}
+	for _, want := range []string{"/stats ", "/stats ", "/stats ", "/note/k id"} {
+		if got := <-ids; got != want {
+			t.Errorf("the server got %q, want %q", got, want)
+		}
+	}
+}
+
+// Nobody waits longer than said for a server that does not answer, and an answer that comes late frees its connection.
+func TestAskingDoesNotWaitForTheSilent(t *testing.T) {
+	let := make(chan bool)
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, _ string) bool {
+		<-let
+		_, err := fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nTEXT inflight=5")
+		return err == nil
+	})
+	b := testBackend(10)
+	l := b.limits
+	l.Busy, l.AskPath = "inflight", "/stats"
+	b.SetLimits(l)
+	if busy, ok := b.Ask(testHost(b, s.Address()), time.Millisecond); ok {
+		t.Errorf("it says %v before it has answered", busy)
+	}
+	close(let)
+	standin.Until(t, "that the connection is idle again", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.idle) == 1 && b.open == 1 || b.open == 0 // or it took longer than it may
+	})
+	b.Close()
+	dead := testBackend(10)
+	dead.SetLimits(l)
+	if _, ok := dead.Ask(testHost(dead, "127.0.0.1:1"), standin.Limit); ok {
+		t.Error("nobody listens there, and it answered")
+	}
+}
+
+func BenchmarkAsk(b *testing.B) {
+	s := standin.NewServer(b, func(c net.Conn, r *http.Request, _ string) bool {
+		_, err := fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nTEXT inflight=5")
+		return err == nil
+	})
+	back := testBackend(10)
+	l := back.limits
+	l.Busy, l.AskPath = "inflight", "/stats"
+	back.SetLimits(l)
+	to := testHost(back, s.Address())
+	for b.Loop() {
+		if _, ok := back.Ask(to, standin.Limit); !ok {
+			b.Fatal("no answer")
+		}
+	}
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -31,7 +31,7 @@
 
 func limitsOf(p config.Pool) http1.Limits {
 	return http1.Limits{Most: p.Connections.Most, ConnectTimeout: time.Duration(p.Connections.ConnectTimeout),
-		Idle: time.Duration(p.Connections.Idle)}
+		Idle: time.Duration(p.Connections.Idle), Busy: p.LoadReports.Busy, AskPath: p.LoadReports.AskPath}
 }
 
 // newPool makes a pool that knows the list that is known, or the one that its configuration holds, and
--- a/policy.go
+++ b/policy.go
@@ -1,7 +1,6 @@
 // Every decision of woodpick. The interface (settings, events, actions) is in woodpick.go.
-//
-// Sections: constants, state, events, discovery, requests, the pick, eligibility, health,
-// slow start, further attempts, admission, answers.
+// Sections: constants, state, events, discovery, requests, the pick, eligibility, health, slow start, further
+// attempts, admission, answers.
 
 package woodpick
 
@@ -29,10 +28,7 @@
 	failFade    = 36     // mean latencies in which that share falls to a third, if nothing else is heard
 	failWeight  = 3.0    // power of its share of good endings, against all servers', that it is drawn by
 	failMargin  = 0.8    // what that share may fall to by chance, without being drawn less
-	poolLeast   = 3      // servers that any node draws from, so that a few may be lost
-	poolPerCall = 1.5    // servers drawn from for each own call in flight
-	poolOverlap = 2      // nodes that draw from the same server at least
-	ejection    = 12     // mean latencies that a first ejection, or a lack of room, lasts
+	ejection    = 12     // mean latencies that a first ejection lasts
 	maxLevel    = 5      // doublings of an ejection
 	windowFloor = 5.0    // own calls a server that are always admitted
 	retryEarn   = 0.15   // further attempts earned by a success
@@ -46,7 +42,6 @@
 	windowSlack = 2      // times the calls out on average up to which the window grows
 	windowGain  = 0.15   // window moved by an answer, for each target that it came under or over, at a lone node
 	windowStart = 13.0   // own calls for each server a node that are admitted before anything is known
-	hanging     = 0.05   // share of a class's attempts that may fail before a call that hangs is cut short
 	sameTry     = 0.05   // by how much times given to tries may differ and be held for the same
 	mostVotes   = 50     // counted for the time that is usual
 )
@@ -77,6 +72,7 @@
 	tokens    float64 // retry budget
 	window    float64 // own calls admitted at once (first tier)
 	inFlight  int
+	holds     float64 // calls that a server holds, on average over what was told
 	shed      float64 // share of requests answered without an attempt
 	subFails  int
 	subWanted time.Duration
@@ -115,6 +111,9 @@
 	refusals int           // in a row
 	out      bool          // ruled out for the request at hand
 	failing  map[*class]fading
+	part     float64       // of it that lies in this node's pool; 0: none
+	busy     float64       // calls that it held by the last word of it
+	told     time.Duration // when it did; 0: nothing is known
 }
 
 // fading is a share that is the less sure the longer ago it was seen.
@@ -142,9 +141,11 @@
 	deadline  time.Duration
 	attempts  []*attempt
 	out       int
-	repeat    bool // by the client, where clients say so
-	partial   bool // its body still comes
-	spent     bool // and is gone in part
+	repeat    bool      // by the client, where clients say so
+	partial   bool      // its body still comes
+	spent     bool      // and is gone in part
+	asked     []*server // how much they hold, before the first attempt; nil: nobody
+	asking    int       // of them that have not said yet
 	held      bool
 	answered  bool
 	streaming bool
@@ -258,6 +259,8 @@
 		if r := b.requests[e.ID]; r != nil {
 			b.close(r)
 		}
+	case Known:
+		b.takeKnown(e)
 	case Timer:
 		b.takeTimer(e)
 	case Reconfigure:
@@ -282,7 +285,9 @@
 		if b.now+b.set.Tick >= r.wake {
 			r.wake = 0
 		}
-		if r.held {
+		if r.asking > 0 && r.wake == 0 {
+			b.askedAll(r)
+		} else if r.held {
 			b.hold(r)
 			b.release()
 		}
@@ -379,10 +384,8 @@
 	b.place(r)
 }
 
-// backdate finds when the client first asked. Most tries of a class are given the same time, a share of
-// its deadline; one that is given another has all that its earlier tries left: less than the share, or
-// more where no try is to follow. What is usual is a vote, so that no odd caller decides it for all. It
-// would hurt callers in the minority where those of one class are given different times.
+// backdate finds when the client first asked. Most tries of a class are given the same time, found by a vote; one
+// that is given another has what its earlier tries left, or more where no try is to follow.
 func (b *Balancer) backdate(r *request) {
 	c, left := r.class, float64(r.deadline-b.now)
 	switch {
@@ -401,6 +404,9 @@
 // place sends a request, or holds it while no server may take it.
 func (b *Balancer) place(r *request) {
 	if !b.full(r) {
+		if b.ask(r) {
+			return
+		}
 		if s := b.choose(r); s != nil {
 			b.send(r, s)
 			return
@@ -424,7 +430,7 @@
 	if s.coming++; !r.partial {
 		b.begin(a)
 	}
-	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.patience(r), b.set.Tick)})
+	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.useless(r)-b.now, b.set.Tick)})
 }
 
 // begin counts an attempt at its server. Before the last byte has come there it is no work, whoever sends it
@@ -454,18 +460,6 @@
 	b.begin(r.attempts[e.Attempt])
 }
 
-// patience is how long an attempt is waited for. A server that lets a call hang takes all the time that the
-// request has: where that happens, one that may run again gives it half, if nearly all answers come within
-// that. It hurts where a request is long by itself; in the first tier the work below would be for nothing.
-func (b *Balancer) patience(r *request) time.Duration {
-	c, left := r.class, b.useless(r)-b.now
-	again := r.effect == Safe && len(r.attempts) < b.set.MaxAttempts && b.tokens >= 1
-	if again && b.set.Tier > 0 && c.failing > hanging && left/2 > b.overlong(c) {
-		return left / 2
-	}
-	return left
-}
-
 // useless is when an answer stops being worth anything: work that goes on after it takes the room of
 // answers in time. Below the first tier only the deadline is known.
 func (b *Balancer) useless(r *request) time.Duration {
@@ -498,9 +492,8 @@
 	b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
 }
 
-// holdUntil is how long holding makes sense: until an answer may well miss the aim, for late answers
-// take the room of those in time. With no server at all a late answer is the best there can be, so
-// then almost until the deadline.
+// holdUntil is how long holding makes sense: until an answer may well miss the aim, for late answers take the room of
+// those in time. With no server at all a late answer is the best there can be, so then almost until the deadline.
 func (b *Balancer) holdUntil(r *request) time.Duration {
 	last := r.deadline - 2*b.set.Tick
 	if len(b.ready) == 0 {
@@ -541,6 +534,9 @@
 	a.unsent = e.Ending == Overloaded || e.Ending == Unreachable || e.Ending == Void
 	r.out--
 	r.spent = r.spent || e.Spent
+	if e.Load != nil {
+		b.learn(a.srv, e.Load.Busy, b.now)
+	}
 	tells := b.hear(a, e.Ending)
 	if a.begun {
 		b.inFlight--
@@ -577,10 +573,9 @@
 
 // ---- The pick ----
 
-// pick is the design's rule: one server drawn from each group, the fewer own calls win, equal
-// counts above zero go left, and at zero the side is drawn by the groups' shares. Draws and shares
-// go by weight, which is alike for all while nothing tells the servers apart.
-// An empty group leaves the draw to the other.
+// pick is the design's rule: one server drawn from each group, the fewer own calls win, equal counts above zero go
+// left, and at zero the side is drawn by the groups' shares. Draws and shares go by weight, which is alike for all
+// while nothing tells the servers apart. An empty group leaves the draw to the other.
 func (b *Balancer) pick(left, right []*server) *server {
 	l, leftWeight := b.draw(left)
 	r, rightWeight := b.draw(right)
@@ -607,16 +602,18 @@
 	return pick, total
 }
 
-// weight is what a server can carry against its peers: its listed size, corrected by how its
-// latency stands to theirs. Uniform draws over unequal servers crowd the slow ones at loads that
-// the fleet could carry, and a node's own counts are too small to show it. One node's samples are
-// few, but the errors of many nodes cancel out.
+// weight is what a server can carry against its peers: its listed size, corrected by how its latency stands to theirs
+// and by what it says it holds. Uniform draws over unequal servers crowd the slow ones at loads that the fleet could
+// carry; one node's samples are few, but the errors of many nodes cancel out.
 func (b *Balancer) weight(s *server) float64 {
 	w := math.Exp(-max(s.slow, -1))
 	if s.Size > 0 {
 		w *= min(s.Size, 1e6) // an infinite weight would draw nobody
 	}
-	return w
+	if s.part > 0 { // drawn from the pool
+		w *= s.part
+	}
+	return w * b.room(s)
 }
 
 // choose draws from the node's pool and, when nobody there may be drawn, from the whole groups; those
@@ -638,44 +635,21 @@
 	return nil
 }
 
-// fitPool cuts the node's pool from each group: a run of the shared order that starts at the node's
-// place among the copies, so that all pools together cover the groups evenly. Over the whole list a
-// node of many meets each server too seldom to tell the slow and the silent, and connections grow
-// with nodes times servers. A busy node takes a wider pool: its counts tell more, and its traffic
-// would be too much for a few. Only halving shrinks it, so that it keeps still.
-func (b *Balancer) fitPool() {
-	n := float64(len(b.ready))
-	want := max(poolLeast, poolPerCall*b.busy, poolOverlap*b.fairServers())
-	if b.width > 0 && want <= float64(b.width) && want > float64(b.width)/3 {
-		return
-	}
-	b.width = int(math.Ceil(min(1.25*want, n)))
-	part := func(group []*server) []*server {
-		size := int(math.Ceil(float64(b.width) * float64(len(group)) / max(n, 1)))
-		start := b.set.Index * len(group) / max(1, b.set.Balancers)
-		var run []*server
-		for i := range min(size, len(group)) {
-			run = append(run, group[(start+i)%len(group)])
-		}
-		return run
-	}
-	b.pool = groups{part(b.whole.left), part(b.whole.right)}
-}
-
 // ---- Eligibility ----
 
 // idle says that no own call is at a server, or on its way there.
 func (s *server) idle() bool { return s.calls+s.coming == 0 }
 
-// chooseFrom picks among those servers that a request may go to: in its scope, not tried by it, fit,
-// warm enough and, as long as that leaves any, with room and not crowded with own calls. Only where
-// anyCold is set may all of them be cold, and may a first try go to an idle cold one whatever the
-// thinning: a pool may be cold as a whole, and would take a warm one's calls, while the rest is warm.
+// chooseFrom picks among those servers that a request may go to: in its scope, not tried by it, fit, warm enough and,
+// as long as that leaves any, with room and not crowded with own calls: uniform draws now and then meet the same few
+// servers twice, and a crowd of several nodes' calls there chokes it. Only where anyCold is set may all of them be
+// cold, and may a first try go to an idle cold one whatever the thinning: a pool may be cold as a whole, and would
+// take a warm one's calls, while the rest is warm.
 func (b *Balancer) chooseFrom(g groups, r *request, anyCold, shun bool) *server {
 	b.ruleOut(g, r, shun)
-	for _, limit := range []func(*server) int{b.crowded, b.roomy, func(*server) int { return math.MaxInt }} {
-		left, idleLeft := b.narrow(g.left, r, limit)
-		right, idleRight := b.narrow(g.right, r, limit)
+	for step, limit := range []int{1 + b.inFlight/max(1, b.width), math.MaxInt, math.MaxInt} {
+		left, idleLeft := b.narrow(g.left, r, limit, step < 2)
+		right, idleRight := b.narrow(g.right, r, limit, step < 2)
 		isWarm := func(s *server) bool { return b.warmth(s) == 1 }
 		if anyCold && len(left)+len(right) > 0 || slices.ContainsFunc(append(left, right...), isWarm) {
 			return b.pick(left, right)
@@ -687,22 +661,6 @@
 	return nil
 }
 
-// Avoided counts the listed servers that are to get nothing new now, by their state or their health.
-func (b *Balancer) Avoided() int {
-	sick, out := 0, 0
-	for _, s := range b.servers {
-		switch {
-		case s.listed && s.State != Ready:
-			out++
-		case s.listed && b.muted(s):
-			out++
-		case s.listed && (b.now < s.until || b.silent(s)):
-			sick++
-		}
-	}
-	return out + min(sick, b.mostSick())
-}
-
 // mostSick is how many servers health may keep out: fewer the more is shed, for in overload every server is
 // missed, and time-outs show load rather than ill health.
 func (b *Balancer) mostSick() int { return int(mostOut * (1 - b.shed) * float64(len(b.ready))) }
@@ -712,8 +670,9 @@
 // kept out, up to a set share of the list.
 func (b *Balancer) ruleOut(g groups, r *request, shun bool) {
 	var sick []*server
+	asked := len(r.asked) > 0 && r.asking == 0 && len(r.attempts) == 0 // and have said what they hold
 	for _, s := range slices.Concat(g.left, g.right) {
-		s.out = shun && (b.muted(s) || b.shuns(s, r.class))
+		s.out = shun && (b.muted(s) || b.shuns(s, r.class) || asked && !slices.Contains(r.asked, s))
 		if !s.out && b.unfit(s, r) {
 			s.out = true
 			sick = append(sick, s)
@@ -727,11 +686,15 @@
 	}
 }
 
-// narrow lists the servers of a group that pass, and the cold ones that would but for the thinning.
-func (b *Balancer) narrow(group []*server, r *request, limit func(*server) int) (warm, idle []*server) {
+// narrow lists the servers of a group that pass, and the cold ones that would but for the thinning. Sparing, it passes
+// over one that refused one more call than it has now a while ago: its queue or its connections, which other copies
+// hold idle, are full, and refusals come at once and drain its count. It is not ill, so the cap on the ill does not
+// apply.
+func (b *Balancer) narrow(group []*server, r *request, limit int, sparing bool) (warm, idle []*server) {
 	for _, s := range group {
 		switch {
-		case s.out || s.calls >= limit(s) || !b.inScope(r, s) || tried(r, s):
+		case s.out || s.calls >= limit || sparing && b.now < s.full && s.calls >= s.room:
+		case !b.inScope(r, s) || tried(r, s):
 		case b.warmEnough(s):
 			warm = append(warm, s)
 		case s.idle() && len(r.attempts) == 0:
@@ -741,22 +704,6 @@
 	return warm, idle
 }
 
-// crowded is the count of own calls at which a server is passed over: uniform draws now and then
-// meet the same few servers twice, and a crowd of several nodes' calls there chokes it.
-func (b *Balancer) crowded(s *server) int {
-	return min(b.roomy(s), 1+b.inFlight/max(1, b.width))
-}
-
-// roomy is the count of own calls at which a server is passed over because it refused one more a
-// while ago: its queue or its connections, which other copies hold idle, are full, and refusals
-// come at once and drain its count. It is not ill, so the cap on those ruled out does not apply.
-func (b *Balancer) roomy(s *server) int {
-	if b.now < s.full {
-		return s.room
-	}
-	return math.MaxInt
-}
-
 // tried says that the request has been to the server before.
 func tried(r *request, s *server) bool {
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.srv == s })
@@ -810,7 +757,7 @@
 		return false
 	}
 	a := s.open[0]
-	wait := b.overlong(a.req.class)
+	wait := b.overlong(a.req.class) * 3 / 2
 	return b.now-a.sent > wait && b.lastOK > a.sent+wait/2 && s.lastOK < a.sent+wait/2
 }
 
@@ -941,10 +888,9 @@
 	return len(b.ready) == 0 || b.set.Tier == 0 && calls >= b.window*b.standing(r)
 }
 
-// standing is the part of the window that a request may fill, by its value against the others': the more
-// is shed, the more room is kept for what is worth most. A hold alone is too short to wait for that, for
-// at a node of few calls seldom two requests wait at once. No class loses more than half of the window,
-// so that none starves.
+// standing is the part of the window that a request may fill, by its value against the others': the more is shed, the
+// more room is kept for what is worth most, for at a node of few calls seldom two wait at once. None starves: no class
+// loses more than half of the window.
 func (b *Balancer) standing(r *request) float64 {
 	var sum, n float64
 	for _, c := range b.order {
@@ -959,21 +905,19 @@
 	return float64(len(b.ready)) / float64(max(1, b.set.Balancers))
 }
 
-// target is the latency that admission steers to, a little under half way in ratio between a class's
-// latency when there is room and its aim: work that fills much of the aim by itself is no crowd, and
-// work that fills little of it waits in long queues, which choke servers, well before its aim is near.
-// The more is shed, the surer it is that some servers choke: then leaner is better, but never so lean
-// that only an empty server meets it, or the shedding would keep itself up.
+// target is the latency that admission steers to, a little under half way in ratio between a class's latency when
+// there is room and its aim: work that fills much of the aim by itself is no crowd, and work that fills little waits
+// in queues that choke servers well before its aim is near. The more is shed, the leaner, but an empty server always
+// meets it, or the shedding would keep itself up.
 func (c *class) target(shed float64) float64 {
 	lean := (1 - leanness*shed) * targetShare * math.Sqrt(c.base*float64(c.Aim))
 	return min(float64(c.Aim), max(targetLeast*c.base, lean))
 }
 
-// steer moves the window so that latencies stay at their target: crowded servers choke and stay slow,
-// so the crowd must wait or be refused here. Slow answers shrink it and good ones open it alike, up to
-// a multiple of the calls out: growing only while nearly full, it would sink by chance at a node whose
-// few calls seldom fill it. Each node's window swings about where it should be, the more the faster it moves;
-// where many admit, their swings cancel out by the root of their number, and so they may move faster by that.
+// steer moves the window so that latencies stay at their target: crowded servers choke and stay slow, so the crowd must
+// wait or be refused here. It grows up to a multiple of the calls out: growing only while nearly full, it would sink by
+// chance at a node whose few calls seldom fill it. Each node's window swings, the more the faster it moves; where many
+// admit, their swings cancel out by the root of their number, and so they may move faster by that.
 func (b *Balancer) steer(r *request, e Outcome) {
 	over := float64(b.now-r.attempts[e.Attempt].sent) / r.class.target(b.shed)
 	// An error that took as long as a slow answer is mostly a time-out of the tier below.
@@ -985,8 +929,7 @@
 	if e.Ending != Success {
 		over = max(over, 2)
 	}
-	// A small window moves by up to one call a round of answers, or a node of many would take a day to
-	// open it.
+	// A small window moves by up to one call a round of answers, or a node of many would take a day to open it.
 	gain := min(1, windowGain*math.Sqrt(float64(b.set.Balancers)))
 	step := max(gain, 1/b.window) * (1 - min(over, 2))
 	if step < 0 || b.window < windowSlack*(b.busy+1) {
--- /dev/null
+++ b/spread.go
@@ -0,0 +1,129 @@
+// How load is spread by nodes that each see little of it: the part of the list that a node draws from, and what servers
+// say they hold. Everything else is in policy.go.
+
+package woodpick
+
+import (
+	"math"
+	"math/big"
+	"slices"
+	"time"
+)
+
+const (
+	poolLeast   = 3    // servers that any node draws from, so that a few may be lost
+	poolPerCall = 1.5  // servers drawn from for each own call in flight
+	poolOverlap = 2    // nodes that draw from the same server at least
+	wordFade    = 5    // mean latencies in which a server's word falls to a third of its weight
+	wordWeight  = 16   // power of e by which a server is drawn less for each mean load that it holds more than others
+	askWithin   = 0.25 // mean latencies that a call waits for what servers say
+)
+
+// fitPool cuts the node's pool from each group: a run of the shared order. Over the whole list a node of many meets
+// each server too seldom to tell the slow and the silent, and connections grow with nodes times servers. The nodes'
+// runs lie end to end round the group, a whole number of times in all, as lengths and not as counts: a server at the
+// end of a run belongs to it in part. So all together have the same part in each server, whatever their numbers. In the
+// right group the nodes follow one another in another order, so that those that share servers on the left do not on the
+// right: no few nodes make a crowd of their own. A busy node takes a wider pool: its counts tell more, and its traffic
+// would be too much for a few. Only halving shrinks it, so that it keeps still.
+func (b *Balancer) fitPool() {
+	n := float64(len(b.ready))
+	want := max(poolLeast, poolPerCall*b.busy, poolOverlap*b.fairServers())
+	if b.width > 0 && want <= float64(b.width) && want > float64(b.width)/3 {
+		return
+	}
+	copies := float64(max(1, b.set.Balancers))
+	times := min(copies, math.Ceil(1.25*want/max(b.fairServers(), 1e-9)))
+	b.width = int(math.Ceil(times / copies * n))
+	for _, s := range b.ready {
+		s.part = 0
+	}
+	run := func(group []*server, place int) (out []*server) {
+		each := float64(len(group)) / copies
+		from := float64(place%int(copies)) * each
+		to := from + times*each
+		for k := int(from); float64(k) < to-1e-6 && len(out) < len(group); k++ {
+			s := group[k%len(group)]
+			s.part = min(1, float64(k+1)-from, to-float64(k))
+			out = append(out, s)
+		}
+		return out
+	}
+	b.pool = groups{run(b.whole.left, b.set.Index), run(b.whole.right, b.set.Index*stride(int(copies)))}
+}
+
+// stride is a number near the golden section of n that has no divisor in common with it: its multiples come to every
+// place, and neighbours far apart.
+func stride(n int) int {
+	m := max(1, int(0.618*float64(n)))
+	for new(big.Int).GCD(nil, nil, big.NewInt(int64(m)), big.NewInt(int64(n))).Int64() > 1 {
+		m++
+	}
+	return m
+}
+
+// takeKnown takes what is known from elsewhere than from own calls.
+func (b *Balancer) takeKnown(e Known) {
+	for _, l := range e.Loads {
+		if s := b.servers[l.Server]; s != nil {
+			b.learn(s, l.Busy, b.now-l.Age)
+		}
+	}
+	if r := b.requests[e.ID]; r != nil && r.asking > 0 {
+		if r.asking -= len(e.Loads); r.asking <= 0 {
+			b.askedAll(r)
+		}
+	}
+}
+
+// learn takes a word of how much a server held at a time.
+func (b *Balancer) learn(s *server, busy float64, at time.Duration) {
+	if busy >= 0 && at >= s.told {
+		s.busy, s.told = busy, at
+		b.holds += memory * (busy - b.holds)
+	}
+}
+
+// room is by how much more or less a server is drawn for what it holds against others: the less, the older the word of
+// it is. A cold one fills up sooner.
+func (b *Balancer) room(s *server) float64 {
+	if s.told == 0 {
+		return 1
+	}
+	fade := math.Exp(-float64(b.now-s.told) / (wordFade * b.classes[""].mean))
+	return math.Exp(-wordWeight * fade * (s.busy/b.warmth(s) - b.holds) / (b.holds + 1))
+}
+
+// ask has some servers of the pool say how much they hold, and the request wait for it: a word of even a moment ago is
+// much less worth, for the other nodes' calls have come since.
+func (b *Balancer) ask(r *request) bool {
+	if b.set.Asks < 2 || len(r.attempts) > 0 || r.asked != nil {
+		return false
+	}
+	b.fitPool()
+	b.ruleOut(b.pool, r, true)
+	e := Ask{ID: r.id, Within: min(time.Duration(askWithin*r.class.mean), r.deadline-b.now-4*b.set.Tick)}
+	for i, group := range [][]*server{b.pool.left, b.pool.right} {
+		left := (b.set.Asks + 1 - i) / 2
+		for _, k := range b.rng.Perm(len(group)) {
+			if s := group[k]; left > 0 && !s.out && b.warmEnough(s) {
+				r.asked, e.Servers, left = append(r.asked, s), append(e.Servers, s.ID), left-1
+			}
+		}
+	}
+	r.asking = len(r.asked)
+	if r.asking < 2 || e.Within < b.set.Tick {
+		r.asked, r.asking = []*server{}, 0
+		return false
+	}
+	b.do(e)
+	b.wakeAt(r, b.now+e.Within)
+	return true
+}
+
+// askedAll places a request once all that it asked have said what they hold, or it has waited for long enough.
+func (b *Balancer) askedAll(r *request) {
+	r.asking = 0
+	r.asked = slices.DeleteFunc(r.asked, func(s *server) bool { return s.told < r.arrived })
+	b.place(r)
+}
--- /dev/null
+++ b/spread_test.go
@@ -0,0 +1,224 @@
+package woodpick
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+// parts are how much of each server lies in the pools of all copies together.
+func parts(t *testing.T, copies, servers int) (sum map[string]float64, pools [][]string) {
+	t.Helper()
+	sum = map[string]float64{}
+	for i := range copies {
+		b := newBalancer(t, func(s *Settings) { s.Balancers, s.Index = copies, i })
+		l := ServerList{Full: true}
+		for k := range servers {
+			l.Servers = append(l.Servers, Server{ID: fmt.Sprintf("s%04d", k)})
+		}
+		b.Handle(time.Second, l)
+		b.fitPool()
+		var pool []string
+		for _, s := range slices.Concat(b.pool.left, b.pool.right) {
+			sum[s.ID] += s.part
+			pool = append(pool, s.ID)
+		}
+		pools = append(pools, pool)
+	}
+	return sum, pools
+}
+
+// Whatever the numbers of nodes and servers are, all pools together take in the same part of each server of a group, and
+// hardly two nodes have the same pool.
+func TestPoolsTogetherCoverAllServersEvenly(t *testing.T) {
+	for _, c := range []struct{ copies, servers int }{{200, 60}, {300, 60}, {60, 400}, {300, 5}, {7, 13}, {97, 89}, {1, 40}, {2, 3}} {
+		sum, pools := parts(t, c.copies, c.servers)
+		cut := (c.servers + 1) / 2
+		for _, side := range [][2]int{{0, cut}, {cut, c.servers}} {
+			least, most := math.Inf(1), 0.0
+			for k := side[0]; k < side[1]; k++ {
+				v := sum[fmt.Sprintf("s%04d", k)]
+				least, most = min(least, v), max(most, v)
+			}
+			if most > 0 && (least <= 0 || most/least > 1.0001) {
+				t.Errorf("%d nodes, %d servers: pools take in %.3f to %.3f of a server", c.copies, c.servers, least, most)
+			}
+		}
+		same := 0
+		for i := range pools[1:] {
+			if slices.Equal(pools[i], pools[i+1]) && len(pools[i]) < c.servers {
+				same++
+			}
+		}
+		if same > len(pools)/10 {
+			t.Errorf("%d nodes, %d servers: %d neighbours have one pool", c.copies, c.servers, same)
+		}
+	}
+}
+
+// A node more or a server more moves few of the connections that a node's pool stands for on the left, where the nodes
+// follow in their order.
+func TestPoolsKeepStillAsServersComeAndGo(t *testing.T) {
+	_, before := parts(t, 100, 60)
+	_, after := parts(t, 100, 61)
+	kept, all := 0, 0
+	for i := range before {
+		for _, id := range before[i] {
+			all++
+			if slices.Contains(after[i], id) {
+				kept++
+			}
+		}
+	}
+	if kept*10 < all*6 {
+		t.Errorf("one server more: %d of %d places in pools are kept", kept, all)
+	}
+}
+
+func TestStride(t *testing.T) {
+	for n := 1; n < 2000; n++ {
+		m := stride(n)
+		a, b := m, n
+		for b > 0 {
+			a, b = b, a%b
+		}
+		if a != 1 || m < 1 || n > 10 && (m < n/2 || m > n*9/10) {
+			t.Fatalf("stride(%d) is %d", n, m)
+		}
+	}
+}
+
+// told is a node of many, with servers that say what they hold.
+func told(t *testing.T, asks int, busy ...float64) *Balancer {
+	t.Helper()
+	b := newBalancer(t, func(s *Settings) { s.Balancers, s.Asks, s.Tier = 1, asks, 1 })
+	l := ServerList{Full: true}
+	for k := range busy {
+		l.Servers = append(l.Servers, Server{ID: fmt.Sprintf("s%d", k)})
+	}
+	b.Handle(time.Second, l)
+	for k, v := range busy {
+		b.Handle(time.Second, Known{Loads: []ServerLoad{{Server: fmt.Sprintf("s%d", k), Busy: v}}})
+	}
+	return b
+}
+
+// sendsTo asks a node to place safe calls one after another, each answered before the next, and counts by server.
+func sendsTo(t *testing.T, b *Balancer, at time.Duration, n int) map[string]int {
+	t.Helper()
+	sent := map[string]int{}
+	for i := range n {
+		id := fmt.Sprint(at, i)
+		for _, a := range b.Handle(at, Request{ID: id, Class: "get", Deadline: at + time.Second}) {
+			if s, ok := a.(Send); ok {
+				sent[s.Server]++
+				b.Handle(at, Outcome{ID: id, Server: s.Server, Ending: Success, Ended: true})
+			}
+		}
+	}
+	return sent
+}
+
+// Servers that say they hold much get little, as long as that word is young.
+func TestWhatServersSayFades(t *testing.T) {
+	busy := []float64{9, 0, 0, 9, 0, 0}
+	b := told(t, 0, busy...)
+	now := sendsTo(t, b, time.Second+msec, 600)
+	if now["s0"]+now["s3"] > 30 {
+		t.Errorf("the two that hold most get %d and %d of 600", now["s0"], now["s3"])
+	}
+	b = told(t, 0, busy...)
+	later := sendsTo(t, b, 100*time.Second, 600)
+	if n := later["s0"] + later["s3"]; n < 100 {
+		t.Errorf("after a hundred seconds they still get %d of 600 only", n)
+	}
+	b.Handle(100*time.Second, Known{Loads: []ServerLoad{{Server: "s0", Busy: 50, Age: 90 * time.Second}, {Server: "nobody", Busy: 1}, {Server: "s1", Busy: -1}}})
+	if s := b.servers["s0"]; s.busy != 50 || b.now-s.told != 90*time.Second {
+		t.Errorf("a word of 90 s ago: %v, told %v ago", s.busy, b.now-s.told)
+	}
+	b.Handle(100*time.Second, Known{Loads: []ServerLoad{{Server: "s0", Busy: 1, Age: 95 * time.Second}}})
+	if s := b.servers["s0"]; s.busy != 50 {
+		t.Error("an older word took the place of a younger one")
+	}
+}
+
+// A call waits until those that were asked have said what they hold, and goes to the one that holds least.
+func TestACallGoesToTheLeastOfThoseAsked(t *testing.T) {
+	b := told(t, 4, 0, 0, 0, 0, 0, 0, 0, 0)
+	at := 10 * time.Second
+	acts := b.Handle(at, Request{ID: "x", Class: "get", Deadline: at + time.Second})
+	ask, ok := acts[0].(Ask)
+	if !ok || len(ask.Servers) != 4 || len(acts) != 2 {
+		t.Fatalf("actions %+v; want four servers asked, and a Wake", acts)
+	}
+	left := 0
+	for _, s := range ask.Servers {
+		if slices.ContainsFunc(b.pool.left, func(o *server) bool { return o.ID == s }) {
+			left++
+		}
+	}
+	if left != 2 {
+		t.Errorf("%d of those asked are of the left group; want one draw from each for either", left)
+	}
+	for i, s := range ask.Servers {
+		busy := 3.0
+		if i == 2 {
+			busy = 0
+		}
+		acts = b.Handle(at+msec, Known{ID: "x", Loads: []ServerLoad{{Server: s, Busy: busy}}})
+		if i < 3 && len(acts) > 0 {
+			t.Fatalf("after %d answers: %+v", i+1, acts)
+		}
+	}
+	if len(acts) != 1 || acts[0].(Send).Server != ask.Servers[2] {
+		t.Errorf("actions %+v; want it sent to %s", acts, ask.Servers[2])
+	}
+	if acts = b.Handle(at+2*msec, Known{ID: "x", Loads: []ServerLoad{{Server: ask.Servers[0], Busy: 0}}}); len(acts) > 0 {
+		t.Errorf("a word that comes late has it do %+v", acts)
+	}
+}
+
+// Where some say nothing, the call waits for a part of the time that an answer takes and goes to one of those that have;
+// where nobody does, it goes by what is known.
+func TestACallDoesNotWaitForTheSilent(t *testing.T) {
+	for _, answers := range []int{1, 0} {
+		b := told(t, 4, 1, 1, 1, 1, 1, 1, 1, 1)
+		at := 10 * time.Second
+		acts := b.Handle(at, Request{ID: "x", Class: "get", Deadline: at + time.Second})
+		ask, wake := acts[0].(Ask), acts[1].(Wake)
+		if ask.Within <= 0 || wake.At != at+ask.Within || ask.Within > time.Duration(b.classes["get"].mean) {
+			t.Fatalf("it waits %v, until %v", ask.Within, wake.At)
+		}
+		for _, s := range ask.Servers[:answers] {
+			b.Handle(at+msec, Known{ID: "x", Loads: []ServerLoad{{Server: s, Busy: 7}}})
+		}
+		acts = b.Handle(wake.At, Timer{Token: wake.Token})
+		if len(acts) != 1 {
+			t.Fatalf("%d answers: %+v", answers, acts)
+		}
+		if to := acts[0].(Send).Server; answers == 1 && to != ask.Servers[0] {
+			t.Errorf("it goes to %s, and only %s has answered", to, ask.Servers[0])
+		}
+		if b.requests["x"].asking != 0 {
+			t.Error("it still waits for words")
+		}
+	}
+}
+
+// A caller that leaves while servers are asked has nothing sent for it.
+func TestNothingIsSentForACallerThatLeftWhileServersWereAsked(t *testing.T) {
+	b := told(t, 2, 0, 0, 0, 0)
+	at := 10 * time.Second
+	ask := b.Handle(at, Request{ID: "x", Class: "get", Deadline: at + time.Second})[0].(Ask)
+	b.Handle(at+msec, ClientGone{ID: "x"})
+	for _, s := range ask.Servers {
+		if acts := b.Handle(at+2*msec, Known{ID: "x", Loads: []ServerLoad{{Server: s, Busy: 0}}}); len(acts) > 0 {
+			t.Errorf("%+v", acts)
+		}
+	}
+	if len(b.requests) != 0 {
+		t.Error("its request is kept")
+	}
+}
--- a/woodpick.go
+++ b/woodpick.go
@@ -56,6 +56,7 @@
 	WholeWeight float64 // how much the whole of the worth counts when shedding
 	ClassWeight float64 // how much the worst-served class counts when shedding
 
+	Asks          int // servers that are asked how much they hold before a call goes to one of them; 0: none
 	MaxAttempts   int
 	MayCancel     bool
 	AskDiscovery  bool          // the list follows only a Subscribe
@@ -99,7 +100,7 @@
 		name       string
 		value, max float64
 	}{{"Tier", float64(s.Tier), math.MaxInt32}, {"Index", float64(s.Index), math.MaxInt32},
-		{"Balancers", float64(s.Balancers), math.MaxInt32}, {"MaxAttempts", float64(s.MaxAttempts), math.MaxInt32},
+		{"Balancers", float64(s.Balancers), math.MaxInt32}, {"Asks", float64(s.Asks), 16}, {"MaxAttempts", float64(s.MaxAttempts), math.MaxInt32},
 		{"WholeWeight", s.WholeWeight, math.MaxFloat64}, {"ClassWeight", s.ClassWeight, math.MaxFloat64},
 		{"ColdFrom", s.ColdFrom, 1}, {"AskWithin", float64(s.AskWithin), math.MaxInt64},
 		{"Tick", float64(s.Tick), math.MaxInt64}, {"MaxRetryAfter", float64(s.MaxRetryAfter), math.MaxInt64},
@@ -152,6 +153,13 @@
 	Service time.Duration // recent service time without waiting
 }
 
+// ServerLoad is what a server holds, by its own word or by what others know.
+type ServerLoad struct {
+	Server string
+	Busy   float64       // calls in work and waiting; negative: it has not said
+	Age    time.Duration // of the knowledge, at most
+}
+
 // Event is something that happened: one of the types below.
 type Event interface{ event() }
 
@@ -199,6 +207,11 @@
 	}
 	// ClientGone says that the client left; nothing more is owed.
 	ClientGone struct{ ID string }
+	// Known brings what is known from elsewhere than from own calls. It may come at any time, in any order.
+	Known struct {
+		ID    string // of the request that an Ask was for, which this answers in part; empty: of none
+		Loads []ServerLoad
+	}
 	// Timer is a Wake come due.
 	Timer struct{ Token string }
 	// Reconfigure brings other Settings; those that New would refuse change nothing. What was learned stays.
@@ -215,6 +228,7 @@
 func (ClientGone) event()  {}
 func (Timer) event()       {}
 func (Reconfigure) event() {}
+func (Known) event()       {}
 
 // Action is something the host must do, in the order given: one of the types below.
 type Action interface{ action() }
@@ -226,6 +240,13 @@
 		ID, Server string
 		Timeout    time.Duration
 	}
+	// Ask asks servers how much they hold, each of which a Known with this ID is to follow for, soon or not at all.
+	// Nothing of the request itself goes there.
+	Ask struct {
+		ID      string
+		Servers []string
+		Within  time.Duration
+	}
 	// Cancel stops waiting for an attempt; its Outcome still comes.
 	Cancel struct {
 		ID      string
@@ -250,9 +271,26 @@
 )
 
 func (Send) action()      {}
+func (Ask) action()       {}
 func (Cancel) action()    {}
 func (LetGo) action()     {}
 func (Refuse) action()    {}
 func (Fail) action()      {}
 func (Wake) action()      {}
 func (Subscribe) action() {}
+
+// Avoided counts the listed servers that are to get nothing new now, by their state or their health.
+func (b *Balancer) Avoided() int {
+	sick, out := 0, 0
+	for _, s := range b.servers {
+		switch {
+		case s.listed && s.State != Ready:
+			out++
+		case s.listed && b.muted(s):
+			out++
+		case s.listed && (b.now < s.until || b.silent(s)):
+			sick++
+		}
+	}
+	return out + min(sick, b.mostSick())
+}
