--- /dev/null
+++ b/cmd/fleetlab/compare.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"woodpick/internal/rig"
+	"woodpick/internal/rig/report"
+)
+
+func newCompare() *cobra.Command {
+	var page, title string
+	cmd := &cobra.Command{Use: "compare FOLDER-A FOLDER-B", Short: "Set the results of two folders side by side, paired by seed",
+		Args: cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			a, err := results(args[0])
+			if err != nil {
+				return err
+			}
+			b, err := results(args[1])
+			if err != nil {
+				return err
+			}
+			pairs, left := report.Pairs(a, b)
+			if len(pairs) == 0 {
+				return fmt.Errorf("no experiment was played with the same seed in %s and %s", args[0], args[1])
+			}
+			w := tabwriter.NewWriter(cmd.OutOrStdout(), 2, 0, 2, ' ', 0)
+			fmt.Fprintf(w, "%d pairs\tA\tB\tB - A\t95 of 100 resamples\n", len(pairs))
+			for _, r := range report.Compare(pairs) {
+				fmt.Fprintf(w, "%s %s\t%.3f\t%.3f\t%+.3f\t%+.3f to %+.3f\n", r.Name, r.Unit, r.A, r.B, r.Difference, r.Low, r.High)
+			}
+			w.Flush()
+			for _, l := range left {
+				fmt.Fprintf(cmd.OutOrStdout(), "left out: %s\n", l)
+			}
+			if page == "" {
+				return nil
+			}
+			f, err := os.Create(page)
+			if err != nil {
+				return fmt.Errorf("report: %w", err)
+			}
+			if err := report.Page(f, title, args[0], args[1], pairs, left); err != nil {
+				f.Close()
+				return err
+			}
+			return f.Close()
+		}}
+	cmd.Flags().StringVar(&page, "page", "", "file that takes an HTML page with plots")
+	cmd.Flags().StringVar(&title, "title", "Two sets of runs", "of the page")
+	return cmd
+}
+
+// results reads all of a folder.
+func results(folder string) (out []*rig.Result, err error) {
+	paths, err := filepath.Glob(filepath.Join(folder, "*.json"))
+	if err != nil || len(paths) == 0 {
+		return nil, fmt.Errorf("%s holds no results", folder)
+	}
+	for _, p := range paths {
+		r, err := report.Load(p)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/cmd/fleetlab/main.go
@@ -0,0 +1,39 @@
+// Command fleetlab plays experiments: hundreds of nodes as processes of their own, servers and callers, and faults
+// between them, and tells how evenly load was spread and which rules were broken.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	root := &cobra.Command{Use: "fleetlab", Short: "Play experiments with hundreds of nodes, and faults between them",
+		SilenceErrors: true, SilenceUsage: true}
+	root.AddCommand(newRun(), newWeigh(), newCompare(), newValidate())
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintf(os.Stderr, "Error: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func newValidate() *cobra.Command {
+	return &cobra.Command{Use: "validate FILE...", Short: "Check files of experiments", Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			for _, path := range args {
+				e, err := load(path, 0)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: %d nodes, %d servers, %d faults, %v: %s\n", path, len(e.NodeZones()), e.Places(), len(e.Faults), e.Length(), e.Note)
+			}
+			return nil
+		}}
+}
--- /dev/null
+++ b/cmd/fleetlab/run.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"woodpick/internal/rig"
+	"woodpick/internal/rig/experiment"
+)
+
+func newRun() *cobra.Command {
+	var (
+		seeds    int
+		policies []string
+		programs []string
+		at       []float64
+		out      string
+		nodes    int
+		quiet    bool
+	)
+	cmd := &cobra.Command{Use: "run FILE...", Short: "Play experiments with processes",
+		Long: "run plays each experiment with every policy and every seed in turn, and prints a line for each. A policy is\n" +
+			"program (processes of the program), random or jsq (the rig picks, for comparison). -program NAME=PATH names a\n" +
+			"build, and may be given several times; the rig must have the machine to itself. A breach of a rule, or a\n" +
+			"process that ends by itself, makes the command fail; where the rig itself was too slow nothing is judged.",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var runs []rig.Options
+			for _, p := range policies {
+				if p != string(rig.Program) {
+					runs = append(runs, rig.Options{Policy: rig.Policy(p)})
+					continue
+				}
+				for _, program := range programs {
+					name, path, named := strings.Cut(program, "=")
+					if !named {
+						name, path = "", program
+					}
+					if _, err := os.Stat(path); err != nil {
+						return fmt.Errorf("the program: %w; build it first: go build -o bin/ ./cmd/...", err)
+					}
+					runs = append(runs, rig.Options{Policy: rig.Program, Binary: path, Name: name})
+				}
+			}
+			w := tabwriter.NewWriter(cmd.OutOrStdout(), 2, 0, 2, ' ', 0)
+			heading(w)
+			broken, slow := 0, 0
+			var notes []string
+			for _, path := range args {
+				for s := range seeds {
+					for _, o := range runs {
+						for _, u := range append([]float64{0}, at...) {
+							if u == 0 && len(at) > 0 {
+								continue
+							}
+							e, err := load(path, 0)
+							if err != nil {
+								return err
+							}
+							e.Seed += uint64(s)
+							vary(e, u, nodes)
+							if !quiet {
+								o.Log = func(format string, args ...any) {
+									fmt.Fprintf(cmd.ErrOrStderr(), time.Now().Format("15:04:05.000")+" "+format+"\n", args...)
+								}
+							}
+							res, err := rig.Run(cmd.Context(), e, o)
+							if err != nil {
+								return err
+							}
+							name := strings.TrimSuffix(res.Policy+" "+res.Program, " ")
+							line(w, e.Name, name, e.Seed, res.Figures)
+							notes = append(notes, fmt.Sprintf("%s %s: %d processes ready in %v, %.0f MB resident each, %v of processor time a call; rig %v, %.0f MB, %d descriptors; late %v, one in a hundred %v",
+								e.Name, name, res.Cost.Processes, res.Cost.Starting.Round(time.Millisecond), float64(res.Cost.NodeMemory)/1e6, res.Cost.CPUPerCall.Round(time.Microsecond),
+								res.Cost.RigCPU.Round(time.Millisecond), float64(res.Cost.RigMemory)/1e6, res.Cost.MostOpenRig, res.Cost.LateMost.Round(time.Millisecond), res.Cost.LateP99.Round(time.Microsecond)))
+							if res.Slow != "" {
+								slow++
+								notes = append(notes, "  "+res.Slow)
+							}
+							broken += len(res.Breaches)
+							for i, b := range res.Breaches {
+								if i == 10 {
+									notes = append(notes, fmt.Sprintf("  and %d more", len(res.Breaches)-i))
+									break
+								}
+								notes = append(notes, "  "+b.String())
+							}
+							if out != "" {
+								if err := save(out, res, u); err != nil {
+									return err
+								}
+							}
+						}
+					}
+				}
+			}
+			w.Flush()
+			for _, n := range notes {
+				fmt.Fprintln(cmd.OutOrStdout(), n)
+			}
+			if broken > 0 && slow == 0 {
+				return fmt.Errorf("%d breaches of rules", broken)
+			}
+			return nil
+		}}
+	f := cmd.Flags()
+	f.IntVar(&seeds, "seeds", 1, "how many seeds, from the file's on")
+	f.StringSliceVar(&policies, "policy", []string{"program"}, "program, random or jsq; several with commas")
+	f.StringArrayVar(&programs, "program", []string{"bin/damsontrestle"}, "the program, or NAME=PATH")
+	f.Float64SliceVar(&at, "utilisation", nil, "of all slots, in place of the file's; several with commas")
+	f.StringVar(&out, "out", "", "folder that takes a result in JSON for each run")
+	f.IntVar(&nodes, "nodes", 0, "how many nodes, shared out as the file does; their calls in all stay the same")
+	f.BoolVar(&quiet, "quiet", false, "do not tell what is done when")
+	return cmd
+}
+
+// vary changes how much is asked and how many nodes there are.
+func vary(e *experiment.Experiment, utilisation float64, nodes int) {
+	if utilisation > 0 {
+		e.Callers.Rate, e.Callers.Utilisation = 0, utilisation
+	}
+	if nodes > 0 {
+		was := len(e.NodeZones())
+		if e.Callers.Rate > 0 {
+			e.Callers.Rate *= float64(was) / float64(nodes)
+		}
+		for i := range e.Nodes {
+			e.Nodes[i].Count = max(1, e.Nodes[i].Count*nodes/was)
+		}
+	}
+}
+
+// save writes a result to a file of its own.
+func save(folder string, r *rig.Result, utilisation float64) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return fmt.Errorf("result: %w", err)
+	}
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return fmt.Errorf("result: %w", err)
+	}
+	name := fmt.Sprintf("%s-%s-%d.json", r.Experiment, strings.Trim(r.Policy+"-"+r.Program, "-"), r.Seed)
+	if utilisation > 0 {
+		name = fmt.Sprintf("%s-%.2f-%s-%d.json", r.Experiment, utilisation, strings.Trim(r.Policy+"-"+r.Program, "-"), r.Seed)
+	}
+	if err := os.WriteFile(filepath.Join(folder, name), append(text, '\n'), 0o644); err != nil {
+		return fmt.Errorf("result: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/deploy/experiments/even.hcl
@@ -0,0 +1,49 @@
+# The users' day: many nodes, each with few calls, and servers of two slots.
+experiment "even" {
+  note    = "load spread over equal servers by 200 nodes that each see little of it"
+  seed    = 1
+  warm_up = "5s"
+  measure = "10s"
+}
+
+zone "a" {}
+zone "b" {}
+zone "c" {}
+
+link "a" "b" {
+  delay = "500us"
+}
+link "b" "c" {
+  delay = "500us"
+}
+link "a" "c" {
+  delay = "500us"
+}
+
+nodes "front" {
+  count = 200
+}
+
+servers "box" {
+  count   = 60
+  slots   = 2
+  queue   = 40
+  service = "150ms"
+}
+
+class "view" {
+  effect   = "safe"
+  aim      = "1s"
+  deadline = "3s"
+  share    = 0.7
+}
+class "note" {
+  effect   = "unsafe"
+  aim      = "1s"
+  deadline = "3s"
+  share    = 0.3
+}
+
+callers {
+  utilisation = 0.75
+}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -16,7 +16,7 @@
 // New returns a Clock that goes on from the system's time of now.
 func New() Clock {
 	now := time.Now()
-	return Clock{start: now, base: time.Duration(now.UnixNano())}
+	return Clock{start: now, base: time.Duration(now.UnixNano()) + offset()}
 }
 
 // Now is the time since the beginning of 1970.
--- /dev/null
+++ b/internal/rig/audit/figures_test.go
@@ -0,0 +1,87 @@
+package audit
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func near(got, want, by float64) bool { return math.Abs(got-want) <= by }
+
+// Two servers of two slots: at first one works on two calls and holds two more while the other is idle, then each
+// works on one.
+func TestIdleWhileQueuedAndVariation(t *testing.T) {
+	a := New()
+	capacity := []Capacity{{Slots: 2, Speed: 1}, {Slots: 2, Speed: 1}}
+	for i := range 50 {
+		s := Sample{At: time.Duration(i) * SampleEvery, Working: []int{2, 0}, Waiting: []int{2, 0}, Connections: []int{3, 1}, Down: []bool{false, false}}
+		if i >= 25 {
+			s.Working, s.Waiting = []int{1, 1}, []int{0, 0}
+		}
+		a.Sample(s)
+	}
+	f := a.Figures(0, time.Second, capacity)
+	// 2 free slots of 4 while 2 wait, for half of the time; loads of 2 and 0 a slot vary by sqrt 2, equal ones by 0.
+	if !near(f.Spread.IdleWhileQueued, 0.25, 1e-9) || !near(f.Spread.Variation, math.Sqrt2/2, 1e-9) || !near(f.Utilisation, 0.5, 1e-9) ||
+		!near(f.Waiting, 0.25, 1e-9) || !near(f.Connections, 2, 1e-9) || !near(f.MostConns, 1.5, 1e-9) {
+		t.Errorf("%+v", f)
+	}
+}
+
+// What is drawn by chance alone lies within what chance explains, and a herd does not.
+func TestWhatChanceExplains(t *testing.T) {
+	capacity := make([]Capacity, 20)
+	for i := range capacity {
+		capacity[i] = Capacity{Slots: 1 + i%2, Speed: 1}
+	}
+	play := func(herd float64) map[string]Window {
+		a, rng := New(), rand.New(rand.NewPCG(1, 1))
+		for i := range 20000 {
+			k := rng.IntN(30)
+			if k >= 20 { // the larger ones have twice the part
+				k = 2*(k-20) + 1
+			}
+			if rng.Float64() < herd {
+				k = 0
+			}
+			a.Send(fmt.Sprint(i), "s", k, false, time.Duration(i)*time.Millisecond/2)
+		}
+		return a.Figures(0, 10*time.Second, capacity).Spread.Windows
+	}
+	if w := play(0)["100ms"]; w.Within < 0.9 || w.Most > w.ChanceMost || w.Least < w.ChanceLeast {
+		t.Errorf("by chance alone: %+v", w)
+	}
+	if w := play(0.05)["1s"]; w.Within > 0.1 || w.Most < w.ChanceMost {
+		t.Errorf("one call in twenty goes to one server on top: %+v", w)
+	}
+}
+
+// A caller's tries are one call, which is served in its aim if one of them is, counted from the first.
+func TestTriesAreOneCall(t *testing.T) {
+	a := New()
+	a.Ask(Call{ID: "x", At: 10 * ms, Aim: 100 * ms, Deadline: 500 * ms})
+	a.Hear("x", Refused, 20*ms, "1")
+	a.Ask(Call{ID: "x-1", First: "x", At: 60 * ms, Aim: 50 * ms, Deadline: 450 * ms})
+	a.Hear("x-1", Served, 90*ms, "")
+	a.Ask(Call{ID: "y", At: 10 * ms, Aim: 100 * ms, Deadline: 500 * ms})
+	a.Hear("y", Failed, 20*ms, "")
+	a.Ask(Call{ID: "y-1", First: "y", At: 60 * ms, Aim: 50 * ms, Deadline: 450 * ms})
+	a.Hear("y-1", Served, 190*ms, "")
+	f := a.Figures(0, time.Second, nil)
+	if f.Calls != 2 || f.InAim != 0.5 || f.Served != 1 || f.Late != 0.5 || !near(f.P99.Seconds(), 0.18, 0.001) {
+		t.Errorf("%+v", f)
+	}
+}
+
+func TestTheLongestIdle(t *testing.T) {
+	a := New()
+	for _, at := range []time.Duration{100, 200, 900} {
+		a.Send("x", "s", 0, false, at*ms)
+	}
+	a.Send("y", "s", 1, false, 600*ms)
+	if f := a.Figures(0, time.Second, []Capacity{{1, 1}, {1, 1}}); f.Spread.LongestIdle != 700*ms {
+		t.Errorf("%v; want the 700 ms between 200 and 900", f.Spread.LongestIdle)
+	}
+}
--- /dev/null
+++ b/internal/rig/experiment/file_test.go
@@ -0,0 +1,151 @@
+package experiment
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const folder = "../../../deploy/experiments"
+
+// Every example passes, and is named as its file is.
+func TestExamples(t *testing.T) {
+	paths, err := filepath.Glob(folder + "/*.hcl")
+	if err != nil || len(paths) < 10 {
+		t.Fatalf("%d examples, %v", len(paths), err)
+	}
+	for _, p := range paths {
+		e, err := Load(p)
+		if err != nil {
+			t.Error(err)
+		} else if e.Name+".hcl" != filepath.Base(p) || e.Note == "" {
+			t.Errorf("%s is called %q: %q", p, e.Name, e.Note)
+		}
+	}
+}
+
+const good = `experiment "x" {
+  seed    = 7
+  measure = "10s"
+}
+zone "a" {}
+zone "b" {}
+nodes "front" {
+  count = 3
+}
+nodes "hot" {
+  count = 1
+  zones = ["b"]
+  times = 6
+}
+servers "box" {
+  count   = 4
+  slots   = 2
+  queue   = 5
+  service = "100ms"
+}
+class "view" {
+  effect   = "safe"
+  aim      = "1s"
+  deadline = "2s"
+  share    = 1
+}
+callers {
+  rate = 3
+}
+fault "cut" {
+  kind = "cut_there"
+  from = "1s"
+  to   = "4s"
+  near = ["a"]
+  part = 0.5
+}
+`
+
+func TestAFileSaysWhatIsMeant(t *testing.T) {
+	e, err := Parse([]byte(good), "x.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := e.NodeZones(), []string{"a", "b", "a", "b"}; !slices.Equal(got, want) {
+		t.Errorf("nodes lie in %v, want %v", got, want)
+	}
+	if got, want := e.Rates(), []float64{4.0 / 3, 4.0 / 3, 4.0 / 3, 8}; !slices.Equal(got, want) {
+		t.Errorf("rates are %v, want %v: twelve in all, six times as many at the hot node", got, want)
+	}
+	f := e.Faults[0]
+	if f.Kind != CutThere || f.To != 4*time.Second || !slices.Equal(f.Near, []string{"a"}) || !slices.Equal(f.Far, []string{"a", "b"}) {
+		t.Errorf("the fault is %+v", f)
+	}
+	if got := f.Struck(e.Seed, 4); len(got) != 2 || !slices.Equal(got, f.Struck(e.Seed, 4)) {
+		t.Errorf("it strikes %v", got)
+	}
+	e.Callers = Callers{Utilisation: 0.5}
+	var all float64
+	for _, r := range e.Rates() {
+		all += r
+	}
+	if all < 39.9 || all > 40.1 {
+		t.Errorf("%v calls a second; half of eight slots that work off ten each are 40", all)
+	}
+}
+
+// What is wrong is told with its line, its field, and what is allowed.
+func TestProblemsNameTheLine(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`measure = "10s"`, `measure = "ten"`, `x.hcl:3:3: experiment.x.measure: found "ten"; allowed: 100ms to 1h0m0s`},
+		{`zones = ["b"]`, `zones = ["c"]`, `x.hcl:12:3: nodes.hot.zones: found "c"; allowed: a, b`},
+		{`slots   = 2`, `slots   = 0`, `x.hcl:17:3: servers.box.slots: found 0; allowed: 1 to 10000`},
+		{`slots   = 2`, ``, `x.hcl`},
+		{`rate = 3`, ``, `callers.rate: allowed: either rate or utilisation`},
+		{`kind = "cut_there"`, `kind = "cutt"`, `x.hcl:31:3: fault.cut.kind: found "cutt"; allowed: crash, cut, cut_back`},
+		{`to   = "4s"`, `to   = "500ms"`, `fault.cut.to: found 500ms; allowed: from + over, 1s, or later`},
+		{`part = 0.5`, `group = "box"`, `fault.cut.group: found "box"; allowed: only where nodes or servers are struck`},
+		{`part = 0.5`, `colour = "red"`, `x.hcl:35:3: Unsupported argument`},
+		{`seed    = 7`, `seed    = 7 + x`, `x.hcl:2:`},
+		{`aim      = "1s"`, `aim      = "3s"`, `class.view.aim: found 3s, beyond the deadline 2s`},
+		{`nodes "hot"`, `nodes "front"`, `nodes.front.: the name is used twice`},
+		{`seed    = 7`, "seed    = " + strings.Repeat("(", 100), `nested more than 16 deep`},
+	} {
+		if !strings.Contains(good, c.old) {
+			t.Fatalf("%q is not there", c.old)
+		}
+		_, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)), "x.hcl")
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q in place of %q: %v; want %q", c.new, c.old, err, c.want)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	for _, old := range []string{"{", "\"", "count = 3", "10s"} {
+		f.Add([]byte(strings.Replace(good, old, "${x[", 1)))
+	}
+	paths, _ := filepath.Glob(folder + "/*.hcl")
+	for _, p := range paths {
+		if text, err := os.ReadFile(p); err == nil {
+			f.Add(text)
+		}
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		e, err := Parse(text, "x")
+		if err != nil {
+			return
+		}
+		// What passes can be played: there are nodes, servers, rates and classes, within bounds.
+		if n := len(e.NodeZones()); n < 1 || n > maxProcesses || e.Slots() < 1 || len(e.Rates()) != n || e.Length() > 2*maxLength {
+			t.Errorf("%+v passes", e)
+		}
+		for _, ft := range e.Faults {
+			for _, i := range e.Struck(ft) {
+				if i < 0 {
+					t.Errorf("%+v strikes %d", ft, i)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/rig/experiment/model.go
@@ -0,0 +1,281 @@
+// Package experiment holds what the rig is to play: a fleet of nodes and servers in zones, callers, and a timetable of
+// faults, read from a file in HCL and checked whole. It plays nothing itself.
+package experiment
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Experiment is one day on the bench. Times of faults count from the first call.
+type Experiment struct {
+	Name    string
+	Note    string // what it is for, in a sentence
+	Seed    uint64
+	WarmUp  time.Duration // not measured
+	Measure time.Duration
+
+	Zones    []Zone
+	Nodes    []Nodes
+	Servers  []Servers
+	Classes  []Class
+	Callers  Callers
+	Links    []Link
+	Registry Registry
+	Faults   []Fault
+}
+
+// Length is how long callers ask.
+func (e *Experiment) Length() time.Duration { return e.WarmUp + e.Measure }
+
+// Zone is a place whose links to others can fail.
+type Zone struct{ Name, Region string }
+
+// Nodes is a group of nodes, dealt out over its zones in turn.
+type Nodes struct {
+	Name  string
+	Count int
+	Zones []string
+	Times float64 // calls against the mean of all nodes
+	Asks  int     // servers that a node asks how much they hold before it sends a call to one; 0: none
+}
+
+// Servers is a group of servers, dealt out over its zones in turn.
+type Servers struct {
+	Name     string
+	Count    int
+	Zones    []string
+	Slots    int           // calls in work at once
+	Queue    int           // that wait; more are turned away
+	Service  time.Duration // mean time of a call's work
+	Draw     Draw
+	Size     float64 // as listed; 0: not told
+	Reports  bool    // answers say how many calls the server holds
+	ColdFrom float64 // share of its speed that a server has when it starts
+	ColdOver time.Duration
+}
+
+// Draw is how times of service vary.
+type Draw string
+
+// Draws.
+const (
+	Exponential Draw = "exponential"
+	Uniform     Draw = "uniform" // half to one and a half of the mean
+	Constant    Draw = "constant"
+)
+
+// Time draws a time of service.
+func (d Draw) Time(rng *rand.Rand, mean time.Duration) time.Duration {
+	switch d {
+	case Constant:
+		return mean
+	case Uniform:
+		return time.Duration((0.5 + rng.Float64()) * float64(mean))
+	}
+	return time.Duration(rng.ExpFloat64() * float64(mean))
+}
+
+// Class is a class of calls.
+type Class struct {
+	Name     string
+	Effect   string // safe or unsafe
+	Aim      time.Duration
+	Deadline time.Duration
+	Share    float64 // of all calls
+}
+
+// Callers come in an open stream: they do not wait for answers.
+type Callers struct {
+	Rate        float64 // calls a second at a node, on average over all; 0: what Utilisation asks for
+	Utilisation float64 // of all slots of all servers
+	Retries     int     // that a caller makes after a refusal or a failed safe call
+	Wait        time.Duration
+}
+
+// Link is what lies between two zones, in both directions.
+type Link struct {
+	From, To      string
+	Delay, Jitter time.Duration // one way
+}
+
+// Registry tells nodes of servers.
+type Registry struct {
+	Lag     time.Duration // after which a node hears of a change, and
+	LagMost time.Duration // the longest: each node has a lag of its own between the two
+}
+
+// Kind says what a fault does.
+type Kind string
+
+// Faults of links act on all traffic between two sets of zones, those of node processes and of servers on some of a group.
+const (
+	Cut      Kind = "cut"       // says nothing in either direction; new connections never come up
+	CutThere Kind = "cut_there" // nothing from a node reaches a server
+	CutBack  Kind = "cut_back"  // nothing from a server reaches a node: calls run and no answer comes
+	Reset    Kind = "reset"     // connections are reset, new ones too
+	Refuse   Kind = "refuse"    // new connections are refused
+	Slow     Kind = "slow"      // Delay, Jitter, Loss and Bandwidth are added
+
+	Kill    Kind = "kill"    // SIGKILL; started again at the end
+	Stop    Kind = "stop"    // SIGSTOP, and SIGCONT at the end
+	Restart Kind = "restart" // SIGTERM, and started again
+	Recount Kind = "recount" // a reload that changes how many copies there are said to be
+	Skew    Kind = "skew"    // SIGKILL, and started again with a clock that is off
+
+	Crash   Kind = "crash"   // the server's process dies: connections are reset, new ones refused; cold at the end
+	Lose    Kind = "lose"    // its machine vanishes: silence; cold at the end
+	Hang    Kind = "hang"    // takes calls and answers none
+	Errors  Kind = "errors"  // answers 500 at once
+	Drag    Kind = "drag"    // works Factor times as long
+	Replace Kind = "replace" // drained, and another under a new id in its place
+
+	Mute Kind = "mute" // the registry says nothing
+)
+
+// Target is what kind of thing a fault strikes.
+type Target int
+
+// Targets.
+const (
+	OfLinks Target = iota
+	OfNodes
+	OfServers
+	OfRegistry
+)
+
+// Targets of each kind.
+var targets = map[Kind]Target{Cut: OfLinks, CutThere: OfLinks, CutBack: OfLinks, Reset: OfLinks, Refuse: OfLinks, Slow: OfLinks,
+	Kill: OfNodes, Stop: OfNodes, Restart: OfNodes, Recount: OfNodes, Skew: OfNodes,
+	Crash: OfServers, Lose: OfServers, Hang: OfServers, Errors: OfServers, Drag: OfServers, Replace: OfServers, Mute: OfRegistry}
+
+// Target is what the kind strikes.
+func (k Kind) Target() Target { return targets[k] }
+
+// Fault is one thing that goes wrong from one instant to another.
+type Fault struct {
+	Name     string
+	Kind     Kind
+	From, To time.Duration
+	Over     time.Duration // the onset is spread over so long
+
+	Near, Far []string // zones: of the nodes, and of the servers, that links lie between; empty: all
+	Part      float64  // share of the links, nodes or servers that are struck
+	Group     string   // of nodes or servers; empty: all
+	Count     int      // that are struck, instead of a share; for recount: copies that there are said to be
+
+	Factor        float64       // of drag
+	Offset        time.Duration // of skew
+	Delay, Jitter time.Duration // of slow
+	Loss          float64       // of slow: share of pieces that come a retransmission later, and of datagrams that don't come
+	Bandwidth     int64         // of slow: bytes a second; 0: no bound
+}
+
+// Struck draws which of n things the fault strikes, the same for the same seed.
+func (f Fault) Struck(seed uint64, n int) []int {
+	want := int(f.Part*float64(n) + 0.5)
+	if f.Count > 0 && f.Kind != Recount {
+		want = min(f.Count, n)
+	}
+	h := uint64(14695981039346656037)
+	for _, c := range f.Name {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	struck := rand.New(rand.NewPCG(seed, h)).Perm(n)[:want]
+	slices.Sort(struck)
+	return struck
+}
+
+// NodeZones are the zones of all nodes, in their order.
+func (e *Experiment) NodeZones() (zones []string) {
+	for _, g := range e.Nodes {
+		for i := range g.Count {
+			zones = append(zones, g.Zones[i%len(g.Zones)])
+		}
+	}
+	return zones
+}
+
+// NodeGroup is the group of the i-th node.
+func (e *Experiment) NodeGroup(i int) Nodes {
+	for _, g := range e.Nodes {
+		if i -= g.Count; i < 0 {
+			return g
+		}
+	}
+	return Nodes{}
+}
+
+// Slots is how many calls all servers have in work at most.
+func (e *Experiment) Slots() (n int) {
+	for _, g := range e.Servers {
+		n += g.Count * g.Slots
+	}
+	return n
+}
+
+// Rates are the calls a second of each node.
+func (e *Experiment) Rates() (rates []float64) {
+	var all, times float64
+	for _, g := range e.Nodes {
+		times += float64(g.Count) * g.Times
+	}
+	for _, g := range e.Nodes {
+		for range g.Count {
+			rates = append(rates, g.Times)
+		}
+	}
+	all = e.Callers.Rate * float64(len(rates))
+	if e.Callers.Rate == 0 {
+		for _, g := range e.Servers {
+			all += e.Callers.Utilisation * float64(g.Count*g.Slots) / g.Service.Seconds()
+		}
+	}
+	for i := range rates {
+		rates[i] *= all / times
+	}
+	return rates
+}
+
+// Between is the link between two zones, in either order.
+func (e *Experiment) Between(a, b string) Link {
+	for _, l := range e.Links {
+		if l.From == a && l.To == b || l.From == b && l.To == a {
+			return l
+		}
+	}
+	return Link{From: a, To: b}
+}
+
+// Places is how many servers there are.
+func (e *Experiment) Places() (n int) {
+	for _, g := range e.Servers {
+		n += g.Count
+	}
+	return n
+}
+
+// Struck are the places of the nodes or servers that a fault strikes, of its group.
+func (e *Experiment) Struck(f Fault) (struck []int) {
+	var groups []string
+	if f.Kind.Target() == OfNodes {
+		for _, g := range e.Nodes {
+			groups = append(groups, slices.Repeat([]string{g.Name}, g.Count)...)
+		}
+	} else {
+		for _, g := range e.Servers {
+			groups = append(groups, slices.Repeat([]string{g.Name}, g.Count)...)
+		}
+	}
+	var in []int
+	for i, g := range groups {
+		if f.Group == "" || g == f.Group {
+			in = append(in, i)
+		}
+	}
+	for _, k := range f.Struck(e.Seed, len(in)) {
+		struck = append(struck, in[k])
+	}
+	return struck
+}
--- /dev/null
+++ b/internal/rig/fleet.go
@@ -0,0 +1,333 @@
+// Package rig plays an experiment with real processes: N nodes by `damsontrestle serve`, with servers, their registry
+// and callers in this process, all traffic between zones through relays that fail on purpose (internal/rig/link), and
+// an auditor that joins what callers heard with what servers ran (internal/rig/audit). It leaves nothing behind: files
+// of nodes are in memory only, and children end with the rig, also when that is killed.
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"woodpick/internal/rig/audit"
+	"woodpick/internal/rig/experiment"
+	"woodpick/internal/rig/link"
+	"woodpick/internal/rig/virtual"
+	"woodpick/internal/rig/world"
+)
+
+// Policy says who picks servers.
+type Policy string
+
+// Policies. Those of the rig's own are for comparison: they pick in this process, and see what they say.
+const (
+	Program Policy = "program" // processes
+	Random  Policy = "random"  // any listed server
+	JSQ     Policy = "jsq"     // the server that holds least for its slots now
+)
+
+// Options are how a run is made.
+type Options struct {
+	Policy  Policy
+	Binary  string // of the program
+	Name    string // of that build, for the result
+	Log     func(format string, args ...any)
+	Starts  int // processes that start at once; 0: 16
+	KeepLog int // bytes of each node's log that are kept; 0: 16 KiB
+}
+
+// fleet is one run under way.
+type fleet struct {
+	e       *experiment.Experiment
+	o       Options
+	net     *network
+	audit   *audit.Audit
+	dice    *link.Dice
+	zones   []string
+	hosts   []*host // by place
+	nodes   []*node
+	spawner *spawner
+	list    *list
+	mesh    *link.Mesh
+	began   time.Time // when the first call is due
+
+	mu     sync.Mutex
+	faults []experiment.Fault // of links, in force
+	place  map[string]*host   // by uid
+	world  *world.Fleet
+	worst  time.Duration // by which the rig was late, and
+	lates  []float64     // all lateness, in seconds
+	errs   []error
+}
+
+// Result is what a run came to. The version tells its form.
+type Result struct {
+	Version    int
+	Experiment string
+	Seed       uint64
+	Policy     string
+	Program    string `json:",omitempty"` // what the build that was run is called
+	Figures    audit.Figures
+	Breaches   []audit.Breach
+	Slow       string `json:",omitempty"` // why nothing is judged: the rig was too slow
+	Cost       Cost
+	Log        []string `json:",omitempty"` // what was done when
+	Logs       []string `json:",omitempty"` // the ends of the logs of nodes that ended by themselves
+}
+
+// ResultVersion is the form that this build writes.
+const ResultVersion = 1
+
+// Cost is what the run took.
+type Cost struct {
+	Processes    int
+	RigCPU       time.Duration // of this process
+	NodesCPU     time.Duration // of all nodes together
+	CPUPerCall   time.Duration // of the nodes
+	NodeMemory   int64         // resident bytes, mean
+	RigMemory    int64
+	LateP99      time.Duration // by which calls were sent after they were due
+	LateMost     time.Duration
+	Starting     time.Duration // until all were ready
+	MostOpenRig  int           // descriptors of this process
+	NodesCrashed int
+	Asks         int // of nodes to servers, how much they hold
+}
+
+// Beyond these the rig was too slow to judge others.
+const (
+	lateP99  = 20 * time.Millisecond
+	lateMost = 400 * time.Millisecond
+)
+
+// Run plays an experiment once.
+func Run(ctx context.Context, e *experiment.Experiment, o Options) (res *Result, err error) {
+	if o.Log == nil {
+		o.Log = func(string, ...any) {}
+	}
+	f := &fleet{e: e, o: o, audit: audit.New(), dice: link.NewDice(e.Seed), place: map[string]*host{}}
+	for _, z := range e.Zones {
+		f.zones = append(f.zones, z.Name)
+	}
+	if f.net, err = newNetwork(); err != nil {
+		return nil, err
+	}
+	defer f.net.Close()
+	defer f.end()
+	if err := f.build(); err != nil {
+		return nil, err
+	}
+	begin := time.Now()
+	if err := f.startNodes(ctx); err != nil {
+		return nil, err
+	}
+	starting := time.Since(begin)
+	o.Log("%d nodes are ready after %v", len(f.nodes), starting.Round(time.Millisecond))
+	before := f.cost()
+	f.play(ctx)
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("rig: %w", err)
+	}
+	res = f.result(before)
+	res.Cost.Starting = starting
+	if err := errors.Join(f.errs...); err != nil {
+		return nil, fmt.Errorf("rig: %w", err)
+	}
+	return res, nil
+}
+
+// build opens the servers' relays, the registry and the nodes' places.
+func (f *fleet) build() error {
+	f.world = world.NewFleet(f.e)
+	f.list = newList(f)
+	f.mesh = link.NewMesh(f.dice, f.shapeOf)
+	for i, s := range f.world.Servers {
+		h, err := f.newHost(i, s)
+		if err != nil {
+			return err
+		}
+		f.hosts = append(f.hosts, h)
+		f.place[s.ID] = h
+	}
+	rng := rand.New(rand.NewPCG(f.e.Seed, 0xa6e7))
+	for i, zone := range f.e.NodeZones() {
+		n := &node{fleet: f, index: i, zone: zone, copies: len(f.e.NodeZones()), rng: rand.New(rand.NewPCG(f.e.Seed, uint64(i)+1<<32))}
+		if f.e.Registry.LagMost > 0 {
+			n.lag = f.e.Registry.Lag + time.Duration(rng.Float64()*float64(f.e.Registry.LagMost-f.e.Registry.Lag))
+		}
+		if err := n.open(); err != nil {
+			return err
+		}
+		f.nodes = append(f.nodes, n)
+	}
+	return nil
+}
+
+// end ends every child and closes every socket.
+func (f *fleet) end() {
+	if f.spawner != nil {
+		f.spawner.Close()
+	}
+	var all sync.WaitGroup
+	closing := func(c func()) {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			c()
+		}()
+	}
+	for _, n := range f.nodes {
+		closing(n.close)
+	}
+	for _, h := range f.hosts {
+		closing(h.close)
+	}
+	if f.mesh != nil {
+		closing(f.mesh.Close)
+	}
+	all.Wait()
+}
+
+// now is the time of the run: since the first call was due.
+func (f *fleet) now() time.Duration { return time.Since(f.began) }
+
+// of is the time of the run of an instant.
+func (f *fleet) of(t time.Time) time.Duration { return t.Sub(f.began) }
+
+// late notes by how much the rig was late for something that was due.
+func (f *fleet) late(by time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.worst = max(f.worst, by)
+	f.lates = append(f.lates, by.Seconds())
+}
+
+func (f *fleet) fail(err error) {
+	if err != nil {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.errs = append(f.errs, err)
+	}
+}
+
+// play has callers ask and faults strike until all is over.
+func (f *fleet) play(ctx context.Context) {
+	f.began = time.Now().Add(50 * time.Millisecond)
+	ctx, stop := context.WithCancel(ctx)
+	var all, sampling sync.WaitGroup
+	sampling.Add(2)
+	go func() {
+		defer sampling.Done()
+		f.sample(ctx)
+	}()
+	go func() {
+		defer sampling.Done()
+		f.timetable(ctx)
+	}()
+	streams := world.NewStreams(f.e, "c")
+	for _, n := range f.nodes {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			n.callers(ctx, streams)
+		}()
+	}
+	all.Wait()
+	stop()
+	sampling.Wait()
+}
+
+// sample looks at all servers every audit.SampleEvery.
+func (f *fleet) sample(ctx context.Context) {
+	tick := time.NewTicker(audit.SampleEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		s := audit.Sample{At: f.now()}
+		for _, h := range f.hosts {
+			working, waiting, conns, down := h.look()
+			s.Working, s.Waiting = append(s.Working, working), append(s.Waiting, waiting)
+			s.Connections, s.Down = append(s.Connections, conns), append(s.Down, down)
+		}
+		f.audit.Sample(s)
+	}
+}
+
+// result works out what the run came to.
+func (f *fleet) result(before Cost) *Result {
+	asks := 0
+	for _, h := range f.hosts {
+		h.mu.Lock()
+		if n := h.server.PushedOver(); n > 0 {
+			f.audit.Cold(h.server.ID, f.now(), n)
+		}
+		asks += h.asked
+		h.mu.Unlock()
+	}
+	after := f.cost()
+	r := &Result{Version: ResultVersion, Experiment: f.e.Name, Seed: f.e.Seed, Policy: string(f.o.Policy), Program: f.o.Name,
+		Figures: f.audit.Figures(f.e.WarmUp, f.e.Length(), virtual.Capacities(f.e)), Cost: after}
+	r.Cost.RigCPU -= before.RigCPU
+	r.Cost.NodesCPU -= before.NodesCPU
+	r.Cost.Asks = asks
+	calls := 0
+	for _, s := range r.Figures.BySecond {
+		calls += s.Calls
+	}
+	r.Cost.CPUPerCall = r.Cost.NodesCPU / time.Duration(max(1, calls))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	slices.Sort(f.lates)
+	if n := len(f.lates); n > 0 {
+		r.Cost.LateP99 = time.Duration(f.lates[n*99/100] * float64(time.Second))
+	}
+	r.Cost.LateMost = f.worst
+	if r.Cost.LateP99 > lateP99 || r.Cost.LateMost > lateMost {
+		r.Slow = fmt.Sprintf("calls were sent up to %v late, one in a hundred by over %v: the machine is too slow for this experiment, and nothing is judged",
+			r.Cost.LateMost.Round(time.Millisecond), r.Cost.LateP99.Round(time.Millisecond))
+	}
+	r.Breaches = f.audit.Breaches(f.worst)
+	for _, n := range f.nodes {
+		if words := n.crashed(); words != "" {
+			r.Cost.NodesCrashed++
+			r.Logs = append(r.Logs, words)
+			r.Breaches = append(r.Breaches, audit.Breach{Rule: "crash", At: f.now(), Words: words})
+		}
+	}
+	return r
+}
+
+// network is a part of 127.0.0.0/8 that no other rig uses.
+type network struct {
+	lock net.Listener
+	part int
+}
+
+// newNetwork takes a part: whoever holds its first address has it.
+func newNetwork() (*network, error) {
+	for range 100 {
+		part := 16 + rand.IntN(200)
+		ln, err := net.Listen("tcp4", fmt.Sprintf("127.%d.0.1:7000", part))
+		if err == nil {
+			return &network{ln, part}, nil
+		}
+	}
+	return nil, fmt.Errorf("rig: no part of 127.0.0.0/8 is free")
+}
+
+// Address is one of the part's.
+func (n *network) Address(a, b, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", n.part, a, b, port)
+}
+
+// Close gives the part back.
+func (n *network) Close() { n.lock.Close() }
--- /dev/null
+++ b/internal/rig/link/mesh_test.go
@@ -0,0 +1,125 @@
+package link
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+)
+
+// peer is a member's own socket.
+type peer struct {
+	*net.UDPConn
+	sees map[string]string // how others see it, by zone
+}
+
+func newPeer(t *testing.T, m *Mesh, name, zone string) *peer {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	sees, err := m.Join(name, zone, netip.MustParseAddrPort(c.LocalAddr().String()), []string{"a", "b"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &peer{c, sees}
+}
+
+func (p *peer) send(t *testing.T, to, text string) {
+	t.Helper()
+	if _, err := p.WriteToUDPAddrPort([]byte(text), netip.MustParseAddrPort(to)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// hears returns what comes, until nothing does for a while once there were so many.
+func (p *peer) hears(want int) (texts []string, from string) {
+	buf := make([]byte, MaxDatagram)
+	for {
+		wait := limit
+		if len(texts) >= want {
+			wait = short
+		}
+		p.SetReadDeadline(time.Now().Add(wait))
+		n, addr, err := p.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return texts, from
+		}
+		texts, from = append(texts, string(buf[:n])), addr.String()
+	}
+}
+
+func TestDatagramsComeFromTheSendersAddressAndFailAsTheShapeSays(t *testing.T) {
+	var mu sync.Mutex
+	shapes := map[string]Shape{}
+	m := NewMesh(NewDice(5), func(from, to string) Shape {
+		mu.Lock()
+		defer mu.Unlock()
+		return shapes[from+to]
+	})
+	defer m.Close()
+	shape := func(pair string, s Shape) {
+		mu.Lock()
+		defer mu.Unlock()
+		shapes[pair] = s
+	}
+	x, y := newPeer(t, m, "x", "a"), newPeer(t, m, "y", "b")
+
+	x.send(t, y.sees["a"], "hello")
+	if got, from := y.hears(1); len(got) != 1 || from != x.sees["b"] {
+		t.Fatalf("%v from %s; want one from %s, how zone b sees x", got, from, x.sees["b"])
+	}
+	y.send(t, x.sees["b"], "back")
+	if got, _ := x.hears(1); len(got) != 1 {
+		t.Fatalf("x heard %v", got)
+	}
+
+	shape("ab", Shape{CutThere: true}) // one way
+	x.send(t, y.sees["a"], "lost")
+	y.send(t, x.sees["b"], "comes")
+	if got, _ := x.hears(1); len(got) != 1 {
+		t.Errorf("the way that is open brought %v", got)
+	}
+	if got, _ := y.hears(0); len(got) != 0 {
+		t.Errorf("the way that is cut brought %v", got)
+	}
+
+	shape("ab", Shape{Double: 1})
+	x.send(t, y.sees["a"], "twice")
+	if got, _ := y.hears(2); len(got) != 2 {
+		t.Errorf("%v; want it twice", got)
+	}
+
+	shape("ab", Shape{Delay: time.Millisecond, Reorder: 0.5, Loss: 0.3})
+	for i := range 100 {
+		x.send(t, y.sees["a"], fmt.Sprint(i))
+	}
+	got, _ := y.hears(40)
+	swapped := 0
+	for i := range got[1:] {
+		var p, q int
+		fmt.Sscan(got[i], &p)
+		fmt.Sscan(got[i+1], &q)
+		if p > q {
+			swapped++
+		}
+	}
+	if len(got) < 40 || len(got) > 95 || swapped == 0 {
+		t.Errorf("%d of 100 came, %d out of order, with 0.3 lost and half of the rest held back", len(got), swapped)
+	}
+
+	stranger, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	shape("ab", Shape{})
+	stranger.WriteToUDPAddrPort([]byte("hi"), netip.MustParseAddrPort(y.sees["a"]))
+	if got, _ := y.hears(0); len(got) != 0 {
+		t.Errorf("a stranger was heard: %v", got)
+	}
+}
--- /dev/null
+++ b/internal/rig/links.go
@@ -0,0 +1,70 @@
+package rig
+
+import (
+	"slices"
+
+	"woodpick/internal/rig/experiment"
+	"woodpick/internal/rig/link"
+)
+
+// shape is how the link from a zone's nodes to the server at a place is now.
+func (f *fleet) shape(near, far string, place int) link.Shape {
+	l := f.e.Between(near, far)
+	s := link.Shape{Delay: l.Delay, Jitter: l.Jitter}
+	f.mu.Lock()
+	faults := slices.Clone(f.faults)
+	f.mu.Unlock()
+	for _, ft := range faults {
+		if slices.Contains(ft.Near, near) && slices.Contains(ft.Far, far) &&
+			(place < 0 || slices.Contains(ft.Struck(f.e.Seed, len(f.world.Servers)), place)) {
+			s = s.Over(shapeOf(ft))
+		}
+	}
+	return s
+}
+
+// shapeOf is what a fault of links does to one.
+func shapeOf(ft experiment.Fault) link.Shape {
+	switch ft.Kind {
+	case experiment.Cut:
+		return link.Shape{CutThere: true, CutBack: true}
+	case experiment.CutThere:
+		return link.Shape{CutThere: true}
+	case experiment.CutBack:
+		return link.Shape{CutBack: true}
+	case experiment.Reset:
+		return link.Shape{Reset: true}
+	case experiment.Refuse:
+		return link.Shape{Refuse: true}
+	}
+	return link.Shape{Delay: ft.Delay, Jitter: ft.Jitter, Loss: ft.Loss, Bandwidth: ft.Bandwidth}
+}
+
+// shapeOf is how datagrams go from one zone to another now: a cut between nodes and servers of two zones is one between
+// their nodes too.
+func (f *fleet) shapeOf(from, to string) link.Shape {
+	s := f.shape(from, to, -1)
+	if f.shape(to, from, -1).CutBack { // what comes back there goes out here
+		s.CutThere = true
+	}
+	return s
+}
+
+// reshape puts all links in their present shape.
+func (f *fleet) reshape() {
+	for _, h := range f.hosts {
+		h.mu.Lock()
+		down, zone := h.down, h.server.Zone
+		h.mu.Unlock()
+		for z, r := range h.relays {
+			s := f.shape(f.zones[z], zone, h.place)
+			switch down {
+			case experiment.Crash:
+				s = link.Shape{Refuse: true, Reset: true}
+			case experiment.Lose:
+				s.CutThere, s.CutBack = true, true
+			}
+			f.fail(r.Set(s))
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/node.go
@@ -0,0 +1,247 @@
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"woodpick/internal/rig/audit"
+	"woodpick/internal/rig/experiment"
+	"woodpick/internal/rig/link"
+	"woodpick/internal/rig/nodefile"
+)
+
+// node is one node of the fleet: a process, or a policy of the rig's own.
+type node struct {
+	fleet  *fleet
+	index  int
+	zone   string
+	lag    time.Duration // of its list
+	copies int
+	listen string
+	agent  *link.Relay
+	file   *memfile
+
+	mu      sync.Mutex
+	process *process // nil while it is down
+	spent   time.Duration
+	deaths  []string
+	rng     *rand.Rand
+	idle    map[string][]*callerConn
+}
+
+// startLimit bounds how long a node may take until it is ready.
+const startLimit = time.Minute
+
+func (n *node) zoneIndex() int { return slices.Index(n.fleet.zones, n.zone) }
+
+// open takes the node's addresses and opens its agent.
+func (n *node) open() error {
+	f := n.fleet
+	n.idle = map[string][]*callerConn{}
+	n.listen = f.net.Address(100+n.index/200, 1+n.index%200, 7070)
+	if f.o.Policy != Program {
+		return nil
+	}
+	var err error
+	n.agent, err = link.Listen(f.net.Address(120+n.index/200, 1+n.index%200, 7080), f.dice, func(c *link.Conn) { f.list.serve(n, c) })
+	if err != nil {
+		return err
+	}
+	text, err := n.text()
+	if err != nil {
+		return err
+	}
+	n.file, err = newMemfile(fmt.Sprintf("n%d.hcl", n.index), text)
+	return err
+}
+
+func (n *node) text() ([]byte, error) {
+	return nodefile.Text(n.fleet.e, nodefile.Node{Index: n.index, Copies: n.copies, Zone: n.zone, Listen: n.listen, Registry: n.agent.Addr()})
+}
+
+// startNodes starts all processes, some at a time, and returns once all are ready.
+func (f *fleet) startNodes(ctx context.Context) error {
+	f.began = time.Now()
+	f.list.news()
+	if f.o.Policy != Program {
+		return nil
+	}
+	f.spawner = newSpawner()
+	at := f.o.Starts
+	if at <= 0 {
+		at = 16
+	}
+	turn := make(chan struct{}, at)
+	errs := make([]error, len(f.nodes))
+	var all sync.WaitGroup
+	for i, n := range f.nodes {
+		turn <- struct{}{}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			defer func() { <-turn }()
+			errs[i] = n.start(ctx, 0)
+		}()
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// start starts the process and waits until it is ready.
+func (n *node) start(ctx context.Context, skew time.Duration) error {
+	f := n.fleet
+	keep := f.o.KeepLog
+	if keep <= 0 {
+		keep = 16 << 10
+	}
+	var env []string
+	if skew != 0 {
+		env = append(env, "DAMSONTRESTLE_CLOCK_OFF="+skew.String())
+	}
+	p, err := f.spawner.launch(f.o.Binary, n.file, keep, env)
+	if err != nil {
+		return fmt.Errorf("node %d: %w", n.index, err)
+	}
+	n.mu.Lock()
+	n.process = p
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for !n.ready(ctx) {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("node %d: not ready in time: %w\n%s", n.index, ctx.Err(), p.log)
+		case <-p.done:
+			return fmt.Errorf("node %d: %s", n.index, p.died())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	if skew != 0 && !strings.Contains(p.log.String(), "the clock is off") {
+		return fmt.Errorf("node %d: %s takes no clock that is off; build it with -tags rig", n.index, f.o.Binary)
+	}
+	return nil
+}
+
+// ready asks the node whether it is.
+func (n *node) ready(ctx context.Context) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.listen+"/health/ready", nil)
+	if err != nil {
+		return false
+	}
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// stop ends the process; what it took until now is kept in the books.
+func (n *node) stop(sig syscall.Signal, within time.Duration) {
+	n.mu.Lock()
+	p := n.process
+	n.mu.Unlock()
+	if p == nil {
+		return
+	}
+	cpu, _ := use(p.cmd.Process.Pid)
+	p.end(sig, within)
+	n.mu.Lock()
+	n.process = nil
+	n.spent += cpu
+	n.mu.Unlock()
+}
+
+// crashed tells of a process that ended by itself.
+func (n *node) crashed() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != nil {
+		if words := n.process.died(); words != "" {
+			n.deaths = append(n.deaths, words)
+		}
+	}
+	if len(n.deaths) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("node %d %s", n.index, strings.Join(n.deaths, "; "))
+}
+
+func (n *node) close() {
+	n.stop(syscall.SIGKILL, 0)
+	if n.agent != nil {
+		n.agent.Close()
+	}
+	if n.file != nil {
+		n.file.Close()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, free := range n.idle {
+		for _, c := range free {
+			c.Close()
+		}
+	}
+}
+
+// strike has a fault of nodes begin, and returns what ends it, or nil.
+func (n *node) strike(ctx context.Context, ft experiment.Fault) {
+	f := n.fleet
+	from := f.now()
+	n.mu.Lock()
+	p := n.process
+	n.mu.Unlock()
+	if p == nil {
+		return
+	}
+	again := func(skew time.Duration) {
+		f.fail(n.start(ctx, skew))
+		f.audit.Excuse(audit.Excuse{Node: n.index, From: from, To: f.now()})
+	}
+	switch ft.Kind {
+	case experiment.Kill, experiment.Skew:
+		f.audit.Excuse(audit.Excuse{Node: n.index, From: from, To: ft.To})
+		n.stop(syscall.SIGKILL, 0)
+		if ft.Kind == experiment.Skew {
+			again(ft.Offset)
+			return
+		}
+		f.await(ctx, ft.To)
+		if ctx.Err() == nil {
+			again(0)
+		}
+	case experiment.Stop:
+		f.audit.Excuse(audit.Excuse{Node: n.index, From: from, To: ft.To + 100*time.Millisecond})
+		f.fail(p.signal(syscall.SIGSTOP))
+		f.await(ctx, ft.To)
+		f.fail(p.signal(syscall.SIGCONT))
+	case experiment.Restart:
+		n.stop(syscall.SIGTERM, 15*time.Second)
+		f.audit.Excuse(audit.Excuse{Node: n.index, From: f.now() - 100*time.Millisecond, To: f.now()})
+		from = f.now()
+		again(0)
+	case experiment.Recount:
+		n.copies = ft.Count
+		text, err := n.text()
+		if err == nil {
+			err = n.file.rewrite(text)
+		}
+		if err == nil {
+			err = p.signal(syscall.SIGHUP)
+		}
+		f.fail(err)
+	}
+}
+
+// callerConn is a caller's connection to a node.
+type callerConn struct{ net.Conn }
--- /dev/null
+++ b/internal/rig/nodefile/nodefile.go
@@ -0,0 +1,123 @@
+// Package nodefile writes the file by which a node of an experiment serves.
+package nodefile
+
+import (
+	"bytes"
+	"fmt"
+	"text/template"
+
+	"woodpick"
+	"woodpick/internal/config"
+	"woodpick/internal/rig/experiment"
+)
+
+// Node is what a node's file says beside the experiment.
+type Node struct {
+	Index, Copies int
+	Zone          string
+	Listen        string // address
+	Registry      string // address of its agent
+	Descriptors   int
+	Connections   int // to servers, at most
+}
+
+// Pool is the name of the one pool.
+const Pool = "servers"
+
+var form = template.Must(template.New("node").Parse(`node "n{{.Index}}" {
+  zone = "{{.Zone}}"
+  limits {
+    memory      = "64MiB"
+    descriptors = {{.Descriptors}}
+    cores       = 1
+  }
+}
+{{range .Classes}}
+class "{{.Name}}" {
+  effect   = "{{.Effect}}"
+  aim      = "{{.Aim}}"
+  deadline = "{{.Deadline}}"
+}
+{{end}}
+listener "callers" {
+  address = "{{.Listen}}"
+}
+
+pool "servers" {
+  attempts = 3
+  copies {
+    count = {{.Copies}}
+    index = {{.Index}}
+  }
+  connections {
+    most            = {{.Connections}}
+    idle            = "60s"
+    connect_timeout = "1s"
+  }
+  slow_start {
+    from = {{.ColdFrom}}
+    over = "{{.ColdOver}}"
+  }
+{{- if .Reports}}
+  load_reports {
+    busy = "inflight"
+{{- if .Asks}}
+    ask  = {{.Asks}}
+{{- end}}
+  }
+{{- end}}
+  registry {
+    address = "{{.Registry}}"
+  }
+}
+
+route "all" {
+  default = true
+  pool    = "servers"
+}
+`))
+
+// Text is the file of a node.
+func Text(e *experiment.Experiment, n Node) ([]byte, error) {
+	cold := experiment.Servers{ColdFrom: 1}
+	reports := true
+	for _, g := range e.Servers {
+		reports = reports && g.Reports
+		if g.ColdOver > cold.ColdOver { // of several, the longest holds
+			cold = g
+		}
+	}
+	if n.Descriptors == 0 {
+		n.Descriptors = 512
+	}
+	if n.Connections == 0 {
+		n.Connections = 200
+	}
+	var out bytes.Buffer
+	err := form.Execute(&out, struct {
+		Node
+		Classes  []experiment.Class
+		ColdFrom float64
+		ColdOver any
+		Reports  bool
+		Asks     int
+	}{n, e.Classes, cold.ColdFrom, cold.ColdOver, reports, e.NodeGroup(n.Index).Asks})
+	if err != nil {
+		return nil, fmt.Errorf("the file of node %d: %w", n.Index, err)
+	}
+	return out.Bytes(), nil
+}
+
+// Settings are what the module of a node goes by: what the program makes of its file.
+func Settings(e *experiment.Experiment, n Node) (woodpick.Settings, error) {
+	n.Listen, n.Registry = "127.0.0.1:1", "127.0.0.1:2"
+	text, err := Text(e, n)
+	if err != nil {
+		return woodpick.Settings{}, err
+	}
+	c, problems := config.Parse(text, fmt.Sprintf("n%d.hcl", n.Index))
+	if err := problems.Err(); err != nil {
+		return woodpick.Settings{}, err
+	}
+	return c.Settings(c.Pools[0]), nil
+}
--- /dev/null
+++ b/internal/rig/report/compare.go
@@ -0,0 +1,166 @@
+// Package report reads results of the rig and sets two sets of runs side by side, paired by seed: a table with intervals
+// and, as one HTML page that needs nothing else, plots.
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+
+	"woodpick/internal/rig"
+)
+
+// MaxResult is how long a file with a result may be.
+const MaxResult = 64 << 20
+
+// Load reads a result. One of another version is refused: its figures may mean something else.
+func Load(path string) (*rig.Result, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("result: %w", err)
+	}
+	r, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return r, nil
+}
+
+// Parse reads the text of a result.
+func Parse(text []byte) (*rig.Result, error) {
+	if len(text) > MaxResult {
+		return nil, fmt.Errorf("result: it has %d bytes; allowed: %d", len(text), MaxResult)
+	}
+	var version struct{ Version int }
+	if err := json.Unmarshal(text, &version); err != nil {
+		return nil, fmt.Errorf("result: %w", err)
+	}
+	if version.Version != rig.ResultVersion {
+		return nil, fmt.Errorf("result: found version %d; allowed: %d, which this build writes", version.Version, rig.ResultVersion)
+	}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	r := &rig.Result{}
+	if err := d.Decode(r); err != nil {
+		return nil, fmt.Errorf("result: %w", err)
+	}
+	if r.Experiment == "" || r.Policy == "" {
+		return nil, fmt.Errorf("result: it names no experiment or no policy")
+	}
+	return r, nil
+}
+
+// Row compares one figure of two sets of runs.
+type Row struct {
+	Name, Unit string
+	A, B       float64 // means over the pairs
+	Difference float64 // B - A, mean over the pairs
+	Low, High  float64 // between which it lies in 95 of 100 resamples of the pairs; equal to it where there is one pair
+}
+
+// figure is one that is compared.
+type figure struct {
+	name, unit string
+	of         func(*rig.Result) float64
+}
+
+var figures = []figure{
+	{"served within the aim", "share", func(r *rig.Result) float64 { return r.Figures.InAim }},
+	{"served", "share", func(r *rig.Result) float64 { return r.Figures.Served }},
+	{"refused", "share", func(r *rig.Result) float64 { return r.Figures.Refused }},
+	{"failed or not taken", "share", func(r *rig.Result) float64 { return r.Figures.Failed + r.Figures.NotTaken }},
+	{"latency, median", "ms", func(r *rig.Result) float64 { return r.Figures.P50.Seconds() * 1e3 }},
+	{"latency, 99 of 100", "ms", func(r *rig.Result) float64 { return r.Figures.P99.Seconds() * 1e3 }},
+	{"slots at work", "share", func(r *rig.Result) float64 { return r.Figures.Utilisation }},
+	{"calls that wait, a slot", "", func(r *rig.Result) float64 { return r.Figures.Waiting }},
+	{"idle while queued", "share", func(r *rig.Result) float64 { return r.Figures.Spread.IdleWhileQueued }},
+	{"variation over servers", "", func(r *rig.Result) float64 { return r.Figures.Spread.Variation }},
+	{"most calls in 1 s", "of mean", func(r *rig.Result) float64 { return r.Figures.Spread.Windows["1s"].Most }},
+	{"most calls in 10 s", "of mean", func(r *rig.Result) float64 { return r.Figures.Spread.Windows["10s"].Most }},
+	{"fewest calls in 10 s", "of mean", func(r *rig.Result) float64 { return r.Figures.Spread.Windows["10s"].Least }},
+	{"longest without a call", "s", func(r *rig.Result) float64 { return r.Figures.Spread.LongestIdle.Seconds() }},
+	{"connections to a server", "", func(r *rig.Result) float64 { return r.Figures.Connections }},
+	{"most connections", "of mean", func(r *rig.Result) float64 { return r.Figures.MostConns }},
+	{"attempts a call", "", func(r *rig.Result) float64 { return r.Figures.Attempts }},
+	{"attempts to other zones", "share", func(r *rig.Result) float64 { return r.Figures.Crossings }},
+	{"processor time a call", "ms", func(r *rig.Result) float64 { return r.Cost.CPUPerCall.Seconds() * 1e3 }},
+	{"breaches of rules", "", func(r *rig.Result) float64 { return float64(len(r.Breaches)) }},
+}
+
+// Pair is one day, played twice.
+type Pair struct{ A, B *rig.Result }
+
+// Pairs sorts two sets of runs into pairs of the same experiment and seed. What has no partner, or was played on a
+// machine that was too slow, is left out, and said.
+func Pairs(a, b []*rig.Result) (pairs []Pair, left []string) {
+	type day struct {
+		experiment string
+		seed       uint64
+	}
+	of := map[day]*rig.Result{}
+	for _, r := range b {
+		of[day{r.Experiment, r.Seed}] = r
+	}
+	used := map[day]bool{}
+	for _, r := range a {
+		k := day{r.Experiment, r.Seed}
+		other := of[k]
+		switch {
+		case used[k] || other == nil:
+			left = append(left, fmt.Sprintf("%s, seed %d: no partner", r.Experiment, r.Seed))
+		case r.Slow != "" || other.Slow != "":
+			left = append(left, fmt.Sprintf("%s, seed %d: the machine was too slow", r.Experiment, r.Seed))
+		default:
+			pairs = append(pairs, Pair{r, other})
+		}
+		used[k] = true
+	}
+	for _, r := range b {
+		if !used[day{r.Experiment, r.Seed}] {
+			left = append(left, fmt.Sprintf("%s, seed %d: no partner", r.Experiment, r.Seed))
+		}
+	}
+	return pairs, left
+}
+
+// resamples of the pairs for an interval.
+const resamples = 2000
+
+// Compare works out every figure over pairs.
+func Compare(pairs []Pair) (rows []Row) {
+	for _, f := range figures {
+		var as, bs, ds []float64
+		for _, p := range pairs {
+			x, y := f.of(p.A), f.of(p.B)
+			as, bs, ds = append(as, x), append(bs, y), append(ds, y-x)
+		}
+		if len(ds) == 0 {
+			continue
+		}
+		low, high := bootstrap(ds)
+		rows = append(rows, Row{f.name, f.unit, stat.Mean(as, nil), stat.Mean(bs, nil), stat.Mean(ds, nil), low, high})
+	}
+	return rows
+}
+
+// bootstrap is the 95 percent interval of a mean, by resampling (Efron 1979). The draws are always the same.
+func bootstrap(values []float64) (low, high float64) {
+	rng := rand.New(rand.NewPCG(1, uint64(len(values))))
+	means := make([]float64, resamples)
+	for i := range means {
+		var sum float64
+		for range values {
+			sum += values[rng.IntN(len(values))]
+		}
+		means[i] = sum / float64(len(values))
+	}
+	slices.Sort(means)
+	at := func(q float64) float64 { return means[int(math.Round(q*float64(resamples-1)))] }
+	return at(0.025), at(0.975)
+}
--- /dev/null
+++ b/internal/rig/rig_test.go
@@ -0,0 +1,197 @@
+package rig
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"woodpick/internal/rig/experiment"
+)
+
+var buildOnce = sync.OnceValues(func() (folder string, err error) {
+	if folder, err = os.MkdirTemp("", "rig"); err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-tags", "rig", "-o", folder+"/", "woodpick/cmd/damsontrestle").CombinedOutput()
+	if err != nil {
+		return folder, &exec.Error{Name: "go build", Err: &os.PathError{Op: string(out), Path: folder, Err: err}}
+	}
+	return folder, nil
+})
+
+// TestMain removes what was built.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if folder, _ := buildOnce(); folder != "" {
+		os.RemoveAll(folder)
+	}
+	os.Exit(code)
+}
+
+// play plays an experiment with processes and returns what it came to. What rests on time is judged only where the rig
+// kept up.
+func play(t *testing.T, text string) *Result {
+	t.Helper()
+	folder, err := buildOnce()
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := experiment.Parse([]byte(text), t.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := Run(t.Context(), e, Options{Policy: Program, Binary: filepath.Join(folder, "damsontrestle"), Starts: 4, Log: t.Logf})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range res.Breaches {
+		if res.Slow == "" || b.Rule == "once" || b.Rule == "crash" || strings.Contains(b.Words, "wrongly") {
+			t.Errorf("%v", b)
+		}
+	}
+	if res.Slow != "" {
+		t.Log(res.Slow)
+	}
+	return res
+}
+
+const dozen = `experiment "dozen" {
+  seed    = 3
+  warm_up = "1s"
+  measure = "8s"
+}
+zone "a" {}
+zone "b" {}
+zone "c" {}
+nodes "front" {
+  count = 12
+}
+servers "box" {
+  count   = 12
+  slots   = 8
+  queue   = 100
+  service = "40ms"
+  draw    = "uniform"
+}
+class "view" {
+  effect   = "safe"
+  aim      = "2s"
+  deadline = "4s"
+  share    = 0.6
+}
+class "note" {
+  effect   = "unsafe"
+  aim      = "2s"
+  deadline = "4s"
+  share    = 0.4
+}
+callers {
+  rate = 5
+}
+`
+
+// Twelve processes, and for three seconds nothing from one zone's nodes comes to another's servers: the rules hold,
+// every call of a zone that can reach servers is served, and all servers carry their part.
+func TestTwelveProcessesAndAZoneCutOffOneWay(t *testing.T) {
+	res := play(t, dozen+`
+fault "cut" {
+  kind = "cut_there"
+  from = "3s"
+  to   = "6s"
+  near = ["a"]
+  far  = ["b"]
+}
+`)
+	f := res.Figures
+	if f.Calls < 300 {
+		t.Fatalf("%d calls were made", f.Calls)
+	}
+	if f.Served < 0.8 {
+		t.Errorf("%.3f of the calls were served; a third of the nodes cannot reach a third of the servers for a third of the time", f.Served)
+	}
+	mean := 0
+	for _, n := range f.Spread.Counts {
+		mean += n
+	}
+	mean /= len(f.Spread.Counts)
+	for i, n := range f.Spread.Counts {
+		if n < mean/4 || n > 3*mean {
+			t.Errorf("server %d got %d calls where the mean is %d: %v", i, n, mean, f.Spread.Counts)
+		}
+	}
+}
+
+// A node that is stopped while servers are replaced wakes with an old view, others are killed or end in order, and
+// one has a clock that is an hour off: the rules hold.
+func TestProcessesThatSleepDieAndReturn(t *testing.T) {
+	res := play(t, dozen+`
+fault "asleep" {
+  kind  = "stop"
+  from  = "2s"
+  to    = "4s"
+  count = 2
+}
+fault "new" {
+  kind = "replace"
+  from = "2500ms"
+  to   = "5s"
+  over = "1s"
+  part = 0.5
+}
+fault "dead" {
+  kind  = "kill"
+  from  = "3s"
+  to    = "4s"
+  count = 2
+}
+fault "rolled" {
+  kind  = "restart"
+  from  = "4500ms"
+  to    = "7s"
+  over  = "500ms"
+  count = 3
+}
+fault "off" {
+  kind   = "skew"
+  from   = "1s"
+  to     = "8s"
+  count  = 1
+  offset = "-1h"
+}
+fault "recount" {
+  kind  = "recount"
+  from  = "6s"
+  to    = "7s"
+  part  = 0.5
+  count = 30
+}
+`)
+	if f := res.Figures; f.Served < 0.6 || res.Cost.Processes != 12 {
+		t.Errorf("%.3f served by %d processes at the end", f.Served, res.Cost.Processes)
+	}
+}
+
+// What a run did is told by the same auditor whoever picks; the rig's own policies need no process.
+func TestTheRigsOwnPolicies(t *testing.T) {
+	e, err := experiment.Parse([]byte(strings.NewReplacer(`"8s"`, `"1s"`, `"1s"`, `"200ms"`).Replace(dozen)), "dozen")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range []Policy{Random, JSQ} {
+		res, err := Run(t.Context(), e, Options{Policy: p})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if res.Figures.Calls < 20 || res.Figures.Served < 0.9 || res.Cost.Processes != 0 {
+			t.Errorf("%s: %d calls, %.3f served, %d processes", p, res.Figures.Calls, res.Figures.Served, res.Cost.Processes)
+		}
+		for _, b := range res.Breaches {
+			if res.Slow == "" {
+				t.Errorf("%s: %v", p, b)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/virtual/play.go
@@ -0,0 +1,495 @@
+// Package virtual plays an experiment in one process on virtual time: the same servers, streams, auditor and figures
+// as on sockets, with the decision module in place of whole nodes. A day of seconds takes a fraction of one, so that
+// ways to spread load can be weighed over many seeds; what the weighing finds is then shown with processes.
+package virtual
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/rig/audit"
+	"woodpick/internal/rig/experiment"
+	"woodpick/internal/rig/nodefile"
+	"woodpick/internal/rig/world"
+)
+
+// Policy says who picks the server.
+type Policy string
+
+// Policies.
+const (
+	Program Policy = "program" // the decision module
+	Random  Policy = "random"  // any server that the node's list has in service
+	JSQ     Policy = "jsq"     // the server that holds least for its slots, by what all hold now
+)
+
+// Tune changes what a module is told, for weighing; nil changes nothing.
+type Tune func(*woodpick.Settings)
+
+// event is something that is due.
+type event struct {
+	at  time.Duration
+	seq int // events of one instant go in the order in which they came up
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// node is one node: a module, or a policy that needs none.
+type node struct {
+	index    int
+	zone     string
+	balancer *woodpick.Balancer // nil while it is down, or by another policy
+	life     int
+	calls    map[string]*call
+	lag      time.Duration // of its list
+	listed   []string      // uids in service, by its list
+	open     map[int]bool  // places that it has a connection to
+	copies   int
+}
+
+// call is a call that a node has taken.
+type call struct {
+	world.Call
+	class    experiment.Class
+	attempts []*try
+	answered bool
+}
+
+// try is one attempt.
+type try struct {
+	*audit.Attempt
+	n      int
+	node   *node
+	call   *call
+	server *world.Server // the life that it was sent to
+	place  int
+	job    *world.Job
+	ended  bool
+	sent   time.Duration
+}
+
+// player plays one day.
+type player struct {
+	e       *experiment.Experiment
+	policy  Policy
+	tune    Tune
+	now     time.Duration
+	due     events
+	seq     int
+	audit   *audit.Audit
+	fleet   *world.Fleet
+	place   map[string]int
+	state   []woodpick.ServerState // of each place
+	gone    map[string]bool        // uids that were replaced
+	lost    []bool                 // of each place: its machine says nothing
+	crashed []bool
+	nodes   []*node
+	streams *world.Streams
+	rng     *rand.Rand
+	cuts    []experiment.Fault // of links, in force
+	waiting map[*world.Job]*try
+	asked   int // servers, how much they hold
+}
+
+// epoch is the clock time of the first call: the module takes 0 for long ago.
+const epoch = time.Hour
+
+// Play plays an experiment once.
+func Play(e *experiment.Experiment, policy Policy, tune Tune) (*audit.Audit, audit.Figures, error) {
+	p := &player{e: e, policy: policy, tune: tune, audit: audit.New(), fleet: world.NewFleet(e), place: map[string]int{},
+		gone: map[string]bool{}, waiting: map[*world.Job]*try{}, streams: world.NewStreams(e, "c"), rng: rand.New(rand.NewPCG(e.Seed, 0x1ab))}
+	p.state = make([]woodpick.ServerState, len(p.fleet.Servers))
+	p.lost, p.crashed = make([]bool, len(p.state)), make([]bool, len(p.state))
+	for i, s := range p.fleet.Servers {
+		p.place[s.ID] = i
+	}
+	zones := e.NodeZones()
+	for i, zone := range zones {
+		n := &node{index: i, zone: zone, copies: len(zones), calls: map[string]*call{}, open: map[int]bool{}}
+		if e.Registry.LagMost > 0 {
+			n.lag = e.Registry.Lag + time.Duration(p.rng.Float64()*float64(e.Registry.LagMost-e.Registry.Lag))
+		}
+		p.nodes = append(p.nodes, n)
+		if err := p.start(n); err != nil {
+			return nil, audit.Figures{}, err
+		}
+		p.arrive(n)
+	}
+	for _, f := range e.Faults {
+		if err := p.plan(f); err != nil {
+			return nil, audit.Figures{}, err
+		}
+	}
+	p.at(0, p.sample)
+	end := e.Length()
+	for _, c := range e.Classes {
+		end = max(end, e.Length()+c.Deadline+time.Second)
+	}
+	for len(p.due) > 0 && p.due[0].at <= end {
+		ev := heap.Pop(&p.due).(event)
+		p.now = ev.at
+		ev.do()
+	}
+	for _, s := range p.fleet.Servers {
+		if n := s.PushedOver(); n > 0 {
+			p.audit.Cold(s.ID, p.now, n)
+		}
+	}
+	return p.audit, p.audit.Figures(e.WarmUp, e.Length(), Capacities(e)), nil
+}
+
+// Capacities are those of an experiment's servers, in the order of their places.
+func Capacities(e *experiment.Experiment) (c []audit.Capacity) {
+	for _, g := range e.Servers {
+		for range g.Count {
+			c = append(c, audit.Capacity{Slots: g.Slots, Speed: 1 / g.Service.Seconds()})
+		}
+	}
+	return c
+}
+
+func (p *player) at(t time.Duration, do func()) {
+	p.seq++
+	heap.Push(&p.due, event{max(t, p.now), p.seq, do})
+}
+
+// start gives a node a module that knows the list.
+func (p *player) start(n *node) error {
+	n.life++
+	if p.policy != Program {
+		n.balancer = &woodpick.Balancer{}
+		p.tell(n, nil)
+		return nil
+	}
+	set, err := nodefile.Settings(p.e, nodefile.Node{Index: n.index, Copies: n.copies, Zone: n.zone})
+	if err != nil {
+		return err
+	}
+	if p.tune != nil {
+		p.tune(&set)
+	}
+	if n.balancer, err = woodpick.New(set, p.rng.Uint64()); err != nil {
+		return fmt.Errorf("node %d: %w", n.index, err)
+	}
+	p.tell(n, nil)
+	return nil
+}
+
+// tell gives a node the list as it stands now; names are the uids that have gone since.
+func (p *player) tell(n *node, gone []string) {
+	l := woodpick.ServerList{Full: len(gone) == 0}
+	n.listed = n.listed[:0]
+	for i, s := range p.fleet.Servers {
+		v := woodpick.Server{ID: s.ID, Zone: s.Zone, State: p.state[i], Size: s.Spec.Size}
+		if s.Born >= 0 {
+			v.Boot = epoch + s.Born
+		}
+		if v.State == woodpick.Ready {
+			n.listed = append(n.listed, s.ID)
+		} else {
+			p.audit.Told(n.index, s.ID, p.now)
+		}
+		l.Servers = append(l.Servers, v)
+	}
+	for _, id := range gone {
+		l.Servers = append(l.Servers, woodpick.Server{ID: id, State: woodpick.Gone})
+		p.audit.Told(n.index, id, p.now)
+	}
+	if p.policy == Program && n.balancer != nil {
+		p.handle(n, l)
+	}
+}
+
+// tellAll has every node hear of the list as it stands, each after its lag.
+func (p *player) tellAll(gone ...string) {
+	for _, n := range p.nodes {
+		p.at(p.now+n.lag, func() { p.tell(n, gone) })
+	}
+}
+
+// arrive has the next call come to a node.
+func (p *player) arrive(n *node) {
+	c, more := p.streams.Next(n.index)
+	if !more {
+		return
+	}
+	p.at(c.At, func() {
+		p.arrive(n)
+		p.ask(n, c)
+	})
+}
+
+func (p *player) ask(n *node, c world.Call) {
+	class := p.e.Classes[c.Class]
+	p.audit.Ask(audit.Call{ID: c.ID, Node: n.index, Class: c.Class, Unsafe: class.Effect == "unsafe", At: p.now, Aim: class.Aim, Deadline: class.Deadline})
+	if n.balancer == nil {
+		p.audit.Hear(c.ID, audit.NotTaken, p.now+1, "")
+		return
+	}
+	k := &call{Call: c, class: class}
+	n.calls[c.ID] = k
+	if p.policy == Program {
+		p.handle(n, woodpick.Request{ID: c.ID, Class: class.Name, Deadline: epoch + p.now + class.Deadline})
+		return
+	}
+	if id := p.pick(n); id != "" {
+		p.send(n, k, id, class.Deadline)
+	} else {
+		p.hear(n, k, audit.Refused, "now")
+	}
+}
+
+// pick is how the policies that are no module pick.
+func (p *player) pick(n *node) (id string) {
+	if len(n.listed) == 0 {
+		return ""
+	}
+	if p.policy == Random {
+		return n.listed[p.rng.IntN(len(n.listed))]
+	}
+	least := 0.0
+	for _, c := range n.listed {
+		s := p.fleet.Servers[p.place[c]]
+		if load := (float64(s.Working()+s.Waiting()) + p.rng.Float64()/100) / float64(s.Spec.Slots); id == "" || load < least {
+			id, least = c, load
+		}
+	}
+	return id
+}
+
+func (p *player) handle(n *node, e woodpick.Event) {
+	life := n.life
+	for _, a := range n.balancer.Handle(epoch+p.now, e) {
+		switch a := a.(type) {
+		case woodpick.Send:
+			if k := n.calls[a.ID]; k != nil {
+				p.send(n, k, a.Server, a.Timeout)
+			}
+		case woodpick.Ask:
+			p.poll(n, a)
+		case woodpick.Cancel:
+			if k := n.calls[a.ID]; k != nil && a.Attempt < len(k.attempts) {
+				p.end(k.attempts[a.Attempt], woodpick.Withdrawn, nil)
+			}
+		case woodpick.Refuse:
+			p.hear(n, n.calls[a.ID], audit.Refused, a.RetryAfter.String())
+		case woodpick.Fail:
+			p.hear(n, n.calls[a.ID], audit.Failed, "")
+		case woodpick.Wake:
+			p.at(a.At-epoch, func() {
+				if n.life == life && n.balancer != nil {
+					p.handle(n, woodpick.Timer{Token: a.Token})
+				}
+			})
+		}
+	}
+}
+
+// poll asks servers how much they hold; those that say nothing are not heard of.
+func (p *player) poll(n *node, a woodpick.Ask) {
+	life := n.life
+	for _, id := range a.Servers {
+		place := p.place[id]
+		s := p.fleet.Servers[place]
+		there, comes := p.delay(n.zone, s.Zone, true, place)
+		if !comes || s.ID != id || p.lost[place] || p.crashed[place] {
+			continue
+		}
+		p.asked++
+		p.at(p.now+there, func() {
+			busy := float64(s.Working() + s.Waiting())
+			if back, comes := p.delay(s.Zone, n.zone, false, place); comes && s.Fault != experiment.Hang {
+				p.at(p.now+back, func() {
+					if n.life == life && n.balancer != nil {
+						p.handle(n, woodpick.Known{ID: a.ID, Loads: []woodpick.ServerLoad{{Server: id, Busy: busy, Age: there + back}}})
+					}
+				})
+			}
+		})
+	}
+}
+
+// hear ends a call for its caller.
+func (p *player) hear(n *node, k *call, h audit.Heard, says string) {
+	if k == nil || k.answered {
+		return
+	}
+	k.answered = true
+	p.audit.Hear(k.ID, h, p.now, says)
+	p.forget(n, k)
+}
+
+func (p *player) forget(n *node, k *call) {
+	if k.answered && !slices.ContainsFunc(k.attempts, func(t *try) bool { return !t.ended }) {
+		delete(n.calls, k.ID)
+	}
+}
+
+// delay is how long something takes from one zone to another, and whether it comes at all.
+func (p *player) delay(from, to string, there bool, place int) (time.Duration, bool) {
+	l := p.e.Between(from, to)
+	d := l.Delay + time.Duration(p.rng.Float64()*float64(l.Jitter))
+	for _, f := range p.cuts {
+		near, far := from, to
+		if !there {
+			near, far = to, from
+		}
+		if !slices.Contains(f.Near, near) || !slices.Contains(f.Far, far) || !slices.Contains(f.Struck(p.e.Seed, len(p.state)), place) {
+			continue
+		}
+		switch f.Kind {
+		case experiment.Cut:
+			return 0, false
+		case experiment.CutThere:
+			if there {
+				return 0, false
+			}
+		case experiment.CutBack:
+			if !there {
+				return 0, false
+			}
+		case experiment.Slow:
+			d += f.Delay + time.Duration(p.rng.Float64()*float64(f.Jitter))
+		}
+	}
+	return d, true
+}
+
+func (p *player) send(n *node, k *call, id string, timeout time.Duration) {
+	place := p.place[id]
+	s := p.fleet.Servers[place]
+	t := &try{n: len(k.attempts), node: n, call: k, server: s, place: place, sent: p.now, job: &world.Job{ID: k.ID}}
+	k.attempts = append(k.attempts, t)
+	t.Attempt = p.audit.Send(k.ID, id, place, n.zone != s.Zone, p.now)
+	p.at(p.now+timeout, func() { p.end(t, woodpick.TimedOut, nil) })
+	there, comes := p.delay(n.zone, s.Zone, true, place)
+	switch {
+	case p.gone[id] || s.ID != id || p.crashed[place]:
+		p.at(p.now+2*there, func() { p.end(t, woodpick.Unreachable, nil) })
+	case !comes || p.lost[place]: // a new connection never comes up, an old one says nothing
+		if !n.open[place] {
+			p.at(p.now+time.Second, func() { p.end(t, woodpick.Unreachable, nil) })
+		}
+	default:
+		n.open[place] = true
+		p.at(p.now+there, func() { p.reach(t) })
+	}
+}
+
+// reach has an attempt come to its server.
+func (p *player) reach(t *try) {
+	if t.ended && p.now > t.Back || t.server != p.fleet.Servers[t.place] || p.crashed[t.place] || p.lost[t.place] {
+		return
+	}
+	switch t.server.Arrive(p.now, t.job) {
+	case world.Started:
+		p.work(t, t.server)
+	case world.Queued:
+		p.waiting[t.job] = t
+	case world.TurnedAway:
+		p.back(t, woodpick.Overloaded, nil)
+	case world.Failed:
+		p.audit.Run(t.Attempt)
+		p.back(t, woodpick.Failure, nil)
+	case world.Hung:
+		p.audit.Run(t.Attempt)
+	}
+}
+
+// work has a job that began end in time.
+func (p *player) work(t *try, s *world.Server) {
+	p.audit.Run(t.Attempt)
+	p.at(t.job.Ends, func() {
+		if s != p.fleet.Servers[t.place] || p.crashed[t.place] {
+			return
+		}
+		next := s.Finish(p.now, t.job)
+		load := &woodpick.Load{Busy: float64(s.Working() + s.Waiting()), Service: -1}
+		if !s.Spec.Reports {
+			load = nil
+		}
+		if !t.job.Lost && !p.lost[t.place] && s.Fault != experiment.Hang {
+			p.back(t, woodpick.Success, load)
+		}
+		if next != nil {
+			t := p.waiting[next]
+			delete(p.waiting, next)
+			p.work(t, s)
+		}
+	})
+}
+
+// back has a server's answer come to the node.
+func (p *player) back(t *try, e woodpick.Ending, load *woodpick.Load) {
+	if d, comes := p.delay(t.server.Zone, t.node.zone, false, t.place); comes {
+		p.at(p.now+d, func() { p.end(t, e, load) })
+	}
+}
+
+// end ends an attempt at its node.
+func (p *player) end(t *try, e woodpick.Ending, load *woodpick.Load) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	n, k := t.node, t.call
+	p.audit.Over(t.Attempt, p.now, fmt.Sprint(e))
+	if e == woodpick.TimedOut || e == woodpick.Withdrawn || e == woodpick.Unreachable {
+		delete(n.open, t.place) // its connection is closed
+		if d, comes := p.delay(n.zone, t.server.Zone, true, t.place); comes {
+			p.at(p.now+d, func() { p.leave(t) })
+		}
+	}
+	if e == woodpick.Success {
+		p.hear(n, k, audit.Served, "")
+	}
+	switch {
+	case p.policy == Program && n.balancer != nil:
+		p.handle(n, woodpick.Outcome{ID: k.ID, Attempt: t.n, Server: t.Server, Ending: e, Latency: p.now - t.sent, Ended: k.answered, Load: load})
+	case e != woodpick.Success:
+		p.hear(n, k, audit.Failed, "")
+	}
+	p.forget(n, k)
+}
+
+// leave has a server see that nobody waits for a call any more.
+func (p *player) leave(t *try) {
+	t.server.Leave(t.job)
+	delete(p.waiting, t.job)
+}
+
+// sample looks at all servers.
+func (p *player) sample() {
+	s := audit.Sample{At: p.now}
+	for i, v := range p.fleet.Servers {
+		s.Working, s.Waiting = append(s.Working, v.Working()), append(s.Waiting, v.Waiting())
+		open := 0
+		for _, n := range p.nodes {
+			if n.open[i] {
+				open++
+			}
+		}
+		s.Connections = append(s.Connections, open)
+		s.Down = append(s.Down, p.lost[i] || p.crashed[i] || v.Fault == experiment.Hang || p.state[i] != woodpick.Ready)
+	}
+	p.audit.Sample(s)
+	p.at(p.now+audit.SampleEvery, p.sample)
+}
--- /dev/null
+++ b/internal/rig/world/layout.go
@@ -0,0 +1,52 @@
+package world
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/rig/experiment"
+)
+
+// Fleet is all servers of an experiment, in the order of its groups; their ids tell nothing of zones or groups.
+type Fleet struct {
+	Servers []*Server
+	next    int
+	rng     *rand.Rand
+}
+
+// NewFleet returns warm servers.
+func NewFleet(e *experiment.Experiment) *Fleet {
+	f := &Fleet{rng: rand.New(rand.NewPCG(e.Seed, 0xf1ee7))}
+	for _, g := range e.Servers {
+		for i := range g.Count {
+			f.Servers = append(f.Servers, NewServer(g, f.newID(), g.Zones[i%len(g.Zones)], -1, f.rng.Uint64()))
+		}
+	}
+	return f
+}
+
+func (f *Fleet) newID() string {
+	f.next++
+	return fmt.Sprintf("s%06x%04d", f.rng.Uint32()&0xffffff, f.next)
+}
+
+// Renew puts a new life in the place of the i-th server: the same machine started anew or, as replacement, another id.
+func (f *Fleet) Renew(i int, now time.Duration, replacement bool) *Server {
+	old := f.Servers[i]
+	id := old.ID
+	if replacement {
+		id = f.newID()
+	}
+	f.Servers[i] = NewServer(old.Spec, id, old.Zone, now, f.rng.Uint64())
+	return f.Servers[i]
+}
+
+// Effects are the effects of an experiment's classes for the module.
+func Effects(c experiment.Class) woodpick.Effect {
+	if c.Effect == "safe" {
+		return woodpick.Safe
+	}
+	return woodpick.Unsafe
+}
--- /dev/null
+++ b/internal/rig/world/server.go
@@ -0,0 +1,167 @@
+// Package world models what the rig's nodes meet: servers with slots, a queue and a cold start, and streams of calls.
+// It does no I/O and has no clock: whoever plays it, on sockets or on virtual time, says when things happen.
+package world
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"woodpick/internal/rig/experiment"
+)
+
+// Job is a call at a server, from its arrival until its work is over or it is taken back.
+type Job struct {
+	ID    string
+	Began time.Duration // of its work; negative: it waits
+	Ends  time.Duration // of its work
+	Lost  bool          // nobody waits for it: it left while in work, which goes on to the end
+
+	queued bool
+}
+
+// Verdict is what a server does with a call that arrives.
+type Verdict int
+
+// Verdicts.
+const (
+	Started Verdict = iota
+	Queued
+	TurnedAway // for want of room; it never runs
+	Failed     // answered with an error at once
+	Hung       // taken, and never answered
+)
+
+// Cold-start rule: what comes to a cold server within a span stays under a multiple of what it could do by then.
+const (
+	ColdSpan     = time.Second
+	ColdMultiple = 3
+	coldSlack    = 4 // calls above that are chance
+)
+
+// Server is one life of a server: a machine of slots and a queue. It belongs to one goroutine or one lock.
+type Server struct {
+	Spec experiment.Servers
+	ID   string
+	Zone string
+	Born time.Duration // when it started cold; negative: long ago
+
+	Fault  experiment.Kind // Hang, Errors or none
+	Factor float64         // of its times of work, by drag
+
+	rng    *rand.Rand
+	work   int
+	queue  []*Job
+	recent []arrival // to a cold server, within the span
+	pushed int
+	Ran    int // calls whose work began
+	Turned int
+}
+
+type arrival struct {
+	at   time.Duration
+	work time.Duration
+}
+
+// NewServer returns a server that has nothing to do.
+func NewServer(spec experiment.Servers, id, zone string, born time.Duration, seed uint64) *Server {
+	return &Server{Spec: spec, ID: id, Zone: zone, Born: born, Factor: 1, rng: rand.New(rand.NewPCG(seed, 0x5e47e4))}
+}
+
+// Speed is the share of its full speed that it has, as it warms up.
+func (s *Server) Speed(now time.Duration) float64 {
+	if s.Born < 0 || s.Spec.ColdOver == 0 || now >= s.Born+s.Spec.ColdOver {
+		return 1
+	}
+	return s.Spec.ColdFrom + (1-s.Spec.ColdFrom)*float64(now-s.Born)/float64(s.Spec.ColdOver)
+}
+
+// Arrive takes a call. After Started its work ends at job.Ends, when Finish is due.
+func (s *Server) Arrive(now time.Duration, j *Job) Verdict {
+	j.Began = -1
+	s.press(now)
+	switch {
+	case s.Fault == experiment.Errors:
+		return Failed
+	case s.Fault == experiment.Hang:
+		return Hung
+	case s.work < s.Spec.Slots:
+		s.begin(now, j)
+		return Started
+	case len(s.queue) < s.Spec.Queue:
+		j.queued = true
+		s.queue = append(s.queue, j)
+		return Queued
+	}
+	s.Turned++
+	return TurnedAway
+}
+
+func (s *Server) begin(now time.Duration, j *Job) {
+	s.work++
+	s.Ran++
+	took := s.Spec.Draw.Time(s.rng, s.Spec.Service)
+	j.queued, j.Began = false, now
+	j.Ends = now + time.Duration(float64(took)*s.Factor/s.Speed(now))
+}
+
+// Finish ends the work of a job that Arrive, Finish or Leave has started. It returns the next one whose work begins.
+func (s *Server) Finish(now time.Duration, j *Job) *Job {
+	s.work--
+	return s.next(now)
+}
+
+func (s *Server) next(now time.Duration) *Job {
+	if len(s.queue) == 0 || s.work >= s.Spec.Slots {
+		return nil
+	}
+	j := s.queue[0]
+	s.queue[0] = nil
+	s.queue = s.queue[1:]
+	s.begin(now, j)
+	return j
+}
+
+// Leave takes back a call that nobody waits for any more. One that waits never runs; work that has begun goes on.
+func (s *Server) Leave(j *Job) {
+	j.Lost = true
+	if !j.queued {
+		return
+	}
+	for i, q := range s.queue {
+		if q == j {
+			s.queue = append(s.queue[:i:i], s.queue[i+1:]...)
+			j.queued = false
+			return
+		}
+	}
+}
+
+// Working and Waiting are its calls.
+func (s *Server) Working() int { return s.work }
+
+// Waiting is how many calls are in its queue.
+func (s *Server) Waiting() int { return len(s.queue) }
+
+// press counts what comes to a cold server, all of it, whether it is taken or not.
+func (s *Server) press(now time.Duration) {
+	if s.Speed(now) == 1 {
+		s.recent = nil
+		return
+	}
+	for len(s.recent) > 0 && s.recent[0].at <= now-ColdSpan {
+		s.recent = s.recent[1:]
+	}
+	s.recent = append(s.recent, arrival{now, s.Spec.Service})
+	var sent time.Duration
+	for _, a := range s.recent {
+		sent += a.work
+	}
+	can := float64(s.Spec.Slots) * s.Speed(now) * float64(ColdSpan) * ColdMultiple
+	if float64(sent) > can+coldSlack*float64(s.Spec.Service) {
+		s.pushed++
+		s.recent = nil
+	}
+}
+
+// PushedOver counts the spans in which more came to it while it was cold than the rule allows.
+func (s *Server) PushedOver() int { return s.pushed }
--- /dev/null
+++ b/internal/rig/world/stream.go
@@ -0,0 +1,64 @@
+package world
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"woodpick/internal/rig/experiment"
+)
+
+// Call is one call of a caller.
+type Call struct {
+	ID    string
+	Node  int
+	Class int
+	At    time.Duration
+	Try   int // 0 for the first; a caller's retry is a call of its own, with a new id
+}
+
+// Streams draws the calls that come to each node: open Poisson streams, the same for the same seed whatever becomes
+// of the calls.
+type Streams struct {
+	e     *experiment.Experiment
+	rates []float64
+	rngs  []*rand.Rand
+	next  []time.Duration
+	count []int
+	tag   string
+}
+
+// NewStreams returns the streams of an experiment. The tag sets ids of runs apart.
+func NewStreams(e *experiment.Experiment, tag string) *Streams {
+	s := &Streams{e: e, rates: e.Rates(), tag: tag}
+	for i, rate := range s.rates {
+		rng := rand.New(rand.NewPCG(e.Seed, uint64(i)+1))
+		s.rngs = append(s.rngs, rng)
+		s.next = append(s.next, time.Duration(rng.ExpFloat64()/rate*float64(time.Second)))
+		s.count = append(s.count, 0)
+	}
+	return s
+}
+
+// Next is the next call to a node and true, or false once the day is over.
+func (s *Streams) Next(node int) (Call, bool) {
+	at := s.next[node]
+	if at >= s.e.Length() {
+		return Call{}, false
+	}
+	rng := s.rngs[node]
+	var all float64
+	for _, c := range s.e.Classes {
+		all += c.Share
+	}
+	class, x := 0, rng.Float64()*all
+	for i, c := range s.e.Classes {
+		if x -= c.Share; x < 0 {
+			class = i
+			break
+		}
+	}
+	s.count[node]++
+	s.next[node] += time.Duration(rng.ExpFloat64() / s.rates[node] * float64(time.Second))
+	return Call{ID: fmt.Sprintf("%s%d.%d", s.tag, node, s.count[node]), Node: node, Class: class, At: at}, true
+}
