--- /dev/null
+++ b/internal/engine/soak_test.go
@@ -0,0 +1,70 @@
+package engine
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/discovery"
+	"woodpick/internal/standin"
+)
+
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// A hundred thousand calls under ids that are never seen again, and five thousand servers that come and go: the engine
+// keeps nothing of what has gone, alarms included.
+func TestNothingIsKeptOfCallsThatAreOver(t *testing.T) {
+	s := newScript()
+	e := newEngine(t, s, servers("s1", "s2", "s3", "s4"))
+	go e.Run(t.Context())
+	go func() {
+		for {
+			select {
+			case <-s.attempts:
+				(<-s.next) <- Outcome{Ending: woodpick.Success, At: e.clock.Now()}
+			case <-e.Done():
+				return
+			}
+		}
+	}()
+	var base int64
+	const calls, at = 100_000, 50
+	for i := 0; i < calls; i += at {
+		old, next := fmt.Sprint("s", i/at-4), fmt.Sprint("s", i/at+5)
+		if i == 0 {
+			old = "s0"
+		}
+		e.TakeList(discovery.List{Targets: []discovery.Target{
+			{Server: woodpick.Server{ID: old, State: woodpick.Gone}}, {Server: woodpick.Server{ID: next}, Endpoint: "127.0.0.1:1"}}})
+		var open []*Call
+		for k := range at {
+			c := newCall(e, fmt.Sprint("call-", i+k), "view")
+			c.Deadline = c.At + 2*time.Minute
+			e.Take(c)
+			open = append(open, c)
+		}
+		for _, c := range open {
+			standin.Receive(t, c.Answer(), "the answer")
+		}
+		if i == calls/10 {
+			base = heap()
+		}
+	}
+	// What the loop holds is looked at from within: it answers a Status once all before it is handled.
+	e.Status()
+	grown := heap() - base
+	if st := e.Status(); st.Open != 0 || st.Ready > 12 || st.Calls < calls {
+		t.Errorf("%d calls are open and %d servers ready after %d calls", st.Open, st.Ready, st.Calls)
+	}
+	if grown > 1<<20 {
+		t.Errorf("the heap grew by %d KiB from the tenth part of the day to its end", grown>>10)
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -1,6 +1,4 @@
 // Every decision of woodpick. The interface (settings, events, actions) is in woodpick.go.
-// Sections: constants, state, events, discovery, requests, the pick, eligibility, health, slow start, further
-// attempts, admission, answers.
 
 package woodpick
 
@@ -42,6 +40,7 @@
 	windowSlack = 2      // times the calls out on average up to which the window grows
 	windowGain  = 0.15   // window moved by an answer, for each target that it came under or over, at a lone node
 	windowStart = 13.0   // own calls for each server a node that are admitted before anything is known
+	hanging     = 0.05   // share of a class's attempts that may fail before a call that hangs is cut short
 	sameTry     = 0.05   // by how much times given to tries may differ and be held for the same
 	mostVotes   = 50     // counted for the time that is usual
 )
@@ -178,8 +177,7 @@
 	return b, nil
 }
 
-// takeClasses knows these classes from now on, and what was learned of those that it knew. One more stands
-// for all others.
+// takeClasses knows these classes from now on, and what was learned of them before. One more stands for all others.
 func (b *Balancer) takeClasses(list []Class) {
 	old := b.classes
 	b.classes, b.order = map[string]*class{}, nil
@@ -430,7 +428,14 @@
 	if s.coming++; !r.partial {
 		b.begin(a)
 	}
-	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.useless(r)-b.now, b.set.Tick)})
+	left, c := b.useless(r)-b.now, r.class
+	// A server that lets a call hang takes all its time: where that happens below the first tier, one that may run
+	// again gives it half, if nearly all answers come within that.
+	again := r.effect == Safe && a.n+1 < b.set.MaxAttempts && b.tokens >= 1
+	if again && b.set.Tier > 0 && c.failing > hanging && left/2 > b.overlong(c) {
+		left /= 2
+	}
+	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(left, b.set.Tick)})
 }
 
 // begin counts an attempt at its server. Before the last byte has come there it is no work, whoever sends it
@@ -616,8 +621,7 @@
 	return w * b.room(s)
 }
 
-// choose draws from the node's pool and, when nobody there may be drawn, from the whole groups; those
-// that fail more than others come last.
+// choose draws from the pool and, where nobody there may be, from the whole groups; those that fail more come last.
 func (b *Balancer) choose(r *request) *server {
 	b.fitPool()
 	if s := b.tryZone(r); s != nil {
@@ -665,9 +669,8 @@
 // missed, and time-outs show load rather than ill health.
 func (b *Balancer) mostSick() int { return int(mostOut * (1 - b.shed) * float64(len(b.ready))) }
 
-// ruleOut marks the servers that health keeps out. When many look bad to one node, the fault is
-// likelier its own or the tier below's, and those left would take all the load: only the worst are
-// kept out, up to a set share of the list.
+// ruleOut marks the servers that health keeps out. When many look bad to one node, the fault is likelier its own or the
+// tier below's, and those left would take all the load: only the worst are kept out, up to a set share of the list.
 func (b *Balancer) ruleOut(g groups, r *request, shun bool) {
 	var sick []*server
 	asked := len(r.asked) > 0 && r.asking == 0 && len(r.attempts) == 0 // and have said what they hold
@@ -688,8 +691,7 @@
 
 // narrow lists the servers of a group that pass, and the cold ones that would but for the thinning. Sparing, it passes
 // over one that refused one more call than it has now a while ago: its queue or its connections, which other copies
-// hold idle, are full, and refusals come at once and drain its count. It is not ill, so the cap on the ill does not
-// apply.
+// hold idle, are full, and refusals come at once and drain its count. It is not ill: the cap on those does not apply.
 func (b *Balancer) narrow(group []*server, r *request, limit int, sparing bool) (warm, idle []*server) {
 	for _, s := range group {
 		switch {
@@ -727,8 +729,7 @@
 	if b.now < s.until || b.silent(s) {
 		return true
 	}
-	// After an ejection one safe trial at a time decides: a bad server must not eat a request that
-	// cannot be repeated, nor many at once.
+	// After an ejection one safe trial at a time decides: a bad server must not eat what can't be repeated, nor many.
 	return s.level > 0 && s.goods == 0 && (r.effect == Unsafe || !s.idle())
 }
 
--- a/policy_test.go
+++ b/policy_test.go
@@ -681,3 +681,29 @@
 		settle(b, msec, id, got[0], Success)
 	}
 }
+
+// A call is cut short only where calls hang, where it may run again, and where another has time and budget.
+func TestPatienceEndsEarlyOnlyWhereAnotherTryMayFollow(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		tier            int
+		class           string
+		failing, tokens float64
+		left, want      time.Duration
+	}{
+		{"calls hang", 1, "get", 0.2, 5, 800 * msec, 400 * msec},
+		{"in the first tier", 0, "get", 0.2, 5, 400 * msec, 400 * msec},
+		{"must not run twice", 1, "pay", 0.2, 5, 800 * msec, 800 * msec},
+		{"none fails", 1, "get", 0, 5, 800 * msec, 800 * msec},
+		{"the budget is spent", 1, "get", 0.2, 0, 800 * msec, 800 * msec},
+		{"answers may take that long", 1, "get", 0.2, 5, 500 * msec, 500 * msec},
+	} {
+		b := newBalancer(t, func(s *Settings) { s.Tier = c.tier })
+		b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+		b.classes[c.class].failing, b.tokens = c.failing, c.tokens
+		s := sends(b.Handle(0, Request{ID: "a", Class: c.class, Deadline: c.left}))[0]
+		if s.Timeout != c.want {
+			t.Errorf("%s: time-out %v, want %v", c.name, s.Timeout, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/soak_test.go
@@ -0,0 +1,81 @@
+package woodpick
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// heap is what is reachable, in bytes.
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// A hundred thousand requests under ids that are never seen again, and ten thousand servers that come and go under new
+// ids in twenty places, in two hundred zones of which two live at a time: nothing of what has gone is kept.
+func TestNothingIsKeptOfWhatHasGone(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.Asks = 2 })
+	now := time.Second
+	place := make([]Server, 20)
+	for i := range place {
+		place[i] = Server{ID: fmt.Sprintf("first-%d", i), Zone: "z"}
+	}
+	b.Handle(now, ServerList{Full: true, Servers: place})
+	var base int64
+	const requests, each = 100_000, 10 // each: requests between two replacements
+	for i := range requests {
+		now += msec
+		if i%each == 0 {
+			k := i / each % len(place)
+			gone := place[k]
+			gone.State = Gone
+			place[k] = Server{ID: fmt.Sprintf("server-%d", i), Zone: fmt.Sprint("zone-", i/500)}
+			b.Handle(now, ServerList{Servers: []Server{gone, place[k]}})
+		}
+		id := fmt.Sprint("request-", i)
+		acts := b.Handle(now, Request{ID: id, Class: []string{"get", "post", "pay"}[i%3], Deadline: now + time.Second})
+		for len(acts) > 0 {
+			a := acts[0]
+			acts = acts[1:]
+			switch a := a.(type) {
+			case Ask:
+				for _, s := range a.Servers {
+					acts = append(acts, b.Handle(now, Known{ID: a.ID, Loads: []ServerLoad{{Server: s, Busy: 1}}})...)
+				}
+			case Send:
+				switch i % 7 {
+				case 0:
+					acts = append(acts, b.Handle(now, ClientGone{ID: id})...)
+					b.Handle(now, Outcome{ID: id, Server: a.Server, Ending: Withdrawn, Ended: true})
+				case 1:
+					acts = append(acts, b.Handle(now, Outcome{ID: id, Attempt: len(b.requests[id].attempts) - 1, Server: a.Server, Ending: Unreachable})...)
+				default:
+					b.Handle(now, Outcome{ID: id, Attempt: len(b.requests[id].attempts) - 1, Server: a.Server, Ending: Success, Ended: true})
+				}
+			}
+		}
+		if i == requests/10 {
+			base = heap()
+		}
+	}
+	if len(b.requests) > 0 || len(b.held) > 0 {
+		t.Errorf("%d requests are kept, %d held", len(b.requests), len(b.held))
+	}
+	if len(b.servers) != len(place) || len(b.ready) != len(place) || len(b.zones) > 3 {
+		t.Errorf("%d servers and %d zones are kept; %d are listed", len(b.servers), len(b.zones), len(place))
+	}
+	for _, s := range b.servers {
+		if len(s.open) > 0 || len(s.failing) > len(b.classes) {
+			t.Errorf("%s keeps %d calls and %d classes", s.ID, len(s.open), len(s.failing))
+		}
+	}
+	if grown := heap() - base; grown > 256<<10 {
+		t.Errorf("the heap grew by %d KiB from the tenth part of the day to its end", grown>>10)
+	}
+	runtime.KeepAlive(b)
+}
--- a/zones.go
+++ b/zones.go
@@ -100,8 +100,7 @@
 	}
 }
 
-// hear takes from an attempt's end what it tells of its zone, and says whether it tells anything of its server: not
-// while the zone is cut off.
+// hear takes from an attempt's end what it tells of its zone, and says whether it tells of its server: not in a cut.
 func (b *Balancer) hear(a *attempt, e Ending) bool {
 	z := a.in
 	z.open = slices.DeleteFunc(z.open, func(o *attempt) bool { return o == a })
@@ -132,8 +131,7 @@
 	return s.in.owed > doubtAfter && (s.Boot < s.in.heard || s.in.heard == 0)
 }
 
-// tryZone draws a server of a zone that is kept out, for one call at a time and not too often: a first attempt, that
-// others may follow.
+// tryZone draws a server of a zone that is kept out, for one call at a time, seldom: a first try, so others may follow.
 func (b *Balancer) tryZone(r *request) *server {
 	if len(r.attempts) > 0 || b.set.MaxAttempts < 2 {
 		return nil
