Membership without I/O (SWIM with Lifeguard), and the explorer that plays it

internal/members: probes, indirect probes, suspicion, own health, lives that survive a restart, digests with pages in place of whole lists, hails that join two halves of a cut; a codec with a keyed tag that refuses a datagram whole. internal/explore tries all orders of a small system and random histories of larger ones, shortens a breach and tells it as a script; internal/explore/swim is the model of small fleets, fleetlab explore members the command.

--- /dev/null
+++ b/cmd/fleetlab/explore.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"woodpick/internal/explore"
+	"woodpick/internal/explore/swim"
+	"woodpick/internal/members"
+)
+
+// explored are the systems that can be played, each small enough to be searched, and larger for walks.
+var explored = map[string]struct {
+	small func() (explore.State, error)
+	large func() (explore.State, error)
+}{
+	"members": {
+		func() (explore.State, error) { return swim.New(swim.Small()) },
+		func() (explore.State, error) {
+			return swim.New(swim.Bounds{Nodes: 5, Ticks: 200, Drops: 60, Doubles: 20, Crashes: 5, Leaves: 1, Stops: 5,
+				Skew: 10 * time.Second, Options: members.Defaults(), MostFlying: 60})
+		},
+	},
+}
+
+func newExplore() *cobra.Command {
+	var states, walks, steps int
+	var seed uint64
+	var names []string
+	for n := range explored {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	cmd := &cobra.Command{Use: "explore NAME", Short: "Play every order of what can happen to a machine, and random histories",
+		Long: "explore tries all orders for a small system and then random histories of a larger one. The first breach is\n" +
+			"shortened, told as a script, and makes the command fail. Names: " + strings.Join(names, ", ") + ".",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			x, known := explored[args[0]]
+			if !known {
+				return fmt.Errorf("found %q; allowed: %s", args[0], strings.Join(names, ", "))
+			}
+			start, err := x.small()
+			if err != nil {
+				return err
+			}
+			begin := time.Now()
+			r, breach := explore.Search(start, states, 100)
+			if breach != nil {
+				return breach
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "all orders: %d states, %d moves, %d deep, whole: %v, %v\n", r.States, r.Moves, r.Depth, r.Whole, time.Since(begin).Round(time.Millisecond))
+			if start, err = x.large(); err != nil {
+				return err
+			}
+			begin = time.Now()
+			for k := range walks {
+				if _, breach := explore.Walk(start, seed+uint64(k), steps); breach != nil {
+					return fmt.Errorf("seed %d: %w", seed+uint64(k), breach)
+				}
+				if err := cmd.Context().Err(); err != nil {
+					return fmt.Errorf("after %d walks: %w", k, err)
+				}
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%d random histories of %d steps, each to its end: %v\n", walks, steps, time.Since(begin).Round(time.Millisecond))
+			return nil
+		}}
+	f := cmd.Flags()
+	f.IntVar(&states, "states", 50000, "how many different states to try at most")
+	f.IntVar(&walks, "walks", 200, "how many random histories")
+	f.IntVar(&steps, "steps", 1000, "moves of each")
+	f.Uint64Var(&seed, "seed", 1, "of the first")
+	return cmd
+}
--- /dev/null
+++ b/internal/explore/swim/swim.go
@@ -0,0 +1,344 @@
+// Package swim lets the explorer play small fleets of internal/members: every order of delivery, loss, doubling, crash,
+// restart, stop and ticking, within bounds on how often each may happen.
+package swim
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"woodpick/internal/explore"
+	"woodpick/internal/members"
+)
+
+// Bounds are how often each thing may happen in one history.
+type Bounds struct {
+	Nodes                           int
+	Ticks                           int           // of each node
+	Drops, Doubles, Crashes, Leaves int           // in all
+	Stops                           int           // that are woken again with their old view
+	Skew                            time.Duration // by which nodes' clocks may lie apart
+	Defect                          string        // planted, to show that the checks see; empty: none
+	Options                         members.Options
+	MostFlying                      int // messages on their way at once; more are lost
+}
+
+// Small are bounds whose states can all be tried.
+func Small() Bounds {
+	o := members.Defaults()
+	o.Spread, o.Near = 1, 1
+	return Bounds{Nodes: 2, Ticks: 3, Drops: 1, Crashes: 1, Skew: 2 * time.Second, Options: o, MostFlying: 3}
+}
+
+// node is one process, or its absence.
+type node struct {
+	name    string
+	machine *members.Machine // nil: it has crashed
+	clock   time.Duration
+	ticks   int
+	asleep  bool
+	gone    bool // it left in order
+	top     uint32
+}
+
+// flight is a message on its way.
+type flight struct {
+	from, to netip.AddrPort
+	data     string // as on the wire
+}
+
+// fleet is a state.
+type fleet struct {
+	b      Bounds
+	nodes  []node
+	flying []flight
+	used   struct{ drops, doubles, crashes, leaves, stops int }
+	wrong  error
+}
+
+var key = []byte("key")
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(7001+i))
+}
+
+// New is the start: nodes that know one another's addresses as seeds, and nothing else. With one seed only, who never
+// met it before it left knows nobody, and no machine can mend that.
+func New(b Bounds) (explore.State, error) {
+	f := &fleet{b: b}
+	f.b.Options.Seeds = nil
+	for i := range b.Nodes {
+		f.b.Options.Seeds = append(f.b.Options.Seeds, addr(i))
+	}
+	for i := range b.Nodes {
+		f.nodes = append(f.nodes, node{name: fmt.Sprint("n", i)})
+		if err := f.start(i); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) start(i int) error {
+	m, err := members.New(members.Peer{Name: f.nodes[i].name, Addr: addr(i), Zone: "z"}, f.b.Options, uint64(i)+1)
+	if err != nil {
+		return fmt.Errorf("swim: %w", err)
+	}
+	f.nodes[i].machine, f.nodes[i].gone, f.nodes[i].asleep = m, false, false
+	return nil
+}
+
+func (f *fleet) clone() *fleet {
+	c := *f
+	c.nodes = slices.Clone(f.nodes)
+	c.flying = slices.Clone(f.flying)
+	for i := range c.nodes {
+		if m := c.nodes[i].machine; m != nil {
+			c.nodes[i].machine = m.Clone()
+		}
+	}
+	return &c
+}
+
+// slowest is the clock of the running node that is most behind.
+func (f *fleet) slowest() time.Duration {
+	least := time.Duration(1 << 62)
+	for _, n := range f.nodes {
+		if n.machine != nil && !n.asleep && !n.gone {
+			least = min(least, n.clock)
+		}
+	}
+	return least
+}
+
+// Moves implements explore.State.
+func (f *fleet) Moves() (moves []string) {
+	for i, n := range f.nodes {
+		running := n.machine != nil && !n.asleep && !n.gone
+		switch {
+		case running:
+			if n.ticks < f.b.Ticks && n.clock <= f.slowest()+f.b.Skew {
+				moves = append(moves, fmt.Sprint("tick ", i))
+			}
+			if f.used.crashes < f.b.Crashes {
+				moves = append(moves, fmt.Sprint("crash ", i))
+			}
+			if f.used.stops < f.b.Stops {
+				moves = append(moves, fmt.Sprint("stop ", i))
+			}
+			if f.used.leaves < f.b.Leaves {
+				moves = append(moves, fmt.Sprint("leave ", i))
+			}
+		case n.machine == nil:
+			moves = append(moves, fmt.Sprint("restart ", i))
+		case n.asleep:
+			moves = append(moves, fmt.Sprint("wake ", i))
+		}
+	}
+	for k := range f.flying {
+		if k > 0 && f.flying[k] == f.flying[k-1] {
+			continue
+		}
+		moves = append(moves, fmt.Sprint("deliver ", k))
+		if f.used.drops < f.b.Drops {
+			moves = append(moves, fmt.Sprint("drop ", k))
+		}
+		if f.used.doubles < f.b.Doubles {
+			moves = append(moves, fmt.Sprint("double ", k))
+		}
+	}
+	return moves
+}
+
+// Apply implements explore.State.
+func (f *fleet) Apply(move string) (explore.State, bool) {
+	var what string
+	var at int
+	if n, _ := fmt.Sscan(move, &what, &at); n != 2 || !slices.Contains(f.Moves(), move) {
+		return nil, false
+	}
+	c := f.clone()
+	switch what {
+	case "tick":
+		n := &c.nodes[at]
+		n.clock = max(n.clock, n.machine.Next())
+		n.ticks++
+		c.act(at, func(m *members.Machine) []members.Packet { return m.Tick(n.clock) })
+	case "crash":
+		c.used.crashes++
+		c.nodes[at].machine = nil
+	case "restart":
+		c.wrong = c.start(at)
+		c.nodes[at].clock = max(c.nodes[at].clock, 0)
+	case "stop":
+		c.used.stops++
+		c.nodes[at].asleep = true
+	case "wake":
+		c.nodes[at].asleep = false
+	case "leave":
+		c.used.leaves++
+		c.act(at, func(m *members.Machine) []members.Packet { return m.Leave(c.nodes[at].clock) })
+		c.nodes[at].gone = true
+	case "deliver", "drop":
+		p := c.flying[at]
+		c.flying = slices.Delete(c.flying, at, at+1)
+		if what == "drop" {
+			c.used.drops++
+		} else {
+			c.deliver(p)
+		}
+	case "double":
+		c.used.doubles++
+		c.flying = slices.Insert(c.flying, at, c.flying[at])
+	}
+	return c, true
+}
+
+// act has a machine do something, notes what goes out, and checks what must hold of any step.
+func (f *fleet) act(i int, do func(*members.Machine) []members.Packet) {
+	n := &f.nodes[i]
+	before := n.machine.Members()
+	packets := do(n.machine)
+	_, life := n.machine.Self()
+	n.top = max(n.top, life)
+	after := map[members.ID]members.Member{}
+	for _, k := range n.machine.Members() {
+		after[k.ID] = k
+	}
+	for _, was := range before {
+		is, kept := after[was.ID]
+		if kept && (is.Life < was.Life || is.Life == was.Life && is.Status < was.Status) {
+			f.wrong = fmt.Errorf("%s held %s for %v at life %d, and now for %v at life %d", n.name, was.Name, was.Status, was.Life, is.Status, is.Life)
+		}
+	}
+	for _, p := range packets {
+		if f.b.Defect == "raises others" {
+			for k := range p.Updates {
+				if u := &p.Updates[k]; u.Status == members.Suspect {
+					u.Life++
+				}
+			}
+		}
+		data := members.Encode(p.Message, key)
+		if len(data) > members.MaxDatagram {
+			f.wrong = fmt.Errorf("%s sends %d bytes", n.name, len(data))
+		}
+		if len(f.flying) < f.b.MostFlying {
+			f.flying = append(f.flying, flight{addr(i), p.To, string(data)})
+		}
+	}
+	slices.SortFunc(f.flying, func(a, b flight) int {
+		return strings.Compare(a.from.String()+a.to.String()+a.data, b.from.String()+b.to.String()+b.data)
+	})
+}
+
+func (f *fleet) deliver(p flight) {
+	for i := range f.nodes {
+		n := &f.nodes[i]
+		if addr(i) != p.to || n.machine == nil || n.asleep || n.gone {
+			continue
+		}
+		m, err := members.Decode([]byte(p.data), key)
+		if err != nil {
+			f.wrong = err
+			return
+		}
+		f.act(i, func(k *members.Machine) []members.Packet { return k.Receive(n.clock, p.from, m) })
+	}
+}
+
+// Key implements explore.State.
+func (f *fleet) Key() string {
+	var b strings.Builder
+	base := f.slowest()
+	for _, n := range f.nodes {
+		fmt.Fprintf(&b, "%v,%d,%v,%v,%d;", n.clock-base, n.ticks, n.asleep, n.gone, n.top)
+		if n.machine != nil {
+			b.WriteString(n.machine.Fingerprint())
+		}
+	}
+	fmt.Fprint(&b, f.used)
+	for _, p := range f.flying {
+		b.WriteString(p.from.String() + p.to.String() + p.data)
+	}
+	return b.String()
+}
+
+// Check implements explore.State.
+func (f *fleet) Check() error {
+	if f.wrong != nil {
+		return f.wrong
+	}
+	for _, n := range f.nodes {
+		if n.machine == nil {
+			continue
+		}
+		for _, k := range n.machine.Members() {
+			for _, o := range f.nodes {
+				if o.name == k.Name && k.Life > o.top {
+					return fmt.Errorf("%s holds %s at life %d, which never was beyond %d", n.name, k.Name, k.Life, o.top)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// settleRounds bounds how long the end may take: suspicions of two members pass within it many times.
+const settleRounds = 400
+
+// Settle implements explore.Settler: from here on all is delivered in order, whoever sleeps wakes, clocks go on together;
+// in the end all that run hold one another for alive, and nobody else.
+func (f *fleet) Settle() error {
+	c := f.clone()
+	var now time.Duration
+	for i := range c.nodes {
+		c.nodes[i].asleep = false
+		now = max(now, c.nodes[i].clock)
+	}
+	c.b.MostFlying = 1000
+	for range settleRounds {
+		for len(c.flying) > 0 {
+			p := c.flying[0]
+			c.flying = c.flying[1:]
+			c.deliver(p)
+		}
+		if c.wrong != nil {
+			return c.wrong
+		}
+		now += c.b.Options.Period / 4
+		for i := range c.nodes {
+			n := &c.nodes[i]
+			if n.machine == nil || n.gone {
+				continue
+			}
+			n.clock = max(n.clock, now)
+			if n.machine.Next() <= n.clock {
+				c.act(i, func(m *members.Machine) []members.Packet { return m.Tick(n.clock) })
+			}
+		}
+	}
+	for _, n := range c.nodes {
+		if n.machine == nil || n.gone {
+			continue
+		}
+		held := map[string]members.Status{}
+		for _, k := range n.machine.Members() {
+			held[k.Name] = k.Status
+		}
+		for _, o := range c.nodes {
+			status, known := held[o.name]
+			runs := o.machine != nil && !o.gone
+			switch {
+			case o.name == n.name:
+			case runs && (!known || status != members.Alive):
+				return fmt.Errorf("in the end %s holds %s for %v (known: %v), and it runs", n.name, o.name, status, known)
+			case !runs && known && status <= members.Suspect:
+				return fmt.Errorf("in the end %s holds %s for %v, and it does not run", n.name, o.name, status)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/members/codec_test.go
@@ -0,0 +1,94 @@
+package members
+
+import (
+	"errors"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+var key = []byte("a key of the cluster")
+
+// full is a message with as much in it as there may be.
+func full() Message {
+	long := Peer{Name: strings.Repeat("n", MaxName), Region: strings.Repeat("r", MaxPlace), Zone: strings.Repeat("z", MaxPlace),
+		Addr: netip.MustParseAddrPort("[2001:db8::1]:65535"), Listens: true}
+	short := Peer{Name: "a", Addr: netip.MustParseAddrPort("10.1.2.3:7946")}
+	m := Message{Kind: Ack, From: IDOf("me"), Seq: 1 << 31, About: 7, Sum: 1 << 63, Updates: []Update{
+		{ID: IDOf(long.Name), Life: 1<<31 - 1, Status: Suspect, By: IDOf("a"), Peer: &long},
+		{ID: IDOf("a"), Life: 3, Status: Left, Peer: &short},
+		{ID: 5, Status: Dead}, {ID: 6, Life: 1}}}
+	return m
+}
+
+func TestWhatIsWrittenIsRead(t *testing.T) {
+	m := full()
+	b := Encode(m, key)
+	got, err := Decode(b, key)
+	if err != nil || !reflect.DeepEqual(got, m) {
+		t.Fatalf("%+v, %v; want %+v", got, err, m)
+	}
+	room := 0
+	for _, u := range m.Updates {
+		room += size(u)
+	}
+	if len(b) != headSize+room+tagSize || headSize+MostBytes+tagSize > MaxDatagram {
+		t.Errorf("%d bytes; updates take %d, and all may take %d", len(b), room, headSize+MostBytes+tagSize)
+	}
+}
+
+// A datagram of another cluster, of another version, cut short, with a bit turned or with a word of one member under
+// another's name is refused whole.
+func TestDatagramsAreRefusedWhole(t *testing.T) {
+	good := Encode(full(), key)
+	if _, err := Decode(good, []byte("another key")); !errors.Is(err, ErrStrange) {
+		t.Errorf("another cluster's: %v", err)
+	}
+	for i := range good {
+		bad := append([]byte(nil), good...)
+		bad[i] ^= 0x10
+		if m, err := Decode(bad, key); err == nil || m.Kind != 0 {
+			t.Errorf("a bit turned in byte %d: %+v, %v", i, m, err)
+		}
+		if m, err := Decode(good[:i], key); err == nil || m.Kind != 0 {
+			t.Errorf("cut to %d bytes: %+v, %v", i, m, err)
+		}
+	}
+	resign := func(change func([]byte)) []byte {
+		body := append([]byte(nil), good[:len(good)-tagSize]...)
+		change(body)
+		return append(body, tag(body, key)...)
+	}
+	if _, err := Decode(resign(func(b []byte) { b[0] = 2 }), key); !errors.Is(err, ErrVersion) {
+		t.Errorf("another version: %v", err)
+	}
+	for name, change := range map[string]func([]byte){
+		"no such kind":           func(b []byte) { b[1] = 9 },
+		"from nobody":            func(b []byte) { copy(b[2:10], make([]byte, 8)) },
+		"another member's name":  func(b []byte) { b[headSize] ^= 1 },
+		"an unknown flag":        func(b []byte) { b[headSize+12] |= 0x80 },
+		"a life out of bounds":   func(b []byte) { b[headSize+8] = 0xff },
+		"a name longer than all": func(b []byte) { b[headSize+21] = 200 },
+	} {
+		if m, err := Decode(resign(change), key); !errors.Is(err, ErrMalformed) || m.Kind != 0 {
+			t.Errorf("%s: %+v, %v", name, m, err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	good := Encode(full(), key)
+	f.Add(good[:len(good)-tagSize])
+	f.Add(Encode(Message{Kind: Ping, From: 1}, key)[:headSize])
+	f.Fuzz(func(t *testing.T, body []byte) {
+		b := append(append([]byte(nil), body...), tag(body, key)...) // what a peer that has the key may send
+		m, err := Decode(b, key)
+		if err != nil {
+			return
+		}
+		if again := Encode(m, key); string(again) != string(b) {
+			t.Errorf("%x is read as %+v and written as %x", b, m, again)
+		}
+	})
+}
--- a/spread_test.go
+++ b/spread_test.go
@@ -222,3 +222,41 @@
 		t.Error("its request is kept")
 	}
 }
+
+// Nodes that hear of a change of their number at different times lay their pools out in two ways for a while, each of
+// them even: together no server is left out, and none lies in much more than its part.
+func TestPoolsCoverAllServersWhileNodesDisagreeOnTheirNumber(t *testing.T) {
+	for _, c := range []struct{ was, is, servers int }{{200, 190, 60}, {190, 200, 60}, {100, 200, 60}, {60, 61, 400}, {300, 150, 30}} {
+		before, _ := parts(t, c.was, c.servers)
+		after, _ := parts(t, c.is, c.servers)
+		sum := map[string]float64{}
+		for i := range c.was { // every second node has heard; those that are gone by the new number still send by the old
+			copies := c.was
+			if i%2 == 0 && i < c.is {
+				copies = c.is
+			}
+			b := newBalancer(t, func(s *Settings) { s.Balancers, s.Index = copies, i })
+			l := ServerList{Full: true}
+			for k := range c.servers {
+				l.Servers = append(l.Servers, Server{ID: fmt.Sprintf("s%04d", k)})
+			}
+			b.Handle(time.Second, l)
+			b.fitPool()
+			var all float64
+			for _, s := range b.ready {
+				all += s.part
+			}
+			for _, s := range b.ready {
+				sum[s.ID] += s.part / all
+			}
+		}
+		mean := float64(c.was) / float64(c.servers)
+		for k := range c.servers {
+			id := fmt.Sprintf("s%04d", k)
+			if v := sum[id] / mean; v < 0.4 || v > 1.8 || before[id] == 0 || after[id] == 0 {
+				t.Errorf("%d nodes that become %d, %d servers: %s gets %.2f of its part", c.was, c.is, c.servers, id, v)
+				break
+			}
+		}
+	}
+}
