--- a/cmd/fleetlab/run.go
+++ b/cmd/fleetlab/run.go
@@ -77,8 +77,8 @@
 							}
 							name := strings.TrimSuffix(res.Policy+" "+res.Program, " ")
 							line(w, e.Name, name, e.Seed, res.Figures)
-							notes = append(notes, fmt.Sprintf("%s %s: %d processes ready in %v, %.0f MB resident each, %v of processor time a call; rig %v, %.0f MB, %d descriptors; late %v, one in a hundred %v",
-								e.Name, name, res.Cost.Processes, res.Cost.Starting.Round(time.Millisecond), float64(res.Cost.NodeMemory)/1e6, res.Cost.CPUPerCall.Round(time.Microsecond),
+							notes = append(notes, fmt.Sprintf("%s %s: %d processes ready in %v, %.0f MB resident each, %v of processor time a call; %d asks; rig %v, %.0f MB, %d descriptors; late %v, one in a hundred %v",
+								e.Name, name, res.Cost.Processes, res.Cost.Starting.Round(time.Millisecond), float64(res.Cost.NodeMemory)/1e6, res.Cost.CPUPerCall.Round(time.Microsecond), res.Cost.Asks,
 								res.Cost.RigCPU.Round(time.Millisecond), float64(res.Cost.RigMemory)/1e6, res.Cost.MostOpenRig, res.Cost.LateMost.Round(time.Millisecond), res.Cost.LateP99.Round(time.Microsecond)))
 							if res.Slow != "" {
 								slow++
--- a/deploy/damsontrestle.hcl
+++ b/deploy/damsontrestle.hcl
@@ -63,6 +63,12 @@
     over = "20s"
   }
 
+  # What boxes say they hold in X-Load, and four of them are asked before a call goes to one.
+  load_reports {
+    busy = "inflight"
+    ask  = 4
+  }
+
   registry {
     address = "127.0.0.1:8500"
     mode    = "pushed"
