--- /dev/null
+++ b/cmd/damsontrestle/members.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"woodpick/internal/peers"
+)
+
+func newMembers() *cobra.Command {
+	var (
+		socket string
+		asJSON bool
+	)
+	cmd := &cobra.Command{
+		Use:   "members [FILE]",
+		Short: "Show what a node knows of other nodes",
+		Long:  "members tells of each node that this one knows: whether it lives, since when, when it was heard last, and what\nwas dropped of the datagrams that came and why. The file only names the node, by its admin socket.",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			path, err := socketOf(socket, args)
+			if err != nil {
+				return err
+			}
+			_, show, err := running(cmd.Context(), path)
+			if err != nil {
+				return err
+			}
+			if show.Status.Peers == nil {
+				return fmt.Errorf("node %s knows of no others: its file has no peers block", show.Node)
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(show.Status.Peers)
+			}
+			writeMembers(cmd.OutOrStdout(), *show.Status.Peers)
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&socket, "socket", "", "the node's admin socket (default: the file's)")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "write everything as JSON")
+	return cmd
+}
+
+func writeMembers(out io.Writer, s peers.Status) {
+	count := map[string]int{}
+	for _, m := range s.Members {
+		count[m.Status]++
+	}
+	fmt.Fprintf(out, "%d alive, %d suspect, %d dead, %d left beside this node; its life %d, ill health %d of 8", count["alive"], count["suspect"], count["dead"], count["left"], s.Life, s.Health)
+	if s.Twins > 1 {
+		fmt.Fprintf(out, "; %d words of lives under its name that were not its own: is there another process of this name?", s.Twins)
+	}
+	c := s.Counts
+	fmt.Fprintf(out, "\ndatagrams: %d sent, %d received; dropped: %d of another key, %d malformed, %d beyond the pace\n", c.Sent, c.Received, c.Strange, c.Malformed, c.Paced)
+	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "NAME\tSTATUS\tFOR\tHEARD\tLIFE\tREGION\tZONE\tADDRESS")
+	for _, m := range s.Members {
+		heard := "never"
+		if m.Heard >= 0 {
+			heard = m.Heard.Round(100*time.Millisecond).String() + " ago"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%d\t%s\t%s\t%s\n", m.Name, m.Status, m.For.Round(100*time.Millisecond), heard, m.Life, m.Region, m.Zone, m.Addr)
+	}
+	w.Flush()
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -144,6 +144,7 @@
 			}
 		}
 	}
+	k.peers(n.Peers)
 	if v := n.Limits.Memory; v < minMemory || v > maxMemory {
 		k.fail("node.limits.memory", "found %v; allowed: %v to %v", v, Size(minMemory), Size(maxMemory))
 	}
@@ -260,6 +261,43 @@
 	}
 }
 
+// maxSeeds is how many others a file may name.
+const maxSeeds = 256
+
+func (k *checker) peers(p Peers) {
+	if p.Listen == "" && p.KeyFile == "" {
+		return
+	}
+	k.target("node.peers.listen", p.Listen)
+	if p.Advertise != "" {
+		k.target("node.peers.advertise", p.Advertise)
+	}
+	if !filepath.IsAbs(p.KeyFile) {
+		k.fail("node.peers.key_file", "found %q; allowed: an absolute path", p.KeyFile)
+	}
+	if len(p.Seeds) > maxSeeds {
+		k.fail("node.peers.seeds", "found %d; allowed: up to %d", len(p.Seeds), maxSeeds)
+	}
+	for _, s := range p.Seeds {
+		k.target("node.peers.seeds", s)
+	}
+	for _, place := range []struct{ path, name string }{{"node.peers.region", p.Region}, {"node.zone", k.Node.Zone}} {
+		if place.name != "" && (!goodName(place.name) || len(place.name) > maxPlace) {
+			k.fail(place.path, "found %q; allowed with peers: 1 to %d letters, digits, \"-\" and \"_\"", place.name, maxPlace)
+		}
+	}
+	if len(k.Node.Name) > maxPeerName {
+		k.fail("node", "found the name %q; allowed with peers: up to %d characters", k.Node.Name, maxPeerName)
+	}
+	k.duration("node.peers.period", p.Period, 100*time.Millisecond, time.Minute)
+}
+
+// What datagrams between peers have room for.
+const (
+	maxPeerName = 32
+	maxPlace    = 16
+)
+
 func (k *checker) reached(pool string) bool {
 	return slices.ContainsFunc(k.Routes, func(r route.Route) bool {
 		return slices.ContainsFunc(r.To, func(t route.Target) bool { return t.Pool == pool })
@@ -418,6 +456,9 @@
 	if c.Node.Management != "" {
 		door = managementDescriptors
 	}
+	if c.Node.Peers.Listen != "" {
+		door++
+	}
 	return Reserved + door + max(0, len(c.Listeners)-1) + 2*max(0, registries-1)
 }
 
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -418,6 +418,18 @@
 				{"cores", false, integer(&n.Limits.Cores)},
 			}, nil)
 		}},
+		{kind: "peers", single: true, read: func(b *hclsyntax.Body, path, _ string) {
+			n.Peers.Period = Duration(time.Second)
+			r.body(b, path, []field{
+				{"listen", true, text(&n.Peers.Listen)},
+				{"advertise", false, text(&n.Peers.Advertise)},
+				{"key_file", true, text(&n.Peers.KeyFile)},
+				{"seeds", false, texts(&n.Peers.Seeds)},
+				{"region", false, text(&n.Peers.Region)},
+				{"period", false, duration(&n.Peers.Period)},
+				{"listen_only", false, flag(&n.Peers.ListenOnly)},
+			}, nil)
+		}},
 	})
 	return n
 }
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -37,6 +37,16 @@
 	}
 }
 
+func TestTheExampleWithPeersLoads(t *testing.T) {
+	c, problems := Load("../../deploy/peers.hcl")
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	if p := c.Node.Peers; p.Listen != "127.0.0.1:7946" || p.Region != "south" || len(p.Seeds) != 3 || time.Duration(p.Period) != time.Second || p.KeyFile == "" {
+		t.Errorf("got %+v", p)
+	}
+}
+
 const good = `
 node "n1" {
   limits {
@@ -107,6 +117,12 @@
 		{`limits {`, `limits "x" {`, `f.hcl:3:3: node.limits: found the name "x"; allowed: none`},
 		{`listener "main" {`, "listener \"b\" {\n address = \"0.0.0.0:7070\"\n}\nlistener \"main\" {", `f.hcl:17:3: listener.main.address: found "127.0.0.1:7070", which listener "b" takes with "0.0.0.0:7070"`},
 		{`server "s1" {`, "server \"s0\" {\n address = \"127.0.0.1:9001\"\n}\nserver \"s1\" {", `f.hcl:21:5: pool.p.server.s1.address: found "127.0.0.1:9001", which server "s0" has`},
+		{`limits {`, "peers {\n listen = \"127.0.0.1:7946\"\n}\nlimits {", `f.hcl:3:3: node.peers: key_file is missing`},
+		{`limits {`, "peers {\n listen = \"box:7946\"\n key_file = \"/k\"\n}\nlimits {", `f.hcl:4:2: node.peers.listen: found "box:7946"; allowed: an IP address with a port`},
+		{`limits {`, "peers {\n listen = \"127.0.0.1:1\"\n key_file = \"k\"\n}\nlimits {", `f.hcl:5:2: node.peers.key_file: found "k"; allowed: an absolute path`},
+		{`limits {`, "peers {\n listen = \"127.0.0.1:1\"\n key_file = \"/k\"\n seeds = [\"x\"]\n}\nlimits {", `f.hcl:6:2: node.peers.seeds: found "x"; allowed: an IP address`},
+		{`limits {`, "peers {\n listen = \"127.0.0.1:1\"\n key_file = \"/k\"\n region = \"a-region-of-too-many\"\n}\nlimits {", `f.hcl:6:2: node.peers.region: found "a-region-of-too-many"; allowed with peers: 1 to 16`},
+		{`limits {`, "peers {\n listen = \"127.0.0.1:1\"\n key_file = \"/k\"\n period = \"1ms\"\n}\nlimits {", `f.hcl:6:2: node.peers.period: found 1ms; allowed: 100ms to 1m`},
 		{`server "s1" {`, "load_reports {\n ask = 4\n}\nserver \"s1\" {", `f.hcl:17:3: pool.p.load_reports: busy is missing`},
 		{`server "s1" {`, "load_reports {\n busy = \"a=b\"\n}\nserver \"s1\" {", `f.hcl:18:2: pool.p.load_reports.busy: found the name "a=b"; allowed: 1 to 64 letters`},
 		{`server "s1" {`, "load_reports {\n busy = \"x\"\n ask = 17\n}\nserver \"s1\" {", `f.hcl:19:2: pool.p.load_reports.ask: found 17; allowed: 0 to 16`},
@@ -250,7 +266,7 @@
 		kind, _, _ := strings.Cut(title, " ")
 		sections[kind] = text
 	}
-	blocks := map[string]reflect.Type{"node": reflect.TypeFor[Node](), "limits": reflect.TypeFor[Limits](), "class": reflect.TypeFor[Class](),
+	blocks := map[string]reflect.Type{"node": reflect.TypeFor[Node](), "limits": reflect.TypeFor[Limits](), "peers": reflect.TypeFor[Peers](), "class": reflect.TypeFor[Class](),
 		"listener": reflect.TypeFor[Listener](), "pool": reflect.TypeFor[Pool](), "copies": reflect.TypeFor[Copies](),
 		"shedding": reflect.TypeFor[Shedding](), "connections": reflect.TypeFor[Connections](), "slow_start": reflect.TypeFor[SlowStart](),
 		"load_reports": reflect.TypeFor[LoadReports](), "registry": reflect.TypeFor[Registry](), "server": reflect.TypeFor[Server](), "route": reflect.TypeFor[route.Route](),
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -35,6 +35,18 @@
 	AdminSocket string `json:"admin_socket,omitempty"` // path of a Unix socket; empty: none
 	Management  string `json:"management,omitempty"`   // address of the operators' door; empty: none
 	Limits      Limits `json:"limits"`
+	Peers       Peers  `json:"peers,omitzero"` // zero: the node knows of no other
+}
+
+// Peers tells how nodes come to know one another, by datagrams.
+type Peers struct {
+	Listen     string   `json:"listen"`              // address of the UDP socket
+	Advertise  string   `json:"advertise,omitempty"` // at which others reach it; empty: Listen
+	KeyFile    string   `json:"key_file"`            // of the cluster: who does not have it is not heard
+	Seeds      []string `json:"seeds,omitempty"`     // addresses of some others, or of all
+	Region     string   `json:"region,omitempty"`
+	Period     Duration `json:"period"`                // between two probes of others
+	ListenOnly bool     `json:"listen_only,omitempty"` // it is asked to probe for nobody
 }
 
 // Limits bound the process.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -23,6 +24,7 @@
 	"woodpick/internal/engine"
 	"woodpick/internal/figures"
 	"woodpick/internal/mgmt"
+	"woodpick/internal/peers"
 	"woodpick/internal/succession"
 )
 
@@ -36,6 +38,7 @@
 	servers *descriptors.Share // of the connections to servers
 	figures figures.Set
 	door    *mgmt.Server // nil: none
+	peers   *peers.Room  // nil: the node knows of no other
 	callers *callers.Set
 	calls   *dispatch.Dispatcher
 
@@ -118,7 +121,7 @@
 	if err := c.Commit(); err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
-	if err := n.openDoor(cfg.Node.Management); err != nil {
+	if err := errors.Join(n.openDoor(cfg.Node.Management), n.openPeers(cfg.Node)); err != nil {
 		n.close()
 		return nil, fmt.Errorf("node: %w", err)
 	}
@@ -196,6 +199,9 @@
 	}
 	n.mu.Unlock()
 	defer n.close()
+	if n.peers != nil {
+		n.behind(func() { n.peers.Run(n.life) })
+	}
 	if n.options.Line != nil {
 		n.behind(func() { n.options.Line.Watch(n.life, n.share) })
 	}
@@ -227,6 +233,9 @@
 	if n.door != nil {
 		n.door.Close()
 	}
+	if n.peers != nil {
+		n.peers.Close()
+	}
 	for _, s := range sockets {
 		s.shut()
 	}
@@ -254,6 +263,7 @@
 	Draining  []string                  `json:"draining,omitempty"` // of earlier configurations, as "pool a"
 	Callers   int                       `json:"callers"`            // connections
 	Ready     bool                      `json:"ready"`
+	Peers     *peers.Status             `json:"peers,omitempty"` // what is known of other nodes
 }
 
 // ListenerStatus is what a listener does.
@@ -278,6 +288,10 @@
 	s.Draining = n.remains()
 	pools := n.pools
 	n.mu.Unlock()
+	if n.peers != nil {
+		st := n.peers.Status()
+		s.Peers = &st
+	}
 	for name, p := range pools {
 		s.Pools[name] = PoolStatus{p.engine.Status(), p.back.Connections()}
 	}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,260 @@
+// Package peers is the one room that carries datagrams between nodes: a UDP socket, the cluster's key, and a bound on what
+// goes out. It decides nothing: who lives is internal/members'.
+package peers
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"woodpick/internal/clock"
+	"woodpick/internal/members"
+)
+
+// Bounds of a key's file.
+const (
+	leastKey = 16
+	mostKey  = 4 << 10
+)
+
+// LoadKey reads a cluster's key: what the file holds without white space round it.
+func LoadKey(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("peers: the key: %w", err)
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, mostKey+1))
+	if err != nil {
+		return nil, fmt.Errorf("peers: the key: %w", err)
+	}
+	key := bytes.TrimSpace(text)
+	if len(key) < leastKey || len(text) > mostKey {
+		return nil, fmt.Errorf("peers: the key in %s has %d bytes; allowed: %d to %d", path, len(key), leastKey, mostKey)
+	}
+	return key, nil
+}
+
+// Options are what a Room is made of.
+type Options struct {
+	Self    members.Peer
+	Listen  string // address of the UDP socket
+	Key     []byte
+	Members members.Options
+	Clock   clock.Clock
+	Log     *slog.Logger
+}
+
+// mostOut bounds what a node sends, in bytes a second; a burst of as much may go at once. A member's probes, answers and
+// words take a few hundred.
+const mostOut = 64 << 10
+
+// Room is one node's.
+type Room struct {
+	o       Options
+	conn    *net.UDPConn
+	machine *members.Machine
+	in      chan letter
+	asks    chan chan Status
+	done    chan struct{}
+	started chan struct{}
+	held    map[string]members.Status // as was logged last
+	counts  Counts
+	purse   float64 // bytes that may go out
+	filled  time.Duration
+}
+
+// letter is what came in.
+type letter struct {
+	from netip.AddrPort
+	msg  members.Message
+	err  error
+}
+
+// Counts are of datagrams since the start.
+type Counts struct {
+	Sent      int64 `json:"sent"`
+	Received  int64 `json:"received"`
+	Strange   int64 `json:"strange"`   // of another key
+	Malformed int64 `json:"malformed"` // or of another version
+	Paced     int64 `json:"paced"`     // not sent, for too much went out
+}
+
+// Status is what a Room knows.
+type Status struct {
+	Life    uint32   `json:"life"`
+	Health  int      `json:"ill_health"` // 0: well; up to 8
+	Twins   int      `json:"twins"`      // words of lives under this name that were none of this process's
+	Members []Member `json:"members"`
+	Counts  Counts   `json:"datagrams"`
+}
+
+// Member is what is known of another node.
+type Member struct {
+	Name   string        `json:"name"`
+	Addr   string        `json:"address"`
+	Region string        `json:"region,omitempty"`
+	Zone   string        `json:"zone,omitempty"`
+	Status string        `json:"status"` // alive, suspect, dead, left
+	Life   uint32        `json:"life"`
+	For    time.Duration `json:"for"`             // how long it has been of this status here
+	Heard  time.Duration `json:"heard,omitempty"` // how long ago a message of its own came; negative: never
+}
+
+// Open opens the socket. Nothing goes out before Run.
+func Open(o Options) (*Room, error) {
+	var seed [8]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	m, err := members.New(o.Self, o.Members, binary.LittleEndian.Uint64(seed[:]))
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	addr, err := net.ResolveUDPAddr("udp", o.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	conn, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	return &Room{o: o, conn: conn, machine: m, in: make(chan letter, 256), asks: make(chan chan Status), done: make(chan struct{}),
+		started: make(chan struct{}), held: map[string]members.Status{}}, nil
+}
+
+// Addr is where it listens.
+func (r *Room) Addr() netip.AddrPort { return r.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Run takes part until ctx ends, and then says goodbye.
+func (r *Room) Run(ctx context.Context) {
+	close(r.started)
+	defer close(r.done)
+	defer r.conn.Close()
+	go r.read()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.send(r.machine.Leave(r.o.Clock.Now()))
+			return
+		case l := <-r.in:
+			r.take(l)
+		case to := <-r.asks:
+			to <- r.status()
+		case <-timer.C:
+			r.send(r.machine.Tick(r.o.Clock.Now()))
+		}
+		r.tell()
+		timer.Reset(max(0, r.o.Clock.Until(r.machine.Next())))
+	}
+}
+
+// read hands what comes in to the loop; what it has no time for is lost, as datagrams may be.
+func (r *Room) read() {
+	buf := make([]byte, members.MaxDatagram+1)
+	for {
+		n, from, err := r.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // what an earlier datagram met at its end
+		}
+		msg, err := members.Decode(buf[:n], r.o.Key)
+		select {
+		case r.in <- letter{netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), msg, err}:
+		default:
+		}
+	}
+}
+
+func (r *Room) take(l letter) {
+	switch {
+	case l.err == nil:
+		r.counts.Received++
+		r.send(r.machine.Receive(r.o.Clock.Now(), l.from, l.msg))
+	case errors.Is(l.err, members.ErrStrange):
+		r.counts.Strange++
+	default:
+		r.counts.Malformed++
+	}
+}
+
+// send sends what the purse allows.
+func (r *Room) send(packets []members.Packet) {
+	now := r.o.Clock.Now()
+	r.purse = min(mostOut, r.purse+(now-r.filled).Seconds()*mostOut)
+	r.filled = now
+	for _, p := range packets {
+		data := members.Encode(p.Message, r.o.Key)
+		if r.purse < float64(len(data)) {
+			r.counts.Paced++
+			continue
+		}
+		r.purse -= float64(len(data))
+		if _, err := r.conn.WriteToUDPAddrPort(data, p.To); err == nil {
+			r.counts.Sent++
+		}
+	}
+}
+
+// tell logs what has changed of other nodes.
+func (r *Room) tell() {
+	for _, k := range r.machine.Members() {
+		if was, known := r.held[k.Name]; !known || was != k.Status {
+			r.held[k.Name] = k.Status
+			r.o.Log.Info("member", "name", k.Name, "status", k.Status, "life", k.Life)
+		}
+	}
+}
+
+func (r *Room) status() Status {
+	now := r.o.Clock.Now()
+	_, life := r.machine.Self()
+	s := Status{Life: life, Health: r.machine.Health(), Twins: r.machine.Twins, Counts: r.counts}
+	for _, k := range r.machine.Members() {
+		m := Member{Name: k.Name, Addr: k.Addr.String(), Region: k.Region, Zone: k.Zone, Status: k.Status.String(), Life: k.Life, For: now - k.Since, Heard: -1}
+		if k.Heard > 0 {
+			m.Heard = now - k.Heard
+		}
+		s.Members = append(s.Members, m)
+	}
+	return s
+}
+
+// Status tells what is known; nothing before Run and after its end.
+func (r *Room) Status() Status {
+	to := make(chan Status, 1)
+	select {
+	case <-r.started:
+	default:
+		return Status{}
+	}
+	select {
+	case r.asks <- to:
+		return <-to
+	case <-r.done:
+		return Status{}
+	}
+}
+
+// Close closes a room that was not run; one that runs ends with its context.
+func (r *Room) Close() {
+	select {
+	case <-r.started:
+		<-r.done
+	default:
+		r.conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,145 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"woodpick/internal/clock"
+	"woodpick/internal/members"
+	"woodpick/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// open opens a room on loopback that knows of seeds.
+func open(t *testing.T, name, key string, seeds ...netip.AddrPort) *Room {
+	t.Helper()
+	o := members.Defaults()
+	o.Period, o.Timeout, o.Seeds = 50*time.Millisecond, 15*time.Millisecond, seeds
+	free, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}) // a port of which the room can tell before it opens
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := free.LocalAddr().String()
+	free.Close()
+	r, err := Open(Options{Self: members.Peer{Name: name, Addr: netip.MustParseAddrPort(at), Zone: "z"}, Listen: at, Key: []byte(key), Members: o,
+		Clock: clock.New(), Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// run runs a room until the test's end, or until stop.
+func run(t *testing.T, r *Room) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go r.Run(ctx)
+	standin.Receive(t, r.started, "its start")
+	stop = func() {
+		cancel()
+		standin.Receive(t, r.done, "its end")
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+// status is what a room holds of another, by name.
+func status(r *Room, name string) string {
+	for _, m := range r.Status().Members {
+		if m.Name == name {
+			return m.Status
+		}
+	}
+	return ""
+}
+
+// Three rooms that know one of them come to know all; who leaves says so. One of another key is not heard, and neither is
+// what is no datagram of theirs.
+func TestRoomsKnowOneAnother(t *testing.T) {
+	const key = "a key of sixteen bytes or more"
+	a := open(t, "a", key)
+	b, c := open(t, "b", key, a.Addr()), open(t, "c", key, a.Addr())
+	other := open(t, "other", "a key of another cluster", a.Addr())
+	var stop func()
+	for _, r := range []*Room{a, b, c, other} {
+		stopped := run(t, r)
+		if r == c {
+			stop = stopped
+		}
+	}
+	for _, pair := range []struct {
+		r    *Room
+		name string
+	}{{a, "b"}, {a, "c"}, {b, "a"}, {b, "c"}, {c, "a"}, {c, "b"}} {
+		standin.Until(t, pair.name+" is alive for the others", func() bool { return status(pair.r, pair.name) == "alive" })
+	}
+	standin.Until(t, "the strange datagrams are counted", func() bool { return a.Status().Counts.Strange > 0 })
+	if got := status(a, "other"); got != "" || len(other.Status().Members) > 0 {
+		t.Errorf("another cluster's room is held for %q, and knows %+v", got, other.Status().Members)
+	}
+	nc, err := net.Dial("udp", a.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	fmt.Fprint(nc, strings.Repeat("x", 400))
+	standin.Until(t, "the malformed datagram is counted", func() bool { return a.Status().Counts.Malformed > 0 })
+	stop()
+	standin.Until(t, "the one that left has left for the others", func() bool { return status(a, "c") == "left" && status(b, "c") == "left" })
+	if s := c.Status(); len(s.Members) != 0 {
+		t.Errorf("a room that has ended tells %+v", s)
+	}
+}
+
+// A room never sends beyond its pace, whatever its machine wants.
+func TestThePaceHolds(t *testing.T) {
+	r := open(t, "a", "a key of sixteen bytes or more")
+	defer r.Close()
+	var packets []members.Packet
+	for range 3000 {
+		packets = append(packets, members.Packet{To: r.Addr(), Message: members.Message{Kind: members.Ping, From: 1}})
+	}
+	r.filled = r.o.Clock.Now()
+	r.purse = mostOut
+	r.send(packets)
+	size := int64(len(members.Encode(packets[0].Message, r.o.Key)))
+	if sent := r.counts.Sent * size; r.counts.Paced == 0 || sent < mostOut/2 || r.counts.Sent+r.counts.Paced != 3000 {
+		t.Errorf("%d bytes went out of %d allowed at once, %d datagrams were held back", sent, mostOut, r.counts.Paced)
+	}
+}
+
+func TestKeysAndAddressesThatWontDo(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{"short": "  short \n", "long": strings.Repeat("k", mostKey+1), "good": " sixteen bytes at least\n"} {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		key, err := LoadKey(path)
+		if (err == nil) != (name == "good") || err == nil && string(key) != "sixteen bytes at least" {
+			t.Errorf("%s: %q, %v", name, key, err)
+		}
+		if err != nil && !strings.Contains(err.Error(), path) {
+			t.Errorf("%v does not name the file", err)
+		}
+	}
+	if _, err := LoadKey(filepath.Join(dir, "none")); err == nil {
+		t.Error("a key was read from no file")
+	}
+	taken := open(t, "a", "a key of sixteen bytes or more")
+	defer taken.Close()
+	if _, err := Open(Options{Self: taken.o.Self, Listen: taken.Addr().String(), Key: taken.o.Key, Members: taken.o.Members, Clock: taken.o.Clock, Log: taken.o.Log}); err == nil {
+		t.Error("an address that is taken was taken again")
+	}
+}
--- a/internal/rig/experiment/file.go
+++ b/internal/rig/experiment/file.go
@@ -42,6 +42,7 @@
 		Seed    uint64   `hcl:"seed"`
 		WarmUp  string   `hcl:"warm_up,optional"`
 		Measure string   `hcl:"measure"`
+		Peers   string   `hcl:"peers,optional"`
 		Body    hcl.Body `hcl:",body"`
 	}
 	zoneBlock struct {
@@ -263,6 +264,7 @@
 	}
 	b := block{r, f.Experiment.Body, "experiment." + f.Experiment.Name}
 	e.Name, e.Note, e.Seed = f.Experiment.Name, f.Experiment.Note, f.Experiment.Seed
+	e.Peers = b.duration("peers", f.Experiment.Peers, 100*time.Millisecond, time.Minute)
 	e.WarmUp = b.duration("warm_up", f.Experiment.WarmUp, 0, maxLength)
 	e.Measure = b.duration("measure", f.Experiment.Measure, 100*time.Millisecond, maxLength)
 	if strings.Trim(strings.ToLower(e.Name), "abcdefghijklmnopqrstuvwxyz0123456789-_") != "" || e.Name == "" {
--- a/internal/rig/experiment/model.go
+++ b/internal/rig/experiment/model.go
@@ -15,6 +15,7 @@
 	Seed    uint64
 	WarmUp  time.Duration // not measured
 	Measure time.Duration
+	Peers   time.Duration // between two probes of nodes by nodes; 0: they do not know one another
 
 	Zones    []Zone
 	Nodes    []Nodes
@@ -238,6 +239,16 @@
 	return rates
 }
 
+// Region is the region of a zone.
+func (e *Experiment) Region(zone string) string {
+	for _, z := range e.Zones {
+		if z.Name == zone {
+			return z.Region
+		}
+	}
+	return ""
+}
+
 // Between is the link between two zones, in either order.
 func (e *Experiment) Between(a, b string) Link {
 	for _, l := range e.Links {
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -12,6 +12,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"woodpick/internal/rig/audit"
@@ -54,7 +55,7 @@
 	spawner *spawner
 	list    *list
 	mesh    *link.Mesh
-	began   time.Time // when the first call is due
+	began   atomic.Pointer[time.Time] // when the first call is due
 
 	mu     sync.Mutex
 	faults []experiment.Fault // of links, in force
@@ -63,6 +64,7 @@
 	worst  time.Duration // by which the rig was late, and
 	lates  []float64     // all lateness, in seconds
 	errs   []error
+	sights []Sight
 }
 
 // Result is what a run came to. The version tells its form.
@@ -76,6 +78,7 @@
 	Breaches   []audit.Breach
 	Slow       string `json:",omitempty"` // why nothing is judged: the rig was too slow
 	Cost       Cost
+	Sights     []Sight  `json:",omitempty"` // what nodes came to hold of one another
 	Log        []string `json:",omitempty"` // what was done when
 	Logs       []string `json:",omitempty"` // the ends of the logs of nodes that ended by themselves
 }
@@ -119,6 +122,7 @@
 	}
 	defer f.net.Close()
 	defer f.end()
+	f.begin(time.Now())
 	if err := f.build(); err != nil {
 		return nil, err
 	}
@@ -194,10 +198,13 @@
 }
 
 // now is the time of the run: since the first call was due.
-func (f *fleet) now() time.Duration { return time.Since(f.began) }
+func (f *fleet) now() time.Duration { return time.Since(*f.began.Load()) }
 
 // of is the time of the run of an instant.
-func (f *fleet) of(t time.Time) time.Duration { return t.Sub(f.began) }
+func (f *fleet) of(t time.Time) time.Duration { return t.Sub(*f.began.Load()) }
+
+// begin has the time of the run start at an instant.
+func (f *fleet) begin(at time.Time) { f.began.Store(&at) }
 
 // late notes by how much the rig was late for something that was due.
 func (f *fleet) late(by time.Duration) {
@@ -217,7 +224,7 @@
 
 // play has callers ask and faults strike until all is over.
 func (f *fleet) play(ctx context.Context) {
-	f.began = time.Now().Add(50 * time.Millisecond)
+	f.begin(time.Now().Add(50 * time.Millisecond))
 	ctx, stop := context.WithCancel(ctx)
 	var all, sampling sync.WaitGroup
 	sampling.Add(2)
@@ -296,6 +303,7 @@
 			r.Cost.LateMost.Round(time.Millisecond), r.Cost.LateP99.Round(time.Millisecond))
 	}
 	r.Breaches = f.audit.Breaches(f.worst)
+	r.Sights = f.sights
 	for _, n := range f.nodes {
 		if words := n.crashed(); words != "" {
 			r.Cost.NodesCrashed++
--- a/internal/rig/link/mesh.go
+++ b/internal/rig/link/mesh.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// Mesh carries datagrams between members in zones. A member has one address in the sight of each zone; what is sent
-// there comes to the member's own socket, from the sender's address in the sight of the member's zone.
+// Mesh carries datagrams between members in zones. All others see a member at one address of the mesh's; what is sent
+// there comes to the member's own socket, from the address that the sender is seen at.
 type Mesh struct {
 	dice  *Dice
 	shape func(from, to string) Shape // how the link from one zone to another is now, each way by itself
@@ -25,8 +25,8 @@
 
 type member struct {
 	name, zone string
-	own        netip.AddrPort          // where its process listens
-	seen       map[string]*net.UDPConn // by the zone that sees it
+	own        netip.AddrPort // where its process listens
+	seen       *net.UDPConn   // where all others see it
 }
 
 // MaxDatagram is the most that a datagram holds.
@@ -37,33 +37,28 @@
 	return &Mesh{dice: dice, shape: shape, members: map[string]*member{}, byOwn: map[netip.AddrPort]*member{}, lanes: map[[2]string]*lane{}}
 }
 
-// Join gives a member that listens at own an address in the sight of each zone.
-func (m *Mesh) Join(name, zone string, own netip.AddrPort, zones []string) (map[string]string, error) {
+// Join gives a member that listens at own the address at which all others see it.
+func (m *Mesh) Join(name, zone string, own netip.AddrPort) (string, error) {
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return "", fmt.Errorf("link: %w", err)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	k := &member{name: name, zone: zone, own: own, seen: map[string]*net.UDPConn{}}
-	out := map[string]string{}
-	for _, z := range zones {
-		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		if err != nil {
-			return nil, fmt.Errorf("link: %w", err)
-		}
-		k.seen[z] = c
-		out[z] = c.LocalAddr().String()
-		m.work.Add(1)
-		go m.carry(k, z, c)
-	}
+	k := &member{name: name, zone: zone, own: own, seen: c}
 	m.members[name] = k
 	m.byOwn[own] = k
-	return out, nil
+	m.work.Add(1)
+	go m.carry(k)
+	return c.LocalAddr().String(), nil
 }
 
-// carry takes what members of a zone send to a member.
-func (m *Mesh) carry(to *member, zone string, c *net.UDPConn) {
+// carry takes what others send to a member.
+func (m *Mesh) carry(to *member) {
 	defer m.work.Done()
 	buf := make([]byte, MaxDatagram)
 	for {
-		n, addr, err := c.ReadFromUDPAddrPort(buf)
+		n, addr, err := to.seen.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			m.mu.Lock()
 			closed := m.closed
@@ -73,26 +68,29 @@
 			}
 			continue
 		}
-		m.pass(to, zone, addr, append([]byte(nil), buf[:n]...))
+		m.pass(to, netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port()), append([]byte(nil), buf[:n]...))
 	}
 }
 
-func (m *Mesh) pass(to *member, zone string, addr netip.AddrPort, data []byte) {
+func (m *Mesh) pass(to *member, addr netip.AddrPort, data []byte) {
 	now := time.Now()
-	s := m.shape(zone, to.zone)
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	from := m.byOwn[addr]
-	if from == nil || from.zone != zone {
+	if from == nil {
 		m.Stats.Strange++
+		m.mu.Unlock()
 		return
 	}
+	m.mu.Unlock()
+	s := m.shape(from.zone, to.zone)
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.Stats.Sent++
 	if s.CutThere || m.dice.under(s.Loss) {
 		m.Stats.Lost++
 		return
 	}
-	pair := [2]string{zone, to.zone}
+	pair := [2]string{from.zone, to.zone}
 	if m.lanes[pair] == nil {
 		m.lanes[pair] = &lane{}
 	}
@@ -116,9 +114,8 @@
 	if m.dice.under(s.Double) {
 		times, m.Stats.Doubled = 2, m.Stats.Doubled+1
 	}
-	out := from.seen[to.zone]
 	for range times {
-		time.AfterFunc(time.Until(at), func() { out.WriteToUDPAddrPort(data, to.own) })
+		time.AfterFunc(time.Until(at), func() { from.seen.WriteToUDPAddrPort(data, to.own) })
 	}
 }
 
@@ -127,9 +124,7 @@
 	m.mu.Lock()
 	m.closed = true
 	for _, k := range m.members {
-		for _, c := range k.seen {
-			c.Close()
-		}
+		k.seen.Close()
 	}
 	m.mu.Unlock()
 	m.work.Wait()
--- a/internal/rig/link/mesh_test.go
+++ b/internal/rig/link/mesh_test.go
@@ -12,7 +12,7 @@
 // peer is a member's own socket.
 type peer struct {
 	*net.UDPConn
-	sees map[string]string // how others see it, by zone
+	seen string // where others see it
 }
 
 func newPeer(t *testing.T, m *Mesh, name, zone string) *peer {
@@ -22,11 +22,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	sees, err := m.Join(name, zone, netip.MustParseAddrPort(c.LocalAddr().String()), []string{"a", "b"})
+	seen, err := m.Join(name, zone, netip.MustParseAddrPort(c.LocalAddr().String()))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &peer{c, sees}
+	return &peer{c, seen}
 }
 
 func (p *peer) send(t *testing.T, to, text string) {
@@ -69,18 +69,18 @@
 	}
 	x, y := newPeer(t, m, "x", "a"), newPeer(t, m, "y", "b")
 
-	x.send(t, y.sees["a"], "hello")
-	if got, from := y.hears(1); len(got) != 1 || from != x.sees["b"] {
-		t.Fatalf("%v from %s; want one from %s, how zone b sees x", got, from, x.sees["b"])
+	x.send(t, y.seen, "hello")
+	if got, from := y.hears(1); len(got) != 1 || from != x.seen {
+		t.Fatalf("%v from %s; want one from %s, where x is seen", got, from, x.seen)
 	}
-	y.send(t, x.sees["b"], "back")
+	y.send(t, x.seen, "back")
 	if got, _ := x.hears(1); len(got) != 1 {
 		t.Fatalf("x heard %v", got)
 	}
 
 	shape("ab", Shape{CutThere: true}) // one way
-	x.send(t, y.sees["a"], "lost")
-	y.send(t, x.sees["b"], "comes")
+	x.send(t, y.seen, "lost")
+	y.send(t, x.seen, "comes")
 	if got, _ := x.hears(1); len(got) != 1 {
 		t.Errorf("the way that is open brought %v", got)
 	}
@@ -89,14 +89,14 @@
 	}
 
 	shape("ab", Shape{Double: 1})
-	x.send(t, y.sees["a"], "twice")
+	x.send(t, y.seen, "twice")
 	if got, _ := y.hears(2); len(got) != 2 {
 		t.Errorf("%v; want it twice", got)
 	}
 
 	shape("ab", Shape{Delay: time.Millisecond, Reorder: 0.5, Loss: 0.3})
 	for i := range 100 {
-		x.send(t, y.sees["a"], fmt.Sprint(i))
+		x.send(t, y.seen, fmt.Sprint(i))
 	}
 	got, _ := y.hears(40)
 	swapped := 0
@@ -118,7 +118,7 @@
 	}
 	defer stranger.Close()
 	shape("ab", Shape{})
-	stranger.WriteToUDPAddrPort([]byte("hi"), netip.MustParseAddrPort(y.sees["a"]))
+	stranger.WriteToUDPAddrPort([]byte("hi"), netip.MustParseAddrPort(y.seen))
 	if got, _ := y.hears(0); len(got) != 0 {
 		t.Errorf("a stranger was heard: %v", got)
 	}
--- a/internal/rig/link/relay.go
+++ b/internal/rig/link/relay.go
@@ -196,11 +196,15 @@
 	}
 }
 
-// reset breaks all connections. The caller holds mu.
+// reset breaks all connections, with all that was under way on them. The caller holds mu.
 func (r *Relay) reset() {
 	for c := range r.conns {
+		c.mu.Lock()
+		c.pieces, c.held, c.broken = nil, 0, true
+		c.mu.Unlock()
 		c.tcp.SetLinger(0)
 		c.tcp.Close()
+		c.ring()
 	}
 }
 
@@ -247,6 +251,7 @@
 	pieces  []piece // that came from the near side
 	held    int     // bytes of them
 	ended   bool    // the near side has closed; nothing more comes
+	broken  bool    // by the relay: what was under way is lost
 	endedAt time.Time
 	there   lane
 	back    lane
@@ -321,7 +326,7 @@
 		s, _, _ := c.relay.state()
 		c.mu.Lock()
 		due := c.there.due(now, n, s, c.relay.dice)
-		if n > 0 {
+		if n > 0 && !c.broken {
 			c.pieces = append(c.pieces, piece{data: append([]byte(nil), buf[:n]...), in: now, due: due})
 			c.held += n
 		}
@@ -368,6 +373,10 @@
 				return 0, net.ErrClosed
 			}
 			c.mu.Lock()
+			if len(c.pieces) == 0 { // broken meanwhile
+				c.mu.Unlock()
+				continue
+			}
 			first := &c.pieces[0]
 			n := copy(p, first.data)
 			first.data = first.data[n:]
@@ -379,8 +388,11 @@
 			c.mu.Unlock()
 			return n, nil
 		}
-		ended := c.ended
+		ended, broken := c.ended, c.broken
 		c.mu.Unlock()
+		if broken {
+			return 0, net.ErrClosed
+		}
 		if _, changed, closed := c.relay.state(); closed {
 			return 0, net.ErrClosed
 		} else if ended {
--- a/internal/rig/link/relay_test.go
+++ b/internal/rig/link/relay_test.go
@@ -168,6 +168,38 @@
 	eventually(t, "that no connection is left", func() bool { return r.Connections() == 0 })
 }
 
+// What lay in a cut when its connections were broken never comes: whoever is there by then has no part in it.
+func TestWhatWasUnderWayOnABrokenConnectionIsLost(t *testing.T) {
+	r, heard := echo(t)
+	c := dial(t, r)
+	say(t, c, "one")
+	hear(t, c, "one")
+	set(t, r, Shape{CutThere: true, CutBack: true})
+	say(t, c, "two")
+	r.mu.Lock()
+	far := r.conns
+	r.mu.Unlock()
+	eventually(t, "that the second line lies in the link", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for k := range far {
+			k.mu.Lock()
+			held := k.held
+			k.mu.Unlock()
+			if held > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	r.Break()
+	set(t, r, Shape{})
+	eventually(t, "that no connection is left", func() bool { return r.Connections() == 0 })
+	if n := heard.Load(); n != 1 {
+		t.Errorf("the far side heard %d lines; the second was lost with its connection", n)
+	}
+}
+
 func TestTheFarSideLearnsOfACloseOnlyThroughAnOpenLink(t *testing.T) {
 	conns := make(chan *Conn, 1)
 	r, err := Listen("127.0.0.1:0", NewDice(1), func(c *Conn) {
--- a/internal/rig/list.go
+++ b/internal/rig/list.go
@@ -68,7 +68,7 @@
 		h.mu.Lock()
 		t := target{UID: h.server.ID, Zone: h.server.Zone, Model: h.server.Spec.Name, State: stateNames[h.state], Size: h.server.Spec.Size, place: h.place}
 		if h.server.Born >= 0 {
-			t.Boot = float64(l.fleet.began.Add(h.server.Born).UnixMilli())
+			t.Boot = float64(l.fleet.began.Load().Add(h.server.Born).UnixMilli())
 		}
 		h.mu.Unlock()
 		targets = append(targets, t)
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -29,6 +30,9 @@
 	listen string
 	agent  *link.Relay
 	file   *memfile
+	key    *memfile // of the cluster; nil: nodes do not know one another
+	own    string   // where it listens for peers, and
+	seen   string   // where they see it
 
 	mu      sync.Mutex
 	process *process // nil while it is down
@@ -56,21 +60,40 @@
 	if err != nil {
 		return err
 	}
-	text, err := n.text()
-	if err != nil {
-		return err
+	if f.e.Peers > 0 {
+		n.own = f.net.Address(140+n.index/200, 1+n.index%200, 7946)
+		if n.seen, err = f.mesh.Join(n.name(), n.zone, netip.MustParseAddrPort(n.own)); err != nil {
+			return err
+		}
+		if n.key, err = newMemfile("key", []byte("the key of one experiment's cluster")); err != nil {
+			return err
+		}
 	}
-	n.file, err = newMemfile(fmt.Sprintf("n%d.hcl", n.index), text)
+	n.file, err = newMemfile(n.name()+".hcl", nil)
 	return err
 }
 
+func (n *node) name() string { return fmt.Sprintf("n%d", n.index) }
+
 func (n *node) text() ([]byte, error) {
-	return nodefile.Text(n.fleet.e, nodefile.Node{Index: n.index, Copies: n.copies, Zone: n.zone, Listen: n.listen, Registry: n.agent.Addr()})
+	f := n.fleet
+	d := nodefile.Node{Index: n.index, Copies: n.copies, Zone: n.zone, Listen: n.listen, Registry: n.agent.Addr()}
+	if n.key != nil {
+		d.Peers = &nodefile.Peers{Listen: n.own, Advertise: n.seen, KeyFile: "/proc/self/fd/4", Region: f.e.Region(n.zone), Seeds: f.seeds(), Period: f.e.Peers}
+	}
+	return nodefile.Text(f.e, d)
+}
+
+// seeds are where three nodes are seen that lie in different zones, as far as there are as many.
+func (f *fleet) seeds() (seeds []string) {
+	for _, k := range f.nodes[:min(3, len(f.nodes))] {
+		seeds = append(seeds, k.seen)
+	}
+	return seeds
 }
 
 // startNodes starts all processes, some at a time, and returns once all are ready.
 func (f *fleet) startNodes(ctx context.Context) error {
-	f.began = time.Now()
 	f.list.news()
 	if f.o.Policy != Program {
 		return nil
@@ -80,6 +103,15 @@
 	if at <= 0 {
 		at = 16
 	}
+	for _, n := range f.nodes {
+		text, err := n.text()
+		if err == nil {
+			err = n.file.rewrite(text)
+		}
+		if err != nil {
+			return err
+		}
+	}
 	turn := make(chan struct{}, at)
 	errs := make([]error, len(f.nodes))
 	var all sync.WaitGroup
@@ -107,7 +139,7 @@
 	if skew != 0 {
 		env = append(env, "DAMSONTRESTLE_CLOCK_OFF="+skew.String())
 	}
-	p, err := f.spawner.launch(f.o.Binary, n.file, keep, env)
+	p, err := f.spawner.launch(f.o.Binary, n.file, n.key, keep, env, func(line string) { f.sight(n, line) })
 	if err != nil {
 		return fmt.Errorf("node %d: %w", n.index, err)
 	}
@@ -182,8 +214,10 @@
 	if n.agent != nil {
 		n.agent.Close()
 	}
-	if n.file != nil {
-		n.file.Close()
+	for _, m := range []*memfile{n.file, n.key} {
+		if m != nil {
+			m.Close()
+		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/rig/nodefile/nodefile.go
+++ b/internal/rig/nodefile/nodefile.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"text/template"
+	"time"
 
 	"woodpick"
 	"woodpick/internal/config"
@@ -19,6 +20,14 @@
 	Registry      string // address of its agent
 	Descriptors   int
 	Connections   int // to servers, at most
+	Peers         *Peers
+}
+
+// Peers is how a node comes to know others.
+type Peers struct {
+	Listen, Advertise, KeyFile, Region string
+	Seeds                              []string
+	Period                             time.Duration
 }
 
 // Pool is the name of the one pool.
@@ -31,6 +40,18 @@
     descriptors = {{.Descriptors}}
     cores       = 1
   }
+{{- with .Peers}}
+  peers {
+    listen    = "{{.Listen}}"
+    advertise = "{{.Advertise}}"
+    key_file  = "{{.KeyFile}}"
+{{- if .Region}}
+    region    = "{{.Region}}"
+{{- end}}
+    period    = "{{.Period}}"
+    seeds     = [{{range $i, $s := .Seeds}}{{if $i}}, {{end}}"{{$s}}"{{end}}]
+  }
+{{- end}}
 }
 {{range .Classes}}
 class "{{.Name}}" {
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -75,15 +75,29 @@
 
 // tail keeps the end of what is written to it.
 type tail struct {
+	heard func(line string)
+
 	mu   sync.Mutex
 	most int
 	text []byte
+	part []byte // of a line that has not ended
 }
 
 func (t *tail) Write(p []byte) (int, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.text = append(t.text, p...)
+	t.part = append(t.part, p...)
+	for {
+		line, rest, whole := bytes.Cut(t.part, []byte("\n"))
+		if !whole {
+			break
+		}
+		t.part = rest
+		if t.heard != nil {
+			t.heard(string(line))
+		}
+	}
 	if over := len(t.text) - t.most; over > 0 {
 		t.text = bytes.Clone(t.text[over:])
 	}
@@ -108,9 +122,13 @@
 }
 
 // launch starts the program with a file in memory as its third descriptor.
-func (s *spawner) launch(binary string, file *memfile, keep int, env []string) (*process, error) {
-	p := &process{cmd: exec.Command(binary, "serve", "/proc/self/fd/3"), log: &tail{most: keep}, done: make(chan struct{})}
+// key, if it has one, is the fourth. heard is told of each whole line of its log.
+func (s *spawner) launch(binary string, file, key *memfile, keep int, env []string, heard func(string)) (*process, error) {
+	p := &process{cmd: exec.Command(binary, "serve", "/proc/self/fd/3"), log: &tail{most: keep, heard: heard}, done: make(chan struct{})}
 	p.cmd.ExtraFiles = []*os.File{file.File}
+	if key != nil {
+		p.cmd.ExtraFiles = append(p.cmd.ExtraFiles, key.File)
+	}
 	p.cmd.Stderr = p.log
 	p.cmd.Env = append(os.Environ(), env...)
 	if err := s.start(p.cmd); err != nil {
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"woodpick/internal/rig/experiment"
 )
@@ -182,6 +183,79 @@
 	}
 }
 
+// Twelve processes come to know one another by datagrams; one is killed, and a zone is cut off from the others for a
+// while: the dead one is dead for the others, who hear of it, the cut parts hold each other for dead, and when all is over
+// everybody is alive for everybody, the killed one in a later life.
+func TestProcessesKnowOneAnother(t *testing.T) {
+	text := strings.NewReplacer(`measure = "8s"`, "measure = \"23s\"\n  peers   = \"200ms\"", `rate = 5`, `rate = 1`).Replace(dozen)
+	res := play(t, text+`
+fault "dead" {
+  kind  = "kill"
+  from  = "3s"
+  to    = "9s"
+  count = 1
+}
+fault "cut" {
+  kind = "cut"
+  from = "10s"
+  to   = "16s"
+  near = ["a"]
+  far  = ["b", "c"]
+}
+fault "back" {
+  kind = "cut"
+  from = "10s"
+  to   = "16s"
+  near = ["b", "c"]
+  far  = ["a"]
+}
+`)
+	const n = 12
+	killed := -1
+	before := res.Holds(n, 3*time.Second)
+	for i := range n {
+		for j := range n {
+			if i != j && before[i][j] != "alive" && res.Slow == "" {
+				t.Fatalf("after three seconds n%d holds n%d for %q", i, j, before[i][j])
+			}
+		}
+	}
+	dead := res.Holds(n, 9*time.Second)
+	for j := range n {
+		holders := 0
+		for i := range n {
+			if dead[i][j] == "dead" {
+				holders++
+			}
+		}
+		if holders == n-1 {
+			killed = j
+		} else if holders > 0 && res.Slow == "" {
+			t.Errorf("n%d lives, and %d hold it for dead", j, holders)
+		}
+	}
+	if killed < 0 && res.Slow == "" {
+		t.Fatal("six seconds after one was killed there is none whom all others hold for dead")
+	}
+	apart := 0
+	for _, s := range res.Sights {
+		if s.At > 10*time.Second && s.At < 17*time.Second && s.Status == "dead" && (s.Node%3 == 0) != (s.Of%3 == 0) {
+			apart++
+		}
+	}
+	if apart < 32 && res.Slow == "" { // each of four and each of eight; half of these
+		t.Errorf("%d of 64 pairs across the cut came to hold each other for dead", apart)
+	}
+	end := res.Holds(n, time.Hour)
+	for i := range n {
+		for j := range n {
+			if i != j && end[i][j] != "alive" && res.Slow == "" {
+				t.Errorf("in the end n%d holds n%d for %q", i, j, end[i][j])
+			}
+		}
+	}
+}
+
 // What a run did is told by the same auditor whoever picks; the rig's own policies need no process.
 func TestTheRigsOwnPolicies(t *testing.T) {
 	e, err := experiment.Parse([]byte(strings.NewReplacer(`"8s"`, `"1s"`, `"1s"`, `"200ms"`).Replace(dozen)), "dozen")
