--- a/cmd/damsontrestle/members.go
+++ b/cmd/damsontrestle/members.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"text/tabwriter"
@@ -9,41 +8,20 @@
 
 	"github.com/spf13/cobra"
 
+	"woodpick/internal/admin"
 	"woodpick/internal/peers"
 )
 
 func newMembers() *cobra.Command {
-	var (
-		socket string
-		asJSON bool
-	)
-	cmd := &cobra.Command{
-		Use:   "members [FILE]",
-		Short: "Show what a node knows of other nodes",
-		Long:  "members tells of each node that this one knows: whether it lives, since when, when it was heard last, and what\nwas dropped of the datagrams that came and why. The file only names the node, by its admin socket.",
-		Args:  cobra.MaximumNArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			path, err := socketOf(socket, args)
-			if err != nil {
-				return err
+	return newLook("members", "Show what a node knows of other nodes",
+		"members tells of each node that this one knows: whether it lives, since when, when it was heard last, and what\nwas dropped of the datagrams that came and why.",
+		"write everything as JSON",
+		func(s admin.Show) (peers.Status, error) {
+			if s.Status.Peers == nil {
+				return peers.Status{}, fmt.Errorf("node %s knows of no others: its file has no peers block", s.Node)
 			}
-			_, show, err := running(cmd.Context(), path)
-			if err != nil {
-				return err
-			}
-			if show.Status.Peers == nil {
-				return fmt.Errorf("node %s knows of no others: its file has no peers block", show.Node)
-			}
-			if asJSON {
-				return json.NewEncoder(cmd.OutOrStdout()).Encode(show.Status.Peers)
-			}
-			writeMembers(cmd.OutOrStdout(), *show.Status.Peers)
-			return nil
-		},
-	}
-	cmd.Flags().StringVar(&socket, "socket", "", "the node's admin socket (default: the file's)")
-	cmd.Flags().BoolVar(&asJSON, "json", false, "write everything as JSON")
-	return cmd
+			return *s.Status.Peers, nil
+		}, writeMembers)
 }
 
 func writeMembers(out io.Writer, s peers.Status) {
--- a/cmd/damsontrestle/show.go
+++ b/cmd/damsontrestle/show.go
@@ -15,15 +15,20 @@
 )
 
 func newShow() *cobra.Command {
+	return newLook("show", "Show what a node runs and does",
+		"show tells what runs (serial and fingerprint, since when, put in place by what), its listeners and pools, and what\nof earlier configurations still drains.",
+		"write everything as JSON, the configuration among it",
+		func(s admin.Show) (admin.Show, error) { return s, nil }, writeShow)
+}
+
+// newLook makes a command that asks a node what it runs and writes a part of that, in words or as JSON.
+func newLook[T any](use, short, long, jsonHelp string, part func(admin.Show) (T, error), write func(io.Writer, T)) *cobra.Command {
 	var (
 		socket string
 		asJSON bool
 	)
 	cmd := &cobra.Command{
-		Use:   "show [FILE]",
-		Short: "Show what a node runs and does",
-		Long:  "show tells what runs (serial and fingerprint, since when, put in place by what), its listeners and pools, and what\nof earlier configurations still drains. The file only names the node, by its admin socket.",
-		Args:  cobra.MaximumNArgs(1),
+		Use: use + " [FILE]", Short: short, Long: long + " The file only names the node, by its admin socket.", Args: cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			path, err := socketOf(socket, args)
 			if err != nil {
@@ -33,15 +38,19 @@
 			if err != nil {
 				return err
 			}
+			v, err := part(show)
+			if err != nil {
+				return err
+			}
 			if asJSON {
-				return json.NewEncoder(cmd.OutOrStdout()).Encode(show)
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(v)
 			}
-			writeShow(cmd.OutOrStdout(), show)
+			write(cmd.OutOrStdout(), v)
 			return nil
 		},
 	}
 	cmd.Flags().StringVar(&socket, "socket", "", "the node's admin socket (default: the file's)")
-	cmd.Flags().BoolVar(&asJSON, "json", false, "write everything as JSON, the configuration among it")
+	cmd.Flags().BoolVar(&asJSON, "json", false, jsonHelp)
 	return cmd
 }
 
--- a/cmd/fleetlab/run.go
+++ b/cmd/fleetlab/run.go
@@ -34,8 +34,8 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			var runs []rig.Options
 			for _, p := range policies {
-				if p != string(rig.Program) {
-					runs = append(runs, rig.Options{Policy: rig.Policy(p)})
+				if p != string(experiment.Program) {
+					runs = append(runs, rig.Options{Policy: experiment.Policy(p)})
 					continue
 				}
 				for _, program := range programs {
@@ -46,7 +46,7 @@
 					if _, err := os.Stat(path); err != nil {
 						return fmt.Errorf("the program: %w; build it first: go build -o bin/ ./cmd/...", err)
 					}
-					runs = append(runs, rig.Options{Policy: rig.Program, Binary: path, Name: name})
+					runs = append(runs, rig.Options{Policy: experiment.Program, Binary: path, Name: name})
 				}
 			}
 			w := tabwriter.NewWriter(cmd.OutOrStdout(), 2, 0, 2, ' ', 0)
--- a/cmd/fleetlab/weigh.go
+++ b/cmd/fleetlab/weigh.go
@@ -43,7 +43,7 @@
 						if len(utilisation) > 0 {
 							e.Callers.Rate, e.Callers.Utilisation = 0, utilisation[0]
 						}
-						a, f, err := virtual.Play(e, virtual.Policy(policy), func(s *woodpick.Settings) {
+						a, f, err := virtual.Play(e, experiment.Policy(policy), func(s *woodpick.Settings) {
 							if asks >= 0 {
 								s.Asks = asks
 							}
--- a/internal/engine/soak_test.go
+++ b/internal/engine/soak_test.go
@@ -2,23 +2,15 @@
 
 import (
 	"fmt"
-	"runtime"
 	"testing"
 	"time"
 
 	"woodpick"
 	"woodpick/internal/discovery"
 	"woodpick/internal/standin"
+	reach "woodpick/internal/standin/heap"
 )
 
-func reachable() int64 {
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
-
 // A hundred thousand calls under ids that are never seen again, and five thousand servers that come and go: the engine
 // keeps nothing of what has gone, alarms included.
 func TestNothingIsKeptOfCallsThatAreOver(t *testing.T) {
@@ -55,12 +47,12 @@
 			standin.Receive(t, c.Answer(), "the answer")
 		}
 		if i == calls/10 {
-			base = reachable()
+			base = reach.Reachable()
 		}
 	}
 	// What the loop holds is looked at from within: it answers a Status once all before it is handled.
 	e.Status()
-	grown := reachable() - base
+	grown := reach.Reachable() - base
 	if st := e.Status(); st.Open != 0 || st.Ready > 12 || st.Calls < calls {
 		t.Errorf("%d calls are open and %d servers ready after %d calls", st.Open, st.Ready, st.Calls)
 	}
--- a/internal/http1/report_test.go
+++ b/internal/http1/report_test.go
@@ -72,6 +72,14 @@
 	}
 }
 
+// asks has a backend read reports and ask for them.
+func asks(b *Back) *Back {
+	l := b.limits
+	l.Busy, l.AskPath = "inflight", "/stats"
+	b.SetLimits(l)
+	return b
+}
+
 // A server that is asked says what it holds; nothing of a call goes there, and its connection serves calls afterwards.
 func TestServersAreAsked(t *testing.T) {
 	ids := make(chan string, 10)
@@ -89,9 +97,7 @@
 	if _, ok := b.Ask(to, standin.Limit); ok {
 		t.Error("a server was asked though the pool says nothing of it")
 	}
-	l := b.limits
-	l.Busy, l.AskPath = "inflight", "/stats"
-	b.SetLimits(l)
+	asks(b)
 	for range 3 {
 		if busy, ok := b.Ask(to, standin.Limit); !ok || busy != 5 {
 			t.Errorf("it says %v, %v; want 5", busy, ok)
@@ -115,10 +121,7 @@
 		_, err := fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nTEXT inflight=5")
 		return err == nil
 	})
-	b := testBackend(10)
-	l := b.limits
-	l.Busy, l.AskPath = "inflight", "/stats"
-	b.SetLimits(l)
+	b := asks(testBackend(10))
 	if busy, ok := b.Ask(testHost(b, s.Address()), time.Millisecond); ok {
 		t.Errorf("it says %v before it has answered", busy)
 	}
@@ -129,8 +132,7 @@
 		return len(b.idle) == 1 && b.open == 1 || b.open == 0 // or it took longer than it may
 	})
 	b.Close()
-	dead := testBackend(10)
-	dead.SetLimits(l)
+	dead := asks(testBackend(10))
 	if _, ok := dead.Ask(testHost(dead, "127.0.0.1:1"), standin.Limit); ok {
 		t.Error("nobody listens there, and it answered")
 	}
@@ -141,10 +143,7 @@
 		_, err := fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nTEXT inflight=5")
 		return err == nil
 	})
-	back := testBackend(10)
-	l := back.limits
-	l.Busy, l.AskPath = "inflight", "/stats"
-	back.SetLimits(l)
+	back := asks(testBackend(10))
 	to := testHost(back, s.Address())
 	for b.Loop() {
 		if _, ok := back.Ask(to, standin.Limit); !ok {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -225,10 +225,16 @@
 // draw is a number below n, from the seed and the count of draws.
 func (m *Machine) draw(n int) int {
 	m.draws++
-	x := m.seed + m.draws*0x9e3779b97f4a7c15 // splitmix64 (Steele, Lea, Flood 2014)
+	return int(mix(m.seed+m.draws*golden) % uint64(n))
+}
+
+// golden and mix are splitmix64's (Steele, Lea, Flood 2014).
+const golden = 0x9e3779b97f4a7c15
+
+func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return int((x ^ x>>31) % uint64(n))
+	return x ^ x>>31
 }
 
 func (m *Machine) find(id ID) (int, bool) {
@@ -558,15 +564,11 @@
 // sum is alike at nodes that hold the same members for alive, at the same lives: dead ones are forgotten at different
 // times, and suspicions pass by themselves. Never 0.
 func (m *Machine) sum() uint64 {
-	mix := func(id ID, life uint32) uint64 {
-		x := uint64(id) ^ uint64(life)*0x9e3779b97f4a7c15
-		x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-		return x ^ x>>31
-	}
-	s := mix(m.id, m.life)
+	of := func(id ID, life uint32) uint64 { return mix(uint64(id) ^ uint64(life)*golden) }
+	s := of(m.id, m.life)
 	for _, k := range m.members {
 		if k.status <= Suspect {
-			s ^= mix(k.ID, k.life)
+			s ^= of(k.ID, k.life)
 		}
 	}
 	return max(1, s)
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -120,17 +120,23 @@
 	return counts
 }
 
+// allAlive fails unless each of n is alive for all others.
+func (w *world) allAlive(n int, when string) {
+	w.t.Helper()
+	for i := range n {
+		if h := w.held(i); h != [4]int{n - 1} {
+			w.t.Errorf("%s %s is held alive, suspect, dead, left by %v", when, nameOf(i), h)
+		}
+	}
+}
+
 // Given sixty nodes that know three seeds, all know all within half a minute; one that dies is dead for all within the
 // bound on suspicion and the time that a word takes; nobody else is doubted.
 func TestAllLearnOfAllAndOfADeath(t *testing.T) {
 	const n = 60
 	w := newWorld(t, n, 1)
 	w.run(30 * time.Second)
-	for i := range n {
-		if h := w.held(i); h != [4]int{n - 1, 0, 0, 0} {
-			t.Fatalf("after 30 s %s is held alive, suspect, dead, left by %v", nameOf(i), h)
-		}
-	}
+	w.allAlive(n, "after 30 s")
 	w.machines[addrOf(7)] = nil
 	w.run(Defaults().MostSuspicion(n) + 15*time.Second)
 	for i := range n {
@@ -184,11 +190,7 @@
 	}
 	w.loss = 0
 	w.run(40 * time.Second)
-	for i := range n {
-		if h := w.held(i); h[Alive] != n-1 {
-			t.Errorf("in the end %s is held by %v", nameOf(i), h)
-		}
-	}
+	w.allAlive(n, "in the end")
 }
 
 // Two halves that hear nothing of one another hold each other for dead, and are one fleet again afterwards though nobody
@@ -207,11 +209,7 @@
 	}
 	w.cut = nil
 	w.run(60 * time.Second)
-	for i := range n {
-		if h := w.held(i); h[Alive] != n-1 {
-			t.Errorf("after the cut %s is held by %v", nameOf(i), h)
-		}
-	}
+	w.allAlive(n, "after the cut")
 }
 
 // One way: a node hears others and is not heard by half of them. Whoever reaches it speaks for it.
@@ -239,11 +237,7 @@
 	}
 	delete(w.paused, addrOf(4))
 	w.run(30 * time.Second)
-	for i := range n {
-		if h := w.held(i); h[Alive] != n-1 {
-			t.Errorf("after the sleep %s is held by %v", nameOf(i), h)
-		}
-	}
+	w.allAlive(n, "after the sleep")
 }
 
 // Who leaves says so, and is doubted by nobody; it is soon left for all.
--- a/internal/rig/audit/figures.go
+++ b/internal/rig/audit/figures.go
@@ -9,6 +9,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
+
+	"woodpick/internal/rig/experiment"
 )
 
 // SampleEvery is how often the servers are looked at.
@@ -95,6 +97,16 @@
 	Speed float64 // calls a second that one slot works off
 }
 
+// Capacities are those of an experiment's servers, in the order of their places.
+func Capacities(e *experiment.Experiment) (c []Capacity) {
+	for _, g := range e.Servers {
+		for range g.Count {
+			c = append(c, Capacity{Slots: g.Slots, Speed: 1 / g.Service.Seconds()})
+		}
+	}
+	return c
+}
+
 // Figures works them out over a stretch, of calls that were made in it.
 func (a *Audit) Figures(from, to time.Duration, capacity []Capacity) Figures {
 	a.mu.Lock()
--- a/internal/rig/callers.go
+++ b/internal/rig/callers.go
@@ -69,19 +69,18 @@
 // ask sends one call and tells what is heard: of a node, or where the rig picks, of a server.
 func (n *node) ask(id string, class experiment.Class, left time.Duration) (heard audit.Heard, says string, wait time.Duration) {
 	to := n.listen
-	if n.fleet.o.Policy != Program {
+	if n.fleet.o.Policy != experiment.Program {
 		if to = n.pick(); to == "" {
 			return audit.Refused, "no server", 0
 		}
 	}
 	for {
 		c, kept := n.take(to)
-		if c == nil {
-			nc, err := net.DialTimeout("tcp4", to, min(left, time.Second))
-			if err != nil {
+		if !kept {
+			var err error
+			if c, err = net.DialTimeout("tcp4", to, min(left, time.Second)); err != nil {
 				return audit.NotTaken, err.Error(), 0
 			}
-			c = &callerConn{nc}
 		}
 		heard, says, wait, open := n.on(c, id, class, left)
 		if open {
@@ -93,7 +92,7 @@
 		if heard == audit.Broken && kept {
 			continue
 		}
-		if n.fleet.o.Policy != Program && heard == audit.Refused {
+		if n.fleet.o.Policy != experiment.Program && heard == audit.Refused {
 			heard = audit.Failed // turned away by the one server that was picked
 		}
 		return heard, says, wait
@@ -101,7 +100,7 @@
 }
 
 // on makes a call on a connection. open: it is of further use.
-func (n *node) on(c *callerConn, id string, class experiment.Class, left time.Duration) (heard audit.Heard, says string, wait time.Duration, open bool) {
+func (n *node) on(c net.Conn, id string, class experiment.Class, left time.Duration) (heard audit.Heard, says string, wait time.Duration, open bool) {
 	c.SetDeadline(time.Now().Add(left + audit.AnswerSlack))
 	method, body := "GET", ""
 	if class.Effect != "safe" {
@@ -145,8 +144,8 @@
 	return audit.Wrong, r.Status, 0, false
 }
 
-// take returns an idle connection that its other side has not closed, or nil.
-func (n *node) take(to string) (c *callerConn, kept bool) {
+// take returns an idle connection, if there is one.
+func (n *node) take(to string) (c net.Conn, kept bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	free := n.idle[to]
@@ -158,7 +157,7 @@
 	return c, true
 }
 
-func (n *node) keep(to string, c *callerConn) {
+func (n *node) keep(to string, c net.Conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.idle[to] = append(n.idle[to], c)
@@ -180,7 +179,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	best := ready[n.rng.IntN(len(ready))]
-	if f.o.Policy == JSQ {
+	if f.o.Policy == experiment.JSQ {
 		least := 0.0
 		best = nil
 		for _, h := range ready {
--- a/internal/rig/experiment/model.go
+++ b/internal/rig/experiment/model.go
@@ -30,6 +30,16 @@
 // Length is how long callers ask.
 func (e *Experiment) Length() time.Duration { return e.WarmUp + e.Measure }
 
+// Policy says who picks the server of a call.
+type Policy string
+
+// Policies. All but Program are for comparison.
+const (
+	Program Policy = "program" // the decision module, in processes or on virtual time
+	Random  Policy = "random"  // any server that the node's list has in service
+	JSQ     Policy = "jsq"     // the server that holds least for its slots, by what all hold now: no node can know that
+)
+
 // Zone is a place whose links to others can fail.
 type Zone struct{ Name, Region string }
 
@@ -208,6 +218,16 @@
 	return Nodes{}
 }
 
+// Lags are how long after the registry each node hears of a change.
+func (e *Experiment) Lags() []time.Duration {
+	rng := rand.New(rand.NewPCG(e.Seed, 0xa6e7))
+	lags := make([]time.Duration, len(e.NodeZones()))
+	for i := range lags {
+		lags[i] = e.Registry.Lag + time.Duration(rng.Float64()*float64(max(0, e.Registry.LagMost-e.Registry.Lag)))
+	}
+	return lags
+}
+
 // Slots is how many calls all servers have in work at most.
 func (e *Experiment) Slots() (n int) {
 	for _, g := range e.Servers {
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -18,23 +18,12 @@
 	"woodpick/internal/rig/audit"
 	"woodpick/internal/rig/experiment"
 	"woodpick/internal/rig/link"
-	"woodpick/internal/rig/virtual"
 	"woodpick/internal/rig/world"
 )
 
-// Policy says who picks servers.
-type Policy string
-
-// Policies. Those of the rig's own are for comparison: they pick in this process, and see what they say.
-const (
-	Program Policy = "program" // processes
-	Random  Policy = "random"  // any listed server
-	JSQ     Policy = "jsq"     // the server that holds least for its slots now
-)
-
 // Options are how a run is made.
 type Options struct {
-	Policy  Policy
+	Policy  experiment.Policy
 	Binary  string // of the program
 	Name    string // of that build, for the result
 	Log     func(format string, args ...any)
@@ -81,7 +70,6 @@
 	Cost       Cost
 	Strikes    []Strike `json:",omitempty"`
 	Sights     []Sight  `json:",omitempty"` // what nodes came to hold of one another
-	Log        []string `json:",omitempty"` // what was done when
 	Logs       []string `json:",omitempty"` // the ends of the logs of nodes that ended by themselves
 }
 
@@ -160,12 +148,9 @@
 		f.hosts = append(f.hosts, h)
 		f.place[s.ID] = h
 	}
-	rng := rand.New(rand.NewPCG(f.e.Seed, 0xa6e7))
+	lags := f.e.Lags()
 	for i, zone := range f.e.NodeZones() {
-		n := &node{fleet: f, index: i, zone: zone, copies: len(f.e.NodeZones()), rng: rand.New(rand.NewPCG(f.e.Seed, uint64(i)+1<<32))}
-		if f.e.Registry.LagMost > 0 {
-			n.lag = f.e.Registry.Lag + time.Duration(rng.Float64()*float64(f.e.Registry.LagMost-f.e.Registry.Lag))
-		}
+		n := &node{fleet: f, index: i, zone: zone, lag: lags[i], copies: len(f.e.NodeZones()), rng: rand.New(rand.NewPCG(f.e.Seed, uint64(i)+1<<32))}
 		if err := n.open(); err != nil {
 			return err
 		}
@@ -284,7 +269,7 @@
 	}
 	after := f.cost()
 	r := &Result{Version: ResultVersion, Experiment: f.e.Name, Seed: f.e.Seed, Policy: string(f.o.Policy), Program: f.o.Name,
-		Figures: f.audit.Figures(f.e.WarmUp, f.e.Length(), virtual.Capacities(f.e)), Cost: after}
+		Figures: f.audit.Figures(f.e.WarmUp, f.e.Length(), audit.Capacities(f.e)), Cost: after}
 	r.Cost.RigCPU -= before.RigCPU
 	r.Cost.NodesCPU -= before.NodesCPU
 	r.Cost.Asks = asks
--- a/internal/rig/host.go
+++ b/internal/rig/host.go
@@ -29,7 +29,6 @@
 	down   experiment.Kind // Crash or Lose
 	life   int
 	asked  int
-	errs   []error
 }
 
 // visit is a call at a server, from its arrival to its answer.
--- a/internal/rig/link/mesh_test.go
+++ b/internal/rig/link/mesh_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"woodpick/internal/standin"
 )
 
 // peer is a member's own socket.
@@ -40,7 +42,7 @@
 func (p *peer) hears(want int) (texts []string, from string) {
 	buf := make([]byte, MaxDatagram)
 	for {
-		wait := limit
+		wait := standin.Limit
 		if len(texts) >= want {
 			wait = short
 		}
--- a/internal/rig/link/relay.go
+++ b/internal/rig/link/relay.go
@@ -26,7 +26,6 @@
 	conns   map[*Conn]bool
 	closed  bool
 	work    sync.WaitGroup
-	opened  int
 }
 
 // backlog of a listener that takes connections.
@@ -116,8 +115,7 @@
 		c.Close()
 		return
 	}
-	r.opened++
-	k := &Conn{relay: r, tcp: c, gone: make(chan struct{}), wake: make(chan struct{}, 1), out: make(chan piece, 64), opened: time.Now()}
+	k := &Conn{relay: r, tcp: c, gone: make(chan struct{}), wake: make(chan struct{}, 1), out: make(chan piece, 64)}
 	r.conns[k] = true
 	r.work.Add(3)
 	go k.read()
@@ -243,9 +241,8 @@
 
 // Conn is the far side of a connection. One goroutine reads, and one writes.
 type Conn struct {
-	relay  *Relay
-	tcp    *net.TCPConn
-	opened time.Time
+	relay *Relay
+	tcp   *net.TCPConn
 
 	mu      sync.Mutex
 	pieces  []piece // that came from the near side
--- a/internal/rig/link/relay_test.go
+++ b/internal/rig/link/relay_test.go
@@ -10,10 +10,9 @@
 	"syscall"
 	"testing"
 	"time"
-)
 
-// limit is how long a test waits for what must come; only a failing one waits so long.
-const limit = 30 * time.Second
+	"woodpick/internal/standin"
+)
 
 // short is how long a test looks for what must not come: it can only miss a fault by it, never find one wrongly.
 const short = 150 * time.Millisecond
@@ -42,12 +41,12 @@
 
 func dial(t *testing.T, r *Relay) net.Conn {
 	t.Helper()
-	c, err := net.DialTimeout("tcp4", r.Addr(), limit)
+	c, err := net.DialTimeout("tcp4", r.Addr(), standin.Limit)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(limit))
+	c.SetDeadline(time.Now().Add(standin.Limit))
 	return c
 }
 
@@ -66,6 +65,13 @@
 	}
 }
 
+// talk says a word and hears it back.
+func talk(t *testing.T, c net.Conn, word string) {
+	t.Helper()
+	say(t, c, word)
+	hear(t, c, word)
+}
+
 // silent says that nothing comes for a while.
 func silent(t *testing.T, c net.Conn) {
 	t.Helper()
@@ -73,7 +79,7 @@
 	if n, err := c.Read(make([]byte, 1)); n > 0 || !errors.Is(err, errTimeout(err)) {
 		t.Fatalf("%d bytes and %v came through a cut", n, err)
 	}
-	c.SetDeadline(time.Now().Add(limit))
+	c.SetDeadline(time.Now().Add(standin.Limit))
 }
 
 func errTimeout(err error) error {
@@ -91,21 +97,10 @@
 	}
 }
 
-// eventually waits until something holds.
-func eventually(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	for end := time.Now().Add(limit); !holds(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("%s did not come about", what)
-		}
-	}
-}
-
 func TestACutSaysNothingAndBringsItAllOnceItIsOver(t *testing.T) {
 	r, heard := echo(t)
 	c := dial(t, r)
-	say(t, c, "before")
-	hear(t, c, "before")
+	talk(t, c, "before")
 	set(t, r, Shape{CutThere: true, CutBack: true})
 	say(t, c, "during")
 	silent(t, c)
@@ -121,18 +116,16 @@
 	set(t, r, Shape{})
 	hear(t, c, "during")
 	k := dial(t, r)
-	say(t, k, "after")
-	hear(t, k, "after")
+	talk(t, k, "after")
 }
 
 func TestACutOfOneWayStopsThatWayOnly(t *testing.T) {
 	r, heard := echo(t)
 	c := dial(t, r)
-	say(t, c, "one")
-	hear(t, c, "one")
+	talk(t, c, "one")
 	set(t, r, Shape{CutBack: true})
 	say(t, c, "two")
-	eventually(t, "that the far side hears through a cut of the way back", func() bool { return heard.Load() == 2 })
+	standin.Until(t, "that the far side hears through a cut of the way back", func() bool { return heard.Load() == 2 })
 	silent(t, c)
 	set(t, r, Shape{CutThere: true})
 	hear(t, c, "two")
@@ -148,38 +141,34 @@
 func TestRefusedAndReset(t *testing.T) {
 	r, _ := echo(t)
 	c := dial(t, r)
-	say(t, c, "one")
-	hear(t, c, "one")
+	talk(t, c, "one")
 	set(t, r, Shape{Refuse: true})
-	if _, err := net.DialTimeout("tcp4", r.Addr(), limit); !errors.Is(err, syscall.ECONNREFUSED) {
+	if _, err := net.DialTimeout("tcp4", r.Addr(), standin.Limit); !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("a new connection: %v; want it refused", err)
 	}
-	say(t, c, "two") // one that is up stays
-	hear(t, c, "two")
+	talk(t, c, "two") // one that is up stays
 	set(t, r, Shape{Refuse: true, CutThere: true, CutBack: true})
 	set(t, r, Shape{})
 	k := dial(t, r)
-	say(t, k, "three")
-	hear(t, k, "three")
+	talk(t, k, "three")
 	set(t, r, Shape{Reset: true})
 	if _, err := k.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("an old connection: %v; want it reset", err)
 	}
-	eventually(t, "that no connection is left", func() bool { return r.Connections() == 0 })
+	standin.Until(t, "that no connection is left", func() bool { return r.Connections() == 0 })
 }
 
 // What lay in a cut when its connections were broken never comes: whoever is there by then has no part in it.
 func TestWhatWasUnderWayOnABrokenConnectionIsLost(t *testing.T) {
 	r, heard := echo(t)
 	c := dial(t, r)
-	say(t, c, "one")
-	hear(t, c, "one")
+	talk(t, c, "one")
 	set(t, r, Shape{CutThere: true, CutBack: true})
 	say(t, c, "two")
 	r.mu.Lock()
 	far := r.conns
 	r.mu.Unlock()
-	eventually(t, "that the second line lies in the link", func() bool {
+	standin.Until(t, "that the second line lies in the link", func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		for k := range far {
@@ -194,7 +183,7 @@
 	})
 	r.Break()
 	set(t, r, Shape{})
-	eventually(t, "that no connection is left", func() bool { return r.Connections() == 0 })
+	standin.Until(t, "that no connection is left", func() bool { return r.Connections() == 0 })
 	if n := heard.Load(); n != 1 {
 		t.Errorf("the far side heard %d lines; the second was lost with its connection", n)
 	}
@@ -214,7 +203,7 @@
 	far := <-conns
 	set(t, r, Shape{CutThere: true})
 	c.Close()
-	eventually(t, "that the relay sees the close", func() bool { return !far.Ended().IsZero() })
+	standin.Until(t, "that the relay sees the close", func() bool { return !far.Ended().IsZero() })
 	select {
 	case <-far.Gone():
 		t.Error("the far side learned of a close through a cut")
@@ -223,7 +212,7 @@
 	set(t, r, Shape{})
 	select {
 	case <-far.Gone():
-	case <-time.After(limit):
+	case <-time.After(standin.Limit):
 		t.Error("the far side never learned of the close")
 	}
 }
@@ -241,8 +230,7 @@
 		k := dial(t, r)
 		set(t, r, c.shape)
 		begin := time.Now()
-		say(t, k, "hello")
-		hear(t, k, "hello")
+		talk(t, k, "hello")
 		if took := time.Since(begin); took < c.least {
 			t.Errorf("%s: there and back took %v; want %v at least", name, took, c.least)
 		}
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -39,7 +39,7 @@
 	spent   time.Duration
 	deaths  []string
 	rng     *rand.Rand
-	idle    map[string][]*callerConn
+	idle    map[string][]net.Conn
 }
 
 // startLimit bounds how long a node may take until it is ready.
@@ -50,9 +50,9 @@
 // open takes the node's addresses and opens its agent.
 func (n *node) open() error {
 	f := n.fleet
-	n.idle = map[string][]*callerConn{}
+	n.idle = map[string][]net.Conn{}
 	n.listen = f.net.Address(100+n.index/200, 1+n.index%200, 7070)
-	if f.o.Policy != Program {
+	if f.o.Policy != experiment.Program {
 		return nil
 	}
 	var err error
@@ -95,7 +95,7 @@
 // startNodes starts all processes, some at a time, and returns once all are ready.
 func (f *fleet) startNodes(ctx context.Context) error {
 	f.list.news()
-	if f.o.Policy != Program {
+	if f.o.Policy != experiment.Program {
 		return nil
 	}
 	f.spawner = newSpawner()
@@ -278,6 +278,3 @@
 		f.fail(err)
 	}
 }
-
-// callerConn is a caller's connection to a node.
-type callerConn struct{ net.Conn }
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	res, err := Run(t.Context(), e, Options{Policy: Program, Binary: filepath.Join(folder, "damsontrestle"), Starts: 4, Log: t.Logf})
+	res, err := Run(t.Context(), e, Options{Policy: experiment.Program, Binary: filepath.Join(folder, "damsontrestle"), Starts: 4, Log: t.Logf})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -255,7 +255,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, p := range []Policy{Random, JSQ} {
+	for _, p := range []experiment.Policy{experiment.Random, experiment.JSQ} {
 		res, err := Run(t.Context(), e, Options{Policy: p})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/rig/virtual/play.go
+++ b/internal/rig/virtual/play.go
@@ -17,16 +17,6 @@
 	"woodpick/internal/rig/world"
 )
 
-// Policy says who picks the server.
-type Policy string
-
-// Policies.
-const (
-	Program Policy = "program" // the decision module
-	Random  Policy = "random"  // any server that the node's list has in service
-	JSQ     Policy = "jsq"     // the server that holds least for its slots, by what all hold now
-)
-
 // Tune changes what a module is told, for weighing; nil changes nothing.
 type Tune func(*woodpick.Settings)
 
@@ -89,7 +79,7 @@
 // player plays one day.
 type player struct {
 	e       *experiment.Experiment
-	policy  Policy
+	policy  experiment.Policy
 	tune    Tune
 	now     time.Duration
 	due     events
@@ -113,7 +103,7 @@
 const epoch = time.Hour
 
 // Play plays an experiment once.
-func Play(e *experiment.Experiment, policy Policy, tune Tune) (*audit.Audit, audit.Figures, error) {
+func Play(e *experiment.Experiment, policy experiment.Policy, tune Tune) (*audit.Audit, audit.Figures, error) {
 	p := &player{e: e, policy: policy, tune: tune, audit: audit.New(), fleet: world.NewFleet(e), place: map[string]int{},
 		gone: map[string]bool{}, waiting: map[*world.Job]*try{}, streams: world.NewStreams(e, "c"), rng: rand.New(rand.NewPCG(e.Seed, 0x1ab))}
 	p.state = make([]woodpick.ServerState, len(p.fleet.Servers))
@@ -122,11 +112,9 @@
 		p.place[s.ID] = i
 	}
 	zones := e.NodeZones()
+	lags := e.Lags()
 	for i, zone := range zones {
-		n := &node{index: i, zone: zone, copies: len(zones), calls: map[string]*call{}, open: map[int]bool{}}
-		if e.Registry.LagMost > 0 {
-			n.lag = e.Registry.Lag + time.Duration(p.rng.Float64()*float64(e.Registry.LagMost-e.Registry.Lag))
-		}
+		n := &node{index: i, zone: zone, lag: lags[i], copies: len(zones), calls: map[string]*call{}, open: map[int]bool{}}
 		p.nodes = append(p.nodes, n)
 		if err := p.start(n); err != nil {
 			return nil, audit.Figures{}, err
@@ -153,17 +141,7 @@
 			p.audit.Cold(s.ID, p.now, n)
 		}
 	}
-	return p.audit, p.audit.Figures(e.WarmUp, e.Length(), Capacities(e)), nil
-}
-
-// Capacities are those of an experiment's servers, in the order of their places.
-func Capacities(e *experiment.Experiment) (c []audit.Capacity) {
-	for _, g := range e.Servers {
-		for range g.Count {
-			c = append(c, audit.Capacity{Slots: g.Slots, Speed: 1 / g.Service.Seconds()})
-		}
-	}
-	return c
+	return p.audit, p.audit.Figures(e.WarmUp, e.Length(), audit.Capacities(e)), nil
 }
 
 func (p *player) at(t time.Duration, do func()) {
@@ -174,7 +152,7 @@
 // start gives a node a module that knows the list.
 func (p *player) start(n *node) error {
 	n.life++
-	if p.policy != Program {
+	if p.policy != experiment.Program {
 		n.balancer = &woodpick.Balancer{}
 		p.tell(n, nil)
 		return nil
@@ -213,7 +191,7 @@
 		l.Servers = append(l.Servers, woodpick.Server{ID: id, State: woodpick.Gone})
 		p.audit.Told(n.index, id, p.now)
 	}
-	if p.policy == Program && n.balancer != nil {
+	if p.policy == experiment.Program && n.balancer != nil {
 		p.handle(n, l)
 	}
 }
@@ -246,7 +224,7 @@
 	}
 	k := &call{Call: c, class: class}
 	n.calls[c.ID] = k
-	if p.policy == Program {
+	if p.policy == experiment.Program {
 		p.handle(n, woodpick.Request{ID: c.ID, Class: class.Name, Deadline: epoch + p.now + class.Deadline})
 		return
 	}
@@ -262,7 +240,7 @@
 	if len(n.listed) == 0 {
 		return ""
 	}
-	if p.policy == Random {
+	if p.policy == experiment.Random {
 		return n.listed[p.rng.IntN(len(n.listed))]
 	}
 	least := 0.0
@@ -462,7 +440,7 @@
 		p.hear(n, k, audit.Served, "")
 	}
 	switch {
-	case p.policy == Program && n.balancer != nil:
+	case p.policy == experiment.Program && n.balancer != nil:
 		p.handle(n, woodpick.Outcome{ID: k.ID, Attempt: t.n, Server: t.Server, Ending: e, Latency: p.now - t.sent, Ended: k.answered, Load: load})
 	case e != woodpick.Success:
 		p.hear(n, k, audit.Failed, "")
--- a/internal/rig/virtual/play_test.go
+++ b/internal/rig/virtual/play_test.go
@@ -32,13 +32,13 @@
 	return e
 }
 
-func play(t testing.TB, e *experiment.Experiment, p Policy, tune Tune) audit.Figures {
+func play(t testing.TB, e *experiment.Experiment, p experiment.Policy, tune Tune) audit.Figures {
 	t.Helper()
 	a, f, err := Play(e, p, tune)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if p == Program {
+	if p == experiment.Program {
 		for _, b := range a.Breaches(0) {
 			t.Errorf("%s: %v", e.Name, b)
 		}
@@ -50,11 +50,11 @@
 // wait half as often as by chance, and where servers are asked a quarter as often; then the idle slots beside them are
 // at most half of chance's. Seeds are fixed, and time is virtual.
 func TestFewWaitWhileOthersAreIdle(t *testing.T) {
-	chance := play(t, load(t, "even"), Random, nil)
-	own := play(t, load(t, "even"), Program, nil)
-	words := play(t, load(t, "even-reports"), Program, nil)
-	asked := play(t, load(t, "even-asks"), Program, nil)
-	best := play(t, load(t, "even"), JSQ, nil)
+	chance := play(t, load(t, "even"), experiment.Random, nil)
+	own := play(t, load(t, "even"), experiment.Program, nil)
+	words := play(t, load(t, "even-reports"), experiment.Program, nil)
+	asked := play(t, load(t, "even-asks"), experiment.Program, nil)
+	best := play(t, load(t, "even"), experiment.JSQ, nil)
 	for name, c := range map[string]struct{ got, most float64 }{
 		"own counts":     {own.Waiting, 0.65 * chance.Waiting},
 		"servers' words": {words.Waiting, 0.55 * chance.Waiting},
@@ -80,7 +80,7 @@
 func TestRulesHoldOnTheExamples(t *testing.T) {
 	for _, name := range []string{"restarts", "errors", "hang", "cold", "replaced", "lists", "recount", "one-way", "zone-silent", "zone-lost"} {
 		e := smaller(load(t, name))
-		if f := play(t, e, Program, nil); f.Calls == 0 || f.Served < 0.8 {
+		if f := play(t, e, experiment.Program, nil); f.Calls == 0 || f.Served < 0.8 {
 			t.Errorf("%s: %.3f of %d calls were served", name, f.Served, f.Calls)
 		}
 	}
@@ -88,7 +88,7 @@
 
 // One seed, one history.
 func TestOneSeedOneHistory(t *testing.T) {
-	first, again := play(t, smaller(load(t, "hang")), Program, nil), play(t, smaller(load(t, "hang")), Program, nil)
+	first, again := play(t, smaller(load(t, "hang")), experiment.Program, nil), play(t, smaller(load(t, "hang")), experiment.Program, nil)
 	if first.P999 != again.P999 || first.Served != again.Served || first.Spread.Variation != again.Spread.Variation {
 		t.Errorf("%+v and %+v", first, again)
 	}
@@ -96,7 +96,7 @@
 
 // A fault that virtual time can't play is refused rather than left out.
 func TestWhatCantBePlayedIsRefused(t *testing.T) {
-	if _, _, err := Play(load(t, "ragged"), Program, nil); err == nil {
+	if _, _, err := Play(load(t, "ragged"), experiment.Program, nil); err == nil {
 		t.Error("resets and losses were left out in silence")
 	}
 }
@@ -106,7 +106,7 @@
 		b.Run(name, func(b *testing.B) {
 			e := load(b, "even-reports")
 			for b.Loop() {
-				f := play(b, e, Program, func(s *woodpick.Settings) { s.Asks = asks })
+				f := play(b, e, experiment.Program, func(s *woodpick.Settings) { s.Asks = asks })
 				b.ReportMetric(f.Spread.IdleWhileQueued, "idle-while-queued")
 				b.ReportMetric(f.Waiting, "waiting/slot")
 			}
--- a/internal/rig/world/layout.go
+++ b/internal/rig/world/layout.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"woodpick"
 	"woodpick/internal/rig/experiment"
 )
 
@@ -42,11 +41,3 @@
 	f.Servers[i] = NewServer(old.Spec, id, old.Zone, now, f.rng.Uint64())
 	return f.Servers[i]
 }
-
-// Effects are the effects of an experiment's classes for the module.
-func Effects(c experiment.Class) woodpick.Effect {
-	if c.Effect == "safe" {
-		return woodpick.Safe
-	}
-	return woodpick.Unsafe
-}
--- a/soak_test.go
+++ b/soak_test.go
@@ -5,16 +5,9 @@
 	"runtime"
 	"testing"
 	"time"
-)
 
-// reachable is what is reachable, in bytes.
-func reachable() int64 {
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
+	"woodpick/internal/standin/heap"
+)
 
 // A hundred thousand requests under ids that are never seen again, and ten thousand servers that come and go under new
 // ids in twenty places, in two hundred zones of which two live at a time: nothing of what has gone is kept.
@@ -60,7 +53,7 @@
 			}
 		}
 		if i == requests/10 {
-			base = reachable()
+			base = heap.Reachable()
 		}
 	}
 	if len(b.requests) > 0 || len(b.held) > 0 {
@@ -74,7 +67,7 @@
 			t.Errorf("%s keeps %d calls and %d classes", s.ID, len(s.open), len(s.failing))
 		}
 	}
-	if grown := reachable() - base; grown > 256<<10 {
+	if grown := heap.Reachable() - base; grown > 256<<10 {
 		t.Errorf("the heap grew by %d KiB from the tenth part of the day to its end", grown>>10)
 	}
 	runtime.KeepAlive(b)
