--- a/internal/rig/experiment/model.go
+++ b/internal/rig/experiment/model.go
@@ -95,6 +95,7 @@
 	Aim      time.Duration
 	Deadline time.Duration
 	Share    float64 // of all calls
+	Worth    float64 // of one that is served within its aim
 }
 
 // Callers come in an open stream: they do not wait for answers.
@@ -103,6 +104,7 @@
 	Utilisation float64 // of all slots of all servers
 	Retries     int     // that a caller makes after a refusal or a failed safe call
 	Wait        time.Duration
+	Patience    time.Duration // after which a caller leaves; 0: it waits until the deadline
 }
 
 // Link is what lies between two zones, in both directions.
@@ -164,6 +166,9 @@
 // Target is what the kind strikes.
 func (k Kind) Target() Target { return targets[k] }
 
+// RegistrySide is what a fault's Far calls the links between nodes and the registry.
+const RegistrySide = "registry"
+
 // Fault is one thing that goes wrong from one instant to another.
 type Fault struct {
 	Name     string
@@ -171,7 +176,7 @@
 	From, To time.Duration
 	Over     time.Duration // the onset is spread over so long
 
-	Near, Far []string // zones: of the nodes, and of the servers, that links lie between; empty: all
+	Near, Far []string // zones of the nodes, and of the servers, that links lie between; RegistrySide is the registry's side
 	Part      float64  // share of the links, nodes or servers that are struck
 	Group     string   // of nodes or servers; empty: all
 	Count     int      // that are struck, instead of a share; for recount: copies that there are said to be
@@ -180,6 +185,8 @@
 	Offset        time.Duration // of skew
 	Delay, Jitter time.Duration // of slow
 	Loss          float64       // of slow: share of pieces that come a retransmission later, and of datagrams that don't come
+	Double        float64       // of slow: share of datagrams that come twice
+	Reorder       float64       // of slow: share of datagrams that are held back behind later ones
 	Bandwidth     int64         // of slow: bytes a second; 0: no bound
 }
 
--- a/internal/rig/links.go
+++ b/internal/rig/links.go
@@ -37,7 +37,7 @@
 	case experiment.Refuse:
 		return link.Shape{Refuse: true}
 	}
-	return link.Shape{Delay: ft.Delay, Jitter: ft.Jitter, Loss: ft.Loss, Bandwidth: ft.Bandwidth}
+	return link.Shape{Delay: ft.Delay, Jitter: ft.Jitter, Loss: ft.Loss, Double: ft.Double, Reorder: ft.Reorder, Bandwidth: ft.Bandwidth}
 }
 
 // shapeOf is how datagrams go from one zone to another now: a cut between nodes and servers of two zones is one between
@@ -67,4 +67,9 @@
 			f.fail(r.Set(s))
 		}
 	}
+	for _, n := range f.nodes {
+		if n.agent != nil {
+			f.fail(n.agent.Set(f.shape(n.zone, experiment.RegistrySide, -1)))
+		}
+	}
 }
--- a/internal/rig/nodefile/nodefile.go
+++ b/internal/rig/nodefile/nodefile.go
@@ -58,6 +58,7 @@
   effect   = "{{.Effect}}"
   aim      = "{{.Aim}}"
   deadline = "{{.Deadline}}"
+  worth    = {{.Worth}}
 }
 {{end}}
 listener "callers" {
--- a/internal/rig/virtual/play.go
+++ b/internal/rig/virtual/play.go
@@ -137,9 +137,7 @@
 		ev.do()
 	}
 	for _, s := range p.fleet.Servers {
-		if n := s.PushedOver(); n > 0 {
-			p.audit.Cold(s.ID, p.now, n)
-		}
+		p.audit.LifeOver(s, p.now)
 	}
 	return p.audit, p.audit.Figures(e.WarmUp, e.Length(), audit.Capacities(e)), nil
 }
@@ -217,13 +215,16 @@
 
 func (p *player) ask(n *node, c world.Call) {
 	class := p.e.Classes[c.Class]
-	p.audit.Ask(audit.Call{ID: c.ID, Node: n.index, Class: c.Class, Unsafe: class.Effect == "unsafe", At: p.now, Aim: class.Aim, Deadline: class.Deadline})
+	p.audit.Ask(audit.Call{ID: c.ID, Node: n.index, Class: c.Class, Unsafe: class.Effect == "unsafe", At: p.now, Aim: class.Aim, Deadline: class.Deadline, Worth: class.Worth})
 	if n.balancer == nil {
 		p.audit.Hear(c.ID, audit.NotTaken, p.now+1, "")
 		return
 	}
 	k := &call{Call: c, class: class}
 	n.calls[c.ID] = k
+	if patience := p.e.Callers.Patience; patience > 0 && patience < class.Deadline {
+		p.at(p.now+patience, func() { p.leaveNode(n, k) })
+	}
 	if p.policy == experiment.Program {
 		p.handle(n, woodpick.Request{ID: c.ID, Class: class.Name, Deadline: epoch + p.now + class.Deadline})
 		return
@@ -315,6 +316,21 @@
 	p.forget(n, k)
 }
 
+// leaveNode has a caller leave that has heard nothing.
+func (p *player) leaveNode(n *node, k *call) {
+	if k.answered || n.calls[k.ID] != k {
+		return
+	}
+	p.hear(n, k, audit.Gone, "")
+	if p.policy == experiment.Program {
+		p.handle(n, woodpick.ClientGone{ID: k.ID})
+		return
+	}
+	for _, t := range k.attempts {
+		p.end(t, woodpick.Withdrawn, nil)
+	}
+}
+
 func (p *player) forget(n *node, k *call) {
 	if k.answered && !slices.ContainsFunc(k.attempts, func(t *try) bool { return !t.ended }) {
 		delete(n.calls, k.ID)
--- a/spread_test.go
+++ b/spread_test.go
@@ -260,3 +260,55 @@
 		}
 	}
 }
+
+// After a release all nodes are new at once and know nothing: the first calls of three hundred go to sixty servers as
+// evenly as chance has it, and to no few that come first in the order.
+func TestFreshNodesDoNotBeginAtOneServer(t *testing.T) {
+	const nodes, n = 300, 60
+	for _, reported := range []bool{false, true} {
+		first := map[string]int{}
+		for i := range nodes {
+			set := testSettings()
+			set.Balancers, set.Index, set.Tier = nodes, i, 1
+			b, err := New(set, uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			l := ServerList{Full: true}
+			for k := range n {
+				l.Servers = append(l.Servers, Server{ID: fmt.Sprintf("s%04d", k)})
+			}
+			b.Handle(time.Second, l)
+			if reported { // every node has heard the same of all, and one looks idle
+				for k := range n {
+					busy := 3.0
+					if k == 7 {
+						busy = 0
+					}
+					b.Handle(time.Second, Known{Loads: []ServerLoad{{Server: l.Servers[k].ID, Busy: busy}}})
+				}
+			}
+			for _, s := range sends(b.Handle(time.Second+msec, Request{ID: "x", Class: "get", Deadline: 2 * time.Second})) {
+				first[s.Server]++
+			}
+		}
+		most, met := 0, 0
+		for id, c := range first {
+			if met++; !reported || id != "s0007" {
+				most = max(most, c)
+			}
+		}
+		// Five each on average; fifteen at one of sixty comes by chance in one of a thousand such releases.
+		if most > 15 || met < n*9/10 {
+			t.Errorf("first calls met %d servers, %d of them one", met, most)
+		}
+		// Who looks idle to all gets the first call of those whose pool it lies in, and of nobody else.
+		if in := 0; reported {
+			sum, _ := parts(t, nodes, n)
+			in = int(sum["s0007"]) + 3
+			if first["s0007"] > 2*in {
+				t.Errorf("%d of %d first calls go to the server that looks idle to all; it lies in about %d pools", first["s0007"], nodes, in)
+			}
+		}
+	}
+}
