--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -139,7 +139,7 @@
 func (f *fleet) build() error {
 	f.world = world.NewFleet(f.e)
 	f.list = newList(f)
-	f.mesh = link.NewMesh(f.dice, f.shapeOf)
+	f.mesh = link.NewMesh(f.dice, f.betweenNodes)
 	for i, s := range f.world.Servers {
 		h, err := f.newHost(i, s)
 		if err != nil {
--- a/internal/rig/links.go
+++ b/internal/rig/links.go
@@ -40,9 +40,9 @@
 	return link.Shape{Delay: ft.Delay, Jitter: ft.Jitter, Loss: ft.Loss, Double: ft.Double, Reorder: ft.Reorder, Bandwidth: ft.Bandwidth}
 }
 
-// shapeOf is how datagrams go from one zone to another now: a cut between nodes and servers of two zones is one between
+// betweenNodes is how datagrams go from one zone to another now: a cut between nodes and servers of two zones is one between
 // their nodes too.
-func (f *fleet) shapeOf(from, to string) link.Shape {
+func (f *fleet) betweenNodes(from, to string) link.Shape {
 	s := f.shape(from, to, -1)
 	if f.shape(to, from, -1).CutBack { // what comes back there goes out here
 		s.CutThere = true
--- a/internal/rig/list.go
+++ b/internal/rig/list.go
@@ -17,7 +17,6 @@
 // list is the registry: every node asks an agent of its own, which knows of each change after the node's lag.
 type list struct {
 	fleet *fleet
-	born  time.Time
 
 	mu      sync.Mutex
 	rev     int
