--- /dev/null
+++ b/cmd/damsontrestle/facts.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"woodpick/internal/admin"
+	"woodpick/internal/peers"
+)
+
+func newFacts() *cobra.Command {
+	return newLook("facts", "Show what a node knows of each zone, and how old that is",
+		"facts tells of each zone whether what is known of it is fresh, since when, from how many of its nodes, and how old it\nis at most; then what is known, and what was dropped and why.",
+		"write everything as JSON",
+		func(s admin.Show) (peers.Facts, error) {
+			if s.Status.Peers == nil || s.Status.Peers.Facts == nil {
+				return peers.Facts{}, fmt.Errorf("node %s is told nothing of zones: its file has no peers block with fresh", s.Node)
+			}
+			return *s.Status.Peers.Facts, nil
+		}, writeFacts)
+}
+
+func writeFacts(out io.Writer, f peers.Facts) {
+	fmt.Fprintf(out, "fresh: up to %v; %d rows held", f.Fresh, f.Rows)
+	if f.Alone {
+		fmt.Fprint(out, "; ALONE: nothing fresh is known of anybody else")
+	}
+	d := f.Dropped
+	fmt.Fprintf(out, "\nsent: %d parts, %d rows, %d questions, %d answers; dropped: %d rows that could have been under way for any time, %d too old, %d of strangers, %d of too many nodes, %d entries for want of room, %d questions too many\n",
+		f.Sent["parts"], f.Sent["rows"], f.Sent["questions"], f.Sent["answers"], d.Unbounded, d.Late, d.Foreign, d.Odd, d.Cut, d.Paced)
+	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "REGION\tZONE\tFACTS\tFOR\tAGE\tFROM\tNODES")
+	for _, z := range f.Zones {
+		age := "-"
+		if z.From > 0 {
+			age = z.Age.Round(time.Millisecond).String()
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%s\t%d\t%d\n", z.Region, z.Zone, z.Word, z.For.Round(100*time.Millisecond), age, z.From, z.Of)
+	}
+	fmt.Fprintln(w, "\nZONE\tWHAT\tOF\tAMOUNT\tAGE\tFROM")
+	for _, z := range f.Zones {
+		for _, t := range z.Told {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%.4g\t%v\t%d\n", z.Zone, t.What, t.Of, t.Amount, t.Age.Round(time.Millisecond), t.From)
+		}
+	}
+	w.Flush()
+}
--- a/cmd/damsontrestle/members.go
+++ b/cmd/damsontrestle/members.go
@@ -34,7 +34,7 @@
 		fmt.Fprintf(out, "; %d words of lives under its name that were not its own: is there another process of this name?", s.Twins)
 	}
 	c := s.Counts
-	fmt.Fprintf(out, "\ndatagrams: %d sent, %d received; dropped: %d of another key, %d malformed, %d beyond the pace\n", c.Sent, c.Received, c.Strange, c.Malformed, c.Paced)
+	fmt.Fprintf(out, "\ndatagrams: %d sent, %d received; dropped: %d of another key, %d malformed, %d of another version, %d that came too fast, %d beyond the pace\n", c.Sent, c.Received, c.Strange, c.Malformed, c.Other, c.Lost, c.Paced)
 	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "NAME\tSTATUS\tFOR\tHEARD\tLIFE\tREGION\tZONE\tADDRESS")
 	for _, m := range s.Members {
--- a/cmd/fleetlab/explore.go
+++ b/cmd/fleetlab/explore.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"woodpick/internal/explore"
+	"woodpick/internal/explore/exchange"
 	"woodpick/internal/explore/swim"
 	"woodpick/internal/members"
 )
@@ -25,6 +26,13 @@
 				Skew: 10 * time.Second, Options: members.Defaults(), MostFlying: 60})
 		},
 	},
+	"facts": {
+		func() (explore.State, error) { return exchange.New(exchange.Small()) },
+		func() (explore.State, error) {
+			return exchange.New(exchange.Bounds{Zones: []int{0, 0, 0, 1, 1, 2}, Ticks: 1000, Drops: 100, Doubles: 50, Crashes: 5, Waits: 8,
+				Wait: 900 * time.Millisecond, MostFlying: 60, Fresh: 2 * time.Second})
+		},
+	},
 }
 
 func newExplore() *cobra.Command {
--- a/cmd/fleetlab/run.go
+++ b/cmd/fleetlab/run.go
@@ -85,6 +85,11 @@
 								notes = append(notes, fmt.Sprintf("  peers: %d nodes struck, known for dead by %.3f of the others, after %v (median), %v (most); %d times one that was not struck was held for dead",
 									d.Struck, d.Known, d.Median.Round(time.Millisecond), d.Most.Round(time.Millisecond), d.Wrongly))
 							}
+							if e.Fresh > 0 {
+								k := res.Fresh(len(e.NodeZones()), e.WarmUp, e.Length())
+								notes = append(notes, fmt.Sprintf("  facts: fresh for %.4f of node, zone and time; %d stretches without, %v (median), %v (longest); a node sent %.1f datagrams and %.0f bytes a second, the one that sent most %.0f bytes",
+									k.Share, k.Gaps, k.Median.Round(time.Millisecond), k.Longest.Round(time.Millisecond), res.Cost.Datagrams, res.Cost.DatagramBytes, res.Cost.MostBytes))
+							}
 							if res.Slow != "" {
 								slow++
 								notes = append(notes, "  "+res.Slow)
--- a/deploy/peers.hcl
+++ b/deploy/peers.hcl
@@ -12,6 +12,7 @@
     listen   = "127.0.0.1:7946"
     key_file = "/etc/damsontrestle/cluster.key"
     region   = "south"
+    fresh    = "2s"
     seeds    = ["127.0.0.2:7946", "127.0.0.3:7946", "127.0.0.4:7946"]
   }
 }
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"time"
+	"woodpick/internal/facts"
 
 	"woodpick"
 	"woodpick/internal/route"
@@ -290,6 +291,11 @@
 		k.fail("node", "found the name %q; allowed with peers: up to %d characters", k.Node.Name, maxPeerName)
 	}
 	k.duration("node.peers.period", p.Period, 100*time.Millisecond, time.Minute)
+	k.duration("node.peers.delay", p.Delay, time.Millisecond, 10*time.Second)
+	if least := facts.Least(time.Duration(p.Delay)); p.Fresh != 0 && (time.Duration(p.Fresh) < least || time.Duration(p.Fresh) > time.Hour) {
+		k.fail("node.peers.fresh", "found %v; allowed: %v to 1h, as a datagram may take %v (delay): half of it is between two rows, parts wait for three levels of a tree, and seven hops count as the way there and back",
+			p.Fresh, least, p.Delay)
+	}
 }
 
 // What datagrams between peers have room for.
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -419,7 +419,7 @@
 			}, nil)
 		}},
 		{kind: "peers", single: true, read: func(b *hclsyntax.Body, path, _ string) {
-			n.Peers.Period = Duration(time.Second)
+			n.Peers.Period, n.Peers.Delay = Duration(time.Second), Duration(20*time.Millisecond)
 			r.body(b, path, []field{
 				{"listen", true, text(&n.Peers.Listen)},
 				{"advertise", false, text(&n.Peers.Advertise)},
@@ -428,6 +428,8 @@
 				{"region", false, text(&n.Peers.Region)},
 				{"period", false, duration(&n.Peers.Period)},
 				{"listen_only", false, flag(&n.Peers.ListenOnly)},
+				{"fresh", false, duration(&n.Peers.Fresh)},
+				{"delay", false, duration(&n.Peers.Delay)},
 			}, nil)
 		}},
 	})
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -47,6 +47,8 @@
 	Region     string   `json:"region,omitempty"`
 	Period     Duration `json:"period"`                // between two probes of others
 	ListenOnly bool     `json:"listen_only,omitempty"` // it is asked to probe for nobody
+	Fresh      Duration `json:"fresh,omitempty"`       // what is known of zones is fresh until it is as old; 0: nothing is told or taken
+	Delay      Duration `json:"delay,omitempty"`       // that a datagram takes at most where all is well
 }
 
 // Limits bound the process.
@@ -244,6 +246,20 @@
 	return "sha256:" + hex.EncodeToString(sum[:])
 }
 
+// Shared is a number of what the nodes of one fleet have alike: classes, routes and pools, but for which copy a node is and
+// where its registry is. Two that differ have the same one with a chance of one in sixteen million.
+func (c *Config) Shared() uint32 {
+	out := Config{Classes: c.Canonical().Classes, Routes: c.Routes, Pools: c.Canonical().Pools}
+	for i := range out.Pools {
+		out.Pools[i].Copies.Index = 0
+		if out.Pools[i].Registry != nil {
+			out.Pools[i].Registry = &Registry{}
+		}
+	}
+	sum := sha256.Sum256([]byte(out.Fingerprint()))
+	return uint32(sum[0])<<16 | uint32(sum[1])<<8 | uint32(sum[2])
+}
+
 // Canonical is a copy of the configuration with all that is named in the order of its names.
 func (c *Config) Canonical() *Config {
 	out := *c
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -47,6 +47,7 @@
 	}
 	retire struct{}
 	status struct{ to chan Status }
+	sight  struct{ to chan Sight }
 )
 
 // pending is a call that the module still knows: unanswered, or with attempts out.
@@ -93,6 +94,7 @@
 	Subscribe func()       // has discovery asked for the list; must not block
 	Pushed    bool         // lists are pushed
 	Report    func() []any // more for the log's report
+	Count     bool         // Sight is wanted
 	Log       *slog.Logger
 }
 
@@ -108,16 +110,19 @@
 	more      func() []any
 	log       *slog.Logger
 
-	now      time.Duration
-	pending  map[string]*pending
-	alarms   alarms
-	listed   map[string]discovery.Target
-	over     bool        // after lastCall
-	retiring bool        // after retire
-	ready    atomic.Bool // a listed server may be sent to
-	stats    stats
-	total    Totals
-	done     chan struct{} // closed once Run has returned
+	now       time.Duration
+	pending   map[string]*pending
+	alarms    alarms
+	rev       int64 // of the list
+	listed    map[string]discovery.Target
+	over      bool        // after lastCall
+	retiring  bool        // after retire
+	ready     atomic.Bool // a listed server may be sent to
+	stats     stats
+	total     Totals
+	tally     *tally // nil: nobody wants Sight
+	warmAfter time.Duration
+	done      chan struct{} // closed once Run has returned
 }
 
 // Totals count what became of calls since the engine began.
@@ -150,9 +155,14 @@
 	if o.Report == nil {
 		o.Report = func() []any { return nil }
 	}
-	return &Engine{clock: o.Clock, balancer: b, backend: o.Backend, subscribe: o.Subscribe, pushed: o.Pushed,
+	eng := &Engine{clock: o.Clock, balancer: b, backend: o.Backend, subscribe: o.Subscribe, pushed: o.Pushed,
 		more: o.Report, log: o.Log, events: make(chan event, 1024),
-		pending: map[string]*pending{}, listed: map[string]discovery.Target{}, done: make(chan struct{})}, nil
+		pending: map[string]*pending{}, listed: map[string]discovery.Target{}, done: make(chan struct{}),
+		warmAfter: o.Settings.WarmAfter}
+	if o.Count {
+		eng.tally = newTally()
+	}
+	return eng, nil
 }
 
 // post hands an event to the loop, or to nobody once that has ended.
@@ -273,6 +283,7 @@
 			return
 		}
 		eng.pending[e.call.ID] = &pending{call: e.call}
+		eng.tally.came(e.call.Class, false)
 		eng.handle(e.call.At, woodpick.Request{ID: e.call.ID, Class: e.call.Class, Deadline: e.call.Deadline,
 			Partial: e.call.Request.Rest != nil})
 	case callerGone:
@@ -307,12 +318,14 @@
 	case listFailed:
 		eng.handle(eng.clock.Now(), woodpick.ListFailed{})
 	case reconfigure:
-		eng.pushed = e.pushed
+		eng.pushed, eng.warmAfter = e.pushed, e.settings.WarmAfter
 		eng.handle(eng.clock.Now(), woodpick.Reconfigure{Settings: e.settings})
 	case retire:
 		eng.retiring = true
 	case status:
 		e.to <- eng.status()
+	case sight:
+		e.to <- eng.sight()
 	}
 }
 
@@ -359,6 +372,8 @@
 	p := eng.pending[a.Call.ID]
 	eng.stats.Endings[r.Ending]++
 	p.out--
+	at, listed := eng.listed[a.To.Server]
+	eng.tally.ended(at, a.To.Server, listed, r.Ending, r.At-a.Sent)
 	if r.Ending == woodpick.Success && !p.answered {
 		eng.stats.Served++
 		eng.answer(p, Answer{Kind: Served, Reply: r.Reply})
@@ -392,6 +407,7 @@
 	if news.Full {
 		clear(eng.listed)
 	}
+	eng.rev = news.Rev
 	e := woodpick.ServerList{Full: news.Full, Cached: cached}
 	for _, t := range news.Targets {
 		e.Servers = append(e.Servers, t.Server)
@@ -405,6 +421,7 @@
 	for _, t := range eng.listed {
 		ready = ready || t.State == woodpick.Ready
 	}
+	eng.tally.keep(eng.listed)
 	eng.backend.Servers(news.Targets, news.Full)
 	eng.handle(eng.clock.Now(), e)
 	eng.ready.Store(ready)
@@ -453,6 +470,7 @@
 	p := eng.pending[s.ID]
 	a := NewAttempt(p.call, len(p.attempts), eng.listed[s.Server].Host(), eng.now, eng.now+s.Timeout)
 	p.attempts = append(p.attempts, a)
+	eng.tally.sent(a.To.Server)
 	p.out++
 	eng.stats.Sends++
 	go func() {
@@ -480,6 +498,7 @@
 	}
 	if a.Kind == Refused {
 		eng.stats.Refused++
+		eng.tally.came(p.call.Class, true)
 	} else {
 		eng.stats.Failed++
 	}
--- /dev/null
+++ b/internal/explore/exchange/small.go
@@ -0,0 +1,361 @@
+package exchange
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"woodpick/internal/explore"
+	"woodpick/internal/facts"
+)
+
+// Bounds are how often each thing may happen in one history of a small fleet.
+type Bounds struct {
+	Zones                   []int // of each node
+	Ticks                   int   // in all
+	Drops, Doubles, Crashes int
+	Waits                   int           // times that nothing happens for a while, as where all are stopped or messages lie in queues
+	Wait                    time.Duration // how long
+	MostFlying              int           // messages on their way at once; more are lost
+	Fresh                   time.Duration
+	Defect                  string // planted, to show that the checks see; empty: none
+}
+
+// Small are bounds whose states can all be tried.
+func Small() Bounds {
+	return Bounds{Zones: []int{0, 0}, Ticks: 12, Drops: 1, Crashes: 1, Waits: 1, Wait: 1500 * time.Millisecond, MostFlying: 2, Fresh: 2 * time.Second}
+}
+
+// Defects are what can be planted, each a way to break a promise.
+var Defects = []string{"age not sent", "age halved", "hop hidden", "token mixed up", "clock half as fast", "sequence raised on the way",
+	"sequence not raised", "part counted twice", "part not added", "zone mistaken", "first page lost"}
+
+// process is one node, or its absence.
+type process struct {
+	peer    facts.Peer
+	machine *facts.Machine // nil: it has crashed
+	lives   uint32
+	offset  time.Duration // of its clock
+	made    uint32        // the latest sequence of its rows
+}
+
+// flight is a message on its way.
+type flight struct {
+	from, to int
+	data     string
+}
+
+// fleet is a state.
+type fleet struct {
+	b      Bounds
+	nodes  []process
+	view   *facts.View
+	flying []flight
+	now    time.Duration
+	used   struct{ ticks, drops, doubles, crashes, waits int }
+	wrong  error
+}
+
+// New is the start of a small fleet.
+func New(b Bounds) (explore.State, error) {
+	f := &fleet{b: b, now: time.Second}
+	var all []facts.Peer
+	for i, z := range b.Zones {
+		p := process{offset: time.Duration(i) * 7 * time.Hour, lives: 1,
+			peer: facts.Peer{ID: uint64(i) + 1, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i)}), 1), Place: place(z)}}
+		f.nodes = append(f.nodes, p)
+		all = append(all, p.peer)
+	}
+	f.view = facts.NewView(all)
+	for i := range f.nodes {
+		if err := f.start(i); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) start(i int) error {
+	n := &f.nodes[i]
+	m, err := facts.New(f.clock(i), n.peer, facts.Defaults(f.b.Fresh), uint64(i)<<8|uint64(n.lives))
+	if err != nil {
+		return fmt.Errorf("exchange: %w", err)
+	}
+	m.See(f.clock(i), f.view)
+	m.SetLife(n.lives)
+	n.machine, n.made = m, 0
+	return nil
+}
+
+// clock is what a node's clock shows now.
+func (f *fleet) clock(i int) time.Duration {
+	if f.slow(i) {
+		return f.nodes[i].offset + f.now/2
+	}
+	return f.nodes[i].offset + f.now
+}
+
+// slow says that a node's clock goes half as fast.
+func (f *fleet) slow(i int) bool { return f.b.Defect == "clock half as fast" && i == 0 }
+
+func (f *fleet) clone() *fleet {
+	c := *f
+	c.nodes, c.flying = slices.Clone(f.nodes), slices.Clone(f.flying)
+	for i := range c.nodes {
+		if m := c.nodes[i].machine; m != nil {
+			c.nodes[i].machine = m.Clone()
+		}
+	}
+	return &c
+}
+
+// Moves implements explore.State.
+func (f *fleet) Moves() (moves []string) {
+	for i, n := range f.nodes {
+		switch {
+		case n.machine == nil:
+			moves = append(moves, fmt.Sprint("restart ", i))
+		default:
+			if f.used.ticks < f.b.Ticks {
+				moves = append(moves, fmt.Sprint("tick ", i))
+			}
+			if f.used.crashes < f.b.Crashes {
+				moves = append(moves, fmt.Sprint("crash ", i))
+			}
+		}
+	}
+	if f.used.waits < f.b.Waits {
+		moves = append(moves, "wait 0")
+	}
+	for k := range f.flying {
+		if k > 0 && f.flying[k] == f.flying[k-1] {
+			continue
+		}
+		moves = append(moves, fmt.Sprint("deliver ", k))
+		if f.used.drops < f.b.Drops {
+			moves = append(moves, fmt.Sprint("drop ", k))
+		}
+		if f.used.doubles < f.b.Doubles {
+			moves = append(moves, fmt.Sprint("double ", k))
+		}
+	}
+	return moves
+}
+
+// Apply implements explore.State.
+func (f *fleet) Apply(move string) (explore.State, bool) {
+	var what string
+	var at int
+	if n, _ := fmt.Sscan(move, &what, &at); n != 2 || !slices.Contains(f.Moves(), move) {
+		return nil, false
+	}
+	c := f.clone()
+	switch what {
+	case "tick":
+		c.used.ticks++
+		c.tick(at)
+	case "crash":
+		c.used.crashes++
+		c.nodes[at].machine = nil
+	case "restart":
+		c.nodes[at].lives++
+		c.wrong = c.start(at)
+	case "wait":
+		c.used.waits++
+		c.now += c.b.Wait
+	case "deliver", "drop":
+		p := c.flying[at]
+		c.flying = slices.Delete(c.flying, at, at+1)
+		if what == "drop" {
+			c.used.drops++
+		} else {
+			c.now += time.Millisecond
+			c.deliver(p)
+		}
+	case "double":
+		c.used.doubles++
+		c.flying = slices.Insert(c.flying, at, c.flying[at])
+	}
+	return c, true
+}
+
+// tick has a node do what is due to it next; time goes on until then for all.
+func (f *fleet) tick(i int) {
+	n := &f.nodes[i]
+	due := n.machine.Next() - n.offset
+	if f.slow(i) {
+		due *= 2
+	}
+	f.now = max(f.now, due)
+	n.machine.Set(f.clock(i), facts.Sort([]facts.Entry{{Kind: facts.Made, Subject: 1, Value: float64((f.now + time.Millisecond - 1).Milliseconds())},
+		{Kind: facts.Demand, Subject: 2, Value: 1}}))
+	f.send(i, n.machine.Tick(f.clock(i)))
+}
+
+func (f *fleet) deliver(p flight) {
+	n := &f.nodes[p.to]
+	if n.machine == nil {
+		return
+	}
+	m, err := facts.Parse([]byte(p.data))
+	if err != nil {
+		f.wrong = err
+		return
+	}
+	f.send(p.to, n.machine.Receive(f.clock(p.to), m))
+}
+
+func (f *fleet) send(i int, packets []facts.Packet) {
+	for _, p := range packets {
+		for k := range p.Rows {
+			f.spoil(&p.Message, k)
+			if r := p.Rows[k]; r.Author.ID == f.nodes[i].peer.ID && p.Kind != facts.Up {
+				f.nodes[i].made = max(f.nodes[i].made, r.Seq)
+			}
+		}
+		data := string(facts.Append(nil, p.Message))
+		if len(data) > facts.MaxMessage {
+			f.wrong = fmt.Errorf("node %d sends %d bytes", i, len(data))
+		}
+		if to := int(p.To.Addr().As4()[3]); len(f.flying) < f.b.MostFlying {
+			f.flying = append(f.flying, flight{i, to, data})
+		}
+	}
+	slices.SortFunc(f.flying, func(a, b flight) int {
+		return strings.Compare(fmt.Sprint(a.from, a.to, a.data), fmt.Sprint(b.from, b.to, b.data))
+	})
+}
+
+// spoil plants the defect in a message.
+func (f *fleet) spoil(m *facts.Message, k int) {
+	r := &m.Rows[k]
+	switch f.b.Defect {
+	case "age not sent":
+		r.Age = 0
+	case "age halved":
+		r.Age /= 2
+	case "hop hidden":
+		if m.Held += 300; k > 0 { // it pretends to have held the token for longer
+			m.Held -= 300
+		}
+	case "token mixed up":
+		m.Echo = m.Token
+	case "sequence raised on the way":
+		if r.Author.ID != m.From {
+			r.Seq++
+		}
+	case "sequence not raised":
+		r.Seq = 1
+	case "part counted twice":
+		if m.Kind == facts.Up {
+			r.From *= 2
+		}
+	case "part not added":
+		if m.Kind == facts.Up {
+			r.Entries = nil
+		}
+	case "zone mistaken":
+		r.Place = place(7)
+	case "first page lost":
+		r.Page = max(r.Page, 1)
+		r.Entries = nil
+	}
+}
+
+// Key implements explore.State: times as of now, and what is on its way in an order of its own.
+func (f *fleet) Key() string {
+	var b strings.Builder
+	for _, n := range f.nodes {
+		fmt.Fprintf(&b, "%d,%d;", n.lives, n.made)
+		if n.machine != nil {
+			b.WriteString(n.machine.Fingerprint())
+		}
+	}
+	fmt.Fprint(&b, f.used, f.now%time.Millisecond)
+	for _, p := range f.flying {
+		fmt.Fprint(&b, p.from, p.to, p.data)
+	}
+	return b.String()
+}
+
+// Check implements explore.State: nothing that a node is told is older than it is told, each node counts once, and no row
+// is of a version that its author never made.
+func (f *fleet) Check() error {
+	if f.wrong != nil {
+		return f.wrong
+	}
+	for i, n := range f.nodes {
+		if n.machine == nil {
+			continue
+		}
+		now := f.clock(i)
+		for _, z := range f.b.Zones {
+			v := n.machine.Read(now, place(z), facts.Made, 1)
+			d := n.machine.Read(now, place(z), facts.Demand, 2)
+			if real := f.now - time.Duration(v.Amount)*time.Millisecond; v.From > 0 && real > v.Age {
+				return fmt.Errorf("node %d is given a fact of zone %d that is %v old, for %v at most", i, z, real, v.Age)
+			}
+			if d.Amount != float64(d.From) || d.From > len(f.nodes) {
+				return fmt.Errorf("node %d is told that %d nodes of zone %d, 1 each, have %v", i, d.From, z, d.Amount)
+			}
+			row, found := n.machine.Row(now, place(z), facts.Made)
+			for k, a := range f.nodes {
+				if found && k != i && row.Author.ID == a.peer.ID && a.machine != nil && row.Author.Life == a.lives && row.Seq > a.made {
+					return fmt.Errorf("node %d holds row %d of author %d, who made %d", i, row.Seq, a.peer.ID, a.made)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// Settle implements explore.Settler: from here on all is delivered in order and at once; in the end all know fresh rows of
+// all zones in which anybody runs, with every node counted.
+func (f *fleet) Settle() error {
+	c := f.clone()
+	c.b.MostFlying = 1000
+	var all []facts.Peer
+	count := map[facts.Place]int{}
+	for _, n := range c.nodes {
+		n.peer.Gone = n.machine == nil
+		all = append(all, n.peer)
+		if !n.peer.Gone {
+			count[n.peer.Place]++
+		}
+	}
+	c.view = facts.NewView(all)
+	for i, n := range c.nodes {
+		if n.machine != nil {
+			n.machine.See(c.clock(i), c.view)
+		}
+	}
+	for end := c.now + 5*c.b.Fresh; c.now < end && c.wrong == nil; {
+		for len(c.flying) > 0 && c.wrong == nil {
+			p := c.flying[0]
+			c.flying = c.flying[1:]
+			c.deliver(p)
+		}
+		c.now += 5 * time.Millisecond
+		for i, n := range c.nodes {
+			if n.machine != nil && n.machine.Next() <= c.clock(i) {
+				c.tick(i)
+			}
+		}
+		if err := c.Check(); err != nil {
+			return err
+		}
+	}
+	for i, n := range c.nodes {
+		for at, of := range count {
+			if n.machine == nil || c.wrong != nil {
+				continue
+			}
+			if v := n.machine.Read(c.clock(i), at, facts.Made, 1); v.Word != facts.Fresh || v.From != of {
+				return fmt.Errorf("in the end node %d knows of a zone of %d, %v, from %d nodes", i, of, v.Word, v.From)
+			}
+		}
+	}
+	return c.wrong
+}
--- a/internal/facts/codec.go
+++ b/internal/facts/codec.go
@@ -4,51 +4,115 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 )
 
-// A fact is written in FactBytes: kind, hops, subject, author, life, seq, value, age in milliseconds, rounded up.
+// A message is version, kind, from, token, echo, held (big endian), and then rows, or for an Ask the zones. Whoever carries
+// it adds the tag.
 const (
-	FactBytes = 1 + 1 + 8 + 8 + 4 + 4 + 4 + 4
-	// MostFacts go into the room that a datagram of 256 bytes has beside its head and tag.
-	MostFacts = 200 / FactBytes
+	// Version is the first byte. A node that knows another version only counts what comes.
+	Version   = 0x40
+	headSize  = 1 + 1 + 8 + 4 + 4 + 2
+	rowSize   = 4 + 1 + 8 + 4 + 4 + 3 + 2 + 1
+	entrySize = 1 + 4 + 4
+	wantSize  = 4 + 3
+	// MaxMessage leaves room for a tag of 12 bytes in a datagram of 256.
+	MaxMessage = 256 - 12
+	mostWants  = (MaxMessage - headSize) / wantSize
 )
 
-// ErrMalformed says that bytes are no facts.
-var ErrMalformed = errors.New("facts: malformed")
+// mostAge is the longest that can be written, in 24 bits of milliseconds; what is older is written as that.
+const mostAge = time.Duration(1<<24-1) * time.Millisecond
 
-// maxAge is the longest that can be written: 49 days.
-const maxAge = time.Duration(1<<32-1) * time.Millisecond
+// Errors of a message. Nothing of one that has an error is used.
+var (
+	ErrVersion   = errors.New("facts: another version")
+	ErrMalformed = errors.New("facts: malformed")
+)
+
+func size(r Row) int { return rowSize + len(r.Entries)*entrySize }
+
+func put24(b []byte, v uint32) []byte { return append(b, byte(v>>16), byte(v>>8), byte(v)) }
+
+func get24(b []byte) uint32 { return uint32(b[0])<<16 | uint32(b[1])<<8 | uint32(b[2]) }
 
-// Append writes facts. Ages are rounded up: they are never under-reported.
-func Append(b []byte, facts ...Fact) []byte {
-	for _, f := range facts {
-		b = append(b, byte(f.Kind), f.Hops)
-		b = binary.BigEndian.AppendUint64(b, uint64(f.Subject))
-		b = binary.BigEndian.AppendUint64(b, f.Author.ID)
-		b = binary.BigEndian.AppendUint32(b, f.Author.Life)
-		b = binary.BigEndian.AppendUint32(b, f.Seq)
-		b = binary.BigEndian.AppendUint32(b, f.Value)
-		age := min(max(0, f.Age), maxAge)
-		b = binary.BigEndian.AppendUint32(b, uint32((age+time.Millisecond-1)/time.Millisecond))
+// putAge writes an age rounded up: it is never under-reported.
+func putAge(b []byte, age time.Duration) []byte {
+	age = min(max(0, age), mostAge)
+	return put24(b, uint32((age+time.Millisecond-1)/time.Millisecond))
+}
+
+func getAge(b []byte) time.Duration { return time.Duration(get24(b)) * time.Millisecond }
+
+// Append writes a message.
+func Append(b []byte, m Message) []byte {
+	b = append(b, Version, byte(m.Kind))
+	b = binary.BigEndian.AppendUint64(b, m.From)
+	b = binary.BigEndian.AppendUint32(b, m.Token)
+	b = binary.BigEndian.AppendUint32(b, m.Echo)
+	b = binary.BigEndian.AppendUint16(b, m.Held)
+	for _, w := range m.Wants {
+		b = binary.BigEndian.AppendUint32(b, uint32(w.Place))
+		b = putAge(b, w.Age)
+	}
+	for _, r := range m.Rows {
+		b = binary.BigEndian.AppendUint32(b, uint32(r.Place))
+		b = append(b, r.Plane<<4|r.Page)
+		b = binary.BigEndian.AppendUint64(b, r.Author.ID)
+		b = binary.BigEndian.AppendUint32(b, r.Author.Life)
+		b = binary.BigEndian.AppendUint32(b, r.Seq)
+		b = putAge(b, r.Age)
+		b = binary.BigEndian.AppendUint16(b, uint16(min(max(0, r.From), mostFrom)))
+		b = append(b, byte(len(r.Entries)))
+		for _, e := range r.Entries {
+			b = append(b, byte(e.Kind))
+			b = binary.BigEndian.AppendUint32(b, uint32(e.Subject))
+			b = binary.BigEndian.AppendUint32(b, math.Float32bits(float32(e.Value)))
+		}
 	}
 	return b
 }
 
-// Parse reads facts; of bytes that hold one that can't be, none is read.
-func Parse(b []byte) (out []Fact, err error) {
-	if len(b)%FactBytes != 0 || len(b) > MostFacts*FactBytes {
-		return nil, fmt.Errorf("%w: %d bytes; allowed: up to %d times %d", ErrMalformed, len(b), MostFacts, FactBytes)
-	}
-	for ; len(b) > 0; b = b[FactBytes:] {
-		f := Fact{Kind: Kind(b[0]), Hops: b[1], Subject: Subject(binary.BigEndian.Uint64(b[2:])),
-			Author: Author{binary.BigEndian.Uint64(b[10:]), binary.BigEndian.Uint32(b[18:])},
-			Seq:    binary.BigEndian.Uint32(b[22:]), Value: binary.BigEndian.Uint32(b[26:]),
-			Age: time.Duration(binary.BigEndian.Uint32(b[30:])) * time.Millisecond}
-		if f.Kind < 1 || f.Kind > lastKind || f.Author.ID == 0 {
-			return nil, fmt.Errorf("%w: kind %d of author %d", ErrMalformed, f.Kind, f.Author.ID)
+// Parse reads a message.
+func Parse(b []byte) (m Message, err error) {
+	if len(b) < headSize || len(b) > MaxMessage {
+		return m, fmt.Errorf("%w: %d bytes", ErrMalformed, len(b))
+	}
+	if b[0] != Version {
+		return m, fmt.Errorf("%w: %d", ErrVersion, b[0])
+	}
+	m = Message{Kind: MessageKind(b[1]), From: binary.BigEndian.Uint64(b[2:]), Token: binary.BigEndian.Uint32(b[10:]),
+		Echo: binary.BigEndian.Uint32(b[14:]), Held: binary.BigEndian.Uint16(b[18:])}
+	if m.Kind < Up || m.Kind > Ask || m.From == 0 {
+		return Message{}, fmt.Errorf("%w: kind %d from %d", ErrMalformed, m.Kind, m.From)
+	}
+	left := b[headSize:]
+	for m.Kind == Ask && len(left) >= wantSize {
+		m.Wants = append(m.Wants, Want{Place(binary.BigEndian.Uint32(left)), getAge(left[4:])})
+		left = left[wantSize:]
+	}
+	for m.Kind != Ask && len(left) >= rowSize {
+		r := Row{Place: Place(binary.BigEndian.Uint32(left)), Plane: left[4] >> 4, Page: left[4] & 0x0f,
+			Author: Author{binary.BigEndian.Uint64(left[5:]), binary.BigEndian.Uint32(left[13:])}, Seq: binary.BigEndian.Uint32(left[17:]),
+			Age: getAge(left[21:]), From: int(binary.BigEndian.Uint16(left[24:]))}
+		n := int(left[26])
+		left = left[rowSize:]
+		if r.Plane >= planes || r.Page >= pages || r.Author.ID == 0 || n > MostEntries || len(left) < n*entrySize {
+			return Message{}, fmt.Errorf("%w: a row of plane %d, page %d, author %d, %d entries", ErrMalformed, r.Plane, r.Page, r.Author.ID, n)
+		}
+		for ; n > 0; n-- {
+			e := Entry{Kind(left[0]), Subject(binary.BigEndian.Uint32(left[1:])), float64(math.Float32frombits(binary.BigEndian.Uint32(left[5:])))}
+			if math.IsNaN(e.Value) || math.IsInf(e.Value, 0) || e.Kind.page() != r.Page {
+				return Message{}, fmt.Errorf("%w: an entry of kind %d, value %v on page %d", ErrMalformed, e.Kind, e.Value, r.Page)
+			}
+			r.Entries = append(r.Entries, e)
+			left = left[entrySize:]
 		}
-		out = append(out, f)
+		m.Rows = append(m.Rows, r)
+	}
+	if len(left) > 0 {
+		return Message{}, fmt.Errorf("%w: %d bytes too many", ErrMalformed, len(left))
 	}
-	return out, nil
+	return m, nil
 }
--- /dev/null
+++ b/internal/facts/exchange.go
@@ -0,0 +1,518 @@
+package facts
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// MessageKind says what a message is for.
+type MessageKind uint8
+
+// Kinds of messages.
+const (
+	Up   MessageKind = iota + 1 // parts for the receiver, its sender's parent in a plane
+	Down                        // rows that are news to the sender
+	Tell                        // rows that were asked for
+	Ask                         // asks for rows of zones that are younger than what the sender holds
+)
+
+// Message is what one node sends another.
+type Message struct {
+	Kind  MessageKind
+	From  uint64
+	Token uint32 // the sender's clock when it was sent, in milliseconds from a drawn origin
+	Echo  uint32 // the last token that came from the receiver; 0: none
+	Held  uint16 // milliseconds since then
+	Rows  []Row
+	Wants []Want
+}
+
+// Want is a zone of which somebody wants to know more, and how old the best is that it holds.
+type Want struct {
+	Place Place
+	Age   time.Duration
+}
+
+// Packet is a message on its way out.
+type Packet struct {
+	To netip.AddrPort
+	Message
+}
+
+// Dropped counts what was not taken, by why.
+type Dropped struct {
+	Unbounded int `json:"unbounded"` // rows whose hop could have taken any time
+	Late      int `json:"late"`      // rows that were or grew too old
+	Foreign   int `json:"foreign"`   // rows of an author that is not known in their zone, or parts of no child
+	Odd       int `json:"odd"`       // rows of more nodes than there can be
+	Cut       int `json:"cut"`       // entries that a row had no room for
+	Paced     int `json:"paced"`     // questions beyond what is answered in a period
+}
+
+// drift is the part of a time by which two clocks may measure it apart.
+const drift = 1000
+
+// link is what is known of the way to another.
+type link struct {
+	token uint32        // the last that came
+	at    time.Duration // when
+	heard time.Duration // when a message or a row of its making came last
+}
+
+// part is what a child, or this node, adds.
+type part struct {
+	Row
+	made time.Duration
+}
+
+// plane is this node's part in one.
+type plane struct {
+	parts map[uint64][pages]*part // by the children's IDs
+	seq   uint32
+	root  Author        // whose row came last
+	last  uint32        // and its sequence
+	due   time.Duration // when the next part goes up, or the next rows are made
+	again bool          // what goes abroad goes up a second time, for one may be lost
+}
+
+// Machine is one node's exchange. Its methods belong to one goroutine.
+type Machine struct {
+	o      Options
+	self   Peer
+	life   uint32
+	seed   uint64
+	draws  uint64
+	now    time.Duration
+	view   *View
+	words  map[Place]*said // of each place of the view
+	links  map[uint64]*link
+	planes [planes]plane
+	store  store
+	own    Pages
+	told   time.Duration // when own was made; 0: never
+	lossy  time.Duration // until when messages are taken to get lost
+	asked  time.Duration // when the last question went out
+	answer int           // questions that were answered since
+	since  time.Duration // then
+	out    []Packet
+
+	Dropped Dropped
+}
+
+// New returns a Machine that knows nobody. Nothing goes out before Tick.
+func New(now time.Duration, self Peer, o Options, seed uint64) (*Machine, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
+	if self.ID == 0 {
+		return nil, fmt.Errorf("facts: a node without an ID")
+	}
+	m := &Machine{o: o, self: self, seed: seed, now: now, asked: now, since: now, words: map[Place]*said{}, links: map[uint64]*link{},
+		store: store{keep: o.keep(), rows: map[key][]held{}}}
+	for i := range m.planes {
+		m.planes[i] = plane{parts: map[uint64][pages]*part{}, due: now + o.period()*time.Duration(i+1)/planes}
+	}
+	m.See(now, NewView([]Peer{self}))
+	return m, nil
+}
+
+func (m *Machine) draw(n int) int {
+	m.draws++
+	return int(mix(m.seed+m.draws*golden) % uint64(n))
+}
+
+// SetLife takes the life that the membership has for this node. Rows go by it.
+func (m *Machine) SetLife(life uint32) { m.life = max(m.life, life) }
+
+// Set takes what the node itself sees as of now.
+func (m *Machine) Set(now time.Duration, p Pages) {
+	m.now = max(m.now, now)
+	m.own, m.told = p, m.now
+}
+
+// stamp is a time as a token: never 0.
+func (m *Machine) stamp(at time.Duration) uint32 {
+	return max(1, uint32(at/time.Millisecond)+uint32(mix(m.seed)))
+}
+
+func (m *Machine) send(to Peer, msg Message) {
+	msg.From, msg.Token = m.self.ID, m.stamp(m.now)
+	if l := m.links[to.ID]; l != nil && l.token != 0 {
+		// Rounded down, the hop counts as longer.
+		if held := (m.now - l.at) / time.Millisecond; held < 1<<16 {
+			msg.Echo, msg.Held = l.token, uint16(held)
+		}
+	}
+	m.out = append(m.out, Packet{to.Addr, msg})
+}
+
+// rows sends rows in as many messages as they take.
+func (m *Machine) rows(to Peer, kind MessageKind, rows []Row, most int) {
+	var batch []Row
+	room := MaxMessage - headSize
+	for i, r := range rows {
+		batch = append(batch, r)
+		room -= size(r)
+		if i+1 == len(rows) || size(rows[i+1]) > room {
+			if most--; most < 0 {
+				return
+			}
+			m.send(to, Message{Kind: kind, Rows: batch})
+			batch, room = nil, MaxMessage-headSize
+		}
+	}
+}
+
+// Next is when Tick is due.
+func (m *Machine) Next() time.Duration {
+	return min(m.planes[0].due, m.planes[1].due, m.asked+m.o.period()/2)
+}
+
+// Tick does what is due at a time of this node's clock.
+func (m *Machine) Tick(now time.Duration) []Packet {
+	m.begin(now)
+	m.Dropped.Late += m.store.advance(m.now)
+	for i := range m.planes {
+		if m.now >= m.planes[i].due {
+			m.work(uint8(i))
+		}
+	}
+	if m.now >= m.asked+m.o.period()/2 {
+		m.asked = m.now
+		m.judge()
+		m.ask()
+	}
+	return m.out
+}
+
+func (m *Machine) begin(now time.Duration) {
+	m.now = max(m.now, now)
+	m.out = nil
+}
+
+// work sends this node's parts up a plane, or makes rows if it is the root.
+func (m *Machine) work(at uint8) {
+	t, i := m.standing(at)
+	up, hasParent := t.parent(i, m.o.Fan, m.skip)
+	children := t.children(i, m.o.Fan, m.skip)
+	rows := m.sums(at, children)
+	p := &m.planes[at]
+	if hasParent {
+		wait := m.o.period()
+		switch twice := len(children) > 0 || m.now < m.lossy; {
+		case p.again:
+			wait -= step(m.o.Delay) / 2
+			p.again = false
+			rows = slices.DeleteFunc(rows, func(r Row) bool { return near(r.Page) })
+		case twice:
+			wait = step(m.o.Delay) / 2
+			p.again = true
+		}
+		m.rows(t[up], Up, rows, pages)
+		p.due = m.now + wait
+		return
+	}
+	if p.due += m.o.period(); p.due <= m.now {
+		p.due = m.now + m.o.period()
+	}
+	p.again = false
+	p.seq++
+	for k := range rows {
+		rows[k].Author, rows[k].Seq = Author{m.self.ID, m.life}, p.seq
+		m.store.put(rows[k], m.now-rows[k].Age)
+	}
+	m.pass(rows, 0)
+	m.abroad(at, rows, mostAbroad)
+}
+
+// sums are this node's own part and its children's, by page.
+func (m *Machine) sums(at uint8, children []Peer) (rows []Row) {
+	p := &m.planes[at]
+	for id := range p.parts {
+		if !slices.ContainsFunc(children, func(c Peer) bool { return c.ID == id }) {
+			delete(p.parts, id)
+		}
+	}
+	for page := range uint8(pages) {
+		r := Row{Place: m.self.Place, Plane: at, Page: page, Author: Author{m.self.ID, m.life}}
+		var lists [][]Entry
+		if m.told > 0 && m.now-m.told <= m.o.hold() {
+			r.From, r.Age = 1, m.now-m.told
+			lists = append(lists, m.own[page])
+		}
+		for _, c := range children {
+			x := p.parts[c.ID][page]
+			if x == nil || m.now-x.made > m.o.hold() {
+				continue
+			}
+			r.From += x.From
+			r.Age = max(r.Age, m.now-x.made)
+			lists = append(lists, x.Entries)
+		}
+		var cut int
+		r.Entries, cut = add(lists...)
+		m.Dropped.Cut += cut
+		if r.From > 0 { // an empty page says that there is nothing to tell
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
+// pass hands rows that are news to the neighbours in their trees, but for who brought them.
+func (m *Machine) pass(rows []Row, but uint64) {
+	for at := range uint8(planes) {
+		var mine []Row
+		for _, r := range rows {
+			if r.Plane == at {
+				mine = append(mine, r)
+			}
+		}
+		if len(mine) == 0 {
+			continue
+		}
+		t, i := m.standing(at)
+		to := t.children(i, m.o.Fan, m.skip)
+		if up, has := t.parent(i, m.o.Fan, m.skip); has {
+			to = append(to, t[up])
+		}
+		for _, p := range to {
+			if p.ID == but {
+				continue
+			}
+			// Nobody is told what is its own.
+			m.rows(p, Down, slices.DeleteFunc(slices.Clone(mine), func(r Row) bool { return r.Author.ID == p.ID }), pages*planes)
+		}
+	}
+}
+
+// mostAbroad bounds the zones that a root tells of its own in one period. Where there are more they are drawn, and each root tells
+// spread others of what is news to it.
+const (
+	mostAbroad = 8
+	spread     = 2
+)
+
+// abroad tells the roots of up to n other zones.
+func (m *Machine) abroad(at uint8, rows []Row, n int) {
+	rows = slices.DeleteFunc(slices.Clone(rows), func(r Row) bool { return near(r.Page) || r.Plane != at })
+	if len(rows) == 0 {
+		return
+	}
+	var roots []Peer
+	for place, trees := range m.view.trees {
+		if t := trees[at]; place != m.self.Place && len(t) > 0 {
+			roots = append(roots, t[t.root(m.skip)])
+		}
+	}
+	slices.SortFunc(roots, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	for range min(n, len(roots)) {
+		i := m.draw(len(roots))
+		m.rows(roots[i], Down, rows, pages)
+		roots = slices.Delete(roots, i, i+1)
+	}
+}
+
+// ask asks somebody for zones of which nothing is known that is young enough, before that is too old: one of the own zone
+// as a rule, and now and then anybody.
+func (m *Machine) ask() {
+	var wants []Want
+	for at, trees := range m.view.trees {
+		if len(trees[0]) == 0 {
+			continue
+		}
+		age := m.o.keep()
+		if b, found := m.store.best(m.now, at, 0, m.o.Fresh); found {
+			age = m.now - b.made
+		}
+		if age > m.o.Fresh*3/4 {
+			wants = append(wants, Want{at, age})
+		}
+	}
+	whom := m.view.living
+	if len(wants) == 0 || len(whom) < 2 {
+		return
+	}
+	slices.SortFunc(wants, func(a, b Want) int { return cmp.Or(cmp.Compare(b.Age, a.Age), cmp.Compare(a.Place, b.Place)) })
+	if mine, _ := m.standing(0); len(mine) > 1 && m.draw(4) > 0 {
+		whom = mine
+	}
+	i := m.draw(len(whom))
+	if whom[i].ID == m.self.ID {
+		i = (i + 1) % len(whom)
+	}
+	m.send(whom[i], Message{Kind: Ask, Wants: wants[:min(len(wants), mostWants)]})
+}
+
+// Bounds on what questions can have a node send.
+const (
+	mostAnswers = 8 // a period
+	mostTells   = 4 // messages to each
+)
+
+// tell answers a question with what is younger.
+func (m *Machine) tell(to Peer, wants []Want) {
+	if m.now-m.since >= m.o.period() {
+		m.since, m.answer = m.now, 0
+	}
+	var rows []Row
+	for _, w := range wants {
+		for page := range uint8(pages) {
+			if near(page) && w.Place != to.Place {
+				continue
+			}
+			b, found := m.store.best(m.now, w.Place, page, m.o.Fresh)
+			if found && m.now-b.made < w.Age && b.Author.ID != to.ID {
+				rows = append(rows, b.out(m.now))
+			}
+		}
+	}
+	if len(rows) == 0 {
+		return
+	}
+	if m.answer++; m.answer > mostAnswers {
+		m.Dropped.Paced++
+		return
+	}
+	m.rows(to, Tell, rows, mostTells)
+}
+
+// Receive takes a message.
+func (m *Machine) Receive(now time.Duration, msg Message) []Packet {
+	m.begin(now)
+	from, known := m.view.peers[msg.From]
+	if !known || msg.From == m.self.ID {
+		m.Dropped.Foreign += len(msg.Rows)
+		return nil
+	}
+	l := m.links[msg.From]
+	if l == nil {
+		l = &link{}
+		m.links[msg.From] = l
+	}
+	l.token, l.at, l.heard = msg.Token, m.now, m.now
+	delay, bounded := m.hop(msg)
+	if !bounded {
+		m.Dropped.Unbounded += len(msg.Rows)
+		msg.Rows = nil
+	}
+	switch msg.Kind {
+	case Up:
+		m.takeParts(from, msg.Rows, delay)
+	case Down, Tell:
+		m.takeRows(from, msg.Rows, delay, msg.Kind == Down)
+	case Ask:
+		m.tell(from, msg.Wants)
+	}
+	return m.out
+}
+
+// hop is how long a message can have been on its way: no longer than since this node's own token left, less what the sender
+// held that for. Both clocks may be off by drift, and times are in milliseconds.
+func (m *Machine) hop(msg Message) (time.Duration, bool) {
+	if msg.Echo == 0 {
+		return 0, false
+	}
+	gone := time.Duration(m.stamp(m.now)-msg.Echo+2) * time.Millisecond
+	if gone > 1<<17*time.Millisecond {
+		return 0, false // of another life, or long ago
+	}
+	held := time.Duration(msg.Held) * time.Millisecond
+	if held > gone+held/drift {
+		return 0, false
+	}
+	return max(0, gone-held) + (gone+held)/drift, true
+}
+
+// takeParts takes what a child adds.
+func (m *Machine) takeParts(from Peer, rows []Row, delay time.Duration) {
+	for _, r := range rows {
+		t, i := m.standing(r.Plane)
+		children := t.children(i, m.o.Fan, m.skip)
+		if r.Place != m.self.Place || r.Author.ID != from.ID || !slices.ContainsFunc(children, func(c Peer) bool { return c.ID == from.ID }) {
+			m.Dropped.Foreign++
+			continue
+		}
+		if r.From > 2*len(t)+8 {
+			m.Dropped.Odd++
+			continue
+		}
+		p := m.planes[r.Plane].parts[from.ID]
+		made := m.now - r.Age - delay
+		if was := p[r.Page]; was != nil && was.made >= made {
+			continue // came twice, or in another order
+		}
+		p[r.Page] = &part{r, made}
+		m.planes[r.Plane].parts[from.ID] = p
+	}
+}
+
+// takeRows merges rows, and hands on what is news. wave: they come down a tree, and not late by a question.
+func (m *Machine) takeRows(from Peer, rows []Row, delay time.Duration, wave bool) {
+	var news []Row
+	for _, r := range rows {
+		author, known := m.view.peers[r.Author.ID]
+		switch {
+		case !known || author.Place != r.Place || r.Author.ID == m.self.ID:
+			m.Dropped.Foreign++
+		case r.From > 2*len(m.view.trees[r.Place][0])+8:
+			m.Dropped.Odd++
+		case r.Age+delay > m.o.keep():
+			m.Dropped.Late++
+		case m.store.put(r, m.now-r.Age-delay):
+			if l := m.links[r.Author.ID]; l != nil {
+				l.heard = m.now
+			} else if r.Place == m.self.Place {
+				m.links[r.Author.ID] = &link{heard: m.now}
+			}
+			r.Age += delay
+			news = append(news, r)
+			if wave && r.Place == m.self.Place && r.Page == 0 {
+				m.follow(r.Plane)
+				m.miss(r)
+			}
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	m.pass(news, from.ID)
+	if len(m.view.trees) > mostAbroad+1 {
+		for at := range uint8(planes) {
+			if t, i := m.standing(at); i == t.root(m.skip) {
+				m.abroad(at, news, spread)
+			}
+		}
+	}
+}
+
+// mindful is for how many periods a loss is remembered.
+const mindful = 10
+
+// miss notes that rows of the own root were lost: what this node sends up may be too.
+func (m *Machine) miss(r Row) {
+	p := &m.planes[r.Plane]
+	if p.root == r.Author && int32(r.Seq-p.last) > 1 {
+		m.lossy = m.now + mindful*m.o.period()
+	}
+	p.root, p.last = r.Author, r.Seq
+}
+
+// follow times this node's work by the root's: parts go up so that each level's are there when the next sends its own, and a
+// root of the second plane makes its rows half a period from the first's.
+func (m *Machine) follow(at uint8) {
+	t, i := m.standing(at)
+	if i != t.root(m.skip) {
+		m.planes[at].due = m.now + m.o.period() - time.Duration(level(i, m.o.Fan))*step(m.o.Delay) - step(m.o.Delay)/2
+		m.planes[at].again = false
+	}
+	other := planes - 1 - at
+	t, _ = m.standing(other)
+	if at == 0 && t[t.root(m.skip)].ID == m.self.ID {
+		p := &m.planes[other]
+		p.due = max(p.due-m.o.period()/4, min(m.now+m.o.period()/2, p.due+m.o.period()/4))
+	}
+}
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -1,308 +1,217 @@
-// Package facts holds what nodes know, each from its own sight, and what is known of whom, from how many, and how old it is
-// at most. It does no I/O, has no clock and no goroutine: time and facts come in, facts go out. Who lives is
-// internal/members'; how a fact travels is not this package's.
+// Package facts is what nodes tell one another of their zones: how much is asked for, where it is sent and how that ends,
+// what is in service. It does no I/O, has no clock and no goroutine: time, members and messages come in, messages and answers go out. Who
+// lives is internal/members'.
+//
+// What one node sees is a part. The nodes of a zone add their parts up along two trees, the planes, and the root of each
+// plane makes rows of the sums, which go to the roots of the other zones and down all trees of their plane. So what a node
+// sends and holds goes with the number of zones and not of nodes, and a node that is struck is in the way of one plane's
+// rows and, but by chance, not of the other's.
 //
 // What it promises:
 //
-//   - A fact has one author, and of one author, subject and kind the one of the latest life and then of the latest
-//     sequence holds. Merging does not hang on order, repetition or grouping (TestMergingHangsOnNoOrder).
-//   - Ages are never under-reported as long as no hop takes longer than Options.Hop: clocks are not compared; a fact's age
-//     goes with it, grows while it is held, and each hop adds Hop to what it may be at most (TestAgesAreNeverUnderReported).
-//   - A reader gets those facts that are not older than it can use, and how many authors they come from; none: unknown. No
-//     guess is made of what is missing.
-//   - Memory: Options.Authors facts a subject and kind, Options.Subjects of these; beyond, the oldest go, and are counted.
+//   - The age that a row is said to have at most is never less than that of the oldest part in it, whatever becomes of
+//     messages, processes and their clocks' settings, as long as clocks run at the same rate to a thousandth (drift). No
+//     delay is assumed: a hop took at most the time since the receiver's own token that the sender gives back, less the
+//     time for which the sender says that it held it. What carries no such token is not taken (Dropped.Unbounded).
+//   - A row says how many nodes' parts are in it. A part is in a row of a plane twice at most for Options.hold after its
+//     node came to have another parent; then From may be above the number that live, and readers are told both.
+//   - Of one author, zone, plane and page the row of the latest life and then of the latest sequence holds. Merging does not
+//     hang on order, repetition or grouping.
+//   - A reader gets the word for a zone (Fresh, Stale, Unknown) with each answer. No guess is made of what is missing.
+//   - A node sends its part once in each plane a period, twice where others hang on it or messages get lost, each row once to each neighbour in its tree, and one question a
+//     half period while something is lacking.
 package facts
 
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
 
-// Kind says what a fact tells of its subject. Values are small numbers, for datagrams are.
+// Kind says what an entry tells of its subject. Its highest bits say how parts are put together, so that a node can add up
+// kinds that it does not know.
 type Kind uint8
 
-// Kinds.
+// How parts are put together.
 const (
-	Held     Kind = iota + 1 // of a server: calls of the author's that are there
-	Sent                     // of a server: calls that the author has sent it, since its life began
-	Ended                    // of a server: of them, those that ended badly
-	Latency                  // of a server: mean latency as the author sees it, in microseconds
-	Demand                   // of a class: calls a second that come to the author, in hundredths
-	Warmth                   // of a zone: share of its servers that are warm, in ten thousandths
-	Capacity                 // of a zone: servers in service, as the author's list says
-	Version                  // of a list or a configuration: its number at the author
-	lastKind = Version
+	sum     Kind = 0x00
+	most    Kind = 0x40
+	least   Kind = 0x80
+	opBits  Kind = 0xc0
+	pageOne Kind = 0x10 // the bits between tell the page
+	pages        = 4
 )
 
-// Subject is what a fact is of: a server, zone, class or list, by the number that all nodes make of its name.
-type Subject uint64
-
-// Author is who made it: a member by its ID, in a life.
-type Author struct {
-	ID   uint64
-	Life uint32
-}
+// Kinds. Rates are per second, over the last period or so.
+const (
+	Demand  = sum + 0   // of a class: calls that came, a second
+	Refused = sum + 1   // of a class: calls that were refused, a second
+	Open    = sum + 2   // of a class: calls that are unanswered
+	Ready   = most + 0  // of a zone: servers listed as ready
+	Warm    = most + 1  // of a zone: of these, such as are past their slow start
+	Newest  = most + 2  // of a list or configuration: the latest version that a node holds
+	Oldest  = least + 0 // and the earliest
+	Made    = least + 1 // of nothing: when the part was made; only builds for the rig tell it
+
+	Sent = sum + pageOne + 0 // of a zone: attempts that ended there, a second
+	Bad  = sum + pageOne + 1 // of a zone: of them, such as did not succeed, a second
+	Lag  = sum + pageOne + 2 // of a zone: what they took in all, seconds a second
+
+	Trouble = sum + 2*pageOne + 0 // of a server: attempts that did not succeed, a second
+	Held    = sum + 2*pageOne + 1 // of a server: attempts that are out
+
+	Sketch = sum + 3*pageOne + 0 // of a power of two of microseconds: attempts that took less, and not less than half, a second
+)
 
-// Fact is one. Its age is as of when it was handed in or out.
-type Fact struct {
-	Kind    Kind
-	Subject Subject
-	Author  Author
-	Seq     uint32 // grows with each that the author makes of the subject and kind
-	Value   uint32
-	Age     time.Duration // by which it is at least old: the time that it was held
-	Hops    uint8         // that it took
-}
+// page is which of an author's rows holds a kind: each fits into a datagram and is of one time.
+func (k Kind) page() uint8 { return uint8(k&^opBits) / uint8(pageOne) % pages }
 
-// Most is how old the fact may be.
-func (f Fact) Most(hop time.Duration) time.Duration { return f.Age + time.Duration(f.Hops)*hop }
+// near says that rows of a page stay within their zone.
+func near(page uint8) bool { return page >= 2 }
 
-// Options bound a Store.
-type Options struct {
-	Hop      time.Duration // that one hop takes at most; later ones are not known to hold
-	Keep     time.Duration // facts that may be older are dropped
-	Subjects int           // pairs of subject and kind
-	Authors  int           // facts of each
-	Passes   int           // times that a fact is handed out, to anybody
-}
+// Subject is what an entry is of, and Place a zone: by a number that all nodes make of the name. With a thousand names two
+// share one with a chance of one in ten thousand; their entries are then added up.
+type Subject uint32
 
-// Check names the first option that is out of range.
-func (o Options) Check() error {
-	switch {
-	case o.Hop <= 0 || o.Keep < 2*o.Hop:
-		return fmt.Errorf("facts: hop %v, keep %v; allowed: above 0, and twice that at least", o.Hop, o.Keep)
-	case o.Subjects < 1 || o.Authors < 1 || o.Passes < 1:
-		return fmt.Errorf("facts: subjects %d, authors %d, passes %d; allowed: 1 or more", o.Subjects, o.Authors, o.Passes)
+// SubjectOf is the number of a name.
+func SubjectOf(name string) Subject {
+	h := uint64(14695981039346656037) // FNV-1a
+	for _, c := range []byte(name) {
+		h = (h ^ uint64(c)) * 1099511628211
 	}
-	return nil
+	return Subject(max(1, uint32(mix(h))))
 }
 
-// held is a fact in a Store: made is by when on its clock it was made at the latest.
-type held struct {
-	Fact
-	made   time.Duration
-	passes int
-	gone   bool // another has its place
-}
-
-type topic struct {
-	kind    Kind
-	subject Subject
-}
-
-// Store is what one node knows. Its methods belong to one goroutine.
-type Store struct {
-	o       Options
-	self    Author
-	now     time.Duration
-	topics  map[topic][]*held // in the order of their authors' IDs
-	seq     map[topic]uint32
-	fresh   [][]*held // to be handed on, by how often they were, the youngest last; some have gone
-	waiting int       // in all of these
-	size    int       // facts held
-	Dropped Dropped
-}
+// Place is a zone of a region.
+type Place Subject
 
-// Dropped counts what was not kept, by why.
-type Dropped struct{ Old, Late, Full, Odd, Foreign int }
+// PlaceOf is the place of a zone.
+func PlaceOf(region, zone string) Place { return Place(SubjectOf(region + "/" + zone)) }
 
-// New returns a Store of an author that knows nothing.
-func New(self Author, o Options) (*Store, error) {
-	if err := o.Check(); err != nil {
-		return nil, err
-	}
-	return &Store{o: o, self: self, topics: map[topic][]*held{}, seq: map[topic]uint32{}, fresh: make([][]*held, o.Passes)}, nil
+// Entry is one figure.
+type Entry struct {
+	Kind    Kind
+	Subject Subject
+	Value   float64 // kept as a float32
 }
 
-// Advance takes the time of the node's clock and drops what has grown too old.
-func (s *Store) Advance(now time.Duration) {
-	s.now = max(s.now, now)
-	for t, list := range s.topics {
-		kept := slices.DeleteFunc(list, func(h *held) bool {
-			h.gone = h.gone || s.most(h) > s.o.Keep
-			return h.gone
-		})
-		s.Dropped.Late += len(list) - len(kept)
-		s.size -= len(list) - len(kept)
-		if s.topics[t] = kept; len(kept) == 0 {
-			delete(s.topics, t)
-		}
-	}
+// Author is who made a row: a member by its ID, in a life.
+type Author struct {
+	ID   uint64
+	Life uint32
 }
 
-// most is how old a fact may be now.
-func (s *Store) most(h *held) time.Duration {
-	return s.now - h.made + time.Duration(h.Hops)*s.o.Hop
+// Row is what one author says of its zone: entries that it put together at one time.
+type Row struct {
+	Place   Place
+	Plane   uint8
+	Page    uint8
+	Author  Author
+	Seq     uint32        // grows with each row of the author's
+	Age     time.Duration // of the oldest part in it, at most, as of when it was handed in or out
+	From    int           // nodes whose parts are in it
+	Entries []Entry       // by kind and subject, MostEntries at most
 }
 
-// Make makes a fact of the node's own.
-func (s *Store) Make(now time.Duration, k Kind, of Subject, value uint32) {
-	s.now = max(s.now, now)
-	t := topic{k, of}
-	s.seq[t]++
-	s.put(Fact{Kind: k, Subject: of, Author: s.self, Seq: s.seq[t], Value: value})
-}
+// Bounds of a row.
+const (
+	MostEntries = 21
+	mostFrom    = 1<<16 - 1
+)
 
-// Take merges what another node handed on, one hop from there. Of the node's own facts none is taken: what it does not
-// know of itself it made in a life that is over.
-func (s *Store) Take(now time.Duration, f Fact) {
-	s.now = max(s.now, now)
-	if f.Kind < 1 || f.Kind > lastKind || f.Author.ID == 0 || f.Age < 0 || f.Hops == 255 {
-		s.Dropped.Odd++
-		return
-	}
-	f.Hops++
-	switch {
-	case f.Author.ID == s.self.ID:
-		s.Dropped.Foreign++
-	case f.Most(s.o.Hop) > s.o.Keep:
-		s.Dropped.Late++
-	default:
-		s.put(f)
-	}
-}
+// Pages are a node's own entries, by the page.
+type Pages [pages][]Entry
 
-func (s *Store) put(f Fact) {
-	t := topic{f.Kind, f.Subject}
-	list := s.topics[t]
-	i, known := slices.BinarySearchFunc(list, f.Author.ID, func(h *held, id uint64) int { return cmp.Compare(h.Author.ID, id) })
-	next := &held{Fact: f, made: s.now - f.Age}
-	if known {
-		old := list[i]
-		switch c := cmp.Or(cmp.Compare(f.Author.Life, old.Author.Life), cmp.Compare(f.Seq, old.Seq)); {
-		case c < 0:
-			s.Dropped.Old++
-		case c > 0:
-			old.gone = true
-			list[i] = next
-			s.queue(next)
-		case s.most(next) < s.most(old): // the same by a shorter way
-			old.made, old.Hops = next.made, next.Hops
-		}
-		return
+// Sort shares entries out to their pages.
+func Sort(entries []Entry) (p Pages) {
+	for _, e := range entries {
+		p[e.Kind.page()] = append(p[e.Kind.page()], e)
 	}
-	if len(list) == 0 && len(s.topics) >= s.o.Subjects && !s.makeRoom() {
-		s.Dropped.Full++
-		return
-	}
-	if len(list) >= s.o.Authors {
-		oldest := 0
-		for k := range list {
-			if s.most(list[k]) > s.most(list[oldest]) || list[oldest].Author == s.self {
-				oldest = k
+	return p
+}
+
+// add puts entries together: each kind by its own rule. cut counts what there was no room for: of a page too long, the
+// rates of kinds that come later, and of one kind the least, go.
+func add(lists ...[]Entry) (out []Entry, cut int) {
+	all := slices.Concat(lists...)
+	slices.SortStableFunc(all, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Subject, b.Subject))
+	})
+	for _, e := range all {
+		if n := len(out) - 1; n >= 0 && out[n].Kind == e.Kind && out[n].Subject == e.Subject {
+			switch o := &out[n]; e.Kind & opBits {
+			case most:
+				o.Value = max(o.Value, e.Value)
+			case least:
+				o.Value = min(o.Value, e.Value)
+			default:
+				o.Value += e.Value
 			}
+			continue
 		}
-		s.Dropped.Full++
-		if s.most(list[oldest]) <= s.most(next) && f.Author != s.self || list[oldest].Author == s.self {
-			return
-		}
-		list[oldest].gone = true
-		list = slices.Delete(list, oldest, oldest+1)
-		s.size--
-		if i > oldest {
-			i--
-		}
+		out = append(out, e)
 	}
-	s.topics[t] = slices.Insert(list, i, next)
-	s.size++
-	s.queue(next)
-}
-
-// queue has a fact be handed on once more. Now and then those that have gone are swept out.
-func (s *Store) queue(h *held) {
-	s.fresh[h.passes] = append(s.fresh[h.passes], h)
-	if s.waiting++; s.waiting > 64+2*s.Size() {
-		s.waiting = 0
-		for i, list := range s.fresh {
-			s.fresh[i] = slices.DeleteFunc(list, func(h *held) bool { return h.gone })
-			s.waiting += len(s.fresh[i])
-		}
+	out = slices.DeleteFunc(out, func(e Entry) bool { return e.Value == 0 && e.Kind&opBits == sum }) // nought is what is not said
+	if cut = len(out) - MostEntries; cut <= 0 {
+		return out, 0
 	}
+	slices.SortStableFunc(out, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(b.Kind&opBits, a.Kind&opBits), cmp.Compare(a.Kind, b.Kind), cmp.Compare(math.Abs(b.Value), math.Abs(a.Value)))
+	})
+	out = out[:MostEntries]
+	slices.SortFunc(out, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Subject, b.Subject))
+	})
+	return out, cut
 }
 
-// makeRoom drops the subject of which the youngest fact is oldest, unless that is the node's own.
-func (s *Store) makeRoom() bool {
-	var worst topic
-	found, age := false, time.Duration(-1)
-	for t, list := range s.topics {
-		youngest := time.Duration(1 << 62)
-		for _, h := range list {
-			if h.Author == s.self {
-				youngest = -1
-			}
-			youngest = min(youngest, s.most(h))
-		}
-		if youngest > age || youngest == age && found && (t.subject < worst.subject || t.subject == worst.subject && t.kind < worst.kind) {
-			worst, age, found = t, youngest, true
-		}
-	}
-	if found {
-		s.Dropped.Full += len(s.topics[worst])
-		s.size -= len(s.topics[worst])
-		for _, h := range s.topics[worst] {
-			h.gone = true
-		}
-		delete(s.topics, worst)
-	}
-	return found
+// Options are a fleet's, the same at all nodes.
+type Options struct {
+	Fresh time.Duration // what is not older is fresh
+	Delay time.Duration // that a datagram takes at most where all is well; by it nodes time their parts, and no age hangs on it
+	Fan   int           // children of a node in a tree
 }
 
-// Known is what a Store answers of a subject.
-type Known struct {
-	Facts []Fact        // one an author, none older than was asked for
-	Most  time.Duration // how old the oldest of them may be; 0 where nothing is known
-	Older int           // authors whose facts are older than that: how they stand now is not known
+// Defaults are those of nodes on one network.
+func Defaults(fresh time.Duration) Options {
+	return Options{Fresh: fresh, Delay: 20 * time.Millisecond, Fan: 8}
 }
 
-// Ask tells what is known of a subject that is not older than most.
-func (s *Store) Ask(now time.Duration, k Kind, of Subject, most time.Duration) (a Known) {
-	s.now = max(s.now, now)
-	for _, h := range s.topics[topic{k, of}] {
-		if age := s.most(h); age <= most {
-			a.Facts = append(a.Facts, s.out(h))
-			a.Most = max(a.Most, age)
-		} else {
-			a.Older++
-		}
-	}
-	return a
-}
+// Least is the least Fresh that holds where nothing is lost and no datagram takes longer than a delay, in zones of up to 4,000
+// nodes: half of it is the period, parts wait for three levels, and each of seven hops counts as its round trip.
+func Least(delay time.Duration) time.Duration { return 2 * (7*step(delay)/2 + 14*delay) }
 
-// out is a fact with its age as of now.
-func (s *Store) out(h *held) Fact {
-	f := h.Fact
-	f.Age = s.now - h.made
-	return f
-}
+// step is by how much earlier the nodes of each level further from the root send their parts.
+func step(delay time.Duration) time.Duration { return 2*delay + 10*time.Millisecond }
 
-// Hand gives up to n facts to pass on: those that went out least, then those that came last. Each goes out Passes times in
-// all, unless a later one takes its place or it has grown too old to be of use at the other end.
-func (s *Store) Hand(now time.Duration, n int) (out []Fact) {
-	s.now = max(s.now, now)
-	var again []*held
-	for level := range s.fresh {
-		for len(s.fresh[level]) > 0 && len(out) < n {
-			last := len(s.fresh[level]) - 1
-			h := s.fresh[level][last]
-			s.fresh[level][last] = nil
-			s.fresh[level] = s.fresh[level][:last]
-			s.waiting--
-			if h.gone || h.Hops >= 254 || s.most(h)+s.o.Hop > s.o.Keep {
-				continue
-			}
-			out = append(out, s.out(h))
-			if h.passes++; h.passes < s.o.Passes {
-				again = append(again, h)
-			}
-		}
-	}
-	for _, h := range again {
-		s.queue(h)
+// Check names the first option that is out of range.
+func (o Options) Check() error {
+	switch {
+	case o.Delay <= 0 || o.Fresh < Least(o.Delay):
+		return fmt.Errorf("facts: fresh %v with a delay of %v; allowed: %v or more", o.Fresh, o.Delay, Least(max(o.Delay, time.Millisecond)))
+	case o.Fan < 1 || o.Fan > 32:
+		return fmt.Errorf("facts: fan %d; allowed: 1 to 32", o.Fan)
 	}
-	return out
+	return nil
 }
 
-// Size is how many facts are held.
-func (s *Store) Size() int { return s.size }
+// period is between two rows of one plane.
+func (o Options) period() time.Duration { return o.Fresh / 2 }
+
+// hold is how old a child's part may grow before it is left out: one of the round before would have the whole row be as old,
+// and who wants more nodes than young rows have still has the older row.
+func (o Options) hold() time.Duration { return o.period() / 2 }
+
+// keep is how old a row may grow before it is dropped.
+func (o Options) keep() time.Duration { return 2 * o.Fresh }
+
+// golden and mix are splitmix64's (Steele, Lea, Flood 2014).
+const golden = 0x9e3779b97f4a7c15
+
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
+	"math"
+	"net/netip"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,256 +14,283 @@
 
 const ms = time.Millisecond
 
-func options() Options {
-	return Options{Hop: 50 * ms, Keep: 10 * time.Second, Subjects: 100, Authors: 50, Passes: 3}
+func peer(i, zone int) Peer {
+	return Peer{ID: uint64(i) + 1, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 1), Place: PlaceOf("r", fmt.Sprint(zone))}
 }
 
-func store(t testing.TB, id uint64, o Options) *Store {
+func machine(t testing.TB, i int, all ...Peer) *Machine {
 	t.Helper()
-	s, err := New(Author{ID: id, Life: 1}, o)
+	m, err := New(0, peer(i, 0), Defaults(2*time.Second), uint64(i))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return s
+	m.See(0, NewView(all))
+	return m
 }
 
-// drawn is a fact of a few authors, subjects and sequences, so that draws meet.
-func drawn(t *rapid.T) Fact {
-	return Fact{Kind: Kind(rapid.IntRange(1, 2).Draw(t, "kind")), Subject: Subject(rapid.IntRange(1, 3).Draw(t, "subject")),
-		Author: Author{uint64(rapid.IntRange(1, 4).Draw(t, "author")), uint32(rapid.IntRange(0, 2).Draw(t, "life"))},
-		Seq:    uint32(rapid.IntRange(0, 3).Draw(t, "seq")), Age: time.Duration(rapid.IntRange(0, 400).Draw(t, "age")) * ms, Hops: uint8(rapid.IntRange(0, 3).Draw(t, "hops"))}
-}
-
-// valued makes a fact's value follow from who made it when, as an author's does.
-func valued(f Fact) Fact {
-	f.Value = f.Author.Life*1000 + f.Seq
-	return f
-}
-
-func all(s *Store) map[topic][]Fact {
-	out := map[topic][]Fact{}
-	for t, list := range s.topics {
-		for _, h := range list {
-			out[t] = append(out[t], s.out(h))
-		}
-	}
-	return out
+// drawn is a row of a few authors, zones and sequences, so that draws meet.
+func drawn(t *rapid.T) Row {
+	r := Row{Place: Place(rapid.IntRange(1, 2).Draw(t, "place")), Plane: uint8(rapid.IntRange(0, 1).Draw(t, "plane")), Page: uint8(rapid.IntRange(0, 1).Draw(t, "page")),
+		Author: Author{uint64(rapid.IntRange(1, mostAuthors).Draw(t, "author")), uint32(rapid.IntRange(0, 2).Draw(t, "life"))},
+		Seq:    uint32(rapid.IntRange(math.MaxUint32-2, math.MaxUint32+2).Draw(t, "seq"))} // sequences that wrap
+	r.From = int(r.Author.Life)*10 + int(int32(r.Seq)) // what it says follows from who made it when
+	r.Age = time.Duration(rapid.IntRange(0, 400).Draw(t, "age")) * ms
+	return r
 }
 
 func TestMergingHangsOnNoOrder(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		facts := rapid.SliceOfN(rapid.Custom(drawn), 1, 12).Draw(r, "facts")
-		order := rapid.Permutation(facts).Draw(r, "order")
-		again := rapid.SliceOfN(rapid.SampledFrom(facts), 0, 5).Draw(r, "again")
-		a, b := store(t, 99, options()), store(t, 99, options())
-		for _, f := range facts {
-			a.Take(time.Second, valued(f))
+		rows := rapid.SliceOfN(rapid.Custom(drawn), 1, 12).Draw(r, "rows")
+		order := rapid.Permutation(rows).Draw(r, "order")
+		again := rapid.SliceOfN(rapid.SampledFrom(rows), 0, 5).Draw(r, "again")
+		a, b := store{rows: map[key][]held{}}, store{rows: map[key][]held{}}
+		for _, x := range rows {
+			x, made := x, time.Second-x.Age
+			x.Age = 0
+			a.put(x, made)
 		}
-		for _, f := range append(order, again...) {
-			b.Take(time.Second, valued(f))
+		for _, x := range append(order, again...) {
+			x, made := x, time.Second-x.Age
+			x.Age = 0
+			b.put(x, made)
 		}
-		if x, y := all(a), all(b); !reflect.DeepEqual(x, y) {
-			r.Fatalf("%v\nand in another order, some twice,\n%v", x, y)
+		if !reflect.DeepEqual(a.rows, b.rows) {
+			r.Fatalf("%v\nand in another order, some twice,\n%v", a.rows, b.rows)
 		}
 	})
 }
 
-// Facts wander through nodes whose clocks have nothing to do with one another, over hops that take up to Hop: however they
-// came, no node thinks one younger than it is.
-func TestAgesAreNeverUnderReported(t *testing.T) {
-	for seed := range uint64(20) {
-		rng := rand.New(rand.NewPCG(seed, 1))
-		o := options()
-		const n = 6
-		var stores []*Store
-		var clocks []time.Duration
-		for i := range n {
-			stores = append(stores, store(t, uint64(i)+1, o))
-			clocks = append(clocks, time.Duration(rng.Int64N(int64(24*time.Hour))))
-		}
-		type flight struct {
-			at   time.Duration
-			to   int
-			text []byte
-		}
-		var flying []flight
-		for now := time.Duration(0); now < 20*time.Second; now += 10 * ms {
-			for i, s := range stores {
-				if rng.IntN(20) == 0 {
-					s.Make(clocks[i]+now, Held, Subject(rng.IntN(3)), uint32(now/ms))
-				}
-				if rng.IntN(5) == 0 {
-					if out := s.Hand(clocks[i]+now, MostFacts); len(out) > 0 {
-						flying = append(flying, flight{now + time.Duration(rng.Int64N(int64(o.Hop))), rng.IntN(n), Append(nil, out...)})
-					}
-				}
-				s.Advance(clocks[i] + now)
-			}
-			kept := flying[:0]
-			for _, f := range flying {
-				if f.at > now {
-					kept = append(kept, f)
-					continue
-				}
-				facts, err := Parse(f.text)
-				if err != nil {
-					t.Fatal(err)
-				}
-				for _, x := range facts {
-					// It arrives within the hop: by now at the earliest, a step late at the latest.
-					stores[f.to].Take(clocks[f.to]+f.at, x)
-				}
-			}
-			flying = kept
-			for i, s := range stores {
-				for subject := range Subject(3) {
-					a := s.Ask(clocks[i]+now, Held, subject, o.Keep)
-					for _, f := range a.Facts {
-						if real := now - time.Duration(f.Value)*ms; real > f.Most(o.Hop) || real > a.Most {
-							t.Fatalf("seed %d: node %d holds a fact of %v ago for %v at most", seed, i, real, f.Most(o.Hop))
-						}
-					}
-				}
-			}
+// Parts are put together in any grouping, and rows that have no room for all lose rates before what is known of servers.
+func TestPartsAddUpInAnyGrouping(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		entry := rapid.Custom(func(t *rapid.T) Entry {
+			return Entry{rapid.SampledFrom([]Kind{Demand, Open, Ready, Oldest}).Draw(t, "kind"), Subject(rapid.IntRange(1, 4).Draw(t, "subject")), float64(rapid.IntRange(0, 9).Draw(t, "value"))}
+		})
+		lists := rapid.SliceOfN(rapid.SliceOfN(entry, 0, 6), 1, 5).Draw(r, "lists")
+		at := rapid.IntRange(0, len(lists)).Draw(r, "at")
+		whole, _ := add(lists...)
+		left, _ := add(lists[:at]...)
+		right, _ := add(lists[at:]...)
+		if parts, _ := add(right, left); !slices.Equal(parts, whole) {
+			r.Fatalf("%v, and by %v and %v: %v", whole, left, right, parts)
 		}
+	})
+	var many []Entry
+	for i := range 2 * MostEntries {
+		many = append(many, Entry{Demand, Subject(i + 1), float64(i)})
+	}
+	many = append(many, Entry{Ready, 7, 3})
+	out, cut := add(many)
+	if len(out) != MostEntries || cut != len(many)-1-MostEntries || out[len(out)-1] != (Entry{Ready, 7, 3}) || out[0].Value != 22 {
+		t.Errorf("%d entries, %d cut: %v", len(out), cut, out)
 	}
 }
 
-// What may be older than a reader can use is not in the answer, and is counted; nothing known is unknown, not nought.
-func TestReadersGetUnknownRatherThanAGuess(t *testing.T) {
-	s := store(t, 1, options())
-	if a := s.Ask(0, Held, 7, time.Second); len(a.Facts) != 0 || a.Most != 0 || a.Older != 0 {
-		t.Errorf("of a subject that nobody told of: %+v", a)
+// A hop counts as the time since the receiver's own token, less that for which the sender says it had it; with none, and
+// with one that cannot be, nothing is taken.
+func TestHopsAreBoundedByTheReceiversOwnToken(t *testing.T) {
+	m := machine(t, 0, peer(0, 0), peer(1, 0), peer(2, 1))
+	m.now = 10 * time.Second
+	token := m.stamp(9 * time.Second)
+	for _, c := range []struct {
+		name string
+		echo uint32
+		held uint16
+		most time.Duration
+		ok   bool
+	}{
+		{"a second, of which it held it for 900 ms", token, 900, 104 * ms, true},
+		{"not held at all", token, 0, 1004 * ms, true},
+		{"held for longer than it was away", token, 1100, 0, false},
+		{"none", 0, 0, 0, false},
+		{"of another life", token - 1<<20, 0, 0, false},
+		{"of the future", token + 5000, 0, 0, false},
+	} {
+		d, ok := m.hop(Message{Echo: c.echo, Held: c.held})
+		if ok != c.ok || d > c.most || ok && d < c.most-10*ms {
+			t.Errorf("%s: %v, %v; want about %v, %v", c.name, d, ok, c.most, c.ok)
+		}
 	}
-	s.Make(0, Held, 7, 3)
-	s.Take(0, Fact{Kind: Held, Subject: 7, Author: Author{ID: 2}, Value: 5, Age: 900 * ms, Hops: 1})
-	if a := s.Ask(0, Held, 7, time.Second); len(a.Facts) != 2 || a.Most != time.Second {
-		t.Errorf("%+v; want both, the older of 900 ms and two hops of 50", a)
+	row := Row{Place: peer(2, 1).Place, Author: Author{ID: 3}, Seq: 1, From: 1, Age: 300 * ms}
+	m.Receive(m.now, Message{Kind: Down, From: 3, Token: 7, Rows: []Row{row}})
+	if v := m.Read(m.now, row.Place, Demand, 1); v.Word != Unknown || m.Dropped.Unbounded != 1 {
+		t.Errorf("%+v, %+v", v, m.Dropped)
 	}
-	if a := s.Ask(ms, Held, 7, time.Second); len(a.Facts) != 1 || a.Older != 1 || a.Facts[0].Value != 3 || a.Most != ms {
-		t.Errorf("a millisecond later: %+v; want its own alone, and one that is older", a)
+	m.Receive(m.now, Message{Kind: Down, From: 3, Token: 7, Echo: token, Held: 900, Rows: []Row{row}})
+	v := m.Read(m.now, row.Place, Demand, 1)
+	if v.Word != Fresh || v.Age < 400*ms || v.Age > 410*ms || v.From != 1 || v.Of != 1 || v.Amount != 0 {
+		t.Errorf("%+v", v)
 	}
-	s.Advance(20 * time.Second)
-	if s.Size() != 0 || s.Dropped.Late != 2 {
-		t.Errorf("%d facts are kept, %+v", s.Size(), s.Dropped)
+	// The word goes with the age; what was never told of is unknown, and so is a page that never came.
+	m.Tick(m.now + 1700*ms)
+	if v = m.Read(m.now, row.Place, Demand, 1); v.Word != Stale || v.Since > m.now || v.Age < 2*time.Second {
+		t.Errorf("%+v", v)
 	}
-}
-
-// Whatever comes, memory is bounded; own facts stay, and the youngest of others'.
-func TestMemoryIsBounded(t *testing.T) {
-	o := options()
-	o.Subjects, o.Authors = 10, 4
-	s := store(t, 1, o)
-	s.Make(0, Held, 5, 1)
-	for i := range 20000 {
-		s.Take(time.Duration(i)*ms/10, Fact{Kind: Held, Subject: Subject(i % 37), Author: Author{ID: uint64(2 + i%101)}, Seq: uint32(i), Age: time.Duration(i%13) * ms})
-		held := 0
-		for _, list := range s.topics {
-			held += len(list)
-		}
-		if held != s.Size() || held > o.Subjects*o.Authors || len(s.topics) > o.Subjects || s.waiting > 65+2*held {
-			t.Fatalf("%d facts (%d by its count) of %d subjects, %d wait", held, s.Size(), len(s.topics), s.waiting)
-		}
+	if v := m.Read(m.now, row.Place, Sent, 1); v.Word != Unknown || v.Of != 1 {
+		t.Errorf("%+v", v)
 	}
-	if a := s.Ask(2*time.Second, Held, 5, o.Keep); len(a.Facts) == 0 || a.Facts[0].Author.ID != 1 {
-		t.Errorf("its own fact is gone: %+v", a)
+	if !m.Alone(m.now) {
+		t.Error("with nothing fresh of anybody it is not alone")
 	}
-	if s.Dropped.Full == 0 {
-		t.Error("nothing was counted as dropped")
+	m.Tick(m.now + 10*time.Second)
+	if v = m.Read(m.now, row.Place, Demand, 1); v.Word != Unknown || m.Size() != 0 {
+		t.Errorf("%+v, %d rows", v, m.Size())
 	}
-	for _, f := range []Fact{{Kind: 99, Author: Author{ID: 2}}, {Kind: Held}, {Kind: Held, Author: Author{ID: 2}, Age: -1}, {Kind: Held, Author: Author{ID: 2}, Hops: 255}} {
-		before := s.Dropped.Odd
-		if s.Take(2*time.Second, f); s.Dropped.Odd != before+1 {
-			t.Errorf("%+v was taken", f)
+}
+
+// What one mistaken peer can do is bounded: rows of an author that is not of their zone, of more nodes than there are, or in
+// this node's own name are dropped, and so are parts of who is no child.
+func TestWhatAMistakenPeerSaysIsDropped(t *testing.T) {
+	m := machine(t, 0, peer(0, 0), peer(1, 0), peer(2, 1))
+	m.now = time.Second
+	echo := m.stamp(m.now)
+	good := Row{Place: peer(2, 1).Place, Author: Author{ID: 3}, Seq: 1, From: 1}
+	for name, change := range map[string]func(*Row){
+		"foreign zone":   func(r *Row) { r.Place = peer(0, 0).Place },
+		"unknown author": func(r *Row) { r.Author.ID = 99 },
+		"own name":       func(r *Row) { r.Author.ID, r.Place = 1, peer(0, 0).Place },
+		"too many nodes": func(r *Row) { r.From = 50 },
+		"too old":        func(r *Row) { r.Age = time.Minute },
+	} {
+		r := good
+		change(&r)
+		before := m.Dropped
+		if m.Receive(m.now, Message{Kind: Down, From: 2, Echo: echo, Rows: []Row{r}}); m.Dropped == before || m.Size() != 0 {
+			t.Errorf("%s: %+v, %d rows", name, m.Dropped, m.Size())
 		}
 	}
-	if s.Take(2*time.Second, Fact{Kind: Held, Subject: 5, Author: Author{ID: 1, Life: 9}, Seq: 9, Value: 9}); s.Dropped.Foreign != 1 {
-		t.Error("a fact under its own name was taken from another")
+	before := m.Dropped.Foreign
+	if m.Receive(m.now, Message{Kind: Up, From: 3, Echo: echo, Rows: []Row{good}}); m.Dropped.Foreign != before+1 {
+		t.Errorf("a part from another zone: %+v", m.Dropped)
+	}
+	if m.Receive(m.now, Message{Kind: Down, From: 77, Echo: echo, Rows: []Row{good}}); m.Size() != 0 {
+		t.Error("a stranger's row was taken")
 	}
 }
 
-// A hundred nodes, each of which hands a few facts a round to one other: what one makes all know within a dozen rounds.
-func TestFactsSpread(t *testing.T) {
-	rng := rand.New(rand.NewPCG(3, 3))
-	o := options()
-	o.Passes = 12
-	const n = 100
-	var stores []*Store
-	for i := range n {
-		stores = append(stores, store(t, uint64(i)+1, o))
-	}
-	stores[0].Make(0, Version, 1, 41)
-	rounds := 0
-	for know := 0; know < n; rounds++ {
-		if rounds > 40 {
-			t.Fatalf("after %d rounds %d of %d know", rounds, know, n)
+// Every node but the root has one parent that counts it for a child, whoever is passed over.
+func TestTreesAreTrees(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		n, fan := rapid.IntRange(1, 40).Draw(r, "nodes"), rapid.IntRange(1, 9).Draw(r, "fan")
+		down := rapid.SliceOfN(rapid.Bool(), n, n).Draw(r, "passed over")
+		var nodes []Peer
+		for i := range n {
+			nodes = append(nodes, peer(i, 0))
 		}
-		now := time.Duration(rounds) * 100 * ms
-		for _, s := range stores {
-			for _, f := range s.Hand(now, MostFacts) {
-				stores[rng.IntN(n)].Take(now, f)
+		tr := newTree(nodes, uint8(rapid.IntRange(0, 1).Draw(r, "plane")))
+		skip := func(p Peer) bool { return down[p.ID-1] }
+		sons := map[uint64]int{}
+		for i, p := range tr {
+			if skip(p) {
+				continue
+			}
+			kids := tr.children(i, fan, skip)
+			if len(kids) > mostChildren {
+				r.Fatalf("%d children", len(kids))
+			}
+			for _, c := range kids {
+				sons[c.ID]++
+				up, has := tr.parent(tr.index(c.ID), fan, skip)
+				if !has || tr[up].ID != p.ID || skip(c) {
+					r.Fatalf("%d counts %d for a child, whose parent is %d, %v", p.ID, c.ID, tr[up].ID, has)
+				}
 			}
 		}
-		know = 0
-		for _, s := range stores {
-			know += len(s.Ask(now, Version, 1, o.Keep).Facts)
+		for i, p := range tr {
+			if _, has := tr.parent(i, fan, skip); !skip(p) && has && sons[p.ID] != 1 && n <= mostChildren {
+				r.Fatalf("%d is the child of %d", p.ID, sons[p.ID])
+			}
 		}
-	}
-	t.Log(rounds, "rounds")
+	})
 }
 
 func TestOptionsOutOfRangeAreRefused(t *testing.T) {
-	for _, change := range []func(*Options){func(o *Options) { o.Hop = 0 }, func(o *Options) { o.Keep = o.Hop }, func(o *Options) { o.Subjects = 0 },
-		func(o *Options) { o.Authors = 0 }, func(o *Options) { o.Passes = 0 }} {
-		o := options()
+	for _, change := range []func(*Options){func(o *Options) { o.Fresh = Least(o.Delay) - 1 }, func(o *Options) { o.Delay = 0 }, func(o *Options) { o.Fan = 0 }, func(o *Options) { o.Fan = 33 }} {
+		o := Defaults(2 * time.Second)
 		change(&o)
-		if _, err := New(Author{ID: 1}, o); err == nil {
+		if _, err := New(0, peer(0, 0), o, 1); err == nil {
 			t.Errorf("%+v was taken", o)
 		}
 	}
+	if _, err := New(0, Peer{}, Defaults(2*time.Second), 1); err == nil {
+		t.Error("a node without an ID was taken")
+	}
+}
+
+// seeds are messages of each kind.
+func seeds() (out [][]byte) {
+	row := Row{Place: 1 << 31, Plane: 1, Page: 1, Author: Author{1, 2}, Seq: 3, Age: 4 * ms, From: 5, Entries: []Entry{{Sent, 6, 7.5}, {Lag, 8, 1e-9}}}
+	for _, m := range []Message{{Kind: Up, From: 1, Rows: []Row{row}}, {Kind: Down, From: 2, Token: 1, Echo: 2, Held: 3, Rows: []Row{row, {Author: Author{ID: 9}, Age: mostAge + 1, From: 1 << 20}}},
+		{Kind: Tell, From: 3}, {Kind: Ask, From: 4, Wants: []Want{{1, time.Second}, {2, time.Hour * 99}}}} {
+		out = append(out, Append(nil, m))
+	}
+	return out
 }
 
 func FuzzParse(f *testing.F) {
-	f.Add(Append(nil, Fact{Kind: Held, Subject: 1 << 63, Author: Author{1, 2}, Seq: 3, Value: 4, Age: 5 * ms, Hops: 6}))
-	f.Add(Append(nil, Fact{Kind: Version, Author: Author{1 << 63, 1<<32 - 1}, Age: maxAge + time.Hour}, Fact{Kind: Sent, Author: Author{ID: 9}, Age: 1}))
-	f.Add([]byte("too short"))
+	for _, b := range seeds() {
+		f.Add(b)
+		f.Add(b[:len(b)-1])
+	}
+	f.Add([]byte{Version + 1, 1})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		facts, err := Parse(b)
+		m, err := Parse(b)
 		if err != nil {
-			if len(facts) > 0 {
-				t.Error("facts of malformed bytes")
+			if !reflect.DeepEqual(m, Message{}) {
+				t.Error("something of a malformed message")
 			}
 			return
 		}
-		if got := Append(nil, facts...); string(got) != string(b) {
+		if got := Append(nil, m); string(got) != string(b) {
 			t.Errorf("%x is written as %x", b, got)
 		}
-		s := store(t, 1, options())
-		for _, x := range facts {
-			s.Take(0, x)
-		}
-		if s.Size() > len(facts) {
-			t.Error("more facts than came")
-		}
+		k := machine(t, 0, peer(0, 0), peer(1, 0), peer(2, 1))
+		k.Receive(time.Second, m)
 	})
 }
 
-func BenchmarkTakeAndHand(b *testing.B) {
-	o := options()
-	o.Subjects, o.Authors = 400, 300
-	s, _ := New(Author{ID: 1}, o)
-	for i := range 60 * 300 {
-		s.Take(0, Fact{Kind: Held, Subject: Subject(i % 60), Author: Author{ID: uint64(2 + i/60)}, Seq: 1})
+// Ages are rounded up and amounts kept to seven digits; what is as long as may be fits.
+func TestMessagesKeepWhatTheySay(t *testing.T) {
+	var entries []Entry
+	for i := range MostEntries {
+		entries = append(entries, Entry{Demand, Subject(i), 1000.0 / 3})
+	}
+	m := Message{Kind: Down, From: 1, Rows: []Row{{Author: Author{ID: 1}, Age: 1500*time.Microsecond + 1, Entries: entries}}}
+	b := Append(nil, m)
+	got, err := Parse(b)
+	if err != nil || len(b) > MaxMessage || got.Rows[0].Age != 2*ms || math.Abs(got.Rows[0].Entries[3].Value-1000.0/3) > 0.0001 {
+		t.Errorf("%d bytes, %v: %+v", len(b), err, got)
+	}
+}
+
+func BenchmarkWave(b *testing.B) {
+	var all []Peer
+	for i := range 300 {
+		all = append(all, peer(i, i%6))
+	}
+	m := machine(b, 0, all...)
+	row := Row{Place: peer(1, 1).Place, From: 50}
+	for i := range 10 {
+		row.Entries = append(row.Entries, Entry{Demand, Subject(i), 1})
+	}
+	for i := range 300 {
+		m.links[uint64(i)+1] = &link{}
 	}
-	seq := uint32(1)
-	b.ResetTimer()
+	row.Author.ID = m.view.trees[row.Place][0][0].ID
+	now := time.Second
 	for b.Loop() {
-		seq++
-		for k := range MostFacts {
-			s.Take(time.Duration(seq)*ms, Fact{Kind: Held, Subject: Subject(int(seq) % 60), Author: Author{ID: uint64(2 + k)}, Seq: seq})
-		}
-		if len(s.Hand(time.Duration(seq)*ms, MostFacts)) != MostFacts {
-			b.Fatal(fmt.Sprint("nothing to hand on"))
-		}
+		now += ms
+		row.Seq++
+		m.Receive(now, Message{Kind: Down, From: row.Author.ID, Echo: m.stamp(now), Rows: []Row{row}})
+	}
+}
+
+func BenchmarkView(b *testing.B) {
+	var all []Peer
+	for i := range 300 {
+		all = append(all, peer(i, i%6))
+	}
+	for b.Loop() {
+		NewView(all)
 	}
 }
--- /dev/null
+++ b/internal/facts/read.go
@@ -0,0 +1,139 @@
+package facts
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Word says whether what is known of a zone is young enough.
+type Word uint8
+
+// Words.
+const (
+	Unknown Word = iota // nothing is known, or nothing that is young enough to be kept
+	Stale               // what is known is older than Fresh
+	Fresh               // a row of nodes of the zone is known that is not older
+)
+
+var wordNames = [...]string{"unknown", "stale", "fresh"}
+
+func (w Word) String() string { return wordNames[min(int(w), len(wordNames)-1)] }
+
+// said is the word for a zone.
+type said struct {
+	word  Word
+	since time.Duration
+}
+
+// judge has each zone's word be that of now.
+func (m *Machine) judge() {
+	for at, z := range m.words {
+		word := Unknown
+		if b, found := m.store.best(m.now, at, 0, m.o.Fresh); found {
+			if word = Stale; m.now-b.made <= m.o.Fresh {
+				word = Fresh
+			}
+		}
+		if word != z.word {
+			if !(word == Unknown && z.word == Stale) {
+				z.since = m.now // unknown since it was stale
+			}
+			z.word = word
+		}
+	}
+}
+
+// Zone is what is known of one.
+type Zone struct {
+	Place Place
+	Word  Word
+	Since time.Duration // time of this node's clock from which on Word holds; of Unknown after Stale, from which on it was Stale
+	Age   time.Duration // of the oldest part in what is known, at most; 0 where nothing is
+	From  int           // nodes whose parts are in it
+	Of    int           // nodes that live there, as the membership has it
+}
+
+// Zones tells of all zones, by their places.
+func (m *Machine) Zones(now time.Duration) (out []Zone) {
+	m.now = max(m.now, now)
+	m.judge()
+	for at := range m.words {
+		out = append(out, m.zone(at))
+	}
+	slices.SortFunc(out, func(a, b Zone) int { return cmp.Compare(a.Place, b.Place) })
+	return out
+}
+
+func (m *Machine) zone(at Place) Zone {
+	z := m.words[at]
+	if z == nil {
+		return Zone{Place: at}
+	}
+	out := Zone{Place: at, Word: z.word, Since: z.since, Of: len(m.view.trees[at][0])}
+	if b, found := m.store.best(m.now, at, 0, m.o.Fresh); found && z.word != Unknown {
+		out.Age, out.From = m.now-b.made, b.From
+	}
+	return out
+}
+
+// Alone says that this node knows of nobody who lives, or of nobody but itself anything fresh: what it knows is its own.
+func (m *Machine) Alone(now time.Duration) bool {
+	m.now = max(m.now, now)
+	for at, trees := range m.view.trees {
+		others := len(trees[0])
+		if at == m.self.Place {
+			others--
+		}
+		if others == 0 {
+			continue
+		}
+		if b, found := m.store.best(m.now, at, 0, m.o.Fresh); found && m.now-b.made <= m.o.Fresh && (at != m.self.Place || b.From > 1) {
+			return false
+		}
+	}
+	return true
+}
+
+// Value is what is known of a subject in a zone.
+type Value struct {
+	Zone           // of the row that it is from
+	Amount float64 // nought where nothing was said of the subject
+}
+
+// Read tells what nodes of a zone say of a subject. A reader that takes no notice of Word takes a guess.
+func (m *Machine) Read(now time.Duration, of Place, k Kind, s Subject) Value {
+	m.now = max(m.now, now)
+	m.judge()
+	v := Value{Zone: m.zone(of)}
+	b, found := m.store.best(m.now, of, k.page(), m.o.Fresh)
+	if !found {
+		return Value{Zone: Zone{Place: of, Of: v.Of}}
+	}
+	v.Age, v.From = max(v.Age, m.now-b.made), b.From
+	if v.Age > m.o.Fresh {
+		v.Word = min(v.Word, Stale)
+	}
+	for _, e := range b.Entries {
+		if e.Kind == k && e.Subject == s {
+			v.Amount = e.Value
+		}
+	}
+	return v
+}
+
+// Row is what is known of a zone's page; false: nothing.
+func (m *Machine) Row(now time.Duration, of Place, k Kind) (Row, bool) {
+	m.now = max(m.now, now)
+	b, found := m.store.best(m.now, of, k.page(), m.o.Fresh)
+	return b.out(m.now), found
+}
+
+// Size is how many rows and children's parts are held.
+func (m *Machine) Size() int {
+	n := m.store.size()
+	for _, p := range m.planes {
+		n += len(p.parts)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/facts/tree.go
@@ -0,0 +1,161 @@
+package facts
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// planes is in how many trees each zone's nodes stand.
+const planes = 2
+
+// Peer is another node, as the membership has it.
+type Peer struct {
+	ID      uint64
+	Addr    netip.AddrPort
+	Place   Place
+	Suspect bool // it is held for suspect
+	Gone    bool // dead or left: it stands in no tree, and its zone is still one
+}
+
+// rank is a node's place in its zone's tree of a plane: by a hash of its ID.
+func rank(id uint64, plane uint8) uint64 { return mix(id ^ uint64(plane+1)*golden) }
+
+// tree is one zone's nodes in the order of a plane: the children of the i-th are those from i*fan+1 on, as in a heap.
+type tree []Peer
+
+func newTree(nodes []Peer, plane uint8) tree {
+	t := slices.Clone(nodes)
+	slices.SortFunc(t, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(rank(a.ID, plane), rank(b.ID, plane)), cmp.Compare(a.ID, b.ID))
+	})
+	return t
+}
+
+func (t tree) index(id uint64) int {
+	return slices.IndexFunc(t, func(p Peer) bool { return p.ID == id })
+}
+
+// level is how far the i-th is from the root.
+func level(i, fan int) (n int) {
+	for ; i > 0; i = (i - 1) / fan {
+		n++
+	}
+	return n
+}
+
+// mostChildren bounds whom a node sends to in a tree, those of children that it passes over among them.
+const mostChildren = 32
+
+// root is the first that is not passed over.
+func (t tree) root(skip func(Peer) bool) int {
+	for i, p := range t {
+		if !skip(p) {
+			return i
+		}
+	}
+	return 0
+}
+
+// parent is whom the i-th sends its parts to; the root has none.
+func (t tree) parent(i, fan int, skip func(Peer) bool) (int, bool) {
+	root := t.root(skip)
+	if i == root {
+		return 0, false
+	}
+	for i > 0 {
+		if i = (i - 1) / fan; !skip(t[i]) {
+			return i, true
+		}
+	}
+	return root, true
+}
+
+// children are those whose parts the i-th adds up: its own, and those of such as are passed over, but for itself.
+func (t tree) children(i, fan int, skip func(Peer) bool) (out []Peer) {
+	var below func(int)
+	below = func(at int) {
+		for c := at*fan + 1; c <= at*fan+fan && c < len(t) && len(out) < mostChildren; c++ {
+			switch {
+			case c == i:
+			case skip(t[c]):
+				below(c)
+			default:
+				out = append(out, t[c])
+			}
+		}
+	}
+	below(i)
+	if root := t.root(skip); root == i && i > 0 {
+		below(0)
+	}
+	return out
+}
+
+// View is who there is, as the membership of a node has it. It never changes, and may be shared.
+type View struct {
+	peers  map[uint64]Peer
+	living []Peer // by their IDs
+	trees  map[Place]*[planes]tree
+}
+
+// NewView makes one of all that the membership knows, the node itself among them.
+func NewView(all []Peer) *View {
+	v := &View{peers: make(map[uint64]Peer, len(all)), trees: map[Place]*[planes]tree{}}
+	by := map[Place][]Peer{}
+	for _, p := range all {
+		v.peers[p.ID] = p
+		list := by[p.Place]
+		if !p.Gone {
+			list = append(list, p)
+			v.living = append(v.living, p)
+		}
+		by[p.Place] = list // a zone of which nobody lives is one still
+	}
+	slices.SortFunc(v.living, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	for at, list := range by {
+		v.trees[at] = new([planes]tree)
+		for plane := range uint8(planes) {
+			v.trees[at][plane] = newTree(list, plane)
+		}
+	}
+	return v
+}
+
+// See takes a view in which the node itself lives.
+func (m *Machine) See(now time.Duration, v *View) {
+	m.now = max(m.now, now)
+	m.view = v
+	for at := range v.trees {
+		if m.words[at] == nil {
+			m.words[at] = &said{since: m.now}
+		}
+	}
+	for at := range m.words {
+		if v.trees[at] == nil {
+			delete(m.words, at)
+		}
+	}
+	for id := range m.links {
+		if _, known := v.peers[id]; !known {
+			delete(m.links, id)
+		}
+	}
+}
+
+// standing is this node's tree of a plane, and its place in it.
+func (m *Machine) standing(plane uint8) (tree, int) {
+	t := m.view.trees[m.self.Place][plane]
+	return t, t.index(m.self.ID)
+}
+
+// skip says that a node is passed over in trees: the membership suspects it, and this node has heard nothing of it either.
+// A suspicion alone is too often false where messages are lost, and silence alone may be the link's.
+func (m *Machine) skip(p Peer) bool {
+	if !p.Suspect || p.ID == m.self.ID {
+		return false
+	}
+	l := m.links[p.ID]
+	return l == nil || m.now-l.heard > 2*m.o.period()
+}
--- a/internal/members/codec.go
+++ b/internal/members/codec.go
@@ -80,7 +80,19 @@
 			b = binary.BigEndian.AppendUint16(b, p.Addr.Port())
 		}
 	}
-	return append(b, tag(b, key)...)
+	return Seal(b, key)
+}
+
+// Seal adds the tag of a key to what a datagram says.
+func Seal(b, key []byte) []byte { return append(b, tag(b, key)...) }
+
+// Unseal takes the tag off a datagram; false: it is of another key.
+func Unseal(b, key []byte) (body []byte, ok bool) {
+	if len(b) < tagSize {
+		return nil, false
+	}
+	body = b[:len(b)-tagSize]
+	return body, hmac.Equal(tag(body, key), b[len(b)-tagSize:])
 }
 
 func tag(b, key []byte) []byte {
@@ -105,8 +117,8 @@
 	if len(b) < headSize+tagSize || len(b) > MaxDatagram {
 		return m, fmt.Errorf("%w: %d bytes", ErrMalformed, len(b))
 	}
-	body := b[:len(b)-tagSize]
-	if !hmac.Equal(tag(body, key), b[len(b)-tagSize:]) {
+	body, ok := Unseal(b, key)
+	if !ok {
 		return m, ErrStrange
 	}
 	if body[0] != version {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -207,6 +207,8 @@
 	pulling time.Duration
 	out     []Packet
 
+	changes int
+
 	// Twins counts words of an own life that this process did not have, beyond the first: another process under its name.
 	Twins int
 }
@@ -363,7 +365,13 @@
 			m.hold(k, k.life, Dead)
 		}
 	}
-	m.members = slices.DeleteFunc(m.members, func(k *member) bool { return k.status >= Dead && m.now-k.since >= m.o.Forget })
+	m.members = slices.DeleteFunc(m.members, func(k *member) bool {
+		forgotten := k.status >= Dead && m.now-k.since >= m.o.Forget
+		if forgotten {
+			m.changes++
+		}
+		return forgotten
+	})
 	if p := &m.probe; p.running && p.asked == 0 && m.now >= p.ask {
 		m.ask()
 	}
@@ -582,6 +590,7 @@
 				m.Twins++
 			}
 			m.life, m.own = u.Life+1, 0
+			m.changes++
 		}
 		return
 	}
@@ -596,6 +605,7 @@
 			k.voices = []ID{u.By}
 		}
 		m.members = slices.Insert(m.members, i, k)
+		m.changes++
 		return
 	}
 	switch {
@@ -617,6 +627,7 @@
 // hold has a member be of a life and a status from now on.
 func (m *Machine) hold(k *member, life uint32, s Status) {
 	k.life, k.status, k.since, k.sent, k.voices = life, s, m.now, 0, nil
+	m.changes++
 }
 
 // suspect adds a voice against a member. A few are enough: more would end the suspicion no sooner.
@@ -667,6 +678,9 @@
 	return out
 }
 
+// Changes grows with each change of who is known, of their lives and statuses, and of the own life.
+func (m *Machine) Changes() int { return m.changes }
+
 // Self is the node's own ID and life.
 func (m *Machine) Self() (ID, uint32) { return m.id, m.life }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"time"
 
 	"woodpick/internal/callers"
 	"woodpick/internal/clock"
@@ -201,6 +202,7 @@
 	defer n.close()
 	if n.peers != nil {
 		n.behind(func() { n.peers.Run(n.life) })
+		n.behind(func() { n.tellPeers(n.life, time.Duration(n.Config().Node.Peers.Fresh)) })
 	}
 	if n.options.Line != nil {
 		n.behind(func() { n.options.Line.Watch(n.life, n.share) })
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"woodpick/internal/config"
+	"woodpick/internal/facts"
 	"woodpick/internal/members"
 	"woodpick/internal/peers"
 )
@@ -37,7 +38,13 @@
 		}
 		o.Seeds = append(o.Seeds, seed)
 	}
-	n.peers, err = peers.Open(peers.Options{Listen: p.Listen, Key: key, Members: o, Clock: n.clock, Log: n.log,
+	var fo *facts.Options
+	if p.Fresh > 0 {
+		d := facts.Defaults(time.Duration(p.Fresh))
+		d.Delay = time.Duration(p.Delay)
+		fo = &d
+	}
+	n.peers, err = peers.Open(peers.Options{Listen: p.Listen, Key: key, Members: o, Facts: fo, Clock: n.clock, Log: n.log,
 		Self: members.Peer{Name: c.Name, Addr: addr, Region: p.Region, Zone: c.Zone, Listens: p.ListenOnly}})
 	return err
 }
--- /dev/null
+++ b/internal/peers/exchange.go
@@ -0,0 +1,169 @@
+package peers
+
+import (
+	"fmt"
+	"time"
+
+	"woodpick/internal/facts"
+	"woodpick/internal/members"
+)
+
+// Seen is what a node sees itself, for the exchange, and the names of what it is about.
+type Seen struct {
+	Entries []facts.Entry
+	Names   map[facts.Subject]string
+}
+
+// Facts is what a Room knows of zones.
+type Facts struct {
+	Fresh   time.Duration  `json:"fresh"` // that the file asks for
+	Alone   bool           `json:"alone"` // nothing fresh is known of anybody else
+	Zones   []Zone         `json:"zones"`
+	Rows    int            `json:"rows"` // that are held, children's parts among them
+	Dropped facts.Dropped  `json:"dropped"`
+	Sent    map[string]int `json:"sent"` // messages by kind
+}
+
+// Zone is what is known of one.
+type Zone struct {
+	Region string        `json:"region,omitempty"`
+	Zone   string        `json:"zone"`
+	Word   string        `json:"word"`          // fresh, stale, unknown
+	For    time.Duration `json:"for"`           // how long that has been so; of unknown after stale, for how long it was not fresh
+	Age    time.Duration `json:"age,omitempty"` // of the oldest part, at most
+	From   int           `json:"from"`          // nodes whose parts are in it
+	Of     int           `json:"of"`            // nodes that live there
+	Told   []Told        `json:"told,omitempty"`
+}
+
+// Told is one figure.
+type Told struct {
+	What   string        `json:"what"`
+	Of     string        `json:"of"` // the subject's name, or its number where the node knows no name
+	Amount float64       `json:"amount"`
+	Age    time.Duration `json:"age"`
+	From   int           `json:"from"`
+}
+
+// whats name kinds for people.
+var whats = map[facts.Kind]string{facts.Demand: "demand", facts.Refused: "refused", facts.Open: "open", facts.Ready: "ready", facts.Warm: "warm",
+	facts.Newest: "newest", facts.Oldest: "oldest", facts.Made: "made", facts.Sent: "sent", facts.Bad: "bad", facts.Lag: "lag",
+	facts.Trouble: "trouble", facts.Held: "held", facts.Sketch: "sketch"}
+
+// exchange is a Room's part in facts.
+type exchange struct {
+	machine *facts.Machine
+	o       facts.Options
+	places  map[facts.Place][2]string // region and zone
+	names   map[facts.Subject]string
+	words   map[facts.Place]facts.Word // as were logged last
+	changes int                        // of the membership, that the machine has seen
+	sent    [facts.Ask + 1]int
+}
+
+func newExchange(o Options, id members.ID, seed uint64) (*exchange, error) {
+	self := facts.Peer{ID: uint64(id), Addr: o.Self.Addr, Place: facts.PlaceOf(o.Self.Region, o.Self.Zone)}
+	m, err := facts.New(o.Clock.Now(), self, *o.Facts, seed)
+	if err != nil {
+		return nil, err
+	}
+	x := &exchange{machine: m, o: *o.Facts, words: map[facts.Place]facts.Word{}, changes: -1}
+	return x, nil
+}
+
+// follow has the machine see the membership as it is now.
+func (r *Room) follow() {
+	x := r.exchange
+	if x == nil || x.changes == r.machine.Changes() {
+		return
+	}
+	x.changes = r.machine.Changes()
+	id, life := r.machine.Self()
+	self := r.o.Self
+	at := facts.PlaceOf(self.Region, self.Zone)
+	all := []facts.Peer{{ID: uint64(id), Addr: self.Addr, Place: at}}
+	x.places = map[facts.Place][2]string{at: {self.Region, self.Zone}}
+	for _, k := range r.machine.Members() {
+		at := facts.PlaceOf(k.Region, k.Zone)
+		x.places[at] = [2]string{k.Region, k.Zone}
+		all = append(all, facts.Peer{ID: uint64(k.ID), Addr: k.Addr, Place: at, Suspect: k.Status == members.Suspect, Gone: k.Status > members.Suspect})
+	}
+	x.machine.SetLife(life)
+	x.machine.See(r.o.Clock.Now(), facts.NewView(all))
+}
+
+// pass sends what the exchange has to say, within the room's purse.
+func (r *Room) pass(packets []facts.Packet) {
+	for _, p := range packets {
+		if r.write(members.Seal(facts.Append(nil, p.Message), r.o.Key), p.To) {
+			r.exchange.sent[p.Kind]++
+		}
+	}
+}
+
+// Tell hands in what the node sees now. It never blocks; of two that wait, the later holds.
+func (r *Room) Tell(s Seen) {
+	select {
+	case <-r.seen:
+	default:
+	}
+	select {
+	case r.seen <- s:
+	default:
+	}
+}
+
+// set takes what the node sees.
+func (r *Room) set(s Seen) {
+	if x := r.exchange; x != nil {
+		x.names = s.Names
+		x.machine.Set(r.o.Clock.Now(), facts.Sort(append(s.Entries, made()...)))
+	}
+}
+
+// tellZones logs each change of what is known of a zone.
+func (r *Room) tellZones() {
+	x := r.exchange
+	now := r.o.Clock.Now()
+	for _, z := range x.machine.Zones(now) {
+		if was, told := x.words[z.Place]; !told || was != z.Word {
+			x.words[z.Place] = z.Word
+			r.o.Log.Info("zone", "region", x.places[z.Place][0], "zone", x.places[z.Place][1], "facts", z.Word, "from", z.From, "of", z.Of)
+		}
+		if short := underReported(x.machine.Read(now, z.Place, facts.Made, 0)); short > 0 {
+			r.o.Log.Error("an age was under-reported", "zone", x.places[z.Place][1], "by", short)
+		}
+	}
+}
+
+// status tells what is known, by region and zone.
+func (x *exchange) status(now time.Duration) *Facts {
+	f := &Facts{Fresh: x.o.Fresh, Alone: x.machine.Alone(now), Rows: x.machine.Size(), Dropped: x.machine.Dropped, Sent: map[string]int{}}
+	for kind, name := range map[facts.MessageKind]string{facts.Up: "parts", facts.Down: "rows", facts.Tell: "answers", facts.Ask: "questions"} {
+		f.Sent[name] = x.sent[kind]
+	}
+	for _, z := range x.machine.Zones(now) {
+		out := Zone{Region: x.places[z.Place][0], Zone: x.places[z.Place][1], Word: z.Word.String(), For: now - z.Since, Age: z.Age, From: z.From, Of: z.Of}
+		for _, page := range []facts.Kind{facts.Demand, facts.Sent, facts.Trouble, facts.Sketch} {
+			row, found := x.machine.Row(now, z.Place, page)
+			for _, e := range row.Entries {
+				what, known := whats[e.Kind]
+				if !known {
+					what = fmt.Sprintf("kind %#x", uint8(e.Kind))
+				}
+				name, known := x.names[e.Subject]
+				switch {
+				case e.Kind == facts.Sketch:
+					name = fmt.Sprintf("under %v", time.Duration(1<<min(uint(e.Subject), 40))*time.Microsecond)
+				case !known:
+					name = fmt.Sprintf("%#08x", uint32(e.Subject))
+				}
+				if found {
+					out.Told = append(out.Told, Told{what, name, e.Value, row.Age, row.From})
+				}
+			}
+		}
+		f.Zones = append(f.Zones, out)
+	}
+	return f
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,5 +1,5 @@
 // Package peers is the one room that carries datagrams between nodes: a UDP socket, the cluster's key, and a bound on what
-// goes out. It decides nothing: who lives is internal/members'.
+// goes out. It decides nothing: who lives is internal/members', and what nodes tell one another is internal/facts'.
 package peers
 
 import (
@@ -14,9 +14,11 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"woodpick/internal/clock"
+	"woodpick/internal/facts"
 	"woodpick/internal/members"
 )
 
@@ -50,6 +52,7 @@
 	Listen  string // address of the UDP socket
 	Key     []byte
 	Members members.Options
+	Facts   *facts.Options // nil: no facts are told, and none are taken
 	Clock   clock.Clock
 	Log     *slog.Logger
 }
@@ -60,33 +63,41 @@
 
 // Room is one node's.
 type Room struct {
-	o       Options
-	conn    *net.UDPConn
-	machine *members.Machine
-	in      chan letter
-	asks    chan chan Status
-	done    chan struct{}
-	started chan struct{}
-	held    map[string]members.Status // as was logged last
-	counts  Counts
-	purse   float64 // bytes that may go out
-	filled  time.Duration
+	o        Options
+	conn     *net.UDPConn
+	machine  *members.Machine
+	exchange *exchange // nil: none
+	seen     chan Seen
+	in       chan letter
+	asks     chan chan Status
+	done     chan struct{}
+	started  chan struct{}
+	held     map[string]members.Status // as was logged last
+	logged   int                       // changes of the membership that were
+	counts   Counts
+	lost     atomic.Int64
+	purse    float64 // bytes that may go out
+	filled   time.Duration
 }
 
 // letter is what came in.
 type letter struct {
 	from netip.AddrPort
 	msg  members.Message
+	told *facts.Message // nil: msg is the membership's
 	err  error
 }
 
 // Counts are of datagrams since the start.
 type Counts struct {
 	Sent      int64 `json:"sent"`
+	Bytes     int64 `json:"bytes"` // of these, without the headers of UDP and IP
 	Received  int64 `json:"received"`
-	Strange   int64 `json:"strange"`   // of another key
-	Malformed int64 `json:"malformed"` // or of another version
-	Paced     int64 `json:"paced"`     // not sent, for too much went out
+	Strange   int64 `json:"strange"` // of another key
+	Malformed int64 `json:"malformed"`
+	Other     int64 `json:"other"` // of another version, or facts where none are taken
+	Lost      int64 `json:"lost"`  // came faster than they were taken
+	Paced     int64 `json:"paced"` // not sent, for too much went out
 }
 
 // Status is what a Room knows.
@@ -96,6 +107,7 @@
 	Twins   int      `json:"twins"`      // words of lives under this name that were none of this process's
 	Members []Member `json:"members"`
 	Counts  Counts   `json:"datagrams"`
+	Facts   *Facts   `json:"facts,omitempty"`
 }
 
 // Member is what is known of another node.
@@ -128,8 +140,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
-	return &Room{o: o, conn: conn, machine: m, in: make(chan letter, 256), asks: make(chan chan Status), done: make(chan struct{}),
-		started: make(chan struct{}), held: map[string]members.Status{}}, nil
+	r := &Room{o: o, conn: conn, machine: m, seen: make(chan Seen, 1), in: make(chan letter, 256), asks: make(chan chan Status), done: make(chan struct{}),
+		started: make(chan struct{}), held: map[string]members.Status{}, logged: -1}
+	if o.Facts != nil {
+		id, _ := m.Self()
+		if r.exchange, err = newExchange(o, id, binary.LittleEndian.Uint64(seed[:])+1); err != nil {
+			conn.Close()
+			return nil, fmt.Errorf("peers: %w", err)
+		}
+	}
+	return r, nil
 }
 
 // Addr is where it listens.
@@ -152,11 +172,33 @@
 			r.take(l)
 		case to := <-r.asks:
 			to <- r.status()
+		case s := <-r.seen:
+			r.set(s)
 		case <-timer.C:
-			r.send(r.machine.Tick(r.o.Clock.Now()))
+			r.tick()
 		}
 		r.tell()
-		timer.Reset(max(0, r.o.Clock.Until(r.machine.Next())))
+		r.follow()
+		timer.Reset(max(0, r.o.Clock.Until(r.next())))
+	}
+}
+
+// next is when tick is due.
+func (r *Room) next() time.Duration {
+	if r.exchange == nil {
+		return r.machine.Next()
+	}
+	return min(r.machine.Next(), r.exchange.machine.Next())
+}
+
+func (r *Room) tick() {
+	if now := r.o.Clock.Now(); r.machine.Next() <= now {
+		r.send(r.machine.Tick(now))
+	}
+	if x := r.exchange; x != nil && x.machine.Next() <= r.o.Clock.Now() {
+		r.follow()
+		r.pass(x.machine.Tick(r.o.Clock.Now()))
+		r.tellZones()
 	}
 }
 
@@ -171,16 +213,37 @@
 		if err != nil {
 			continue // what an earlier datagram met at its end
 		}
-		msg, err := members.Decode(buf[:n], r.o.Key)
+		l := letter{from: netip.AddrPortFrom(from.Addr().Unmap(), from.Port())}
+		if n > 0 && buf[0] == facts.Version {
+			l.told, l.err = r.decode(buf[:n])
+		} else {
+			l.msg, l.err = members.Decode(buf[:n], r.o.Key)
+		}
 		select {
-		case r.in <- letter{netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), msg, err}:
+		case r.in <- l:
 		default:
+			r.lost.Add(1)
 		}
 	}
 }
 
+// decode reads what another tells of facts.
+func (r *Room) decode(b []byte) (*facts.Message, error) {
+	body, ok := members.Unseal(b, r.o.Key)
+	if !ok {
+		return nil, members.ErrStrange
+	}
+	m, err := facts.Parse(body)
+	return &m, err
+}
+
 func (r *Room) take(l letter) {
 	switch {
+	case l.told != nil && r.exchange == nil, errors.Is(l.err, members.ErrVersion), errors.Is(l.err, facts.ErrVersion):
+		r.counts.Other++
+	case l.err == nil && l.told != nil:
+		r.counts.Received++
+		r.pass(r.exchange.machine.Receive(r.o.Clock.Now(), *l.told))
 	case l.err == nil:
 		r.counts.Received++
 		r.send(r.machine.Receive(r.o.Clock.Now(), l.from, l.msg))
@@ -193,24 +256,35 @@
 
 // send sends what the purse allows.
 func (r *Room) send(packets []members.Packet) {
+	for _, p := range packets {
+		r.write(members.Encode(p.Message, r.o.Key), p.To)
+	}
+}
+
+// write sends a datagram if the purse allows it.
+func (r *Room) write(data []byte, to netip.AddrPort) bool {
 	now := r.o.Clock.Now()
 	r.purse = min(mostOut, r.purse+(now-r.filled).Seconds()*mostOut)
 	r.filled = now
-	for _, p := range packets {
-		data := members.Encode(p.Message, r.o.Key)
-		if r.purse < float64(len(data)) {
-			r.counts.Paced++
-			continue
-		}
-		r.purse -= float64(len(data))
-		if _, err := r.conn.WriteToUDPAddrPort(data, p.To); err == nil {
-			r.counts.Sent++
-		}
+	if r.purse < float64(len(data)) {
+		r.counts.Paced++
+		return false
 	}
+	r.purse -= float64(len(data))
+	if _, err := r.conn.WriteToUDPAddrPort(data, to); err != nil {
+		return false
+	}
+	r.counts.Sent++
+	r.counts.Bytes += int64(len(data))
+	return true
 }
 
 // tell logs what has changed of other nodes.
 func (r *Room) tell() {
+	if r.logged == r.machine.Changes() {
+		return
+	}
+	r.logged = r.machine.Changes()
 	for _, k := range r.machine.Members() {
 		if was, known := r.held[k.Name]; !known || was != k.Status {
 			r.held[k.Name] = k.Status
@@ -223,6 +297,10 @@
 	now := r.o.Clock.Now()
 	_, life := r.machine.Self()
 	s := Status{Life: life, Health: r.machine.Health(), Twins: r.machine.Twins, Counts: r.counts}
+	s.Counts.Lost = r.lost.Load()
+	if r.exchange != nil {
+		s.Facts = r.exchange.status(now)
+	}
 	for _, k := range r.machine.Members() {
 		m := Member{Name: k.Name, Addr: k.Addr.String(), Region: k.Region, Zone: k.Zone, Status: k.Status.String(), Life: k.Life, For: now - k.Since, Heard: -1}
 		if k.Heard > 0 {
--- /dev/null
+++ b/internal/peers/truth_rig.go
@@ -0,0 +1,29 @@
+//go:build rig
+
+package peers
+
+import (
+	"time"
+
+	"woodpick/internal/facts"
+)
+
+// turn is after which times are told anew: whole milliseconds up to it are kept exactly.
+const turn = 1 << 24
+
+// made tells when a part was made, by the clock that all processes of the rig's machine share and the exchange knows nothing of.
+func made() []facts.Entry {
+	return []facts.Entry{{Kind: facts.Made, Value: float64((time.Now().UnixMilli() + 1) % turn)}}
+}
+
+// underReported is by how much more an answer is old than it says.
+func underReported(v facts.Value) time.Duration {
+	if v.From == 0 || v.Word == facts.Unknown {
+		return 0
+	}
+	real := time.Duration((time.Now().UnixMilli()-int64(v.Amount)+turn)%turn) * time.Millisecond
+	if real > turn/2*time.Millisecond { // made after now, by the rounding
+		return 0
+	}
+	return max(0, real-v.Age)
+}
--- a/internal/plan/diff.go
+++ b/internal/plan/diff.go
@@ -226,7 +226,8 @@
 // effectOf is what the change of a field does.
 func effectOf(kind, path string) Effect {
 	switch kind + "." + path {
-	case "node.peers.listen", "node.peers.advertise", "node.peers.key_file", "node.peers.seeds", "node.peers.region", "node.peers.period", "node.peers.listen_only":
+	case "node.peers.listen", "node.peers.advertise", "node.peers.key_file", "node.peers.seeds", "node.peers.region", "node.peers.period", "node.peers.listen_only",
+		"node.peers.fresh", "node.peers.delay":
 		return NeedsRestart
 	case "node.name", "node.zone", "node.state_folder", "node.admin_socket", "node.management":
 		return NeedsRestart
--- a/internal/rig/experiment/file.go
+++ b/internal/rig/experiment/file.go
@@ -12,6 +12,8 @@
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
+
+	"woodpick/internal/facts"
 )
 
 // MaxFile is how long a file may be.
@@ -46,6 +48,7 @@
 		WarmUp  string   `hcl:"warm_up,optional"`
 		Measure string   `hcl:"measure,optional"`
 		Peers   string   `hcl:"peers,optional"`
+		Fresh   string   `hcl:"fresh,optional"`
 		Body    hcl.Body `hcl:",body"`
 	}
 	zoneBlock struct {
@@ -211,6 +214,7 @@
 	fill(&f.Faults, base.Faults)
 	f.Callers, f.Registry = cmp.Or(f.Callers, base.Callers), cmp.Or(f.Registry, base.Registry)
 	e, o := f.Experiment, base.Experiment
+	e.Fresh = cmp.Or(e.Fresh, o.Fresh)
 	e.Seed, e.WarmUp, e.Measure, e.Peers = cmp.Or(e.Seed, o.Seed), cmp.Or(e.WarmUp, o.WarmUp), cmp.Or(e.Measure, o.Measure), cmp.Or(e.Peers, o.Peers)
 }
 
@@ -337,6 +341,9 @@
 	return names
 }
 
+// factsDelay is what nodes' files say of the delay of datagrams by leaving it out.
+const factsDelay = 20 * time.Millisecond
+
 func (r *reader) experiment(f *file, top hcl.Range) *Experiment {
 	e := &Experiment{}
 	if f.Experiment == nil || f.Callers == nil || len(f.Zones) == 0 || len(f.Nodes) == 0 || len(f.Servers) == 0 || len(f.Classes) == 0 {
@@ -346,6 +353,9 @@
 	b := block{r, f.Experiment.Body, "experiment." + f.Experiment.Name}
 	e.Name, e.Note, e.Seed = f.Experiment.Name, f.Experiment.Note, f.Experiment.Seed
 	e.Peers = b.duration("peers", f.Experiment.Peers, 100*time.Millisecond, time.Minute)
+	if e.Fresh = b.duration("fresh", f.Experiment.Fresh, facts.Least(factsDelay), time.Minute); e.Fresh > 0 && e.Peers == 0 {
+		b.bad("fresh", "found %q; allowed: with peers", f.Experiment.Fresh)
+	}
 	e.WarmUp = b.duration("warm_up", f.Experiment.WarmUp, 0, maxLength)
 	e.Measure = b.duration("measure", f.Experiment.Measure, 100*time.Millisecond, maxLength)
 	if !goodName(e.Name) {
--- a/internal/rig/experiment/model.go
+++ b/internal/rig/experiment/model.go
@@ -16,6 +16,7 @@
 	WarmUp  time.Duration // not measured
 	Measure time.Duration
 	Peers   time.Duration // between two probes of nodes by nodes; 0: they do not know one another
+	Fresh   time.Duration // what nodes tell one another of zones is fresh until it is as old; 0: they tell nothing
 
 	Zones    []Zone
 	Nodes    []Nodes
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -54,6 +54,8 @@
 	lates   []float64     // all lateness, in seconds
 	errs    []error
 	sights  []Sight
+	words   []Word
+	short   []audit.Breach // ages that were under-reported
 	strikes []Strike
 }
 
@@ -70,6 +72,7 @@
 	Cost       Cost
 	Strikes    []Strike `json:",omitempty"`
 	Sights     []Sight  `json:",omitempty"` // what nodes came to hold of one another
+	Words      []Word   `json:",omitempty"` // what they came to say of what they know of zones
 	Logs       []string `json:",omitempty"` // the ends of the logs of nodes that ended by themselves
 }
 
@@ -90,6 +93,11 @@
 	MostOpenRig  int           // descriptors of this process
 	NodesCrashed int
 	Asks         int // of nodes to servers, how much they hold
+
+	// Of what nodes tell one another, over the whole run.
+	Datagrams     float64 `json:",omitempty"` // a second that a node sent
+	DatagramBytes float64 `json:",omitempty"` // in them, without headers of UDP and IP
+	MostBytes     float64 `json:",omitempty"` // of the node that sent most
 }
 
 // Beyond these the rig was too slow to judge others.
@@ -212,6 +220,12 @@
 // play has callers ask and faults strike until all is over.
 func (f *fleet) play(ctx context.Context) {
 	f.begin(time.Now().Add(50 * time.Millisecond))
+	f.mesh.Forget()
+	f.mu.Lock()
+	for i := range f.words { // what was said before is so when the run begins
+		f.words[i].At = 0
+	}
+	f.mu.Unlock()
 	ctx, stop := context.WithCancel(ctx)
 	var all, sampling sync.WaitGroup
 	sampling.Add(2)
@@ -288,7 +302,13 @@
 			r.Cost.LateMost.Round(time.Millisecond), r.Cost.LateP99.Round(time.Millisecond))
 	}
 	r.Breaches = f.audit.Breaches(f.worst)
-	r.Sights, r.Strikes = f.sights, f.strikes
+	r.Sights, r.Strikes, r.Words = f.sights, f.strikes, f.words
+	r.Breaches = append(r.Breaches, f.short...)
+	if seconds := f.now().Seconds(); f.e.Peers > 0 && seconds > 0 {
+		datagrams, bytes, most := f.mesh.Traffic()
+		n := float64(len(f.nodes))
+		r.Cost.Datagrams, r.Cost.DatagramBytes, r.Cost.MostBytes = float64(datagrams)/seconds/n, float64(bytes)/seconds/n, float64(most)/seconds
+	}
 	for _, n := range f.nodes {
 		if words := n.crashed(); words != "" {
 			r.Cost.NodesCrashed++
--- a/internal/rig/link/mesh.go
+++ b/internal/rig/link/mesh.go
@@ -20,13 +20,14 @@
 	lanes   map[[2]string]*lane
 	closed  bool
 	work    sync.WaitGroup
-	Stats   struct{ Sent, Lost, Doubled, Strange int }
+	Stats   struct{ Sent, Bytes, Lost, Doubled, Strange int }
 }
 
 type member struct {
 	name, zone string
 	own        netip.AddrPort // where its process listens
 	seen       *net.UDPConn   // where all others see it
+	bytes      int            // that it sent
 }
 
 // MaxDatagram is the most that a datagram holds.
@@ -72,6 +73,26 @@
 	}
 }
 
+// Traffic is what members have sent: datagrams and bytes of all, and the bytes of the one that sent most.
+func (m *Mesh) Traffic() (datagrams, bytes, most int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, k := range m.members {
+		most = max(most, k.bytes)
+	}
+	return m.Stats.Sent, m.Stats.Bytes, most
+}
+
+// Forget has Traffic begin anew.
+func (m *Mesh) Forget() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Stats.Sent, m.Stats.Bytes = 0, 0
+	for _, k := range m.members {
+		k.bytes = 0
+	}
+}
+
 func (m *Mesh) pass(to *member, addr netip.AddrPort, data []byte) {
 	now := time.Now()
 	m.mu.Lock()
@@ -86,6 +107,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.Stats.Sent++
+	m.Stats.Bytes += len(data)
+	from.bytes += len(data)
 	if s.CutThere || m.dice.under(s.Loss) {
 		m.Stats.Lost++
 		return
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -79,7 +79,7 @@
 	f := n.fleet
 	d := nodefile.Node{Index: n.index, Copies: n.copies, Zone: n.zone, Listen: n.listen, Registry: n.agent.Addr()}
 	if n.key != nil {
-		d.Peers = &nodefile.Peers{Listen: n.own, Advertise: n.seen, KeyFile: "/proc/self/fd/4", Region: f.e.Region(n.zone), Seeds: f.seeds(), Period: f.e.Peers}
+		d.Peers = &nodefile.Peers{Listen: n.own, Advertise: n.seen, KeyFile: "/proc/self/fd/4", Region: f.e.Region(n.zone), Seeds: f.seeds(), Period: f.e.Peers, Fresh: f.e.Fresh}
 	}
 	return nodefile.Text(f.e, d)
 }
@@ -139,7 +139,10 @@
 	if skew != 0 {
 		env = append(env, "DAMSONTRESTLE_CLOCK_OFF="+skew.String())
 	}
-	p, err := f.spawner.launch(f.o.Binary, n.file, n.key, keep, env, func(line string) { f.sight(n, line) })
+	p, err := f.spawner.launch(f.o.Binary, n.file, n.key, keep, env, func(line string) {
+		f.sight(n, line)
+		f.word(n, line)
+	})
 	if err != nil {
 		return fmt.Errorf("node %d: %w", n.index, err)
 	}
--- a/internal/rig/nodefile/nodefile.go
+++ b/internal/rig/nodefile/nodefile.go
@@ -27,7 +27,7 @@
 type Peers struct {
 	Listen, Advertise, KeyFile, Region string
 	Seeds                              []string
-	Period                             time.Duration
+	Period, Fresh                      time.Duration
 }
 
 // Pool is the name of the one pool.
@@ -49,6 +49,9 @@
     region    = "{{.Region}}"
 {{- end}}
     period    = "{{.Period}}"
+{{- if .Fresh}}
+    fresh     = "{{.Fresh}}"
+{{- end}}
     seeds     = [{{range $i, $s := .Seeds}}{{if $i}}, {{end}}"{{$s}}"{{end}}]
   }
 {{- end}}
--- a/internal/rig/sight.go
+++ b/internal/rig/sight.go
@@ -1,10 +1,13 @@
 package rig
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
+
+	"woodpick/internal/rig/audit"
 )
 
 // Sight is what a node came to hold of another, when its log said so.
@@ -108,3 +111,109 @@
 	}
 	return held
 }
+
+// Word is what a node came to say of what it knows of a zone, when its log said so.
+type Word struct {
+	At       time.Duration
+	Node     int
+	Zone     string
+	Facts    string // fresh, stale, unknown
+	From, Of int    // nodes of the zone that were in it, and that it holds for alive
+}
+
+// word takes a line of a node's log, if it tells of a zone, or of an age that was under-reported: only a build for the rig
+// knows of that.
+func (f *fleet) word(n *node, line string) {
+	_, rest, found := strings.Cut(line, "msg=zone ")
+	if !found {
+		if strings.Contains(line, `msg="an age was under-reported"`) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.short = append(f.short, audit.Breach{Rule: "age", At: f.now(), Words: fmt.Sprintf("node %d: %s", n.index, line)})
+		}
+		return
+	}
+	w := Word{At: f.now(), Node: n.index}
+	for _, word := range strings.Fields(rest) {
+		name, value, _ := strings.Cut(word, "=")
+		switch name {
+		case "zone":
+			w.Zone = value
+		case "facts":
+			w.Facts = value
+		case "from":
+			fmt.Sscan(value, &w.From)
+		case "of":
+			fmt.Sscan(value, &w.Of)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.words = append(f.words, w)
+}
+
+// Freshness tells how much of the time nodes had fresh facts.
+type Freshness struct {
+	Share   float64       // of node, zone and time, while the node was not struck
+	Longest time.Duration // that a node was without fresh facts of a zone
+	Median  time.Duration // of the stretches without
+	Gaps    int           // such stretches
+}
+
+// Fresh works it out from one time of the run to another, over the zones that nodes spoke of.
+func (r *Result) Fresh(nodes int, from, to time.Duration) (out Freshness) {
+	zones := map[string]bool{}
+	by := map[int][]Word{}
+	for _, w := range r.Words {
+		zones[w.Zone] = true
+		by[w.Node] = append(by[w.Node], w)
+	}
+	var gaps []time.Duration
+	var fresh, all time.Duration
+	for i := range nodes {
+		for zone := range zones {
+			// What it said, cut into stretches by what it said and by what struck it.
+			at, word := time.Duration(0), ""
+			stretch := func(until time.Duration) {
+				a, b := max(at, from), min(until, to)
+				if b > a && word != "struck" {
+					if all += b - a; word == "fresh" {
+						fresh += b - a
+					} else {
+						gaps = append(gaps, b-a)
+					}
+				}
+				at = max(at, until)
+			}
+			type turn struct {
+				at   time.Duration
+				word string
+			}
+			var turns []turn
+			for _, w := range by[i] {
+				if w.Zone == zone {
+					turns = append(turns, turn{w.At, w.Facts})
+				}
+			}
+			for _, s := range r.Strikes {
+				if s.Node == i {
+					turns = slices.DeleteFunc(turns, func(t turn) bool { return t.at >= s.From && t.at < s.To })
+					turns = append(turns, turn{s.From, "struck"}, turn{s.To, "unknown"})
+				}
+			}
+			slices.SortStableFunc(turns, func(a, b turn) int { return cmp.Compare(a.at, b.at) })
+			for _, t := range turns {
+				stretch(t.at)
+				word = t.word
+			}
+			stretch(to)
+		}
+	}
+	if all > 0 {
+		out.Share = float64(fresh) / float64(all)
+	}
+	if slices.Sort(gaps); len(gaps) > 0 {
+		out.Gaps, out.Median, out.Longest = len(gaps), gaps[len(gaps)/2], gaps[len(gaps)-1]
+	}
+	return out
+}
