--- a/cmd/damsontrestle/command_test.go
+++ b/cmd/damsontrestle/command_test.go
@@ -332,3 +332,42 @@
 		}
 	}
 }
+
+// A node tells what it knows of others and of zones; one whose file has neither says so.
+func TestMembersAndFactsAreShown(t *testing.T) {
+	a := standin.NewServer(t, standin.Echo)
+	s := newSite(t)
+	s.write(t, s.text(a.Address()))
+	alone := s.serve(t)
+	s.want(t, 1, "its file has no peers block", "members", s.file)
+	s.want(t, 1, "its file has no peers block with fresh", "facts", s.file)
+	alone.Process.Kill()
+	alone.Wait()
+	key := filepath.Join(s.dir, "key")
+	if err := os.WriteFile(key, []byte("a key of sixteen bytes or more"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	peers := fmt.Sprintf("peers {\n listen = %q\n key_file = %q\n fresh = \"1s\"\n region = \"south\"\n}\n limits {", standin.ClosedPort(t), key)
+	s.write(t, strings.Replace(s.text(a.Address()), "limits {", peers, 1))
+	s.want(t, 1, "node.peers.fresh: found 1s; allowed: 4.27s", "validate", s.editedFile(t, `fresh = "1s"`, "fresh = \"1s\"\n delay = \"100ms\""))
+	s.serve(t, "-from-file")
+	s.want(t, 0, "0 alive, 0 suspect, 0 dead, 0 left beside this node", "members", s.file)
+	standin.Until(t, "what it knows of its own zone to be shown", func() bool {
+		out, _, _ := s.run(t, "facts", s.file)
+		return strings.Contains(out, "fresh: up to 1s") && strings.Contains(out, "ALONE") && strings.Contains(out, "newest") && strings.Contains(out, "configuration")
+	})
+}
+
+// editedFile is a copy of the file with something in another's place.
+func (s *site) editedFile(t *testing.T, from, to string) string {
+	t.Helper()
+	text, err := os.ReadFile(s.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(s.dir, "edited.hcl")
+	if err := os.WriteFile(path, []byte(strings.Replace(string(text), from, to, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -304,3 +305,43 @@
 		t.Errorf("kind %d, %d more attempts", a.Kind, len(s.attempts))
 	}
 }
+
+// Sight tells what was counted, and forgets servers that are listed no more.
+func TestSightTellsWhatHappened(t *testing.T) {
+	s := newScript()
+	l := servers("a")
+	l.Rev, l.Targets[0].Zone = 7, "z"
+	e, err := New(Options{Settings: settings(), Seed: 1, Clock: clock.New(), Backend: s, Subscribe: func() {}, Pushed: true, Count: true,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Hold(l)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go e.Run(ctx)
+	c := NewCall("1", Request{})
+	c.Class, c.At = "view", e.clock.Now()
+	c.Deadline = c.At + standin.Limit
+	e.Take(c)
+	a, end := s.expect(t)
+	is := e.Sight()
+	if is.Rev != 7 || is.Classes["view"] != (ClassSight{Calls: 1, Open: 1}) || is.Servers["a"].Held != 1 || is.Zones["z"].Ready != 1 || is.Zones["z"].Warm != 1 {
+		t.Errorf("with a call out: %+v", is)
+	}
+	end <- Outcome{Ending: woodpick.Success, At: a.Sent + 3*time.Millisecond}
+	standin.Receive(t, c.Answer(), "an answer")
+	is = e.Sight()
+	if z := is.Zones["z"]; is.Classes["view"].Open != 0 || z.Ended != 1 || z.Bad != 0 || z.Took != 3*time.Millisecond || is.Took[12] != 1 || is.Servers["a"].Held != 0 {
+		t.Errorf("after its answer: %+v", is)
+	}
+	e.TakeList(discovery.List{Full: true, Rev: 8})
+	if is = e.Sight(); len(is.Servers) != 0 || len(is.Zones) != 0 || is.Rev != 8 {
+		t.Errorf("with no server listed: %+v", is)
+	}
+	cancel()
+	<-e.Done()
+	if is = e.Sight(); is.Classes != nil {
+		t.Errorf("after its end: %+v", is)
+	}
+}
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -124,13 +124,14 @@
 // tellZones logs each change of what is known of a zone.
 func (r *Room) tellZones() {
 	x := r.exchange
+	truth := readTruth() // before the clock: nothing gets older between
 	now := r.o.Clock.Now()
 	for _, z := range x.machine.Zones(now) {
 		if was, told := x.words[z.Place]; !told || was != z.Word {
 			x.words[z.Place] = z.Word
 			r.o.Log.Info("zone", "region", x.places[z.Place][0], "zone", x.places[z.Place][1], "facts", z.Word, "from", z.From, "of", z.Of)
 		}
-		if short := underReported(x.machine.Read(now, z.Place, facts.Made, 0)); short > 0 {
+		if short := truth.short(x.machine.Read(now, z.Place, facts.Made, 0)); short > 0 {
 			r.o.Log.Error("an age was under-reported", "zone", x.places[z.Place][1], "by", short)
 		}
 	}
--- a/internal/peers/truth.go
+++ b/internal/peers/truth.go
@@ -11,5 +11,10 @@
 // made tells when a part was made, for whoever knows the truth: in this build nobody does.
 func made() []facts.Entry { return nil }
 
-// underReported is by how much more an answer is old than it says: in this build that is not known.
-func underReported(facts.Value) time.Duration { return 0 }
+// truth is what time it is, for all nodes of one machine: in this build that is not known.
+type truth struct{}
+
+func readTruth() truth { return truth{} }
+
+// short is by how much more an answer is old than it says.
+func (truth) short(facts.Value) time.Duration { return 0 }
--- a/internal/peers/truth_rig.go
+++ b/internal/peers/truth_rig.go
@@ -16,12 +16,17 @@
 	return []facts.Entry{{Kind: facts.Made, Value: float64((time.Now().UnixMilli() + 1) % turn)}}
 }
 
-// underReported is by how much more an answer is old than it says.
-func underReported(v facts.Value) time.Duration {
+// truth is what time it is, for all nodes of one machine.
+type truth int64
+
+func readTruth() truth { return truth(time.Now().UnixMilli()) }
+
+// short is by how much more an answer is old than it says.
+func (t truth) short(v facts.Value) time.Duration {
 	if v.From == 0 || v.Word == facts.Unknown {
 		return 0
 	}
-	real := time.Duration((time.Now().UnixMilli()-int64(v.Amount)+turn)%turn) * time.Millisecond
+	real := time.Duration((int64(t)%turn-int64(v.Amount)+turn)%turn) * time.Millisecond
 	if real > turn/2*time.Millisecond { // made after now, by the rounding
 		return 0
 	}
--- a/internal/rig/sight.go
+++ b/internal/rig/sight.go
@@ -185,6 +185,10 @@
 				}
 				at = max(at, until)
 			}
+			// Stale and unknown are one stretch without.
+			same := func(a, b string) bool {
+				return a == b || a != "fresh" && b != "fresh" && a != "struck" && b != "struck"
+			}
 			type turn struct {
 				at   time.Duration
 				word string
@@ -203,7 +207,9 @@
 			}
 			slices.SortStableFunc(turns, func(a, b turn) int { return cmp.Compare(a.at, b.at) })
 			for _, t := range turns {
-				stretch(t.at)
+				if !same(word, t.word) {
+					stretch(t.at)
+				}
 				word = t.word
 			}
 			stretch(to)
