One crowd on virtual time for what nodes tell of zones and of one another

Need: the machines' figures at hundreds of nodes (joins, deaths, false deaths, traffic) have to be seen before 300 processes are. The machines are unchanged.

--- /dev/null
+++ b/internal/explore/crowd/crowd.go
@@ -0,0 +1,262 @@
+// Package crowd plays large fleets of machines without I/O on virtual time: their datagrams get lost, come late, their nodes
+// sleep, die and are cut off from one another, all from a seed. What the machines are it does not know.
+package crowd
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// World is what happens to a fleet.
+type World struct {
+	Nodes, Zones int
+	Big          int           // nodes of the first zone; 0: as many as in the others
+	Delay        time.Duration // of a datagram: from a tenth of it up to it
+	Loss         float64       // share of datagrams
+	Tail         float64       // share that takes up to fifty times as long
+	Asleep       float64       // share of the nodes that sleep for SleepFor at a time, again and again
+	SleepFor     time.Duration
+	Die          float64       // share of the nodes that die half way
+	CutFrom      time.Duration // the first zone is cut off from here on
+	CutTo        time.Duration
+	OneWay       bool // what the first zone sends is lost, what it is sent is not
+	BadLink      bool // three in four of the first node's datagrams are lost, each way
+	For          time.Duration
+	Seed         uint64
+}
+
+// Check says what of a world is out of range.
+func (w World) Check() error {
+	share := func(v float64) bool { return v >= 0 && v < 1 }
+	switch {
+	case w.Nodes < 1 || w.Nodes > 20000 || w.Zones < 1 || w.Zones > w.Nodes:
+		return fmt.Errorf("crowd: %d nodes in %d zones; allowed: 1 to 20000, in up to as many", w.Nodes, w.Zones)
+	case w.Big < 0 || w.Big > w.Nodes-w.Zones+1 || w.Big > 0 && w.Big < w.Nodes && w.Zones == 1:
+		return fmt.Errorf("crowd: %d nodes of %d in the first of %d zones; allowed: so many that each has one", w.Big, w.Nodes, w.Zones)
+	case w.Delay <= 0 || w.For <= 0 || w.For > time.Hour:
+		return fmt.Errorf("crowd: a delay of %v over %v; allowed: above 0, and up to 1h", w.Delay, w.For)
+	case !share(w.Loss) || !share(w.Tail) || !share(w.Asleep) || !(w.Die >= 0 && w.Die <= 1) || w.Asleep > 0 && w.SleepFor <= 0:
+		return fmt.Errorf("crowd: loss %v, tail %v, asleep %v for %v, die %v; allowed: shares, and a time to sleep", w.Loss, w.Tail, w.Asleep, w.SleepFor, w.Die)
+	}
+	return nil
+}
+
+// ZoneOf is the zone of the i-th node.
+func (w World) ZoneOf(i int) int {
+	big := w.Big
+	if big == 0 {
+		big = (w.Nodes + w.Zones - 1) / w.Zones
+	}
+	if i < big {
+		return 0
+	}
+	return 1 + (i-big)*(w.Zones-1)/(w.Nodes-big)
+}
+
+// cut says that nothing comes from one node to another now.
+func (w World) cut(from, to int, now time.Duration) bool {
+	a, b := w.ZoneOf(from), w.ZoneOf(to)
+	return now >= w.CutFrom && now < w.CutTo && a != b && (a == 0 || b == 0 && !w.OneWay)
+}
+
+// Datagram is one on its way out.
+type Datagram struct {
+	To   int
+	Data []byte
+}
+
+// Machine is what a node does. Times are of the node's own clock.
+type Machine interface {
+	// Tick does what is due, and says when the next is.
+	Tick(now time.Duration) []Datagram
+	Next() time.Duration
+	Receive(now time.Duration, from int, data []byte) []Datagram
+}
+
+// Node is one of a fleet.
+type Node struct {
+	Machine Machine
+	Offset  time.Duration // of its clock
+	Dead    bool
+	Bytes   int // that it sent
+	Sent    int // datagrams
+
+	until time.Duration // it sleeps
+	held  []event       // what came meanwhile
+	tick  time.Duration // when the next comes
+}
+
+// event is something that happens to a node.
+type event struct {
+	at       time.Duration
+	n        uint64 // order of those at one time
+	node     int
+	from     int
+	datagram []byte // nil: the time for a tick
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// mostHeld is how many datagrams wait for a sleeper.
+const mostHeld = 200
+
+// Fleet is a world that is played.
+type Fleet struct {
+	World
+	Nodes []*Node
+	Now   time.Duration
+	Rand  *rand.Rand // of what is drawn
+	// Look is called every LookEvery; an error ends the play. Changed is called when nodes have died.
+	Look      func() error
+	LookEvery time.Duration
+	Died      func()
+
+	queue events
+	n     uint64
+}
+
+// New is a fleet without machines.
+func New(w World) (*Fleet, error) {
+	if err := w.Check(); err != nil {
+		return nil, err
+	}
+	f := &Fleet{World: w, Rand: rand.New(rand.NewPCG(w.Seed, 0xc0d))}
+	for range w.Nodes {
+		f.Nodes = append(f.Nodes, &Node{Offset: time.Duration(f.Rand.Int64N(int64(24 * time.Hour)))})
+	}
+	return f, nil
+}
+
+// Clock is what a node's clock shows.
+func (f *Fleet) Clock(i int) time.Duration { return f.Nodes[i].Offset + f.Now }
+
+// Awake says that a node is there and does not sleep.
+func (f *Fleet) Awake(i int) bool { return !f.Nodes[i].Dead && f.Nodes[i].until <= f.Now }
+
+func (f *Fleet) push(e event) {
+	f.n++
+	e.n = f.n
+	heap.Push(&f.queue, e)
+}
+
+// wake has a node tick at a time, instead of at any other.
+func (f *Fleet) wake(node int, at time.Duration) {
+	f.Nodes[node].tick = at
+	f.push(event{at: at, node: node})
+}
+
+// Play plays it to its end. Nodes begin within a while of one another.
+func (f *Fleet) Play(within time.Duration) error {
+	for i := range f.Nodes {
+		f.wake(i, time.Duration(f.Rand.Int64N(int64(within))))
+	}
+	next, died := f.LookEvery, f.Die == 0
+	for len(f.queue) > 0 {
+		e := heap.Pop(&f.queue).(event)
+		for e.at >= next && next < f.For {
+			f.Now = next
+			if err := f.Look(); err != nil {
+				return err
+			}
+			next += f.LookEvery
+		}
+		if e.at >= f.For {
+			break
+		}
+		f.Now = e.at
+		if !died && f.Now >= f.For/2 {
+			died = true
+			for _, n := range f.Nodes {
+				n.Dead = f.Rand.Float64() < f.Die
+			}
+			if f.Died != nil {
+				f.Died()
+			}
+		}
+		f.happen(e)
+	}
+	return nil
+}
+
+// happen has an event happen to its node.
+func (f *Fleet) happen(e event) {
+	n := f.Nodes[e.node]
+	if n.Dead {
+		return
+	}
+	if n.until > f.Now {
+		if e.datagram == nil {
+			f.wake(e.node, n.until)
+		} else if len(n.held) < mostHeld {
+			n.held = append(n.held, e)
+		}
+		return
+	}
+	for _, h := range n.held {
+		f.send(e.node, n.Machine.Receive(f.Clock(e.node), h.from, h.datagram))
+	}
+	n.held = nil
+	if e.datagram != nil {
+		f.send(e.node, n.Machine.Receive(f.Clock(e.node), e.from, e.datagram))
+		if due := n.Machine.Next() - n.Offset; due < n.tick {
+			f.wake(e.node, max(f.Now, due))
+		}
+		return
+	}
+	if e.at != n.tick {
+		return // another came in its stead
+	}
+	f.send(e.node, n.Machine.Tick(f.Clock(e.node)))
+	wait := max(time.Millisecond, n.Machine.Next()-f.Clock(e.node))
+	if f.Asleep > 0 && f.Rand.Float64() < f.Asleep*float64(wait)/float64(f.SleepFor)/(1-f.Asleep) {
+		n.until = f.Now + f.SleepFor
+	}
+	f.wake(e.node, f.Now+wait)
+}
+
+func (f *Fleet) send(from int, out []Datagram) {
+	n := f.Nodes[from]
+	for _, d := range out {
+		n.Bytes += len(d.Data)
+		n.Sent++
+		if f.cut(from, d.To, f.Now) || f.Rand.Float64() < f.Loss || f.BadLink && (from == 0 || d.To == 0) && f.Rand.Float64() < 0.75 {
+			continue
+		}
+		most := f.Delay
+		if f.Rand.Float64() < f.Tail {
+			most *= 50
+		}
+		f.push(event{at: f.Now + most/10 + time.Duration(f.Rand.Int64N(int64(most-most/10)+1)), node: d.To, from: from, datagram: d.Data})
+	}
+}
+
+// Traffic is what nodes that live have sent in a second, on average, and the one that sent most.
+func (f *Fleet) Traffic() (datagrams, bytes, most float64) {
+	living := 0
+	for _, n := range f.Nodes {
+		if n.Dead {
+			continue
+		}
+		living++
+		datagrams += float64(n.Sent)
+		bytes += float64(n.Bytes)
+		most = max(most, float64(n.Bytes)/f.For.Seconds())
+	}
+	per := float64(max(1, living)) * f.For.Seconds()
+	return datagrams / per, bytes / per, most
+}
