Membership: nobody is dead by rumour, words fit, deaths before newcomers

Seen with swim.Play, 300 members, period 1 s, before: 14 false deaths in 300 member-minutes at 10 % loss, 58 with a tenth asleep as well; ten dead known by 95 % after 26 s, half of the fleet's death not within 30 s; 12 KB/s a node for sleepers alone.

Ruled out: indirect probes (a second ping alone left 10 false deaths), the pace (nothing was held back).

The datagrams' version is 2: nodes of version 1 are not heard, so a fleet with peers is restarted as a whole.

--- /dev/null
+++ b/cmd/fleetlab/crowd.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"woodpick/internal/explore/crowd"
+	"woodpick/internal/explore/exchange"
+	"woodpick/internal/explore/swim"
+	"woodpick/internal/members"
+)
+
+func newCrowd() *cobra.Command {
+	var (
+		w     crowd.World
+		nodes []int
+		loss  []float64
+		seeds int
+		fresh time.Duration
+	)
+	cmd := &cobra.Command{Use: "crowd members|facts", Short: "Play large fleets of a machine on virtual time",
+		Long: "crowd plays fleets of the membership's or the exchange's machine in one process, without sockets, and prints a line for\n" +
+			"each number of nodes and share of losses, over all seeds. The truth is known: an age that was under-reported, or a\n" +
+			"datagram that nobody could read, makes the command fail.",
+		Args: cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs), ValidArgs: []string{"members", "facts"},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			out := tabwriter.NewWriter(cmd.OutOrStdout(), 2, 0, 2, ' ', 0)
+			defer out.Flush()
+			line := membersLine
+			if args[0] == "facts" {
+				line = func(out io.Writer, worlds []crowd.World) error { return factsLine(out, worlds, fresh) }
+			}
+			if err := line(out, nil); err != nil {
+				return err
+			}
+			for _, n := range nodes {
+				for _, l := range loss {
+					var worlds []crowd.World
+					for s := range seeds {
+						w := w
+						w.Nodes, w.Loss, w.Seed = n, l, w.Seed+uint64(s)
+						worlds = append(worlds, w)
+					}
+					if err := line(out, worlds); err != nil {
+						return err
+					}
+					if err := cmd.Context().Err(); err != nil {
+						return err
+					}
+				}
+			}
+			return nil
+		}}
+	f := cmd.Flags()
+	f.IntSliceVar(&nodes, "nodes", []int{300}, "how many nodes; several with commas")
+	f.Float64SliceVar(&loss, "loss", []float64{0}, "share of datagrams that get lost; several with commas")
+	f.IntVar(&seeds, "seeds", 1, "how many seeds, from the first on")
+	f.DurationVar(&fresh, "fresh", 2*time.Second, "of facts: until how old what is known is fresh")
+	f.IntVar(&w.Zones, "zones", 6, "how many zones")
+	f.IntVar(&w.Big, "big", 0, "nodes of the first zone; 0: as many as in the others")
+	f.DurationVar(&w.Delay, "delay", 10*time.Millisecond, "of a datagram, from a tenth of it up to it")
+	f.Float64Var(&w.Tail, "tail", 0, "share of datagrams that take up to fifty times as long")
+	f.Float64Var(&w.Asleep, "asleep", 0, "share of nodes that sleep at a time")
+	f.DurationVar(&w.SleepFor, "sleep", 3*time.Second, "for how long each does")
+	f.Float64Var(&w.Die, "die", 0, "share of nodes that die half way")
+	f.DurationVar(&w.CutFrom, "cut-from", 0, "when the first zone is cut off")
+	f.DurationVar(&w.CutTo, "cut-to", 0, "and until when")
+	f.BoolVar(&w.OneWay, "one-way", false, "only what the cut zone sends is lost")
+	f.BoolVar(&w.BadLink, "bad-link", false, "three in four of the first node's datagrams are lost")
+	f.DurationVar(&w.For, "for", time.Minute, "how long to play")
+	f.Uint64Var(&w.Seed, "seed", 1, "of what is drawn")
+	return cmd
+}
+
+// since is a time for the table; negative: it never came.
+func since(d time.Duration) string {
+	if d < 0 {
+		return "-"
+	}
+	return d.Round(100 * time.Millisecond).String()
+}
+
+// membersLine plays worlds that differ in their seeds and prints a line; of none, the head. Times are the longest.
+func membersLine(out io.Writer, worlds []crowd.World) error {
+	if worlds == nil {
+		_, err := fmt.Fprintln(out, "nodes\tloss\tjoined 95 %\tall\tdead known 95 %\tall\tparted 95 %\tback 95 %\tall\tfalse deaths\tmember-minutes\tdatagrams/s\tbytes/s\tmost\till health\ttook")
+		return err
+	}
+	begin := time.Now()
+	var all swim.Seen
+	longest := func(a *time.Duration, b time.Duration, i int) {
+		if i == 0 || b < 0 || *a >= 0 && b > *a {
+			*a = b
+		}
+	}
+	for i, w := range worlds {
+		s, err := swim.Play(w, members.Defaults())
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", w.Seed, err)
+		}
+		for _, x := range [][2]*time.Duration{{&all.Joined, &s.Joined}, {&all.JoinedAll, &s.JoinedAll}, {&all.Dead, &s.Dead}, {&all.DeadAll, &s.DeadAll},
+			{&all.Parted, &s.Parted}, {&all.Back, &s.Back}, {&all.BackAll, &s.BackAll}} {
+			longest(x[0], *x[1], i)
+		}
+		all.False += s.False
+		all.MemberMinutes += s.MemberMinutes
+		all.Datagrams += s.Datagrams / float64(len(worlds))
+		all.Bytes += s.Bytes / float64(len(worlds))
+		all.MostSent, all.Ill = max(all.MostSent, s.MostSent), max(all.Ill, s.Ill)
+	}
+	_, err := fmt.Fprintf(out, "%d\t%.2f\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%.0f\t%.1f\t%.0f\t%.0f\t%d\t%v\n", worlds[0].Nodes, worlds[0].Loss, since(all.Joined), since(all.JoinedAll),
+		since(all.Dead), since(all.DeadAll), since(all.Parted), since(all.Back), since(all.BackAll), all.False, all.MemberMinutes,
+		all.Datagrams, all.Bytes, all.MostSent, all.Ill, time.Since(begin).Round(10*time.Millisecond))
+	return err
+}
+
+// factsLine is as membersLine, of facts. Shares and rates are means.
+func factsLine(out io.Writer, worlds []crowd.World, fresh time.Duration) error {
+	if worlds == nil {
+		_, err := fmt.Fprintln(out, "nodes\tloss\tfresh\tcounted\twhole\tage\tmost\tbeyond the truth\tdatagrams/s\tbytes/s\tmost\trows\tback after a cut\ttook")
+		return err
+	}
+	begin := time.Now()
+	var all exchange.Seen
+	n := float64(len(worlds))
+	for _, w := range worlds {
+		s, err := exchange.Play(exchange.World{World: w, Fresh: fresh})
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", w.Seed, err)
+		}
+		all.Fresh, all.Counted, all.Whole = all.Fresh+s.Fresh/n, all.Counted+s.Counted/n, all.Whole+s.Whole/n
+		all.Age, all.Slack = all.Age+s.Age/time.Duration(n), all.Slack+s.Slack/time.Duration(n)
+		all.Packets, all.Bytes = all.Packets+s.Packets/n, all.Bytes+s.Bytes/n
+		all.AgeMost, all.MostSent, all.Rows, all.Back = max(all.AgeMost, s.AgeMost), max(all.MostSent, s.MostSent), max(all.Rows, s.Rows), max(all.Back, s.Back)
+	}
+	if worlds[0].CutTo == 0 {
+		all.Back = -1
+	}
+	ms := func(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+	_, err := fmt.Fprintf(out, "%d\t%.2f\t%.4f\t%.4f\t%.3f\t%v\t%v\t%v\t%.1f\t%.0f\t%.0f\t%d\t%s\t%v\n", worlds[0].Nodes, worlds[0].Loss, all.Fresh, all.Counted, all.Whole,
+		ms(all.Age), ms(all.AgeMost), ms(all.Slack), all.Packets, all.Bytes, all.MostSent, all.Rows, since(all.Back), time.Since(begin).Round(10*time.Millisecond))
+	return err
+}
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -98,7 +98,8 @@
 	return r, nil
 }
 
-// Walk makes random moves from the start, and settles where the walk ends.
+// Walk makes random moves from the start, and settles where the walk ends. A breach is told as it was met: Shorten shortens
+// it.
 func Walk(start State, seed uint64, steps int) (r Result, breach *Breach) {
 	rng := rand.New(rand.NewPCG(seed, 0xe4b107e))
 	state := start
@@ -117,13 +118,13 @@
 		state = next
 		script = append(script, m)
 		if err := state.Check(); err != nil {
-			return r, Shorten(start, &Breach{script, err})
+			return r, &Breach{script, err}
 		}
 	}
 	r.Depth = len(script)
 	if s, ok := state.(Settler); ok {
 		if err := s.Settle(); err != nil {
-			return r, Shorten(start, &Breach{script, err})
+			return r, &Breach{script, err}
 		}
 	}
 	return r, nil
--- a/internal/members/codec.go
+++ b/internal/members/codec.go
@@ -13,9 +13,9 @@
 // nodes).
 const MaxDatagram = 256
 
-// A datagram is version, kind, from, seq, about, sum (big endian), the updates, and the tag.
+// A datagram is version, kind, from, seq, about, sum (big endian), for a Pull the sums, the updates, and the tag.
 const (
-	version  = 1
+	version  = 2
 	headSize = 1 + 1 + 8 + 4 + 8 + 8
 	tagSize  = 12 // of HMAC-SHA-256, shortened
 )
@@ -27,7 +27,7 @@
 		n += 8
 	}
 	if u.Peer != nil {
-		n += 1 + len(u.Peer.Name) + 1 + len(u.Peer.Region) + 1 + len(u.Peer.Zone) + 1 + addrSize(u.Peer.Addr) + 2
+		n += 1 + len(u.Peer.Name) + 1 + len(u.Peer.Region) + 1 + len(u.Peer.Zone) + 1 + addrSize(u.Peer.Addr) + 2 + 4
 	}
 	return n
 }
@@ -58,6 +58,9 @@
 		b = append(b, byte(len(s)))
 		b = append(b, s...)
 	}
+	for _, s := range m.Sums {
+		b = binary.BigEndian.AppendUint32(b, s)
+	}
 	for _, u := range m.Updates {
 		b = binary.BigEndian.AppendUint64(b, uint64(u.ID))
 		b = binary.BigEndian.AppendUint32(b, u.Life)
@@ -78,6 +81,7 @@
 			text(p.Zone)
 			text(string(p.Addr.Addr().Unmap().AsSlice()))
 			b = binary.BigEndian.AppendUint16(b, p.Addr.Port())
+			b = binary.BigEndian.AppendUint32(b, u.PeerLife)
 		}
 	}
 	return Seal(b, key)
@@ -133,6 +137,9 @@
 	m.About = ID(binary.BigEndian.Uint64(body[14:]))
 	m.Sum = binary.BigEndian.Uint64(body[22:])
 	r := &reader{left: body[headSize:]}
+	for m.Kind == Pull && len(m.Sums) < Buckets {
+		m.Sums = append(m.Sums, binary.BigEndian.Uint32(r.take(4)))
+	}
 	for len(r.left) > 0 && !r.bad {
 		m.Updates = append(m.Updates, r.update())
 	}
@@ -182,8 +189,9 @@
 	p := Peer{Name: r.text(MaxName), Region: r.text(MaxPlace), Zone: r.text(MaxPlace), Listens: flags&listensBit != 0}
 	addr, ok := netip.AddrFromSlice([]byte(r.text(16)))
 	p.Addr = netip.AddrPortFrom(addr, binary.BigEndian.Uint16(r.take(2)))
+	u.PeerLife = binary.BigEndian.Uint32(r.take(4))
 	// A word must be of the member that it names: one peer cannot make another of it.
-	r.bad = r.bad || !ok || p.Name == "" || IDOf(p.Name) != u.ID || flags&^(statusBits|peerBit|listensBit) != 0
+	r.bad = r.bad || !ok || u.PeerLife > u.Life || p.Name == "" || IDOf(p.Name) != u.ID || flags&^(statusBits|peerBit|listensBit) != 0
 	u.Peer = &p
 	return u
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -73,6 +73,8 @@
 	Status Status
 	By     ID    // for Suspect: who suspects; one voice each
 	Peer   *Peer // nil: as known
+
+	PeerLife uint32 // in which Peer was so
 }
 
 // Kind says what a message is for.
@@ -96,6 +98,7 @@
 	About   ID
 	Sum     uint64
 	Updates []Update
+	Sums    []uint32 // of a Pull: what the sender holds for alive, by bucket; only what differs is wanted
 }
 
 // Packet is a message on its way out.
@@ -122,7 +125,7 @@
 
 // Defaults are the papers', for a period of a second.
 func Defaults() Options {
-	return Options{Period: time.Second, Timeout: 300 * time.Millisecond, Indirect: 3, Suspicion: 4, Stretch: 6, Spread: 4, Near: 2, Forget: 10 * time.Minute}
+	return Options{Period: time.Second, Timeout: 300 * time.Millisecond, Indirect: 3, Suspicion: 3, Stretch: 6, Spread: 2, Near: 2, Forget: 10 * time.Minute}
 }
 
 // Check names the first option that is out of range.
@@ -159,13 +162,15 @@
 type member struct {
 	ID
 	Peer
-	named  bool // its Peer is known
 	life   uint32
+	told   uint32 // in which life its Peer was as it is held
+	carry  bool   // its Peer goes with words of it, for it is news
 	status Status
 	since  time.Duration // when it came to this status here
 	heard  time.Duration // last message from it
 	voices []ID          // that suspect it, in their order
 	sent   int           // times that the word of it went out
+	last   time.Duration // until when it may answer a last ping; 0: it was sent none
 }
 
 // probe is the one under way.
@@ -206,6 +211,7 @@
 	own     int // times that the own word went out
 	pulling time.Duration
 	out     []Packet
+	behind  []ID // of whom the sender of what is being answered knows less than this node
 
 	changes int
 
@@ -264,15 +270,15 @@
 func (m *Machine) send(to netip.AddrPort, msg Message) {
 	msg.From = m.id
 	if msg.Kind != Page {
-		msg.Updates = m.words(to)
+		msg.Updates = m.words(to, MostBytes-4*len(msg.Sums))
 	}
 	m.out = append(m.out, Packet{to, msg})
 }
 
 // words are the updates that go with a message: what is held against its receiver first, so that it can answer that, then
 // the own word, then those that went out least.
-func (m *Machine) words(to netip.AddrPort) (out []Update) {
-	room := MostBytes
+// Who and where somebody is goes with the first words of it alone.
+func (m *Machine) words(to netip.AddrPort, room int) (out []Update) {
 	add := func(u Update) bool {
 		n := size(u)
 		if n > room {
@@ -282,10 +288,15 @@
 		out = append(out, u)
 		return true
 	}
-	most := m.o.Spread * int(math.Ceil(math.Log2(float64(m.living()+1))))
+	most := m.most()
 	for _, k := range m.members {
-		if k.named && k.Addr == to && k.status != Alive {
-			add(k.update())
+		if k.Addr == to && k.status != Alive {
+			add(k.update(false))
+		}
+	}
+	for _, id := range m.behind {
+		if k := m.get(id); k != nil {
+			add(k.update(false))
 		}
 	}
 	if m.own < most || len(m.members) == 0 {
@@ -294,33 +305,53 @@
 	}
 	var fresh []*member
 	for _, k := range m.members {
-		if k.sent < most && k.named && k.Addr != to {
+		if k.sent < most && k.Addr != to {
 			fresh = append(fresh, k)
 		}
 	}
-	slices.SortStableFunc(fresh, func(a, b *member) int { return cmp.Compare(a.sent, b.sent) })
+	// What has changed of a member goes before who there is: that is found by lists as well, and hundreds of newcomers would
+	// be in the way of a death.
+	slices.SortStableFunc(fresh, func(a, b *member) int {
+		if a.carry != b.carry {
+			if b.carry {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.sent, b.sent)
+	})
 	for _, k := range fresh {
-		if !add(k.update()) {
+		if !add(k.update(k.carry)) {
 			break
 		}
-		k.sent++
+		if k.sent++; k.sent >= most {
+			k.carry = false
+		}
 	}
 	return out
 }
 
+// most is how often a word is passed on.
+func (m *Machine) most() int {
+	return m.o.Spread * int(math.Ceil(math.Log2(float64(m.living()+1))))
+}
+
 // word is what this node says of itself.
 func (m *Machine) word() Update {
-	u := Update{ID: m.id, Life: m.life, Peer: &m.self}
+	u := Update{ID: m.id, Life: m.life, Peer: &m.self, PeerLife: m.life}
 	if m.left {
 		u.Status = Left
 	}
 	return u
 }
 
-func (k *member) update() Update {
-	u := Update{ID: k.ID, Life: k.life, Status: k.status, Peer: &k.Peer}
+func (k *member) update(whole bool) Update {
+	u := Update{ID: k.ID, Life: k.life, Status: k.status}
+	if whole {
+		u.Peer, u.PeerLife = &k.Peer, k.told
+	}
 	if k.status == Suspect && len(k.voices) > 0 {
-		u.By = k.voices[0]
+		u.By = k.voices[k.sent%len(k.voices)] // each goes round
 	}
 	return u
 }
@@ -344,6 +375,9 @@
 
 // due is when a suspicion ends: the more members confirm it, the sooner.
 func (m *Machine) due(k *member) time.Duration {
+	if k.last > 0 {
+		return k.last
+	}
 	n := m.living()
 	least, most := float64(m.o.LeastSuspicion(n)), float64(m.o.MostSuspicion(n))
 	wanted := float64(min(m.o.Indirect, n-2))
@@ -361,7 +395,11 @@
 		return m.flush()
 	}
 	for _, k := range m.members {
-		if k.status == Suspect && m.now >= m.due(k) {
+		switch {
+		case k.status != Suspect || m.now < m.due(k):
+		case k.last == 0:
+			m.lastChance(k)
+		default:
 			m.hold(k, k.life, Dead)
 		}
 	}
@@ -388,19 +426,29 @@
 	return m.flush()
 }
 
+// lastChance pings a member that this node is about to hold for dead: its answer would tell of a later life. Nobody is held
+// for dead by rumour alone.
+func (m *Machine) lastChance(k *member) {
+	k.last = m.now + m.o.Period
+	m.send(k.Addr, Message{Kind: Ping})
+}
+
 func (m *Machine) begin(now time.Duration) {
 	m.now = max(m.now, now)
-	m.out = nil
+	m.out, m.behind = nil, nil
 }
 
 func (m *Machine) flush() []Packet { return m.out }
 
-// ask has others ping the member that has not answered.
+// ask pings the member that has not answered once more, and has others ping it.
 func (m *Machine) ask() {
 	p := &m.probe
+	if k := m.get(p.of); k != nil {
+		m.send(k.Addr, Message{Kind: Ping, Seq: p.seq})
+	}
 	var helpers []*member
 	for _, k := range m.members {
-		if k.status == Alive && k.named && !k.Listens && k.ID != p.of {
+		if k.status == Alive && !k.Listens && k.ID != p.of {
 			helpers = append(helpers, k)
 		}
 	}
@@ -416,7 +464,10 @@
 // period ends the probe that is under way and begins the next.
 func (m *Machine) period() {
 	if m.probe.running {
-		m.ill = min(mostIll, m.ill+1+max(0, m.probe.asked-m.probe.nacks))
+		// Where others could be asked and say that they have no answer either, it is not this node that is ill.
+		if m.probe.nacks == 0 {
+			m.ill = min(mostIll, m.ill+1)
+		}
 		if k := m.get(m.probe.of); k != nil && k.status <= Suspect {
 			m.suspect(k, m.id)
 		}
@@ -430,6 +481,30 @@
 		m.send(k.Addr, Message{Kind: Ping, Seq: m.seq})
 	}
 	m.hail()
+	m.gossip()
+}
+
+// Bounds of gossip.
+const (
+	mostGossip = 6 // messages a period beside probes
+	aboutWords = 9 // that a message holds
+)
+
+// gossip sends more than probes carry, where many words wait: as after many deaths at once.
+func (m *Machine) gossip() {
+	waiting, most := 0, m.most()
+	var to []*member
+	for _, k := range m.members {
+		if k.sent < most/2 {
+			waiting++
+		}
+		if k.status == Alive {
+			to = append(to, k)
+		}
+	}
+	for range min(mostGossip, waiting/aboutWords, len(to)) {
+		m.send(to[m.draw(len(to))].Addr, Message{Kind: Ping})
+	}
 }
 
 // nextTarget is whom to probe: everybody once a round in a drawn order, members of the own zone more often.
@@ -438,7 +513,7 @@
 		for len(m.order) > 0 {
 			k := m.get(m.order[0])
 			m.order = m.order[1:]
-			if k != nil && k.status <= Suspect && k.named {
+			if k != nil && k.status <= Suspect {
 				return k
 			}
 		}
@@ -464,7 +539,7 @@
 func (m *Machine) hail() {
 	var strangers []netip.AddrPort
 	for _, k := range m.members {
-		if k.status == Dead && k.named {
+		if k.status == Dead {
 			strangers = append(strangers, k.Addr)
 		}
 	}
@@ -487,7 +562,11 @@
 		return m.flush()
 	}
 	for _, u := range msg.Updates {
-		m.take(u)
+		m.take(u, u.ID == msg.From)
+		// Who spreads what is over is told so, as far as it is answered.
+		if k := m.get(u.ID); k != nil && u.Status != Alive && u.Life < k.life {
+			m.behind = append(m.behind, u.ID)
+		}
 	}
 	k := m.get(msg.From)
 	if k != nil {
@@ -496,13 +575,13 @@
 	switch msg.Kind {
 	case Ping:
 		m.send(from, Message{Kind: Ack, Seq: msg.Seq, Sum: m.sum()})
-		if k == nil || !k.named {
+		if k == nil {
 			m.pull(from, 0)
 		}
 	case Ack:
 		m.takeAck(from, msg)
 	case PingReq:
-		if t := m.get(msg.About); t != nil && t.named && len(m.relays) < 64 {
+		if t := m.get(msg.About); t != nil && len(m.relays) < 64 {
 			m.seq++
 			m.relays = append(m.relays, relay{m.seq, from, msg.Seq, m.now + m.o.Timeout})
 			m.send(t.Addr, Message{Kind: Ping, Seq: m.seq})
@@ -512,10 +591,10 @@
 			m.probe.nacks++
 		}
 	case Pull:
-		m.page(from, msg.About)
+		m.page(from, msg.About, msg.Sums)
 	case Page:
 		if msg.About != 0 {
-			m.send(from, Message{Kind: Pull, About: msg.About})
+			m.send(from, Message{Kind: Pull, About: msg.About, Sums: m.sums()})
 		}
 	}
 	return m.flush()
@@ -544,46 +623,73 @@
 		return
 	}
 	m.pulling = m.now + m.o.Period
-	m.send(from, Message{Kind: Pull, About: at})
+	m.send(from, Message{Kind: Pull, About: at, Sums: m.sums()})
 }
 
-// page sends a part of the list, from an ID on.
-func (m *Machine) page(to netip.AddrPort, at ID) {
-	msg := Message{Kind: Page}
+// mostPages go out for one Pull.
+const mostPages = 4
+
+// page sends a part of the list, from an ID on: of the buckets in which the other holds something else.
+func (m *Machine) page(to netip.AddrPort, at ID, sums []uint32) {
+	own := m.sums()
+	msg, pages := Message{Kind: Page}, 1
 	room := MostBytes
 	if at == 0 {
 		msg.Updates = append(msg.Updates, m.word())
 		room -= size(msg.Updates[0])
 	}
 	for _, k := range m.members {
-		if k.ID < at || !k.named {
+		if k.ID < at || len(sums) == Buckets && sums[bucket(k.ID)] == own[bucket(k.ID)] {
 			continue
 		}
-		u := k.update()
-		if room -= size(u); room < 0 {
+		u := k.update(true)
+		if room -= size(u); room < 0 && pages == mostPages {
 			msg.About = k.ID
 			break
+		} else if room < 0 {
+			m.send(to, msg)
+			pages++
+			msg, room = Message{Kind: Page}, MostBytes-size(u)
 		}
 		msg.Updates = append(msg.Updates, u)
 	}
 	m.send(to, msg)
 }
 
+// Buckets are what a Pull tells of apart, by the first bits of members' IDs.
+const Buckets = 32
+
+func bucket(id ID) int { return int(id >> 59) }
+
+// stamp is of one member in a life.
+func stamp(id ID, life uint32) uint64 { return mix(uint64(id) ^ uint64(life)*golden) }
+
+// sums are as sum, by bucket.
+func (m *Machine) sums() []uint32 {
+	s := make([]uint32, Buckets)
+	s[bucket(m.id)] = uint32(stamp(m.id, m.life))
+	for _, k := range m.members {
+		if k.status <= Suspect {
+			s[bucket(k.ID)] ^= uint32(stamp(k.ID, k.life))
+		}
+	}
+	return s
+}
+
 // sum is alike at nodes that hold the same members for alive, at the same lives: dead ones are forgotten at different
 // times, and suspicions pass by themselves. Never 0.
 func (m *Machine) sum() uint64 {
-	of := func(id ID, life uint32) uint64 { return mix(uint64(id) ^ uint64(life)*golden) }
-	s := of(m.id, m.life)
+	s := stamp(m.id, m.life)
 	for _, k := range m.members {
 		if k.status <= Suspect {
-			s ^= of(k.ID, k.life)
+			s ^= stamp(k.ID, k.life)
 		}
 	}
 	return max(1, s)
 }
 
-// take merges a word.
-func (m *Machine) take(u Update) {
+// take merges a word. own: it comes from whom it is of, who knows best where that is.
+func (m *Machine) take(u Update, own bool) {
 	if u.ID == m.id {
 		if u.Life < MaxLife && (u.Life > m.life || u.Life == m.life && u.Status != Alive) {
 			if u.Life > m.life {
@@ -591,6 +697,8 @@
 			}
 			m.life, m.own = u.Life+1, 0
 			m.changes++
+		} else if u.Life < m.life && u.Status != Alive {
+			m.own = min(m.own, m.most()-1) // who accuses a life that is over is told of this one
 		}
 		return
 	}
@@ -600,7 +708,7 @@
 			return // nobody can be told of it
 		}
 		i, _ := m.find(u.ID)
-		k = &member{ID: u.ID, Peer: *u.Peer, named: true, life: u.Life, status: u.Status, since: m.now}
+		k = &member{ID: u.ID, Peer: *u.Peer, told: u.PeerLife, carry: true, life: u.Life, status: u.Status, since: m.now}
 		if u.Status == Suspect {
 			k.voices = []ID{u.By}
 		}
@@ -608,17 +716,28 @@
 		m.changes++
 		return
 	}
+	if u.Peer != nil && (u.PeerLife > k.told || own && u.PeerLife == k.told) {
+		if k.told = u.PeerLife; k.Peer != *u.Peer {
+			k.Peer, k.carry, k.sent = *u.Peer, true, 0
+			m.changes++
+		}
+	}
 	switch {
 	case u.Life > k.life || u.Life == k.life && u.Status > k.status:
-		if u.Peer != nil && u.Life > k.life {
-			k.Peer, k.named = *u.Peer, true
-		}
-		if u.Status == Suspect {
+		switch {
+		case u.Status == Suspect:
 			m.hold(k, u.Life, Alive)
 			m.suspect(k, u.By)
-			return
+		case u.Status == Dead && k.status <= Suspect:
+			if u.Life > k.life || k.status == Alive {
+				m.hold(k, u.Life, Suspect)
+			}
+			if k.last == 0 {
+				m.lastChance(k)
+			}
+		default:
+			m.hold(k, u.Life, u.Status)
 		}
-		m.hold(k, u.Life, u.Status)
 	case u.Life == k.life && u.Status == Suspect && k.status == Suspect:
 		m.suspect(k, u.By)
 	}
@@ -626,7 +745,7 @@
 
 // hold has a member be of a life and a status from now on.
 func (m *Machine) hold(k *member, life uint32, s Status) {
-	k.life, k.status, k.since, k.sent, k.voices = life, s, m.now, 0, nil
+	k.life, k.status, k.since, k.sent, k.last, k.carry, k.voices = life, s, m.now, 0, 0, false, nil
 	m.changes++
 }
 
@@ -647,7 +766,7 @@
 	m.left, m.own = true, 0
 	var all []*member
 	for _, k := range m.members {
-		if k.status <= Suspect && k.named {
+		if k.status <= Suspect {
 			all = append(all, k)
 		}
 	}
--- a/internal/members/state.go
+++ b/internal/members/state.go
@@ -16,7 +16,7 @@
 		copied.voices = slices.Clone(k.voices)
 		c.members[i] = &copied
 	}
-	c.order, c.relays, c.out = slices.Clone(m.order), slices.Clone(m.relays), nil
+	c.order, c.relays, c.out, c.behind = slices.Clone(m.order), slices.Clone(m.relays), nil, nil
 	return &c
 }
 
@@ -29,11 +29,17 @@
 		p := m.probe
 		fmt.Fprintf(&b, "p%x,%d,%v,%d,%d|", p.of, p.seq, ago(p.ask), p.asked, p.nacks)
 	}
+	last := func(k *member) time.Duration {
+		if k.last == 0 {
+			return -1 << 62
+		}
+		return ago(k.last)
+	}
 	for _, r := range m.relays {
 		fmt.Fprintf(&b, "r%d,%v,%d,%v|", r.seq, r.to, r.reply, ago(r.until))
 	}
 	for _, k := range m.members {
-		fmt.Fprintf(&b, "m%x,%d,%d,%v,%v,%d|", k.ID, k.life, k.status, ago(k.since), k.voices, k.sent)
+		fmt.Fprintf(&b, "m%x,%d,%d,%v,%v,%d,%d,%v,%v|", k.ID, k.life, k.status, ago(k.since), k.voices, k.sent, k.told, k.carry, last(k))
 	}
 	return b.String()
 }
