--- a/cmd/fleetlab/weigh.go
+++ b/cmd/fleetlab/weigh.go
@@ -24,6 +24,7 @@
 
 func newWeigh() *cobra.Command {
 	var seeds, asks int
+	var told virtual.Told
 	var policies []string
 	var utilisation []float64
 	cmd := &cobra.Command{Use: "weigh FILE...", Short: "Play experiments on virtual time, with the module in place of processes",
@@ -43,11 +44,11 @@
 						if len(utilisation) > 0 {
 							e.Callers.Rate, e.Callers.Utilisation = 0, utilisation[0]
 						}
-						a, f, err := virtual.Play(e, experiment.Policy(policy), func(s *woodpick.Settings) {
+						a, f, err := virtual.PlayTold(e, experiment.Policy(policy), func(s *woodpick.Settings) {
 							if asks >= 0 {
 								s.Asks = asks
 							}
-						})
+						}, told)
 						if err != nil {
 							return err
 						}
@@ -63,6 +64,8 @@
 			return nil
 		}}
 	cmd.Flags().StringSliceVar(&policies, "policy", []string{"random", "program", "jsq"}, "random, program or jsq; several with commas")
+	cmd.Flags().DurationVar(&told.Age, "told", 0, "how old the counts of others at servers are that nodes are told; 0: they are told none")
+	cmd.Flags().Float64Var(&told.Cut, "cut", 0, "share of the links between nodes over which no such counts come")
 	cmd.Flags().IntVar(&asks, "asks", -1, "servers that a node asks before a call, in place of the file's")
 	cmd.Flags().IntVar(&seeds, "seeds", 1, "how many seeds, from the file's on")
 	cmd.Flags().Float64SliceVar(&utilisation, "utilisation", nil, "of all slots, in place of the file's")
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -83,6 +83,16 @@
 	// Of the servers' list; its owner fills them in.
 	Listed  int `json:"registry_entries"`
 	Avoided int `json:"out_of_rotation"` // listed servers that nothing new is sent to
+
+	Peers *Peers `json:"peers,omitempty"` // nil: the node knows of no others
+}
+
+// Peers is what a node knows of others; its owner fills it in.
+type Peers struct {
+	Members map[string]int `json:"members"` // others by status: alive, suspect, dead, left
+	Zones   map[string]int `json:"zones"`   // by what is known of them: fresh, stale, unknown
+	Alone   bool           `json:"alone"`   // nothing fresh is known of anybody else
+	Dropped int64          `json:"dropped"` // datagrams that came and were not used
 }
 
 // Report tells what was counted.
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -61,6 +61,7 @@
 		r.Listed += s.Ready + s.Draining
 		r.Avoided += s.Avoided
 	}
+	r.Peers = n.peersFigures()
 	return r
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,6 +7,7 @@
 
 	"woodpick/internal/config"
 	"woodpick/internal/facts"
+	"woodpick/internal/figures"
 	"woodpick/internal/members"
 	"woodpick/internal/peers"
 )
@@ -48,3 +49,22 @@
 		Self: members.Peer{Name: c.Name, Addr: addr, Region: p.Region, Zone: c.Zone, Listens: p.ListenOnly}})
 	return err
 }
+
+// peersFigures is what operators are told of other nodes; nil: none are known of.
+func (n *Node) peersFigures() *figures.Peers {
+	if n.peers == nil {
+		return nil
+	}
+	s := n.peers.Status()
+	out := &figures.Peers{Members: map[string]int{}, Zones: map[string]int{}, Dropped: s.Counts.Strange + s.Counts.Malformed + s.Counts.Other + s.Counts.Lost}
+	for _, m := range s.Members {
+		out.Members[m.Status]++
+	}
+	if s.Facts != nil {
+		out.Alone = s.Facts.Alone
+		for _, z := range s.Facts.Zones {
+			out.Zones[z.Word]++
+		}
+	}
+	return out
+}
--- a/internal/node/sight_test.go
+++ b/internal/node/sight_test.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"os"
 	"testing"
 	"time"
 
+	"woodpick/internal/config"
 	"woodpick/internal/engine"
 	"woodpick/internal/facts"
+	"woodpick/internal/standin"
 )
 
 // What is told are rates between two glimpses, versions, the own zone's servers, and of servers those in trouble; what was
@@ -37,3 +40,42 @@
 		t.Errorf("%d are told, %d wanted: %v", len(got), len(want), seen.Entries)
 	}
 }
+
+// On the platform, whose configuration has no peers block, no room is opened and nothing is counted for others.
+func TestThePlatformsNodeOpensNoRoom(t *testing.T) {
+	ag := standin.NewAgent(t)
+	cfg := testConfig(`{"rev":%d,"all":true,"targets":[]}`)
+	*cfg.registry() = ag.Address()
+	n, _ := startNode(t, cfg, nil)
+	standin.Until(t, "the node to run", func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.serving
+	})
+	if s := n.Status(); n.peers != nil || s.Peers != nil {
+		t.Errorf("a room is open: %+v", s.Peers)
+	}
+	for name, p := range n.pools {
+		if s := p.engine.Sight(); s.Classes != nil {
+			t.Errorf("pool %s counts for others: %+v", name, s)
+		}
+	}
+}
+
+// A node with a peers block tells operators whom it knows.
+func TestOperatorsAreToldOfPeers(t *testing.T) {
+	cfg := testConfig(`{"rev":%d,"all":true,"targets":[]}`)
+	*cfg.registry() = standin.NewAgent(t).Address()
+	key := t.TempDir() + "/key"
+	if err := os.WriteFile(key, []byte("a key of sixteen bytes or more"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg.Node.Name = "n1"
+	cfg.Node.Peers = config.Peers{Listen: "127.0.0.1:0", Advertise: "127.0.0.1:1", KeyFile: key, Period: config.Duration(time.Second),
+		Fresh: config.Duration(time.Second), Delay: config.Duration(10 * time.Millisecond)}
+	n, _ := startNode(t, cfg, nil)
+	standin.Until(t, "its own zone to be known", func() bool {
+		p := n.Figures().Peers
+		return p != nil && p.Alone && p.Zones["fresh"] == 1 && len(p.Members) == 0
+	})
+}
--- a/internal/rig/virtual/play.go
+++ b/internal/rig/virtual/play.go
@@ -81,6 +81,7 @@
 	e       *experiment.Experiment
 	policy  experiment.Policy
 	tune    Tune
+	told    Told
 	now     time.Duration
 	due     events
 	seq     int
@@ -104,7 +105,12 @@
 
 // Play plays an experiment once.
 func Play(e *experiment.Experiment, policy experiment.Policy, tune Tune) (*audit.Audit, audit.Figures, error) {
-	p := &player{e: e, policy: policy, tune: tune, audit: audit.New(), fleet: world.NewFleet(e), place: map[string]int{},
+	return PlayTold(e, policy, tune, Told{})
+}
+
+// PlayTold is Play with nodes that tell one another what they have at servers.
+func PlayTold(e *experiment.Experiment, policy experiment.Policy, tune Tune, told Told) (*audit.Audit, audit.Figures, error) {
+	p := &player{e: e, policy: policy, tune: tune, told: told, audit: audit.New(), fleet: world.NewFleet(e), place: map[string]int{},
 		gone: map[string]bool{}, waiting: map[*world.Job]*try{}, streams: world.NewStreams(e, "c"), rng: rand.New(rand.NewPCG(e.Seed, 0x1ab))}
 	p.state = make([]woodpick.ServerState, len(p.fleet.Servers))
 	p.lost, p.crashed = make([]bool, len(p.state)), make([]bool, len(p.state))
@@ -126,6 +132,9 @@
 			return nil, audit.Figures{}, err
 		}
 	}
+	if told.Age > 0 {
+		p.exchange(p.links())
+	}
 	p.at(0, p.sample)
 	end := e.Length()
 	for _, c := range e.Classes {
--- /dev/null
+++ b/internal/rig/virtual/told.go
@@ -0,0 +1,61 @@
+package virtual
+
+import (
+	"time"
+
+	"woodpick"
+)
+
+// Told is an exchange of counts between nodes: each is told how many calls the others have at each server, as things stood
+// Age ago. The zero value is none.
+type Told struct {
+	Age time.Duration
+	Cut float64 // share of the links from node to node over which nothing comes
+}
+
+// links draws which nodes hear which.
+func (p *player) links() (hears [][]bool) {
+	for range p.nodes {
+		row := make([]bool, len(p.nodes))
+		for j := range row {
+			row[j] = p.rng.Float64() >= p.told.Cut
+		}
+		hears = append(hears, row)
+	}
+	return hears
+}
+
+// exchange tells nodes of one another's counts, from now on, as often as they are old: a word of each server at a time, for
+// all that it holds.
+func (p *player) exchange(hears [][]bool) {
+	counts := make([][]float64, len(p.nodes))
+	for j, n := range p.nodes {
+		counts[j] = make([]float64, len(p.state))
+		for _, k := range n.calls {
+			for _, t := range k.attempts {
+				if !t.ended {
+					counts[j][t.place]++
+				}
+			}
+		}
+	}
+	p.at(p.now+p.told.Age, func() {
+		for i, n := range p.nodes {
+			if n.balancer == nil {
+				continue
+			}
+			known := woodpick.Known{}
+			for place, s := range p.fleet.Servers {
+				busy := 0.0
+				for j := range p.nodes {
+					if i == j || hears[i][j] {
+						busy += counts[j][place]
+					}
+				}
+				known.Loads = append(known.Loads, woodpick.ServerLoad{Server: s.ID, Busy: busy, Age: p.told.Age})
+			}
+			p.handle(n, known)
+		}
+	})
+	p.at(p.now+p.told.Age, func() { p.exchange(hears) })
+}
