One air, one queue and one way to walk for all that is explored or played on virtual time

Need: two explored systems each kept messages under way, read moves and walked by themselves, and the crowd and the rig's virtual time each had a heap of events. Change: explore.Air and explore.Move, explore.Walks, internal/explore/exploretest, internal/due; the commands members and facts in one file.

--- a/cmd/fleetlab/explore.go
+++ b/cmd/fleetlab/explore.go
@@ -66,13 +66,8 @@
 				return err
 			}
 			begin = time.Now()
-			for k := range walks {
-				if _, breach := explore.Walk(start, seed+uint64(k), steps); breach != nil {
-					return fmt.Errorf("seed %d: %w", seed+uint64(k), explore.Shorten(start, breach))
-				}
-				if err := cmd.Context().Err(); err != nil {
-					return fmt.Errorf("after %d walks: %w", k, err)
-				}
+			if at, breach := explore.Walks(start, seed, walks, steps); breach != nil {
+				return fmt.Errorf("seed %d: %w", at, explore.Shorten(start, breach))
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%d random histories of %d steps, each to its end: %v\n", walks, steps, time.Since(begin).Round(time.Millisecond))
 			return nil
--- a/internal/explore/crowd/crowd.go
+++ b/internal/explore/crowd/crowd.go
@@ -3,10 +3,11 @@
 package crowd
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"woodpick/internal/due"
 )
 
 // World is what happens to a fleet.
@@ -90,28 +91,11 @@
 
 // event is something that happens to a node.
 type event struct {
-	at       time.Duration
-	n        uint64 // order of those at one time
 	node     int
 	from     int
 	datagram []byte // nil: the time for a tick
 }
 
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // mostHeld is how many datagrams wait for a sleeper.
 const mostHeld = 200
 
@@ -121,13 +105,12 @@
 	Nodes []*Node
 	Now   time.Duration
 	Rand  *rand.Rand // of what is drawn
-	// Look is called every LookEvery; an error ends the play. Changed is called when nodes have died.
+	// Look is called every LookEvery; an error ends the play. Died is called when nodes have died.
 	Look      func() error
 	LookEvery time.Duration
 	Died      func()
 
-	queue events
-	n     uint64
+	queue due.Queue[event]
 }
 
 // New is a fleet without machines.
@@ -148,16 +131,10 @@
 // Awake says that a node is there and does not sleep.
 func (f *Fleet) Awake(i int) bool { return !f.Nodes[i].Dead && f.Nodes[i].until <= f.Now }
 
-func (f *Fleet) push(e event) {
-	f.n++
-	e.n = f.n
-	heap.Push(&f.queue, e)
-}
-
 // wake has a node tick at a time, instead of at any other.
 func (f *Fleet) wake(node int, at time.Duration) {
 	f.Nodes[node].tick = at
-	f.push(event{at: at, node: node})
+	f.queue.Add(at, event{node: node})
 }
 
 // Play plays it to its end. Nodes begin within a while of one another.
@@ -166,19 +143,15 @@
 		f.wake(i, time.Duration(f.Rand.Int64N(int64(within))))
 	}
 	next, died := f.LookEvery, f.Die == 0
-	for len(f.queue) > 0 {
-		e := heap.Pop(&f.queue).(event)
-		for e.at >= next && next < f.For {
+	for at, e, ok := f.queue.Next(); ok && at < f.For; at, e, ok = f.queue.Next() {
+		for at >= next && next < f.For {
 			f.Now = next
 			if err := f.Look(); err != nil {
 				return err
 			}
 			next += f.LookEvery
 		}
-		if e.at >= f.For {
-			break
-		}
-		f.Now = e.at
+		f.Now = at
 		if !died && f.Now >= f.For/2 {
 			died = true
 			for _, n := range f.Nodes {
@@ -218,7 +191,7 @@
 		}
 		return
 	}
-	if e.at != n.tick {
+	if f.Now != n.tick {
 		return // another came in its stead
 	}
 	f.send(e.node, n.Machine.Tick(f.Clock(e.node)))
@@ -241,7 +214,7 @@
 		if f.Rand.Float64() < f.Tail {
 			most *= 50
 		}
-		f.push(event{at: f.Now + most/10 + time.Duration(f.Rand.Int64N(int64(most-most/10)+1)), node: d.To, from: from, datagram: d.Data})
+		f.queue.Add(f.Now+most/10+time.Duration(f.Rand.Int64N(int64(most-most/10)+1)), event{node: d.To, from: from, datagram: d.Data})
 	}
 }
 
--- a/internal/explore/exchange/exchange_test.go
+++ b/internal/explore/exchange/exchange_test.go
@@ -6,29 +6,16 @@
 
 	"woodpick/internal/explore"
 	"woodpick/internal/explore/crowd"
+	"woodpick/internal/explore/exploretest"
 )
 
 func start(t testing.TB, b Bounds) explore.State {
-	t.Helper()
 	s, err := New(b)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return s
+	return exploretest.Start(t, s, err)
 }
 
 // All orders of two nodes' first steps with a loss, a crash, a restart and a long wait.
-func TestEveryOrderOfTwoNodes(t *testing.T) {
-	const most = 1000
-	r, breach := explore.Search(start(t, Small()), most, 100)
-	if breach != nil {
-		t.Fatal(breach)
-	}
-	t.Logf("%+v", r)
-	if r.States < most && !r.Whole {
-		t.Errorf("%+v", r)
-	}
-}
+func TestEveryOrderOfTwoNodes(t *testing.T) { exploretest.Orders(t, start(t, Small()), 1000) }
 
 // histories are larger fleets for random ones.
 func histories(defect string) Bounds {
@@ -37,12 +24,7 @@
 }
 
 func TestRandomHistoriesOfFiveNodes(t *testing.T) {
-	for seed := range uint64(4) {
-		b := histories("")
-		if _, breach := explore.Walk(start(t, b), seed, 300); breach != nil {
-			t.Fatalf("seed %d: %v", seed, explore.Shorten(start(t, b), breach))
-		}
-	}
+	exploretest.Holds(t, start(t, histories("")), 4, 300)
 }
 
 // Each way to break a promise that can be planted is found by the same walks.
@@ -51,13 +33,7 @@
 		t.Run(d, func(t *testing.T) {
 			b := histories(d)
 			b.Zones, b.MostFlying = []int{0, 0, 1}, 12
-			for seed := range uint64(25) {
-				if r, breach := explore.Walk(start(t, b), seed, 100); breach != nil {
-					t.Logf("seed %d, %d moves: %v", seed, r.Moves, breach.Err)
-					return
-				}
-			}
-			t.Error("25 walks did not find it")
+			exploretest.Found(t, start(t, b), 0, 25, 100)
 		})
 	}
 }
--- a/internal/explore/exchange/small.go
+++ b/internal/explore/exchange/small.go
@@ -41,26 +41,20 @@
 	made    uint32        // the latest sequence of its rows
 }
 
-// flight is a message on its way.
-type flight struct {
-	from, to int
-	data     string
-}
-
 // fleet is a state.
 type fleet struct {
-	b      Bounds
-	nodes  []process
-	view   *facts.View
-	flying []flight
-	now    time.Duration
-	used   struct{ ticks, drops, doubles, crashes, waits int }
-	wrong  error
+	b     Bounds
+	nodes []process
+	view  *facts.View
+	air   explore.Air
+	now   time.Duration
+	used  struct{ ticks, crashes, waits int }
+	wrong error
 }
 
 // New is the start of a small fleet.
 func New(b Bounds) (explore.State, error) {
-	f := &fleet{b: b, now: time.Second}
+	f := &fleet{b: b, now: time.Second, air: explore.Air{Most: b.MostFlying, Drops: b.Drops, Doubles: b.Doubles}}
 	var all []facts.Peer
 	for i, z := range b.Zones {
 		p := process{offset: time.Duration(i) * 7 * time.Hour, lives: 1,
@@ -102,7 +96,7 @@
 
 func (f *fleet) clone() *fleet {
 	c := *f
-	c.nodes, c.flying = slices.Clone(f.nodes), slices.Clone(f.flying)
+	c.nodes, c.air = slices.Clone(f.nodes), f.air.Clone()
 	for i := range c.nodes {
 		if m := c.nodes[i].machine; m != nil {
 			c.nodes[i].machine = m.Clone()
@@ -129,26 +123,13 @@
 	if f.used.waits < f.b.Waits {
 		moves = append(moves, "wait 0")
 	}
-	for k := range f.flying {
-		if k > 0 && f.flying[k] == f.flying[k-1] {
-			continue
-		}
-		moves = append(moves, fmt.Sprint("deliver ", k))
-		if f.used.drops < f.b.Drops {
-			moves = append(moves, fmt.Sprint("drop ", k))
-		}
-		if f.used.doubles < f.b.Doubles {
-			moves = append(moves, fmt.Sprint("double ", k))
-		}
-	}
-	return moves
+	return append(moves, f.air.Moves()...)
 }
 
 // Apply implements explore.State.
 func (f *fleet) Apply(move string) (explore.State, bool) {
-	var what string
-	var at int
-	if n, _ := fmt.Sscan(move, &what, &at); n != 2 || !slices.Contains(f.Moves(), move) {
+	what, at, ok := explore.Move(move, f.Moves())
+	if !ok {
 		return nil, false
 	}
 	c := f.clone()
@@ -165,18 +146,11 @@
 	case "wait":
 		c.used.waits++
 		c.now += c.b.Wait
-	case "deliver", "drop":
-		p := c.flying[at]
-		c.flying = slices.Delete(c.flying, at, at+1)
-		if what == "drop" {
-			c.used.drops++
-		} else {
+	default:
+		if p, arrived := c.air.Apply(what, at); arrived {
 			c.now += time.Millisecond
 			c.deliver(p)
 		}
-	case "double":
-		c.used.doubles++
-		c.flying = slices.Insert(c.flying, at, c.flying[at])
 	}
 	return c, true
 }
@@ -194,17 +168,17 @@
 	f.send(i, n.machine.Tick(f.clock(i)))
 }
 
-func (f *fleet) deliver(p flight) {
-	n := &f.nodes[p.to]
+func (f *fleet) deliver(p explore.Flight) {
+	n := &f.nodes[p.To]
 	if n.machine == nil {
 		return
 	}
-	m, err := facts.Parse([]byte(p.data))
+	m, err := facts.Parse([]byte(p.Data))
 	if err != nil {
 		f.wrong = err
 		return
 	}
-	f.send(p.to, n.machine.Receive(f.clock(p.to), m))
+	f.send(p.To, n.machine.Receive(f.clock(p.To), m))
 }
 
 func (f *fleet) send(i int, packets []facts.Packet) {
@@ -219,13 +193,8 @@
 		if len(data) > facts.MaxMessage {
 			f.wrong = fmt.Errorf("node %d sends %d bytes", i, len(data))
 		}
-		if to := int(p.To.Addr().As4()[3]); len(f.flying) < f.b.MostFlying {
-			f.flying = append(f.flying, flight{i, to, data})
-		}
+		f.air.Send(explore.Flight{From: i, To: int(p.To.Addr().As4()[3]), Data: data})
 	}
-	slices.SortFunc(f.flying, func(a, b flight) int {
-		return strings.Compare(fmt.Sprint(a.from, a.to, a.data), fmt.Sprint(b.from, b.to, b.data))
-	})
 }
 
 // spoil plants the defect in a message.
@@ -273,10 +242,7 @@
 			b.WriteString(n.machine.Fingerprint())
 		}
 	}
-	fmt.Fprint(&b, f.used, f.now%time.Millisecond)
-	for _, p := range f.flying {
-		fmt.Fprint(&b, p.from, p.to, p.data)
-	}
+	fmt.Fprint(&b, f.used, f.now%time.Millisecond, f.air)
 	return b.String()
 }
 
@@ -315,7 +281,7 @@
 // all zones in which anybody runs, with every node counted.
 func (f *fleet) Settle() error {
 	c := f.clone()
-	c.b.MostFlying = 1000
+	c.air.Most = 1000
 	var all []facts.Peer
 	count := map[facts.Place]int{}
 	for _, n := range c.nodes {
@@ -332,9 +298,8 @@
 		}
 	}
 	for end := c.now + 5*c.b.Fresh; c.now < end && c.wrong == nil; {
-		for len(c.flying) > 0 && c.wrong == nil {
-			p := c.flying[0]
-			c.flying = c.flying[1:]
+		for len(c.air.Flying) > 0 && c.wrong == nil {
+			p, _ := c.air.Apply("deliver", 0)
 			c.deliver(p)
 		}
 		c.now += 5 * time.Millisecond
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -130,6 +130,17 @@
 	return r, nil
 }
 
+// Walks makes one walk for each seed from the first on, until one meets a breach.
+func Walks(start State, first uint64, walks, steps int) (seed uint64, breach *Breach) {
+	for k := range walks {
+		seed = first + uint64(k)
+		if _, breach = Walk(start, seed, steps); breach != nil {
+			return seed, breach
+		}
+	}
+	return seed, nil
+}
+
 // Play plays a script and tells what is wrong at its end, or on the way; played: every move could be made.
 func Play(start State, script []string) (err error, played bool) {
 	state := start
--- a/internal/explore/swim/swim.go
+++ b/internal/explore/swim/swim.go
@@ -43,31 +43,28 @@
 	top     uint32
 }
 
-// flight is a message on its way.
-type flight struct {
-	from, to netip.AddrPort
-	data     string // as on the wire
-}
-
 // fleet is a state.
 type fleet struct {
-	b      Bounds
-	nodes  []node
-	flying []flight
-	used   struct{ drops, doubles, crashes, leaves, stops int }
-	wrong  error
+	b     Bounds
+	nodes []node
+	air   explore.Air
+	used  struct{ crashes, leaves, stops int }
+	wrong error
 }
 
 var key = []byte("key")
 
+// firstPort is where the first node is; the others follow.
+const firstPort = 7001
+
 func addr(i int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(7001+i))
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+i))
 }
 
 // New is the start: nodes that know one another's addresses as seeds, and nothing else. With one seed only, who never
 // met it before it left knows nobody, and no machine can mend that.
 func New(b Bounds) (explore.State, error) {
-	f := &fleet{b: b}
+	f := &fleet{b: b, air: explore.Air{Most: b.MostFlying, Drops: b.Drops, Doubles: b.Doubles}}
 	f.b.Options.Seeds = nil
 	for i := range b.Nodes {
 		f.b.Options.Seeds = append(f.b.Options.Seeds, addr(i))
@@ -93,7 +90,7 @@
 func (f *fleet) clone() *fleet {
 	c := *f
 	c.nodes = slices.Clone(f.nodes)
-	c.flying = slices.Clone(f.flying)
+	c.air = f.air.Clone()
 	for i := range c.nodes {
 		if m := c.nodes[i].machine; m != nil {
 			c.nodes[i].machine = m.Clone()
@@ -137,26 +134,13 @@
 			moves = append(moves, fmt.Sprint("wake ", i))
 		}
 	}
-	for k := range f.flying {
-		if k > 0 && f.flying[k] == f.flying[k-1] {
-			continue
-		}
-		moves = append(moves, fmt.Sprint("deliver ", k))
-		if f.used.drops < f.b.Drops {
-			moves = append(moves, fmt.Sprint("drop ", k))
-		}
-		if f.used.doubles < f.b.Doubles {
-			moves = append(moves, fmt.Sprint("double ", k))
-		}
-	}
-	return moves
+	return append(moves, f.air.Moves()...)
 }
 
 // Apply implements explore.State.
 func (f *fleet) Apply(move string) (explore.State, bool) {
-	var what string
-	var at int
-	if n, _ := fmt.Sscan(move, &what, &at); n != 2 || !slices.Contains(f.Moves(), move) {
+	what, at, ok := explore.Move(move, f.Moves())
+	if !ok {
 		return nil, false
 	}
 	c := f.clone()
@@ -181,17 +165,10 @@
 		c.used.leaves++
 		c.act(at, func(m *members.Machine) []members.Packet { return m.Leave(c.nodes[at].clock) })
 		c.nodes[at].gone = true
-	case "deliver", "drop":
-		p := c.flying[at]
-		c.flying = slices.Delete(c.flying, at, at+1)
-		if what == "drop" {
-			c.used.drops++
-		} else {
+	default:
+		if p, arrived := c.air.Apply(what, at); arrived {
 			c.deliver(p)
 		}
-	case "double":
-		c.used.doubles++
-		c.flying = slices.Insert(c.flying, at, c.flying[at])
 	}
 	return c, true
 }
@@ -219,13 +196,8 @@
 		if len(data) > members.MaxDatagram {
 			f.wrong = fmt.Errorf("%s sends %d bytes", n.name, len(data))
 		}
-		if len(f.flying) < f.b.MostFlying {
-			f.flying = append(f.flying, flight{addr(i), p.To, string(data)})
-		}
+		f.air.Send(explore.Flight{From: i, To: int(p.To.Port()) - firstPort, Data: string(data)})
 	}
-	slices.SortFunc(f.flying, func(a, b flight) int {
-		return strings.Compare(a.from.String()+a.to.String()+a.data, b.from.String()+b.to.String()+b.data)
-	})
 }
 
 // Defects are what can be planted, each a way to break a promise.
@@ -293,19 +265,20 @@
 	}
 }
 
-func (f *fleet) deliver(p flight) {
-	for i := range f.nodes {
-		n := &f.nodes[i]
-		if addr(i) != p.to || n.machine == nil || n.asleep || n.gone {
-			continue
-		}
-		m, err := members.Decode([]byte(p.data), key)
-		if err != nil {
-			f.wrong = err
-			return
-		}
-		f.act(i, func(k *members.Machine) []members.Packet { return k.Receive(n.clock, p.from, m) })
+func (f *fleet) deliver(p explore.Flight) {
+	if p.To >= len(f.nodes) { // nobody is there
+		return
 	}
+	n := &f.nodes[p.To]
+	if n.machine == nil || n.asleep || n.gone {
+		return
+	}
+	m, err := members.Decode([]byte(p.Data), key)
+	if err != nil {
+		f.wrong = err
+		return
+	}
+	f.act(p.To, func(k *members.Machine) []members.Packet { return k.Receive(n.clock, addr(p.From), m) })
 }
 
 // Key implements explore.State.
@@ -318,10 +291,7 @@
 			b.WriteString(n.machine.Fingerprint())
 		}
 	}
-	fmt.Fprint(&b, f.used)
-	for _, p := range f.flying {
-		b.WriteString(p.from.String() + p.to.String() + p.data)
-	}
+	fmt.Fprint(&b, f.used, f.air)
 	return b.String()
 }
 
@@ -357,11 +327,10 @@
 		c.nodes[i].asleep = false
 		now = max(now, c.nodes[i].clock)
 	}
-	c.b.MostFlying = 1000
+	c.air.Most = 1000
 	for range settleRounds {
-		for len(c.flying) > 0 {
-			p := c.flying[0]
-			c.flying = c.flying[1:]
+		for len(c.air.Flying) > 0 {
+			p, _ := c.air.Apply("deliver", 0)
 			c.deliver(p)
 		}
 		if c.wrong != nil {
--- a/internal/explore/swim/swim_test.go
+++ b/internal/explore/swim/swim_test.go
@@ -6,44 +6,24 @@
 
 	"woodpick/internal/explore"
 	"woodpick/internal/explore/crowd"
+	"woodpick/internal/explore/exploretest"
 	"woodpick/internal/members"
 )
 
 func start(t testing.TB, b Bounds) explore.State {
-	t.Helper()
 	s, err := New(b)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return s
+	return exploretest.Start(t, s, err)
 }
 
 // All orders of two nodes' first periods with a loss and a crash.
-func TestEveryOrderOfTwoNodes(t *testing.T) {
-	most := 3000
-	if testing.Short() {
-		most = 1000
-	}
-	r, breach := explore.Search(start(t, Small()), most, 50)
-	if breach != nil {
-		t.Fatal(breach)
-	}
-	t.Logf("%+v", r)
-	if r.States < most && !r.Whole {
-		t.Errorf("%+v", r)
-	}
-}
+func TestEveryOrderOfTwoNodes(t *testing.T) { exploretest.Orders(t, start(t, Small()), 3000) }
 
 // Random histories of four nodes with losses, doubles, crashes, leaves, stops and clocks apart: in the end all that run
 // hold one another for alive, and nobody else.
 func TestRandomHistoriesOfFourNodes(t *testing.T) {
 	b := Bounds{Nodes: 4, Ticks: 60, Drops: 25, Doubles: 10, Crashes: 3, Leaves: 1, Stops: 3, Skew: 5 * time.Second,
 		Options: members.Defaults(), MostFlying: 40}
-	for seed := range uint64(40) {
-		if _, breach := explore.Walk(start(t, b), seed, 250); breach != nil {
-			t.Fatalf("seed %d: %v", seed, explore.Shorten(start(t, b), breach))
-		}
-	}
+	exploretest.Holds(t, start(t, b), 40, 250)
 }
 
 // Each way to break a promise that can be planted is found by the same walks. Some take many; their test begins near the
@@ -53,13 +33,7 @@
 	for _, d := range Defects {
 		t.Run(d, func(t *testing.T) {
 			b := Bounds{Nodes: 3, Ticks: 60, Drops: 30, Crashes: 1, Leaves: 1, Stops: 1, Options: members.Defaults(), MostFlying: 20, Skew: time.Hour, Defect: d}
-			for seed := first[d]; seed < first[d]+20; seed++ {
-				if r, breach := explore.Walk(start(t, b), seed, 300); breach != nil {
-					t.Logf("seed %d, %d moves: %v", seed, r.Moves, breach.Err)
-					return
-				}
-			}
-			t.Error("twenty walks did not find it")
+			exploretest.Found(t, start(t, b), first[d], 20, 300)
 		})
 	}
 }
--- a/internal/rig/virtual/play.go
+++ b/internal/rig/virtual/play.go
@@ -4,13 +4,13 @@
 package virtual
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"woodpick"
+	"woodpick/internal/due"
 	"woodpick/internal/rig/audit"
 	"woodpick/internal/rig/experiment"
 	"woodpick/internal/rig/nodefile"
@@ -20,28 +20,6 @@
 // Tune changes what a module is told, for weighing; nil changes nothing.
 type Tune func(*woodpick.Settings)
 
-// event is something that is due.
-type event struct {
-	at  time.Duration
-	seq int // events of one instant go in the order in which they came up
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // node is one node: a module, or a policy that needs none.
 type node struct {
 	index    int
@@ -83,8 +61,7 @@
 	tune    Tune
 	told    Told
 	now     time.Duration
-	due     events
-	seq     int
+	due     due.Queue[func()]
 	audit   *audit.Audit
 	fleet   *world.Fleet
 	place   map[string]int
@@ -140,10 +117,9 @@
 	for _, c := range e.Classes {
 		end = max(end, e.Length()+c.Deadline+time.Second)
 	}
-	for len(p.due) > 0 && p.due[0].at <= end {
-		ev := heap.Pop(&p.due).(event)
-		p.now = ev.at
-		ev.do()
+	for at, do, ok := p.due.Next(); ok && at <= end; at, do, ok = p.due.Next() {
+		p.now = at
+		do()
 	}
 	for _, s := range p.fleet.Servers {
 		p.audit.LifeOver(s, p.now)
@@ -152,8 +128,7 @@
 }
 
 func (p *player) at(t time.Duration, do func()) {
-	p.seq++
-	heap.Push(&p.due, event{max(t, p.now), p.seq, do})
+	p.due.Add(max(t, p.now), do)
 }
 
 // start gives a node a module that knows the list.
