A cut may go both ways; drawn numbers and defaults in one place each

Need: the change had splitmix64 twice, a hand-written FNV, the default delay three times, two ways to ask an engine, two places that matched a fault's links, and cuts both ways told as two faults. Change: internal/splitmix, hash/fnv, facts.DefaultDelay, engine.inquire, experiment.Fault.Lies, and both = true for a cut between zones (refused elsewhere, tested).

--- a/deploy/experiments/facts-cut.hcl
+++ b/deploy/experiments/facts-cut.hcl
@@ -5,20 +5,13 @@
   measure = "45s"
 }
 
-fault "there" {
+fault "apart" {
   kind = "cut"
   from = "12s"
   to   = "22s"
   near = ["a"]
   far  = ["b", "c"]
-}
-
-fault "back" {
-  kind = "cut"
-  from = "12s"
-  to   = "22s"
-  near = ["b", "c"]
-  far  = ["a"]
+  both = true
 }
 
 fault "one-way" {
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -9,9 +9,9 @@
 	"slices"
 	"strings"
 	"time"
-	"woodpick/internal/facts"
 
 	"woodpick"
+	"woodpick/internal/facts"
 	"woodpick/internal/route"
 )
 
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 	"github.com/zclconf/go-cty/cty"
 
+	"woodpick/internal/facts"
 	"woodpick/internal/route"
 )
 
@@ -419,7 +420,7 @@
 			}, nil)
 		}},
 		{kind: "peers", single: true, read: func(b *hclsyntax.Body, path, _ string) {
-			n.Peers.Period, n.Peers.Delay = Duration(time.Second), Duration(20*time.Millisecond)
+			n.Peers.Period, n.Peers.Delay = Duration(time.Second), Duration(facts.DefaultDelay)
 			r.body(b, path, []field{
 				{"listen", true, text(&n.Peers.Listen)},
 				{"advertise", false, text(&n.Peers.Advertise)},
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -42,7 +42,7 @@
 	if len(problems) > 0 {
 		t.Fatal(problems)
 	}
-	if p := c.Node.Peers; p.Listen != "127.0.0.1:7946" || p.Region != "south" || len(p.Seeds) != 3 || time.Duration(p.Period) != time.Second || p.KeyFile == "" {
+	if p := c.Node.Peers; p.Listen != "127.0.0.1:7946" || p.Region != "south" || len(p.Seeds) != 3 || time.Duration(p.Period) != time.Second || time.Duration(p.Fresh) != 2*time.Second || p.KeyFile == "" {
 		t.Errorf("got %+v", p)
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -193,14 +193,18 @@
 
 // Status tells what the engine holds now; nothing once Run has returned.
 func (eng *Engine) Status() Status {
-	to := make(chan Status, 1)
-	eng.post(status{to})
+	return inquire(eng, func(to chan Status) event { return status{to} })
+}
+
+// inquire has the loop answer a question; the answer is empty once Run has returned.
+func inquire[T any](eng *Engine, question func(to chan T) event) (answer T) {
+	to := make(chan T, 1)
+	eng.post(question(to))
 	select {
-	case s := <-to:
-		return s
+	case answer = <-to:
 	case <-eng.done:
-		return Status{}
 	}
+	return answer
 }
 
 // TakeList brings news of the servers.
--- a/internal/engine/sight.go
+++ b/internal/engine/sight.go
@@ -109,14 +109,7 @@
 
 // Sight tells what the engine sees. It is empty where Options.Count is not set, and once Run has returned.
 func (eng *Engine) Sight() Sight {
-	to := make(chan Sight, 1)
-	eng.post(sight{to})
-	select {
-	case s := <-to:
-		return s
-	case <-eng.done:
-		return Sight{}
-	}
+	return inquire(eng, func(to chan Sight) event { return sight{to} })
 }
 
 // sight is what Sight gives: a copy.
--- a/internal/facts/exchange.go
+++ b/internal/facts/exchange.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"woodpick/internal/splitmix"
 )
 
 // MessageKind says what a message is for.
@@ -121,7 +123,7 @@
 
 func (m *Machine) draw(n int) int {
 	m.draws++
-	return int(mix(m.seed+m.draws*golden) % uint64(n))
+	return splitmix.Draw(m.seed, m.draws, n)
 }
 
 // SetLife takes the life that the membership has for this node. Rows go by it.
@@ -135,7 +137,7 @@
 
 // stamp is a time as a token: never 0.
 func (m *Machine) stamp(at time.Duration) uint32 {
-	return max(1, uint32(at/time.Millisecond)+uint32(mix(m.seed)))
+	return max(1, uint32(at/time.Millisecond)+uint32(splitmix.Mix(m.seed)))
 }
 
 func (m *Machine) send(to Peer, msg Message) {
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -25,9 +25,12 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/fnv"
 	"math"
 	"slices"
 	"time"
+
+	"woodpick/internal/splitmix"
 )
 
 // Kind says what an entry tells of its subject. Its highest bits say how parts are put together, so that a node can add up
@@ -77,11 +80,9 @@
 
 // SubjectOf is the number of a name.
 func SubjectOf(name string) Subject {
-	h := uint64(14695981039346656037) // FNV-1a
-	for _, c := range []byte(name) {
-		h = (h ^ uint64(c)) * 1099511628211
-	}
-	return Subject(max(1, uint32(mix(h))))
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return Subject(max(1, uint32(splitmix.Mix(h.Sum64()))))
 }
 
 // Place is a zone of a region.
@@ -174,9 +175,12 @@
 	Fan   int           // children of a node in a tree
 }
 
+// DefaultDelay is that of nodes on one network.
+const DefaultDelay = 20 * time.Millisecond
+
 // Defaults are those of nodes on one network.
 func Defaults(fresh time.Duration) Options {
-	return Options{Fresh: fresh, Delay: 20 * time.Millisecond, Fan: 8}
+	return Options{Fresh: fresh, Delay: DefaultDelay, Fan: 8}
 }
 
 // Least is the least Fresh that holds where nothing is lost and no datagram takes longer than a delay, in zones of up to 4,000
@@ -206,12 +210,3 @@
 
 // keep is how old a row may grow before it is dropped.
 func (o Options) keep() time.Duration { return 2 * o.Fresh }
-
-// golden and mix are splitmix64's (Steele, Lea, Flood 2014).
-const golden = 0x9e3779b97f4a7c15
-
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/facts/tree.go
+++ b/internal/facts/tree.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"woodpick/internal/splitmix"
 )
 
 // planes is in how many trees each zone's nodes stand.
@@ -20,7 +22,7 @@
 }
 
 // rank is a node's place in its zone's tree of a plane: by a hash of its ID.
-func rank(id uint64, plane uint8) uint64 { return mix(id ^ uint64(plane+1)*golden) }
+func rank(id uint64, plane uint8) uint64 { return splitmix.Mix(id ^ uint64(plane+1)*splitmix.Golden) }
 
 // tree is one zone's nodes in the order of a plane: the children of the i-th are those from i*fan+1 on, as in a heap.
 type tree []Peer
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -26,6 +26,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"woodpick/internal/splitmix"
 )
 
 // ID tells members apart: it is made of the name alone.
@@ -233,16 +235,7 @@
 // draw is a number below n, from the seed and the count of draws.
 func (m *Machine) draw(n int) int {
 	m.draws++
-	return int(mix(m.seed+m.draws*golden) % uint64(n))
-}
-
-// golden and mix are splitmix64's (Steele, Lea, Flood 2014).
-const golden = 0x9e3779b97f4a7c15
-
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return splitmix.Draw(m.seed, m.draws, n)
 }
 
 func (m *Machine) find(id ID) (int, bool) {
@@ -662,7 +655,7 @@
 func bucket(id ID) int { return int(id >> 59) }
 
 // stamp is of one member in a life.
-func stamp(id ID, life uint32) uint64 { return mix(uint64(id) ^ uint64(life)*golden) }
+func stamp(id ID, life uint32) uint64 { return splitmix.Mix(uint64(id) ^ uint64(life)*splitmix.Golden) }
 
 // sums are as sum, by bucket.
 func (m *Machine) sums() []uint32 {
--- a/internal/rig/experiment/file.go
+++ b/internal/rig/experiment/file.go
@@ -119,6 +119,7 @@
 		Over      string   `hcl:"over,optional"`
 		Near      []string `hcl:"near,optional"`
 		Far       []string `hcl:"far,optional"`
+		Both      bool     `hcl:"both,optional"`
 		Part      *float64 `hcl:"part,optional"`
 		Group     string   `hcl:"group,optional"`
 		Count     int      `hcl:"count,optional"`
@@ -341,9 +342,6 @@
 	return names
 }
 
-// factsDelay is what nodes' files say of the delay of datagrams by leaving it out.
-const factsDelay = 20 * time.Millisecond
-
 func (r *reader) experiment(f *file, top hcl.Range) *Experiment {
 	e := &Experiment{}
 	if f.Experiment == nil || f.Callers == nil || len(f.Zones) == 0 || len(f.Nodes) == 0 || len(f.Servers) == 0 || len(f.Classes) == 0 {
@@ -353,7 +351,7 @@
 	b := block{r, f.Experiment.Body, "experiment." + f.Experiment.Name}
 	e.Name, e.Note, e.Seed = f.Experiment.Name, f.Experiment.Note, f.Experiment.Seed
 	e.Peers = b.duration("peers", f.Experiment.Peers, 100*time.Millisecond, time.Minute)
-	if e.Fresh = b.duration("fresh", f.Experiment.Fresh, facts.Least(factsDelay), time.Minute); e.Fresh > 0 && e.Peers == 0 {
+	if e.Fresh = b.duration("fresh", f.Experiment.Fresh, facts.Least(facts.DefaultDelay), time.Minute); e.Fresh > 0 && e.Peers == 0 {
 		b.bad("fresh", "found %q; allowed: with peers", f.Experiment.Fresh)
 	}
 	e.WarmUp = b.duration("warm_up", f.Experiment.WarmUp, 0, maxLength)
@@ -490,7 +488,7 @@
 		b := block{r, t.Body, "fault." + t.Name}
 		v := Fault{Name: t.Name, Kind: Kind(t.Kind), From: b.duration("from", t.From, 0, maxLength), To: b.duration("to", t.To, 0, maxLength),
 			Over: b.duration("over", t.Over, 0, maxLength), Near: b.within("near", t.Near, zones), Far: zones,
-			Part: 1, Group: t.Group, Count: t.Count, Factor: t.Factor, Offset: b.duration("offset", t.Offset, -24*time.Hour, 24*time.Hour),
+			Both: t.Both, Part: 1, Group: t.Group, Count: t.Count, Factor: t.Factor, Offset: b.duration("offset", t.Offset, -24*time.Hour, 24*time.Hour),
 			Delay: b.duration("delay", t.Delay, 0, 10*time.Second), Jitter: b.duration("jitter", t.Jitter, 0, 10*time.Second),
 			Loss: t.Loss, Double: t.Double, Reorder: t.Reorder, Bandwidth: t.Bandwidth}
 		if len(t.Far) > 0 {
@@ -499,6 +497,9 @@
 		if t.Part != nil {
 			v.Part = *t.Part
 		}
+		if t.Both && (v.Kind != Cut || slices.Contains(t.Far, RegistrySide)) {
+			b.bad("both", "found with %s of %v; allowed: with cut between zones", v.Kind, t.Far)
+		}
 		b.word("kind", t.Kind, kinds...)
 		b.number("part", v.Part, 0, 1)
 		b.number("loss", v.Loss, 0, 1)
--- a/internal/rig/experiment/file_test.go
+++ b/internal/rig/experiment/file_test.go
@@ -160,6 +160,8 @@
 		{`rate = 3`, ``, `callers.rate: allowed: either rate or utilisation`},
 		{`kind = "cut_there"`, `kind = "cutt"`, `x.hcl:31:3: fault.cut.kind: found "cutt"; allowed: crash, cut, cut_back`},
 		{`to   = "4s"`, `to   = "500ms"`, `fault.cut.to: found 500ms; allowed: from + over, 1s, or later`},
+		{`part = 0.5`, `both = true`, `fault.cut.both: found with cut_there`},
+		{`measure = "10s"`, "measure = \"10s\"\n  fresh = \"2s\"", `experiment.x.fresh: found "2s"; allowed: with peers`},
 		{`part = 0.5`, `group = "box"`, `fault.cut.group: found "box"; allowed: only where nodes or servers are struck`},
 		{`part = 0.5`, `colour = "red"`, `x.hcl:35:3: Unsupported argument`},
 		{`seed    = 7`, `seed    = 7 + x`, `x.hcl:2:`},
--- a/internal/rig/experiment/model.go
+++ b/internal/rig/experiment/model.go
@@ -178,6 +178,7 @@
 	Over     time.Duration // the onset is spread over so long
 
 	Near, Far []string // zones of the nodes, and of the servers, that links lie between; RegistrySide is the registry's side
+	Both      bool     // of cut: the links from nodes in Far to servers in Near as well
 	Part      float64  // share of the links, nodes or servers that are struck
 	Group     string   // of nodes or servers; empty: all
 	Count     int      // that are struck, instead of a share; for recount: copies that there are said to be
@@ -191,6 +192,11 @@
 	Bandwidth     int64         // of slow: bytes a second; 0: no bound
 }
 
+// Lies says that links from nodes in one zone to servers in another are among those that the fault is of.
+func (f Fault) Lies(near, far string) bool {
+	return slices.Contains(f.Near, near) && slices.Contains(f.Far, far) || f.Both && slices.Contains(f.Far, near) && slices.Contains(f.Near, far)
+}
+
 // Struck draws which of n things the fault strikes, the same for the same seed.
 func (f Fault) Struck(seed uint64, n int) []int {
 	want := int(f.Part*float64(n) + 0.5)
--- a/internal/rig/links.go
+++ b/internal/rig/links.go
@@ -15,8 +15,7 @@
 	faults := slices.Clone(f.faults)
 	f.mu.Unlock()
 	for _, ft := range faults {
-		if slices.Contains(ft.Near, near) && slices.Contains(ft.Far, far) &&
-			(place < 0 || slices.Contains(ft.Struck(f.e.Seed, len(f.world.Servers)), place)) {
+		if ft.Lies(near, far) && (place < 0 || slices.Contains(ft.Struck(f.e.Seed, len(f.world.Servers)), place)) {
 			s = s.Over(shapeOf(ft))
 		}
 	}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -210,13 +210,7 @@
   to   = "16s"
   near = ["a"]
   far  = ["b", "c"]
-}
-fault "back" {
-  kind = "cut"
-  from = "10s"
-  to   = "16s"
-  near = ["b", "c"]
-  far  = ["a"]
+  both = true
 }
 `)
 	const n = 12
--- a/internal/rig/virtual/play.go
+++ b/internal/rig/virtual/play.go
@@ -330,7 +330,7 @@
 		if !there {
 			near, far = to, from
 		}
-		if !slices.Contains(f.Near, near) || !slices.Contains(f.Far, far) || !slices.Contains(f.Struck(p.e.Seed, len(p.state)), place) {
+		if !f.Lies(near, far) || !slices.Contains(f.Struck(p.e.Seed, len(p.state)), place) {
 			continue
 		}
 		switch f.Kind {
