A silent agent is asked again beside; nothing is begun that the node's end would cut off

Looked into: the module drops a server with the list that says so, the list came late. The lines at fault: watchHold + watchGrace (2.5 s) hold a call that an agent never answers which was silent when it came, and the pause after a failure doubled to 1 s (internal/discovery/watch.go). A call to an agent is now held for 0.3 s and doubted 0.1 s later; the next is made beside it, three at most. Asked discovery keeps its pace.

Ruled out: connections let go too soon. The lines at fault: until ending.serve every request was sent though answers took longer than was left. The engine is now told when its last call comes and refuses at once what would not be answered by then, by how long the module saw its class take.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -4,8 +4,12 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"woodpick/internal/standin"
 )
@@ -83,3 +87,80 @@
 	default:
 	}
 }
+
+// silentAgent answers what comes after it was silent, and nothing of what came before; it tells each call's number.
+type silentAgent struct {
+	net.Listener
+	calls  chan int
+	mu     sync.Mutex
+	n      int
+	silent bool
+	text   string
+	open   int
+	most   int
+}
+
+func newSilentAgent(t *testing.T) *silentAgent {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &silentAgent{Listener: ln, calls: make(chan int, 10_000), silent: true}
+	srv := &http.Server{Handler: a}
+	go srv.Serve(ln)
+	t.Cleanup(func() { srv.Close() })
+	return a
+}
+
+func (a *silentAgent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a.mu.Lock()
+	a.n++
+	a.open++
+	a.most = max(a.most, a.open)
+	n, silent, text := a.n, a.silent, a.text
+	a.mu.Unlock()
+	defer func() { a.mu.Lock(); a.open--; a.mu.Unlock() }()
+	a.calls <- n
+	if silent || r.URL.Query().Get("from") == "9" {
+		<-r.Context().Done()
+		return
+	}
+	io.WriteString(w, text)
+}
+
+// An agent that is silent is asked again beside the call that is open, by a bounded number of calls, and the first one
+// that is made once it is back tells what it has: nothing waits for a call that it will never answer, and no pause
+// grows meanwhile. Lists may come indented.
+func TestASilentAgentIsAskedAgainBesideAndHeardAtOnce(t *testing.T) {
+	a := newSilentAgent(t)
+	events := make(sink, 10)
+	w := NewWatch(a.Addr().String(), 7, events, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	w.Hold, w.Grace = 5*time.Millisecond, 5*time.Millisecond
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { w.Push(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	for range 20 {
+		standin.Receive(t, a.calls, "another call")
+	}
+	a.mu.Lock()
+	a.silent = false
+	a.text = "{\n  \"rev\": 9,\n  \"all\": true,\n  \"targets\": [\n    " + standin.Entry("s1", "127.0.0.1:1", "terminating") + "\n  ]\n}\n"
+	before := a.n
+	a.mu.Unlock()
+	if e := standin.Receive(t, events, "the list"); len(e.list.Targets) != 1 || e.list.Rev != 9 {
+		t.Errorf("got %+v", e)
+	}
+	first := 0
+	for first <= before {
+		first = standin.Receive(t, a.calls, "a call after it is back")
+	}
+	if first != before+1 {
+		t.Errorf("call %d, want %d", first, before+1)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.most > mostCalls+1 { // one whose end the agent has not seen yet
+		t.Errorf("%d calls were open at once, want up to %d", a.most, mostCalls)
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,14 +13,24 @@
 	"time"
 )
 
-// Times of a watch. An agent that is silent answers nothing, not even once it is back, so a call is
-// given up on a little after its hold is over: the hold bounds how long news can go unheard.
+// Times of a watch. An agent that is silent answers nothing, not even once it is back, so a call is doubted a little
+// after its hold is over: the two together bound how long what the agent has can go unheard once it is back.
+//
+// An agent is on the node's own machine, answers at once and at no cost, and what it has counts as told at once: it is
+// asked three times a second. A service that all nodes ask has a cost, and is held to another clock (6 s after it fell
+// silent, or 2 s after a hold).
 const (
-	watchHold    = 2 * time.Second
-	watchGrace   = 500 * time.Millisecond
+	agentHold    = 300 * time.Millisecond
+	agentGrace   = 100 * time.Millisecond
+	serviceHold  = 2 * time.Second
+	serviceGrace = 500 * time.Millisecond
 	backoffFirst = 50 * time.Millisecond
-	backoffMost  = time.Second
+	backoffMost  = 200 * time.Millisecond // of an agent that fails at once
 	maxList      = 16 << 20
+
+	// mostCalls are open at an agent at once: while it is silent each doubted call stays open beside the next ones, for
+	// a node that is short of processor time may only be late to read an answer.
+	mostCalls = 3
 )
 
 // Sink is told what a watch finds. Its methods may block for a moment only.
@@ -33,8 +44,8 @@
 	sink   Sink
 	log    *slog.Logger
 	wanted chan struct{}
-	Hold   time.Duration // how long a call may wait for news
-	Grace  time.Duration // and how much longer it is waited for
+	Hold   time.Duration // how long a call may wait for news; 0: as fits how the registry is asked
+	Grace  time.Duration // and how much later it is doubted
 
 	mu sync.Mutex
 	at *place // where the list is watched now
@@ -46,12 +57,12 @@
 	leave  context.CancelFunc
 	addr   string
 	client *http.Client
-	rev    int64 // the version held; -1: none, so the whole list is asked for
+	rev    int64 // the version held; -1: none, so the whole list is asked for. It belongs to Push or Ask
 }
 
 func newPlace(addr string, rev int64) *place {
 	p := &place{addr: addr, rev: rev,
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}}}
+		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: mostCalls, DisableCompression: true}}}
 	p.ctx, p.leave = context.WithCancel(context.Background())
 	return p
 }
@@ -59,8 +70,7 @@
 // NewWatch returns a Watch of the registry at addr that goes on from the version rev of its list; -1: from
 // none. It asks nothing before Push or Ask.
 func NewWatch(addr string, rev int64, sink Sink, log *slog.Logger) *Watch {
-	return &Watch{sink: sink, log: log, at: newPlace(addr, rev),
-		wanted: make(chan struct{}, 1), Hold: watchHold, Grace: watchGrace}
+	return &Watch{sink: sink, log: log, at: newPlace(addr, rev), wanted: make(chan struct{}, 1)}
 }
 
 func (w *Watch) place() *place {
@@ -95,32 +105,99 @@
 	}
 }
 
-// Push watches from the start until ctx ends. The next call follows each answer at once: a watch is
-// lost when it is late. Only after a failure it waits, for twice as long each time up to a bound.
+// Push watches an agent from the start until ctx ends. The next call follows each answer at once: a watch is
+// lost when it is late.
 func (w *Watch) Push(ctx context.Context) {
 	defer w.closeIdle()
-	wait := backoffFirst
 	for ctx.Err() == nil {
-		p := w.place()
-		err := w.watch(ctx, p)
-		switch {
-		case err == nil || p.ctx.Err() != nil:
-			wait = backoffFirst
-			continue
-		case ctx.Err() != nil:
+		w.follow(ctx, w.place())
+	}
+}
+
+// ending is how a call ended.
+type ending struct {
+	list List
+	err  error
+}
+
+// follow watches an agent at one place until the watch moves or ctx ends. A call that has said nothing by the end of
+// its hold and grace is doubted: another is made beside it, and whichever answers first counts. The others end with
+// it, so that news never comes out of order. After a failure that came at once it waits a little.
+func (w *Watch) follow(ctx context.Context, p *place) {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	defer context.AfterFunc(p.ctx, end)()
+	hold, grace := w.times(agentHold, agentGrace)
+	wait, silent := backoffFirst, false
+	for ctx.Err() == nil {
+		round, over := context.WithCancel(ctx)
+		answers := make(chan ending, mostCalls)
+		var calls []context.CancelFunc // that are open, the oldest first
+		call := func() {
+			if len(calls) == mostCalls {
+				calls[0]()
+				calls = calls[1:]
+			}
+			one, cancel := context.WithCancel(round)
+			calls = append(calls, cancel)
+			go func(rev int64) {
+				l, err := w.call(one, p, rev, hold)
+				if one.Err() == nil || err == nil {
+					select {
+					case answers <- ending{l, err}:
+					default: // another one's answer counts
+					}
+				}
+			}(p.rev)
+		}
+		call()
+		doubt := time.NewTicker(hold + grace)
+		var t ending
+		for waiting := true; waiting; {
+			select {
+			case t = <-answers:
+				waiting = false
+			case <-doubt.C:
+				if !silent {
+					silent = true
+					w.log.Warn("discovery is silent; asking again")
+				}
+				call()
+			case <-ctx.Done():
+				t.err, waiting = ctx.Err(), false
+			}
+		}
+		doubt.Stop()
+		over()
+		if ctx.Err() != nil {
 			return
-		case wait == backoffFirst:
-			w.log.Warn("discovery does not answer; asking again", "error", err)
+		}
+		if w.take(p, t.list, t.err) {
+			wait, silent = backoffFirst, false
+			continue
+		}
+		if wait == backoffFirst {
+			w.log.Warn("discovery does not answer; asking again", "error", t.err)
 		}
 		select {
 		case <-ctx.Done():
-		case <-p.ctx.Done():
 		case <-time.After(wait):
 		}
 		wait = min(2*wait, backoffMost)
 	}
 }
 
+// times are the hold and the grace of a call.
+func (w *Watch) times(hold, grace time.Duration) (time.Duration, time.Duration) {
+	if w.Hold > 0 {
+		hold = w.Hold
+	}
+	if w.Grace > 0 {
+		grace = w.Grace
+	}
+	return hold, grace
+}
+
 // Ask serves Subscribes until ctx ends: a watch that goes on until it fails, which is reported once.
 func (w *Watch) Ask(ctx context.Context) {
 	defer w.closeIdle()
@@ -143,46 +220,64 @@
 	}
 }
 
-// watch makes one call and posts what it tells.
+// watch makes one call to a service, gives it up where it stays silent, and passes on what it tells.
 func (w *Watch) watch(ctx context.Context, p *place) error {
-	ctx, cancel := context.WithTimeout(ctx, w.Hold+w.Grace)
+	hold, grace := w.times(serviceHold, serviceGrace)
+	ctx, cancel := context.WithTimeout(ctx, hold+grace)
 	defer cancel()
 	defer context.AfterFunc(p.ctx, cancel)()
+	l, err := w.call(ctx, p, p.rev, hold)
+	w.take(p, l, err)
+	return err
+}
+
+// take passes on what a call told, and goes on from there. It tells whether the call told anything that could be read.
+func (w *Watch) take(p *place, l List, err error) bool {
+	if err != nil {
+		if errors.Is(err, errMalformed) {
+			p.rev = -1 // what the dropped answer told is missing: the whole list mends that
+		}
+		return false
+	}
+	p.rev = l.Rev
+	if p.ctx.Err() == nil && (l.Full || len(l.Targets) > 0) { // else a hold has ended without news
+		w.sink.TakeList(l)
+	}
+	return true
+}
+
+// errMalformed is of an answer that came and can't be read.
+var errMalformed = errors.New("malformed")
+
+// call asks for what is newer than a version, and waits for that as long as ctx goes on.
+func (w *Watch) call(ctx context.Context, p *place, rev int64, hold time.Duration) (List, error) {
 	u := url.URL{Scheme: "http", Host: p.addr, Path: "/registry/instances"}
-	if p.rev >= 0 {
-		u.RawQuery = url.Values{"from": {strconv.FormatInt(p.rev, 10)},
-			"hold_ms": {strconv.FormatInt(w.Hold.Milliseconds(), 10)}}.Encode()
+	if rev >= 0 {
+		u.RawQuery = url.Values{"from": {strconv.FormatInt(rev, 10)},
+			"hold_ms": {strconv.FormatInt(hold.Milliseconds(), 10)}}.Encode()
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
-		return fmt.Errorf("watch: %w", err)
+		return List{}, fmt.Errorf("watch: %w", err)
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return fmt.Errorf("watch: %w", err)
+		return List{}, fmt.Errorf("watch: %w", err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("watch: status %d", resp.StatusCode)
+		return List{}, fmt.Errorf("watch: status %d", resp.StatusCode)
 	}
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
 	if err != nil {
-		return fmt.Errorf("watch: %w", err)
+		return List{}, fmt.Errorf("watch: %w", err)
 	}
 	l, err := Parse(text)
-	if err == nil && !l.Full && l.Rev < p.rev {
-		err = fmt.Errorf("list: rev %d comes after %d", l.Rev, p.rev)
+	if err == nil && !l.Full && l.Rev < rev {
+		err = fmt.Errorf("list: rev %d comes after %d", l.Rev, rev)
 	}
 	if err != nil {
-		p.rev = -1 // what the dropped answer told is missing: the whole list mends that
-		return err
-	}
-	p.rev = l.Rev
-	if !l.Full && len(l.Targets) == 0 {
-		return nil // a hold that ended without news
-	}
-	if p.ctx.Err() == nil {
-		w.sink.TakeList(l)
+		return List{}, fmt.Errorf("watch: %w: %w", errMalformed, err)
 	}
-	return nil
+	return l, nil
 }
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -64,6 +64,7 @@
 	Kind       Kind
 	Reply      Reply         // for Served
 	RetryAfter time.Duration // for Refused: when to come back; 0: not said
+	Elsewhere  bool          // this node is ending: the caller had better go to another
 }
 
 // Reply is what a server made for a call.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -40,6 +40,7 @@
 	}
 	listNews    struct{ list discovery.List }
 	listFailed  struct{}
+	closing     struct{ at time.Duration }
 	lastCall    struct{} // the node ends: what is unanswered is answered now
 	reconfigure struct {
 		settings woodpick.Settings
@@ -115,9 +116,10 @@
 	alarms    alarms
 	rev       int64 // of the list
 	listed    map[string]discovery.Target
-	over      bool        // after lastCall
-	retiring  bool        // after retire
-	ready     atomic.Bool // a listed server may be sent to
+	closeAt   time.Duration // clock time of the last call to come; 0: none is known
+	over      bool          // after lastCall
+	retiring  bool          // after retire
+	ready     atomic.Bool   // a listed server may be sent to
 	stats     stats
 	total     Totals
 	tally     *tally // nil: nobody wants Sight
@@ -213,6 +215,10 @@
 // ListFailed says that a subscription failed.
 func (eng *Engine) ListFailed() { eng.post(listFailed{}) }
 
+// CloseAt says at which clock time LastCall will come. What has been sent to no server by then less the time that its
+// class takes is refused, as early as that is known: begun later, it would be cut in the middle of its work.
+func (eng *Engine) CloseAt(at time.Duration) { eng.post(closing{at}) }
+
 // LastCall has whatever is unanswered answered now, and what still comes refused.
 func (eng *Engine) LastCall() { eng.post(lastCall{}) }
 
@@ -275,9 +281,10 @@
 	case arrived:
 		eng.lag(e.call.At)
 		eng.stats.Requests++
-		if eng.over || eng.retiring {
+		eng.turnBack()
+		if eng.over || eng.retiring || eng.tooLate(e.call.Class) {
 			eng.stats.Refused++
-			e.call.answer <- Answer{Kind: Refused, RetryAfter: time.Second}
+			e.call.answer <- Answer{Kind: Refused, RetryAfter: time.Second, Elsewhere: eng.closeAt > 0}
 			return
 		}
 		if eng.pending[e.call.ID] != nil {
@@ -308,7 +315,11 @@
 		}
 	case ended:
 		eng.lag(e.outcome.At)
+		eng.turnBack()
 		eng.end(e.attempt, e.outcome)
+	case closing:
+		eng.closeAt = e.at
+		eng.turnBack()
 	case lastCall:
 		eng.over = true
 		for _, p := range eng.pending {
@@ -358,13 +369,30 @@
 	t.Asks += int64(s.Asks)
 }
 
+// tooLate says that a call of a class would not be answered before the last call, as its answers come now.
+func (eng *Engine) tooLate(class string) bool {
+	return eng.closeAt > 0 && eng.clock.Now()+eng.balancer.Takes(class) > eng.closeAt
+}
+
+// turnBack refuses what waits for a server and would be sent too late to be answered, before the module sends it.
+func (eng *Engine) turnBack() {
+	if eng.closeAt == 0 {
+		return
+	}
+	for _, p := range eng.pending {
+		if len(p.attempts) == 0 && eng.tooLate(p.call.Class) {
+			eng.giveUp(p)
+		}
+	}
+}
+
 // giveUp answers a call that the node will not be there for, as its caller leaving would end it.
 func (eng *Engine) giveUp(p *pending) {
 	if p.answered {
 		return
 	}
 	if len(p.attempts) == 0 {
-		eng.finish(p.call.ID, Answer{Kind: Refused, RetryAfter: time.Second})
+		eng.finish(p.call.ID, Answer{Kind: Refused, RetryAfter: time.Second, Elsewhere: eng.closeAt > 0})
 	} else {
 		eng.finish(p.call.ID, Answer{Kind: Failed})
 	}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -345,3 +345,63 @@
 		t.Errorf("after its end: %+v", is)
 	}
 }
+
+// taught is an engine that runs, and whose ten calls so far took 20 ms each by its clock.
+func taught(t *testing.T, s *script) *Engine {
+	e := newEngine(t, s, servers("s1", "s2"))
+	go e.Run(t.Context())
+	for i := range 10 {
+		call := newCall(e, fmt.Sprint("before", i), "note")
+		e.Take(call)
+		a, end := s.expect(t)
+		end <- Outcome{Ending: woodpick.Success, At: a.Sent + 20*time.Millisecond}
+		standin.Receive(t, call.Answer(), "the answer")
+	}
+	return e
+}
+
+// Given that the last call is near, what would not be answered by then is refused at once; what has time enough is
+// sent as ever, and so is what nothing is known of.
+func TestWhatCouldNotBeAnsweredBeforeTheEndIsNeverSent(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		left  time.Duration // until the last call
+		class string
+		want  Kind
+	}{
+		{"time enough", time.Hour, "note", Served},
+		{"too little", 10 * time.Millisecond, "note", Refused},
+		{"nothing known of its class", time.Minute, "view", Served},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScript()
+			e := taught(t, s)
+			e.CloseAt(e.clock.Now() + c.left)
+			call := newCall(e, "late", c.class)
+			e.Take(call)
+			if c.want == Served {
+				_, end := s.expect(t)
+				end <- Outcome{Ending: woodpick.Success, At: e.clock.Now()}
+			}
+			if got := standin.Receive(t, call.Answer(), "the answer"); got.Kind != c.want || got.Kind == Refused && (got.RetryAfter <= 0 || !got.Elsewhere) {
+				t.Errorf("answer %+v, want kind %d", got, c.want)
+			}
+		})
+	}
+}
+
+// What waits for a server when the end is told, or when another call tells that time has gone on, is turned back too.
+func TestWhatWaitsForAServerIsTurnedBackBeforeTheEnd(t *testing.T) {
+	s := newScript()
+	e := taught(t, s)
+	e.TakeList(discovery.List{Full: true})
+	waiting := newCall(e, "waiting", "note")
+	e.Take(waiting)
+	if got := e.Status(); got.Open != 1 {
+		t.Fatalf("%+v, want one call that waits", got)
+	}
+	e.CloseAt(e.clock.Now() + 10*time.Millisecond)
+	if got := standin.Receive(t, waiting.Answer(), "the answer"); got.Kind != Refused || len(s.attempts) > 0 {
+		t.Errorf("answer %+v after %d sends, want a refusal after none", got, len(s.attempts))
+	}
+}
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -242,7 +242,7 @@
 	rc := http.NewResponseController(w)
 	rc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
-	if f.callers.Crowded() || f.closing.Load() {
+	if f.callers.Crowded() || f.closing.Load() || a.Elsewhere {
 		h.Set("Connection", "close")
 	}
 	if a.Kind == engine.Served {
--- a/internal/node/ending.go
+++ b/internal/node/ending.go
@@ -63,6 +63,9 @@
 	ctx, cancel := context.WithTimeout(n.life, e.most)
 	defer cancel()
 	begin := n.clock.Now()
+	for _, p := range pools {
+		p.engine.CloseAt(begin + e.last)
+	}
 	since := func() time.Duration { return n.clock.Now() - begin }
 	// Where another process of this node goes on at the same addresses, they stay ready: new connections go to
 	// that one, and each answer sends its caller there.
--- a/woodpick.go
+++ b/woodpick.go
@@ -294,3 +294,22 @@
 	}
 	return out + min(sick, b.mostSick())
 }
+
+// Takes is the wait for an answer that most of a class's answers stay under as they come now; 0: none has come yet.
+func (b *Balancer) Takes(class string) time.Duration {
+	c := b.classes[class]
+	switch {
+	case c == nil || c.samples == 0:
+		return 0
+	case c.samples < fewSamples: // by how much they differ is not known yet
+		return time.Duration(c.mean)
+	}
+	return time.Duration(c.mean + mostTake*c.dev)
+}
+
+// mostTake are the deviations above the mean that nineteen answers of twenty come within: a mean deviation is four fifths of a
+// standard one.
+const mostTake = 2
+
+// fewSamples are too few to tell by how much a class's answers differ.
+const fewSamples = 8
