A request may bring attempts that another host made

Need: a call that a gateway takes over goes on where the other one left it, decided by the same module. Request.Earlier are attempts that have ended as far as this host is concerned: they count, their servers are not tried again, and whether it is sent once more hangs on the class's effect, its group and its window as for any other. The engine asks before the first byte of an attempt (Call.Allow), tells how each ended, and says of a refusal whether anything ran.

--- /dev/null
+++ b/earlier_test.go
@@ -0,0 +1,71 @@
+package woodpick
+
+import (
+	"testing"
+	"time"
+)
+
+// A request that another host had in hand goes on where that one left it: its attempts count, its servers are not tried
+// again, and whether it may be sent once more hangs on the class's effect and on what is known of them.
+func TestARequestThatAnotherHadInHandGoesOnWhereItWas(t *testing.T) {
+	const now = 100 * time.Second
+	made := func(unsent bool, servers ...string) (list []Earlier) {
+		for _, s := range servers {
+			list = append(list, Earlier{Server: s, Zone: "z", Cell: int(s[2]-'0') % 2, Sent: now - 100*msec, Unsent: unsent})
+		}
+		return list
+	}
+	for _, c := range []struct {
+		name    string
+		class   string
+		earlier []Earlier
+		cells   string // of the servers that it may go to; empty: it is not sent
+		refused bool
+	}{
+		{"safe, may have run", "get", made(false, "s00"), "01", false},
+		{"safe, all attempts used", "get", made(false, "s00", "s01", "s02", "s03", "s04"), "", true},
+		{"unsafe, may have run", "pay", made(false, "s00"), "", false},
+		{"unsafe, never ran", "pay", made(true, "s00"), "01", false},
+		{"unsafe, never ran, all attempts used", "pay", made(true, "s00", "s01", "s02", "s03", "s04"), "", true},
+		{"keyed, may have run: its cell drops repeats", "post", made(false, "s02"), "0", false},
+		{"keyed, and its cell has forgotten", "post", []Earlier{{Server: "s02", Zone: "z", Sent: now - time.Second}}, "", false},
+		{"keyed, of a server that is no more", "post", []Earlier{{Server: "gone", Zone: "z", Cell: 1, Sent: now - 100*msec}}, "1", false},
+	} {
+		seen := map[string]bool{}
+		for seed := range uint64(40) {
+			b, err := New(testSettings(), seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Handle(now-time.Second, ServerList{Full: true, Servers: servers(8)})
+			acts := b.Handle(now, Request{ID: "r", Class: c.class, Deadline: now + time.Second, Earlier: c.earlier})
+			out := sends(acts)
+			if c.cells == "" {
+				if len(out) > 0 || len(acts) != 1 {
+					t.Fatalf("%s: %+v", c.name, acts)
+				}
+				if _, refused := acts[0].(Refuse); refused != c.refused {
+					t.Fatalf("%s: %+v, want refused %v", c.name, acts[0], c.refused)
+				}
+				continue
+			}
+			if len(out) != 1 {
+				t.Fatalf("%s: %+v", c.name, acts)
+			}
+			seen[string(rune('0'+int(out[0].Server[2]-'0')%2))] = true
+			for _, e := range c.earlier {
+				if e.Server == out[0].Server {
+					t.Fatalf("%s: sent to %s once more", c.name, e.Server)
+				}
+			}
+			// Its attempts are numbered on.
+			acts = b.Handle(now+msec, Outcome{ID: "r", Attempt: len(c.earlier), Server: out[0].Server, Ending: Success, Ended: true})
+			if len(b.requests) != 0 || len(acts) != 0 {
+				t.Fatalf("%s: %d requests are left, %+v", c.name, len(b.requests), acts)
+			}
+		}
+		if len(seen) != len(c.cells) || c.cells != "" && !seen[c.cells[:1]] {
+			t.Errorf("%s: sent to cells %v, want %q", c.name, seen, c.cells)
+		}
+	}
+}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"slices"
+	"sync"
 	"time"
 
 	"woodpick"
@@ -18,22 +20,33 @@
 	Deadline  time.Duration // clock time until which its caller waits; with a Rest, as if At were that of the last byte
 	Request   Request
 
+	// Of calls that others have a part in. All three may be empty; a Call with them is made by its taker alone.
+	Earlier []woodpick.Earlier       // attempts that another node made
+	Allow   func(*Attempt) bool      // asked before the first byte of an attempt is written, which must not be where it says no
+	Ended   func(*Attempt, *Outcome) // told how each attempt ended
+
 	answer chan Answer // takes one answer without blocking
-	owner  *Engine     // that took it
+	mu     sync.Mutex
+	owner  *Engine             // that took it
+	left   func(time.Duration) // told instead of the owner that the caller has gone
 }
 
 // Request is what a server is to get, in the terms that all protocols share (RFC 9110). What is empty was
 // not given.
 type Request struct {
 	Method      string
-	Target      string // path and query, as they came
-	Key         string // idempotency key
+	Target      string  // path and query, as they came
+	Key         string  // idempotency key
+	Beside      []Field // headers that go beside, to gateways of partners
 	ContentType string
 	Body        []byte
 	Rest        io.Reader // what follows Body, to be read once; nil: nothing. An error tells that the caller has cut it
 	Length      int64     // of Body and Rest; negative: not known before its end
 }
 
+// Field is a header field.
+type Field struct{ Name, Value string }
+
 // NewCall returns a Call that can be answered.
 func NewCall(id string, r Request) *Call {
 	return &Call{ID: id, Request: r, answer: make(chan Answer, 1)}
@@ -42,14 +55,36 @@
 // Answer gives the one final answer, once.
 func (c *Call) Answer() <-chan Answer { return c.answer }
 
-// Leave tells the engine that took the call that its caller has gone at a clock time: nothing more is owed
-// to it. It is for whoever had the call taken.
+// notRun says that no attempt that another node made may have run.
+func (c *Call) notRun() bool {
+	return !slices.ContainsFunc(c.Earlier, func(e woodpick.Earlier) bool { return !e.Unsent })
+}
+
+// Leave tells whoever took the call that its caller has gone at a clock time: nothing more is owed to it. It is for whoever
+// had the call taken.
 func (c *Call) Leave(at time.Duration) {
-	if !c.owner.post(callerGone{c, at}) {
+	c.mu.Lock()
+	left, owner := c.left, c.owner
+	c.mu.Unlock()
+	if left != nil {
+		left(at)
+		return
+	}
+	if !owner.post(callerGone{c, at}) {
 		c.discard()
 	}
 }
 
+// Hold has a call be answered by Finish and not by an engine. left is told that its caller has gone.
+func (c *Call) Hold(left func(at time.Duration)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.left = left
+}
+
+// Finish gives the answer of a call that is held, once.
+func (c *Call) Finish(a Answer) { c.answer <- a }
+
 // discard drops an answer that nobody waits for any more.
 func (c *Call) discard() {
 	select {
@@ -65,6 +100,9 @@
 	Reply      Reply         // for Served
 	RetryAfter time.Duration // for Refused: when to come back; 0: not said
 	Elsewhere  bool          // this node is ending: the caller had better go to another
+	NotRun     bool          // for Refused: no attempt of it may have run
+	Why        string        // for Refused by a rule: which one
+	Settled    bool          // it is the one answer that all hear who ask about the call
 }
 
 // Reply is what a server made for a call.
@@ -82,6 +120,9 @@
 	}
 }
 
+// Discard closes what is left of the answer.
+func (a Answer) Discard() { a.Reply.Discard() }
+
 // Kind says what an answer promises.
 type Kind int
 
@@ -98,6 +139,8 @@
 	Call           *Call
 	N              int // from 0 for the first of its call
 	To             discovery.Host
+	Zone           string
+	Cell           int
 	Sent, Deadline time.Duration // clock times: when it was decided on, and until when it is waited for. With a Rest
 	// the time between the two runs from Uploaded on
 
@@ -124,6 +167,9 @@
 	return at + a.Deadline - a.Sent
 }
 
+// Allowed says whether the attempt may begin now that its connection is up. It may take a while.
+func (a *Attempt) Allowed() bool { return a.Call.Allow == nil || a.Call.Allow(a) }
+
 // Cancel calls the attempt off. Its Outcome still comes.
 func (a *Attempt) Cancel() { a.cancel() }
 
@@ -135,6 +181,7 @@
 	Reply  Reply          // for Success
 	Load   *woodpick.Load // that came with an answer; nil: none
 	Spent  bool           // some of the call's Rest was read: it can't be sent again
+	Why    string         // what the answer said of the rule that it was refused by
 }
 
 // Backend carries attempts out.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -56,6 +56,7 @@
 	call     *Call
 	attempts []*Attempt
 	out      int
+	ran      bool // an attempt of it may have
 	answered bool
 }
 
@@ -179,7 +180,9 @@
 
 // Take takes a call over: its answer comes on its channel. It must not be called once Retire was.
 func (eng *Engine) Take(c *Call) {
+	c.mu.Lock()
 	c.owner = eng
+	c.mu.Unlock()
 	eng.post(arrived{c})
 }
 
@@ -237,7 +240,9 @@
 	defer func() {
 		for _, p := range eng.pending {
 			for _, a := range p.attempts {
-				a.Cancel()
+				if a != nil {
+					a.Cancel()
+				}
 			}
 		}
 	}()
@@ -284,7 +289,7 @@
 		eng.turnBack()
 		if eng.over || eng.retiring || eng.tooLate(e.call.Class) {
 			eng.stats.Refused++
-			e.call.answer <- Answer{Kind: Refused, RetryAfter: time.Second, Elsewhere: eng.closeAt > 0}
+			e.call.answer <- Answer{Kind: Refused, RetryAfter: time.Second, Elsewhere: eng.closeAt > 0, NotRun: e.call.notRun()}
 			return
 		}
 		if eng.pending[e.call.ID] != nil {
@@ -293,10 +298,11 @@
 			e.call.answer <- Answer{Kind: Duplicate}
 			return
 		}
-		eng.pending[e.call.ID] = &pending{call: e.call}
+		// Attempts that another node made have their numbers and no more here.
+		eng.pending[e.call.ID] = &pending{call: e.call, attempts: make([]*Attempt, len(e.call.Earlier)), ran: !e.call.notRun()}
 		eng.tally.came(e.call.Class, false)
 		eng.handle(e.call.At, woodpick.Request{ID: e.call.ID, Class: e.call.Class, Deadline: e.call.Deadline,
-			Partial: e.call.Request.Rest != nil})
+			Partial: e.call.Request.Rest != nil, Earlier: e.call.Earlier})
 	case callerGone:
 		eng.lag(e.at)
 		if p := eng.pending[e.call.ID]; p != nil && p.call == e.call && !p.answered {
@@ -404,6 +410,7 @@
 	p := eng.pending[a.Call.ID]
 	eng.stats.Endings[r.Ending]++
 	p.out--
+	p.ran = p.ran || !r.Ending.NeverRan()
 	at, listed := eng.listed[a.To.Server]
 	eng.tally.ended(at, a.To.Server, listed, r.Ending, r.At-a.Sent)
 	if r.Ending == woodpick.Success && !p.answered {
@@ -481,7 +488,7 @@
 				eng.ask(a.ID, eng.listed[s].Host(), a.Within)
 			}
 		case woodpick.Cancel:
-			if p := eng.pending[a.ID]; p != nil && a.Attempt < len(p.attempts) {
+			if p := eng.pending[a.ID]; p != nil && a.Attempt < len(p.attempts) && p.attempts[a.Attempt] != nil {
 				p.attempts[a.Attempt].Cancel()
 			}
 		case woodpick.LetGo:
@@ -501,6 +508,7 @@
 func (eng *Engine) send(s woodpick.Send) {
 	p := eng.pending[s.ID]
 	a := NewAttempt(p.call, len(p.attempts), eng.listed[s.Server].Host(), eng.now, eng.now+s.Timeout)
+	a.Zone, a.Cell = eng.listed[s.Server].Zone, eng.listed[s.Server].Cell
 	p.attempts = append(p.attempts, a)
 	eng.tally.sent(a.To.Server)
 	p.out++
@@ -508,6 +516,9 @@
 	go func() {
 		r := eng.backend.Run(a)
 		a.Cancel()
+		if p.call.Ended != nil {
+			p.call.Ended(a, &r)
+		}
 		eng.post(ended{a, r})
 	}()
 }
@@ -529,6 +540,7 @@
 		return
 	}
 	if a.Kind == Refused {
+		a.NotRun = !p.ran && p.out == 0
 		eng.stats.Refused++
 		eng.tally.came(p.call.Class, true)
 	} else {
--- a/internal/http1/back.go
+++ b/internal/http1/back.go
@@ -23,6 +23,9 @@
 	"woodpick/internal/figures"
 )
 
+// RefusedBy is the header by which a partner's gateway tells which of its rules a call was refused by.
+const RefusedBy = "X-Refused-By"
+
 // maxAnswer bounds all of an answer but its body: heads, 1xx before them, chunks' sizes.
 const maxAnswer = 16 << 10
 
@@ -97,6 +100,7 @@
 	Idle           time.Duration // a server closes one that has been idle for so long
 	Busy           string        // name that X-Load has for the calls that a server holds; empty: none is read
 	AskPath        string        // where servers answer with their report alone; empty: they are not asked
+	From           net.IP        // that connections go out from; nil: any
 }
 
 // keep is how long a connection may be idle: closed a little before the server does, or a request might cross
@@ -164,6 +168,10 @@
 		case err != nil:
 			return engine.Outcome{Ending: woodpick.Unreachable}
 		}
+		if !a.Allowed() {
+			b.giveUp(c, waiter)
+			return engine.Outcome{Ending: woodpick.Void}
+		}
 		if b.begin(c, waiter) {
 			break
 		}
@@ -217,6 +225,9 @@
 	if a.Call.Request.Key != "" {
 		h["Idempotency-Key"] = []string{a.Call.Request.Key}
 	}
+	for _, f := range a.Call.Request.Beside {
+		h[f.Name] = []string{f.Value}
+	}
 	if a.Call.Request.ContentType != "" {
 		h["Content-Type"] = []string{a.Call.Request.ContentType}
 	}
@@ -239,6 +250,9 @@
 	}
 	b.mu.Lock()
 	dialer := net.Dialer{Timeout: b.limits.ConnectTimeout, KeepAlive: -1}
+	if b.limits.From != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: b.limits.From}
+	}
 	b.mu.Unlock()
 	nc, err := dialer.DialContext(ctx, "tcp", to.Endpoint)
 	if err != nil {
@@ -468,7 +482,7 @@
 	r.Ending = woodpick.Failure
 	if (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Run") == "1" {
-		r.Ending = woodpick.Overloaded
+		r.Ending, r.Why = woodpick.Overloaded, resp.Header.Get(RefusedBy)
 	}
 	return r, err == nil && reusable && resp.ContentLength <= maxBody && len(body) <= maxBody && c.br.Buffered() == 0
 }
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -245,6 +245,9 @@
 	if f.callers.Crowded() || f.closing.Load() || a.Elsewhere {
 		h.Set("Connection", "close")
 	}
+	if a.Settled {
+		h.Set("X-Settled", "1")
+	}
 	if a.Kind == engine.Served {
 		if a.Reply.ContentType == "" {
 			h["Content-Type"] = nil // none, rather than a guess
@@ -262,6 +265,10 @@
 		return nil
 	}
 	status, words := intake.Words(a)
+	if a.Kind == engine.Refused && a.Why != "" { // to a partner's gateway, which must know that nothing ran
+		h.Set("X-Not-Run", "1")
+		h.Set(RefusedBy, a.Why)
+	}
 	if retry := intake.RetryAfter(a); retry != "" {
 		h.Set("Retry-After", retry)
 	}
--- a/policy.go
+++ b/policy.go
@@ -134,21 +134,20 @@
 // request is an accepted request, kept until it is answered and its attempts have ended.
 type request struct {
 	terms
-	id        string
-	class     *class
-	arrived   time.Duration
-	deadline  time.Duration
-	attempts  []*attempt
-	out       int
-	repeat    bool      // by the client, where clients say so
-	partial   bool      // its body still comes
-	spent     bool      // and is gone in part
-	asked     []*server // how much they hold, before the first attempt; nil: nobody
-	asking    int       // of them that have not said yet
-	held      bool
-	answered  bool
-	streaming bool
-	wake      time.Duration
+	id       string
+	class    *class
+	arrived  time.Duration
+	deadline time.Duration
+	attempts []*attempt
+	out      int
+	repeat   bool      // by the client, where clients say so
+	partial  bool      // its body still comes
+	spent    bool      // and is gone in part
+	asked    []*server // how much they hold, before the first attempt; nil: nobody
+	asking   int       // of them that have not said yet
+	wake     time.Duration
+
+	held, answered, streaming bool
 }
 
 // attempt is one send of a request.
@@ -254,9 +253,7 @@
 			r.streaming = true
 		}
 	case ClientGone:
-		if r := b.requests[e.ID]; r != nil {
-			b.close(r)
-		}
+		b.close(b.requests[e.ID])
 	case Known:
 		b.takeKnown(e)
 	case Timer:
@@ -366,19 +363,22 @@
 	if b.requests[e.ID] != nil {
 		return
 	}
-	c := b.classes[e.Class]
-	if c == nil {
-		c = b.order[len(b.order)-1] // unknown: unsafe
-	}
+	c := cmp.Or(b.classes[e.Class], b.classes[""]) // unknown: unsafe
 	r := &request{id: e.ID, class: c, terms: terms{c.Effect, c.Scope, c.Window}, arrived: b.now,
 		deadline: e.Deadline, repeat: e.Repeat, partial: e.Partial}
 	b.requests[e.ID] = r
 	b.backdate(r)
 	for _, k := range b.order {
-		k.arrive *= 0.99
-		k.serve *= 0.99
+		k.arrive, k.serve = k.arrive*0.99, k.serve*0.99
+	}
+	for _, p := range e.Earlier { // made by whoever had it in hand before
+		a := &attempt{req: r, srv: b.servers[p.Server], sent: p.Sent, zone: p.Zone, cell: p.Cell, ended: true}
+		a.unsent, r.attempts = p.Unsent, append(r.attempts, a)
+	}
+	if c.arrive++; len(r.attempts) > 0 {
+		b.further(r)
+		return
 	}
-	c.arrive++
 	b.place(r)
 }
 
@@ -987,7 +987,7 @@
 
 // close ends a request and calls off what is still out for it.
 func (b *Balancer) close(r *request) {
-	if r.answered {
+	if r == nil || r.answered {
 		return
 	}
 	r.answered = true
--- a/woodpick.go
+++ b/woodpick.go
@@ -147,6 +147,9 @@
 	Void
 )
 
+// NeverRan says that it proves that the attempt never ran.
+func (e Ending) NeverRan() bool { return e == Overloaded || e == Unreachable || e == Void }
+
 // Load is a server's own report, late and noisy. Absent values are negative.
 type Load struct {
 	Busy    float64       // requests it holds
@@ -180,6 +183,7 @@
 		Deadline time.Duration // clock time
 		Repeat   bool          // the client marked it as a repeat
 		Partial  bool          // its body still comes: Uploaded tells when all of it is at a server
+		Earlier  []Earlier     // attempts that another host made of it, all of which have ended as far as this one is concerned
 	}
 	// Uploaded says that the last byte of a Partial request has come, and with an attempt has gone on to its
 	// server: only now may that begin, and only now the client's time, until Deadline, and the attempt's
@@ -230,6 +234,14 @@
 func (Reconfigure) event() {}
 func (Known) event()       {}
 
+// Earlier is an attempt of a request that another host had in hand before this one. Attempts are numbered on from it.
+type Earlier struct {
+	Server, Zone string
+	Cell         int
+	Sent         time.Duration // clock time
+	Unsent       bool          // it is known never to have run
+}
+
 // Action is something the host must do, in the order given: one of the types below.
 type Action interface{ action() }
 
