The rig's processes in a package of their own; links by who opened them

A relay takes a shape for each address that connections come from, and Forward passes them on to another process.

--- a/internal/rig/process.go
+++ b/internal/rig/child/child.go
@@ -1,4 +1,5 @@
-package rig
+// Package child starts processes that end with this one, whatever ends it, and files in memory that nothing is left of.
+package child
 
 import (
 	"bytes"
@@ -16,16 +17,17 @@
 	"golang.org/x/sys/unix"
 )
 
-// spawner starts processes from one thread that lives as long as it does: the kernel ends children when the thread that
+// Spawner starts processes from one thread that lives as long as it does: the kernel ends children when the thread that
 // started them ends, and a thread of Go's may end at any time.
-type spawner struct {
+type Spawner struct {
 	asked chan func()
 	once  sync.Once
 	done  chan struct{}
 }
 
-func newSpawner() *spawner {
-	s := &spawner{asked: make(chan func()), done: make(chan struct{})}
+// NewSpawner returns one whose thread lives until Close.
+func NewSpawner() *Spawner {
+	s := &Spawner{asked: make(chan func()), done: make(chan struct{})}
 	go func() {
 		runtime.LockOSThread() // and never unlocked: the thread ends with the goroutine
 		defer close(s.done)
@@ -36,9 +38,9 @@
 	return s
 }
 
-// start starts a command so that it ends when this process does, however that ends, and in a process group of its own,
+// Start starts a command so that it ends when this process does, however that ends, and in a process group of its own,
 // so that a terminal's interrupt reaches this process only.
-func (s *spawner) start(cmd *exec.Cmd) error {
+func (s *Spawner) Start(cmd *exec.Cmd) error {
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	err := make(chan error)
 	s.asked <- func() { err <- cmd.Start() }
@@ -46,29 +48,30 @@
 }
 
 // Close ends the thread, and with it every child that is left.
-func (s *spawner) Close() {
+func (s *Spawner) Close() {
 	s.once.Do(func() { close(s.asked) })
 	<-s.done
 }
 
-// memfile is a file in memory: nothing of it is left when its last user has ended.
-type memfile struct{ *os.File }
+// Memfile is a file in memory: nothing of it is left when its last user has ended.
+type Memfile struct{ *os.File }
 
-func newMemfile(name string, text []byte) (*memfile, error) {
+// NewMemfile returns one that holds a text.
+func NewMemfile(name string, text []byte) (*Memfile, error) {
 	fd, err := unix.MemfdCreate(name, unix.MFD_CLOEXEC)
 	if err != nil {
-		return nil, fmt.Errorf("rig: a file in memory: %w", err)
+		return nil, fmt.Errorf("child: a file in memory: %w", err)
 	}
-	m := &memfile{os.NewFile(uintptr(fd), name)}
-	return m, m.rewrite(text)
+	m := &Memfile{os.NewFile(uintptr(fd), name)}
+	return m, m.Rewrite(text)
 }
 
-func (m *memfile) rewrite(text []byte) error {
+func (m *Memfile) Rewrite(text []byte) error {
 	if err := m.Truncate(0); err != nil {
-		return fmt.Errorf("rig: %w", err)
+		return fmt.Errorf("child: %w", err)
 	}
 	if _, err := m.WriteAt(text, 0); err != nil {
-		return fmt.Errorf("rig: %w", err)
+		return fmt.Errorf("child: %w", err)
 	}
 	return nil
 }
@@ -110,70 +113,76 @@
 	return string(t.text)
 }
 
-// process is one life of a node.
-type process struct {
-	cmd  *exec.Cmd
-	log  *tail
-	done chan struct{} // closed once it has ended
-	err  error         // how
+// Process is one life of a node.
+type Process struct {
+	Cmd  *exec.Cmd
+	Log  *tail
+	Done chan struct{} // closed once it has ended
+	Err  error         // how
 
 	mu     sync.Mutex
 	wanted bool // its end is the rig's doing
 }
 
-// launch starts the program with a file in memory as its third descriptor.
+// Launch starts the program with a file in memory as its third descriptor.
 // key, if it has one, is the fourth. heard is told of each whole line of its log.
-func (s *spawner) launch(binary string, file, key *memfile, keep int, env []string, heard func(string)) (*process, error) {
-	p := &process{cmd: exec.Command(binary, "serve", "/proc/self/fd/3"), log: &tail{most: keep, heard: heard}, done: make(chan struct{})}
-	p.cmd.ExtraFiles = []*os.File{file.File}
+func (s *Spawner) Launch(binary string, file, key *Memfile, keep int, env []string, heard func(string)) (*Process, error) {
+	files := []*os.File{file.File}
 	if key != nil {
-		p.cmd.ExtraFiles = append(p.cmd.ExtraFiles, key.File)
+		files = append(files, key.File)
 	}
-	p.cmd.Stderr = p.log
-	p.cmd.Env = append(os.Environ(), env...)
-	if err := s.start(p.cmd); err != nil {
-		return nil, fmt.Errorf("rig: %w", err)
+	return s.Run(exec.Command(binary, "serve", "/proc/self/fd/3"), files, keep, env, heard)
+}
+
+// Run starts a command with files as its descriptors from the third on. keep is how many bytes of its log are kept.
+func (s *Spawner) Run(cmd *exec.Cmd, files []*os.File, keep int, env []string, heard func(string)) (*Process, error) {
+	p := &Process{Cmd: cmd, Log: &tail{most: keep, heard: heard}, Done: make(chan struct{})}
+	p.Cmd.ExtraFiles = files
+	p.Cmd.Stderr = p.Log
+	p.Cmd.Env = append(os.Environ(), env...)
+	if err := s.Start(p.Cmd); err != nil {
+		return nil, fmt.Errorf("child: %w", err)
 	}
 	go func() {
-		p.err = p.cmd.Wait()
-		close(p.done)
+		p.Err = p.Cmd.Wait()
+		close(p.Done)
 	}()
 	return p, nil
 }
 
-// signal sends one signal. A process that has ended takes none.
-func (p *process) signal(sig syscall.Signal) error {
+// Signal sends one signal. A process that has ended takes none.
+func (p *Process) Signal(sig syscall.Signal) error {
 	select {
-	case <-p.done:
+	case <-p.Done:
 		return nil
 	default:
 	}
-	if err := p.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		return fmt.Errorf("rig: %w", err)
+	if err := p.Cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("child: %w", err)
 	}
 	return nil
 }
 
-// end ends it with a signal, and by SIGKILL if that has no effect in time.
-func (p *process) end(sig syscall.Signal, within time.Duration) {
+// End ends it with a signal, and by SIGKILL if that has no effect in time.
+func (p *Process) End(sig syscall.Signal, within time.Duration) {
 	p.mu.Lock()
 	p.wanted = true
 	p.mu.Unlock()
-	p.signal(sig)
+	p.Signal(sig)
 	t := time.NewTimer(within)
 	defer t.Stop()
 	select {
-	case <-p.done:
+	case <-p.Done:
 	case <-t.C:
-		p.signal(syscall.SIGKILL)
-		<-p.done
+		p.Signal(syscall.SIGKILL)
+		<-p.Done
 	}
 }
 
-// died says in words that it ended by itself, or nothing.
-func (p *process) died() string {
+// Died says in words that it ended by itself, or nothing.
+func (p *Process) Died() string {
 	select {
-	case <-p.done:
+	case <-p.Done:
 	default:
 		return ""
 	}
@@ -182,11 +191,11 @@
 	if p.wanted {
 		return ""
 	}
-	return fmt.Sprintf("ended by itself: %v\n%s", p.err, p.log)
+	return fmt.Sprintf("ended by itself: %v\n%s", p.Err, p.Log)
 }
 
-// use is the processor time and the resident memory of a process that runs.
-func use(pid int) (cpu time.Duration, resident int64) {
+// Use is the processor time and the resident memory of a process that runs.
+func Use(pid int) (cpu time.Duration, resident int64) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return 0, 0
@@ -203,27 +212,3 @@
 	const ticks = 100 // a second, on every Linux that Go runs on
 	return time.Duration(number(11)+number(12)) * time.Second / ticks, number(21) * int64(os.Getpagesize())
 }
-
-// cost is what all processes took so far.
-func (f *fleet) cost() (c Cost) {
-	c.RigCPU, c.RigMemory = use(os.Getpid())
-	if entries, err := os.ReadDir("/proc/self/fd"); err == nil {
-		c.MostOpenRig = len(entries)
-	}
-	var memory int64
-	for _, n := range f.nodes {
-		n.mu.Lock()
-		p, before := n.process, n.spent
-		n.mu.Unlock()
-		if p != nil {
-			cpu, resident := use(p.cmd.Process.Pid)
-			c.NodesCPU += cpu + before
-			memory += resident
-			c.Processes++
-		}
-	}
-	if c.Processes > 0 {
-		c.NodeMemory = memory / int64(c.Processes)
-	}
-	return c
-}
--- /dev/null
+++ b/internal/rig/cost.go
@@ -0,0 +1,31 @@
+package rig
+
+import (
+	"os"
+
+	"woodpick/internal/rig/child"
+)
+
+// cost is what all processes took so far.
+func (f *fleet) cost() (c Cost) {
+	c.RigCPU, c.RigMemory = child.Use(os.Getpid())
+	if entries, err := os.ReadDir("/proc/self/fd"); err == nil {
+		c.MostOpenRig = len(entries)
+	}
+	var memory int64
+	for _, n := range f.nodes {
+		n.mu.Lock()
+		p, before := n.process, n.spent
+		n.mu.Unlock()
+		if p != nil {
+			cpu, resident := child.Use(p.Cmd.Process.Pid)
+			c.NodesCPU += cpu + before
+			memory += resident
+			c.Processes++
+		}
+	}
+	if c.Processes > 0 {
+		c.NodeMemory = memory / int64(c.Processes)
+	}
+	return c
+}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"woodpick/internal/rig/audit"
+	"woodpick/internal/rig/child"
 	"woodpick/internal/rig/experiment"
 	"woodpick/internal/rig/link"
 	"woodpick/internal/rig/world"
@@ -41,7 +42,7 @@
 	zones   []string
 	hosts   []*host // by place
 	nodes   []*node
-	spawner *spawner
+	spawner *child.Spawner
 	list    *list
 	mesh    *link.Mesh
 	began   atomic.Pointer[time.Time] // when the first call is due
--- a/internal/rig/link/mesh.go
+++ b/internal/rig/link/mesh.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -46,6 +47,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if old := m.members[name]; old != nil { // it joins anew: nobody comes by the address of before
+		old.seen.Close()
+	}
 	k := &member{name: name, zone: zone, own: own, seen: c}
 	m.members[name] = k
 	m.byOwn[own] = k
@@ -64,7 +68,7 @@
 			m.mu.Lock()
 			closed := m.closed
 			m.mu.Unlock()
-			if closed {
+			if closed || errors.Is(err, net.ErrClosed) {
 				return
 			}
 			continue
--- a/internal/rig/link/relay.go
+++ b/internal/rig/link/relay.go
@@ -20,7 +20,8 @@
 
 	mu      sync.Mutex
 	shape   Shape
-	changed chan struct{} // closed at each change
+	from    map[string]Shape // on top, for connections from an IP address
+	changed chan struct{}    // closed at each change
 	ln      *net.TCPListener
 	filler  net.Conn // fills the accept queue while the link is cut
 	conns   map[*Conn]bool
@@ -115,7 +116,16 @@
 		c.Close()
 		return
 	}
-	k := &Conn{relay: r, tcp: c, gone: make(chan struct{}), wake: make(chan struct{}, 1), out: make(chan piece, 64)}
+	source := ""
+	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		source = a.IP.String()
+	}
+	if r.from[source].Reset {
+		c.SetLinger(0)
+		c.Close()
+		return
+	}
+	k := &Conn{relay: r, source: source, tcp: c, gone: make(chan struct{}), wake: make(chan struct{}, 1), out: make(chan piece, 64)}
 	r.conns[k] = true
 	r.work.Add(3)
 	go k.read()
@@ -172,6 +182,26 @@
 	return nil
 }
 
+// SetFrom gives the link another shape for what comes from one IP address, on top of Set's. A connection that is cut so does
+// come up, and says nothing.
+func (r *Relay) SetFrom(ip string, s Shape) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || r.from[ip] == s {
+		return
+	}
+	if r.from == nil {
+		r.from = map[string]Shape{}
+	}
+	was := r.from[ip]
+	r.from[ip] = s
+	close(r.changed)
+	r.changed = make(chan struct{})
+	if s.Reset && !was.Reset {
+		r.breakFrom(ip)
+	}
+}
+
 // fill keeps new connections from coming up: the accept loop stops, the queue gets room for one, and that one is ours.
 // The caller holds mu.
 func (r *Relay) fill() error {
@@ -195,8 +225,14 @@
 }
 
 // reset breaks all connections, with all that was under way on them. The caller holds mu.
-func (r *Relay) reset() {
+func (r *Relay) reset() { r.breakFrom("") }
+
+// breakFrom breaks the connections from an address; empty: all. The caller holds mu.
+func (r *Relay) breakFrom(ip string) {
 	for c := range r.conns {
+		if ip != "" && c.source != ip {
+			continue
+		}
 		c.mu.Lock()
 		c.pieces, c.held, c.broken = nil, 0, true
 		c.mu.Unlock()
@@ -241,8 +277,9 @@
 
 // Conn is the far side of a connection. One goroutine reads, and one writes.
 type Conn struct {
-	relay *Relay
-	tcp   *net.TCPConn
+	relay  *Relay
+	source string // IP address of the near side
+	tcp    *net.TCPConn
 
 	mu      sync.Mutex
 	pieces  []piece // that came from the near side
@@ -279,17 +316,22 @@
 	return c.endedAt
 }
 
-// state is the link's shape and what tells of the next.
-func (r *Relay) state() (Shape, <-chan struct{}, bool) {
+// state is the shape of the link for this connection.
+func (c *Conn) state() (Shape, <-chan struct{}, bool) {
+	r := c.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.shape, r.changed, r.closed
+	s := r.shape
+	if own, ok := r.from[c.source]; ok {
+		s = s.Over(own)
+	}
+	return s, r.changed, r.closed
 }
 
 // pass waits until a piece is due and its direction is open. false: the relay has closed.
-func (r *Relay) pass(due time.Time, cut func(Shape) bool) bool {
+func (c *Conn) pass(due time.Time, cut func(Shape) bool) bool {
 	for {
-		s, changed, closed := r.state()
+		s, changed, closed := c.state()
 		if closed {
 			return false
 		}
@@ -320,7 +362,7 @@
 	for {
 		n, err := c.tcp.Read(buf)
 		now := time.Now()
-		s, _, _ := c.relay.state()
+		s, _, _ := c.state()
 		c.mu.Lock()
 		due := c.there.due(now, n, s, c.relay.dice)
 		if n > 0 && !c.broken {
@@ -334,7 +376,7 @@
 		c.mu.Unlock()
 		c.ring()
 		if err != nil {
-			if c.relay.pass(due, cutThere) {
+			if c.pass(due, cutThere) {
 				close(c.gone)
 				c.ring()
 			}
@@ -345,7 +387,7 @@
 			c.mu.Lock()
 			full = c.held > most && !c.ended
 			c.mu.Unlock()
-			if _, _, closed := c.relay.state(); closed {
+			if _, _, closed := c.state(); closed {
 				return
 			}
 		}
@@ -366,7 +408,7 @@
 		if len(c.pieces) > 0 {
 			due := c.pieces[0].due
 			c.mu.Unlock()
-			if !c.relay.pass(due, cutThere) {
+			if !c.pass(due, cutThere) {
 				return 0, net.ErrClosed
 			}
 			c.mu.Lock()
@@ -390,7 +432,7 @@
 		if broken {
 			return 0, net.ErrClosed
 		}
-		if _, changed, closed := c.relay.state(); closed {
+		if _, changed, closed := c.state(); closed {
 			return 0, net.ErrClosed
 		} else if ended {
 			select {
@@ -411,7 +453,7 @@
 // Send has bytes go to the near side; after is told when the last has been handed to its socket. It blocks only when
 // much is under way.
 func (c *Conn) Send(data []byte, after func(time.Time)) error {
-	s, changed, closed := c.relay.state()
+	s, changed, closed := c.state()
 	if closed {
 		return net.ErrClosed
 	}
@@ -425,7 +467,7 @@
 		case c.out <- p:
 			return nil
 		case <-changed:
-			if _, changed, closed = c.relay.state(); closed {
+			if _, changed, closed = c.state(); closed {
 				return net.ErrClosed
 			}
 		}
@@ -450,7 +492,7 @@
 		c.relay.mu.Unlock()
 	}()
 	for p := range c.out {
-		if !c.relay.pass(p.due, cutBack) {
+		if !c.pass(p.due, cutBack) {
 			for range c.out {
 			}
 			return
@@ -463,12 +505,12 @@
 			p.after(time.Now())
 		}
 	}
-	c.relay.pass(time.Time{}, cutBack)
+	c.pass(time.Time{}, cutBack)
 }
 
 // Break resets the connection, once all before it has gone out.
 func (c *Conn) Break() {
-	s, _, _ := c.relay.state()
+	s, _, _ := c.state()
 	c.mu.Lock()
 	due := c.back.due(time.Now(), 0, s, c.relay.dice)
 	c.mu.Unlock()
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"woodpick/internal/rig/audit"
+	"woodpick/internal/rig/child"
 	"woodpick/internal/rig/experiment"
 	"woodpick/internal/rig/link"
 	"woodpick/internal/rig/nodefile"
@@ -29,13 +30,13 @@
 	copies int
 	listen string
 	agent  *link.Relay
-	file   *memfile
-	key    *memfile // of the cluster; nil: nodes do not know one another
-	own    string   // where it listens for peers, and
-	seen   string   // where they see it
+	file   *child.Memfile
+	key    *child.Memfile // of the cluster; nil: nodes do not know one another
+	own    string         // where it listens for peers, and
+	seen   string         // where they see it
 
 	mu      sync.Mutex
-	process *process // nil while it is down
+	process *child.Process // nil while it is down
 	spent   time.Duration
 	deaths  []string
 	rng     *rand.Rand
@@ -65,11 +66,11 @@
 		if n.seen, err = f.mesh.Join(n.name(), n.zone, netip.MustParseAddrPort(n.own)); err != nil {
 			return err
 		}
-		if n.key, err = newMemfile("key", []byte("the key of one experiment's cluster")); err != nil {
+		if n.key, err = child.NewMemfile("key", []byte("the key of one experiment's cluster")); err != nil {
 			return err
 		}
 	}
-	n.file, err = newMemfile(n.name()+".hcl", nil)
+	n.file, err = child.NewMemfile(n.name()+".hcl", nil)
 	return err
 }
 
@@ -98,7 +99,7 @@
 	if f.o.Policy != experiment.Program {
 		return nil
 	}
-	f.spawner = newSpawner()
+	f.spawner = child.NewSpawner()
 	at := f.o.Starts
 	if at <= 0 {
 		at = 16
@@ -106,7 +107,7 @@
 	for _, n := range f.nodes {
 		text, err := n.text()
 		if err == nil {
-			err = n.file.rewrite(text)
+			err = n.file.Rewrite(text)
 		}
 		if err != nil {
 			return err
@@ -139,7 +140,7 @@
 	if skew != 0 {
 		env = append(env, "DAMSONTRESTLE_CLOCK_OFF="+skew.String())
 	}
-	p, err := f.spawner.launch(f.o.Binary, n.file, n.key, keep, env, func(line string) {
+	p, err := f.spawner.Launch(f.o.Binary, n.file, n.key, keep, env, func(line string) {
 		f.sight(n, line)
 		f.word(n, line)
 	})
@@ -154,13 +155,13 @@
 	for !n.ready(ctx) {
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("node %d: not ready in time: %w\n%s", n.index, ctx.Err(), p.log)
-		case <-p.done:
-			return fmt.Errorf("node %d: %s", n.index, p.died())
+			return fmt.Errorf("node %d: not ready in time: %w\n%s", n.index, ctx.Err(), p.Log)
+		case <-p.Done:
+			return fmt.Errorf("node %d: %s", n.index, p.Died())
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
-	if skew != 0 && !strings.Contains(p.log.String(), "the clock is off") {
+	if skew != 0 && !strings.Contains(p.Log.String(), "the clock is off") {
 		return fmt.Errorf("node %d: %s takes no clock that is off; build it with -tags rig", n.index, f.o.Binary)
 	}
 	return nil
@@ -189,8 +190,8 @@
 	if p == nil {
 		return
 	}
-	cpu, _ := use(p.cmd.Process.Pid)
-	p.end(sig, within)
+	cpu, _ := child.Use(p.Cmd.Process.Pid)
+	p.End(sig, within)
 	n.mu.Lock()
 	n.process = nil
 	n.spent += cpu
@@ -202,7 +203,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.process != nil {
-		if words := n.process.died(); words != "" {
+		if words := n.process.Died(); words != "" {
 			n.deaths = append(n.deaths, words)
 		}
 	}
@@ -217,7 +218,7 @@
 	if n.agent != nil {
 		n.agent.Close()
 	}
-	for _, m := range []*memfile{n.file, n.key} {
+	for _, m := range []*child.Memfile{n.file, n.key} {
 		if m != nil {
 			m.Close()
 		}
@@ -261,9 +262,9 @@
 	case experiment.Stop:
 		f.audit.Excuse(audit.Excuse{Node: n.index, From: from, To: ft.To + 100*time.Millisecond})
 		f.struck(Strike{ft.Name, n.index, from, ft.To})
-		f.fail(p.signal(syscall.SIGSTOP))
+		f.fail(p.Signal(syscall.SIGSTOP))
 		f.await(ctx, ft.To)
-		f.fail(p.signal(syscall.SIGCONT))
+		f.fail(p.Signal(syscall.SIGCONT))
 	case experiment.Restart:
 		n.stop(syscall.SIGTERM, 15*time.Second)
 		f.audit.Excuse(audit.Excuse{Node: n.index, From: f.now() - 100*time.Millisecond, To: f.now()})
@@ -273,10 +274,10 @@
 		n.copies = ft.Count
 		text, err := n.text()
 		if err == nil {
-			err = n.file.rewrite(text)
+			err = n.file.Rewrite(text)
 		}
 		if err == nil {
-			err = p.signal(syscall.SIGHUP)
+			err = p.Signal(syscall.SIGHUP)
 		}
 		f.fail(err)
 	}
