Links between gateways that say when they are slow or gone

Need: custody, offers and quota lean on knowing at once that a peer is lost.

Seen to matter: heartbeats out, the count in tags out: a test fails each.

--- /dev/null
+++ b/internal/peering/hello.go
@@ -0,0 +1,238 @@
+package peering
+
+import (
+	"bufio"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash"
+	"io"
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// version of hellos and frames. Fields are numbered, and those that a reader does not know are passed over, so that a
+// version changes only with what they mean.
+const version = 1
+
+// hello is what each side says first.
+type hello struct {
+	Version int    `cbor:"1,keyasint"`
+	Peer    Peer   `cbor:"2,keyasint"`
+	To      string `cbor:"3,keyasint,omitempty"` // the partner that is meant; empty: whoever listens
+	Nonce   []byte `cbor:"4,keyasint"`
+}
+
+const (
+	nonceSize = 16
+	tagSize   = 16 // of HMAC-SHA-256, shortened
+	mostHello = 4 << 10
+	mostName  = 64
+)
+
+// encoding and decoding are of all that goes over links. What comes in is bounded by its frame, and by these.
+var (
+	encoding = must(cbor.CoreDetEncOptions().EncMode())
+	decoding = must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 16, MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 17,
+		IndefLength: cbor.IndefLengthForbidden}.DecMode())
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err) // the options above are wrong, whatever the input
+	}
+	return v
+}
+
+// Decode reads a message's body into what v points to.
+func Decode(body []byte, v any) error {
+	if err := decoding.Unmarshal(body, v); err != nil {
+		return fmt.Errorf("%w: %w", ErrFrame, err)
+	}
+	return nil
+}
+
+// Encode is how v goes over links.
+func Encode(v any) ([]byte, error) { return encoding.Marshal(v) }
+
+// shaken is what a hello came to.
+type shaken struct {
+	peer Peer
+	in   *opener
+	out  *sealer
+}
+
+// shake says hello and hears the other side's. Each proves by a tag over both hellos that it has the key; frames carry tags
+// of keys that are made of the key and both nonces, one for each direction.
+func shake(c net.Conn, o Options, dialed bool, partner string) (*shaken, error) {
+	c.SetDeadline(time.Now().Add(helloLimit))
+	own := hello{Version: version, Peer: o.Self, To: partner, Nonce: make([]byte, nonceSize)}
+	if _, err := rand.Read(own.Nonce); err != nil {
+		return nil, fmt.Errorf("peering: %w", err)
+	}
+	said, err := encoding.Marshal(own)
+	if err != nil {
+		return nil, fmt.Errorf("peering: %w", err)
+	}
+	if err := writePart(c, said); err != nil {
+		return nil, err
+	}
+	br := bufio.NewReaderSize(c, 8<<10)
+	heard, err := readPart(br, mostHello)
+	if err != nil {
+		return nil, err
+	}
+	var other hello
+	if err := decoding.Unmarshal(heard, &other); err != nil {
+		return nil, fmt.Errorf("%w: the hello: %w", ErrFrame, err)
+	}
+	p := other.Peer
+	switch {
+	case other.Version != version:
+		return nil, fmt.Errorf("%w: it speaks version %d, this one speaks %d", ErrStrange, other.Version, version)
+	case p.Partner == "" || p.Name == "" || len(p.Partner) > mostName || len(p.Name) > mostName || len(p.Zone) > mostName || len(p.Calls) > mostName || len(other.Nonce) != nonceSize:
+		return nil, fmt.Errorf("%w: the hello of %q, %q", ErrFrame, p.Partner, p.Name)
+	case partner != "" && p.Partner != partner:
+		return nil, fmt.Errorf("%w: it is a gateway of %q, not of %q", ErrStrange, p.Partner, partner)
+	case other.To != "" && other.To != o.Self.Partner:
+		return nil, fmt.Errorf("%w: it means a gateway of %q", ErrStrange, other.To)
+	case p.Who() == o.Self.Who():
+		return nil, fmt.Errorf("%w: it has this gateway's own name, %v", ErrStrange, p.Who())
+	}
+	key := o.Key(p.Partner)
+	if key == nil {
+		return nil, fmt.Errorf("%w: partner %q is not in the file", ErrStrange, p.Partner)
+	}
+	first, second := said, heard // the one who called comes first
+	if !dialed {
+		first, second = heard, said
+	}
+	derive := func(use string) []byte {
+		m := hmac.New(sha256.New, key)
+		for _, part := range [][]byte{[]byte("damsontrestle link"), []byte(use), first, second} {
+			m.Write(binary.BigEndian.AppendUint32(nil, uint32(len(part))))
+			m.Write(part)
+		}
+		return m.Sum(nil)
+	}
+	ours, theirs := "caller", "called"
+	if !dialed {
+		ours, theirs = theirs, ours
+	}
+	err = writePart(c, derive("proof of the "+ours))
+	var proof []byte
+	if err == nil {
+		proof, err = readPart(br, sha256.Size)
+	}
+	var late net.Error
+	switch {
+	case errors.As(err, &late) && late.Timeout(), errors.Is(err, ErrFrame):
+		return nil, err
+	case err != nil: // its end may come as a reset
+		return nil, fmt.Errorf("%w, or does not want this one: it hung up at the proof", ErrKey)
+	}
+	if !hmac.Equal(proof, derive("proof of the "+theirs)) {
+		return nil, ErrKey
+	}
+	c.SetDeadline(time.Time{})
+	return &shaken{p, &opener{br: br, seal: newSeal(derive("frames of the " + theirs))}, &sealer{w: c, seal: newSeal(derive("frames of the " + ours))}}, nil
+}
+
+func writePart(w io.Writer, b []byte) error {
+	_, err := w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(b))), b...))
+	if err != nil {
+		return fmt.Errorf("peering: hello: %w", err)
+	}
+	return nil
+}
+
+func readPart(r io.Reader, most int) ([]byte, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, fmt.Errorf("peering: hello: %w", err)
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > uint32(most) {
+		return nil, fmt.Errorf("%w: %d bytes; allowed: %d", ErrFrame, n, most)
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return nil, fmt.Errorf("peering: hello: %w", err)
+	}
+	return b, nil
+}
+
+// seal makes the tags of one direction: over the count of frames before, the length and the body.
+type seal struct {
+	mac   hash.Hash
+	count uint64
+	sum   []byte // room for the count, and for the sum
+}
+
+func newSeal(key []byte) *seal { return &seal{mac: hmac.New(sha256.New, key)} }
+
+func (s *seal) tag(head, body []byte) []byte {
+	s.mac.Reset()
+	s.mac.Write(binary.BigEndian.AppendUint64(s.sum[:0], s.count))
+	s.mac.Write(head)
+	s.mac.Write(body)
+	s.count++
+	s.sum = s.mac.Sum(s.sum[:0])
+	return s.sum[:tagSize]
+}
+
+// keptBuffer is how long a buffer is kept for the next frame.
+const keptBuffer = 16 << 10
+
+// sealer writes each body as a frame: its length, its tag, itself.
+type sealer struct {
+	w    io.Writer
+	seal *seal
+	buf  []byte
+}
+
+func (s *sealer) write(body []byte) error {
+	s.buf = binary.BigEndian.AppendUint32(s.buf[:0], uint32(len(body)))
+	s.buf = append(s.buf, s.seal.tag(s.buf, body)...)
+	s.buf = append(s.buf, body...)
+	_, err := s.w.Write(s.buf)
+	if cap(s.buf) > keptBuffer {
+		s.buf = nil
+	}
+	return err
+}
+
+// opener reads one frame's body at a time.
+type opener struct {
+	br   *bufio.Reader
+	seal *seal
+	head [4 + tagSize]byte
+	buf  []byte
+}
+
+// next is the next frame's body, until the one after it.
+func (o *opener) next() ([]byte, error) {
+	if _, err := io.ReadFull(o.br, o.head[:]); err != nil {
+		return nil, fmt.Errorf("peering: %w", err)
+	}
+	n := int(binary.BigEndian.Uint32(o.head[:4]))
+	if n > MostFrame {
+		return nil, fmt.Errorf("%w: %d bytes; allowed: %d", ErrFrame, n, MostFrame)
+	}
+	if cap(o.buf) < n || cap(o.buf) > keptBuffer && n <= keptBuffer {
+		o.buf = make([]byte, max(n, 1<<10))
+	}
+	body := o.buf[:n]
+	if _, err := io.ReadFull(o.br, body); err != nil {
+		return nil, fmt.Errorf("peering: %w", err)
+	}
+	if !hmac.Equal(o.head[4:], o.seal.tag(o.head[:4], body)) {
+		return nil, fmt.Errorf("%w: its tag does not fit", ErrFrame)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/peering/peering.go
@@ -0,0 +1,757 @@
+// Package peering carries messages between gateways, of one partner and of several, over TCP streams. It owns the links:
+// who is at the other end, whether that one still hears, and what is to be told of a link that is slow or gone. What
+// messages mean is their topics' owners'.
+//
+// What it promises:
+//
+//   - A link comes up only between two that have one key (Options.Key), and each frame is of that key, of this link and in
+//     its place: a frame that was changed, left out, repeated or moved ends the link.
+//   - What is sent over one link comes in the order in which it was sent, or the link ends and both sides are told.
+//   - Nothing is dropped in silence. A message for which the queue has no room is refused to whoever sends it (ErrFull); an
+//     answer or a heartbeat for which it has none ends the link (ErrOverflow).
+//   - A link ends when its other side has not answered a heartbeat for Options.Silence (ErrSilent), be it stopped, cut off,
+//     one way or both, or its reader stalled; or when bytes could not be written for Options.Stuck (ErrStuck). That is the
+//     end of the link and of no other.
+//   - At most Options.Queue bytes wait on a link, and it takes two goroutines, one that reads it from hello to end and one
+//     that writes it. What a topic does with a message must not block its reader.
+//   - No time of day counts: clocks may be set while links are up.
+//
+// A gateway that starts anew under its name is another life (Peer.Life); its links take the place of the old life's.
+package peering
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Peer is a gateway at the other end of a link.
+type Peer struct {
+	Partner string `cbor:"1,keyasint"` // whose gateway it is
+	Name    string `cbor:"2,keyasint"`
+	Zone    string `cbor:"3,keyasint,omitempty"`
+	Life    uint64 `cbor:"4,keyasint"`           // drawn at its start: another one has forgotten what this one knew
+	Calls   string `cbor:"5,keyasint,omitempty"` // address at which it takes partners' calls; empty: it takes none
+}
+
+// Who names a gateway whatever its life.
+type Who struct{ Partner, Name string }
+
+// Who is the peer's name among all.
+func (p Peer) Who() Who { return Who{p.Partner, p.Name} }
+
+func (w Who) String() string { return w.Partner + "/" + w.Name }
+
+// Errors of links and of what is sent over them.
+var (
+	ErrFull     = errors.New("peering: the queue to this gateway is full")
+	ErrOverflow = errors.New("peering: no room for an answer or a heartbeat")
+	ErrSilent   = errors.New("peering: heartbeats are not answered")
+	ErrStuck    = errors.New("peering: bytes could not be written in time")
+	ErrKey      = errors.New("peering: the other side has another key")
+	ErrStrange  = errors.New("peering: the other side is none of ours")
+	ErrFrame    = errors.New("peering: a frame is malformed")
+	ErrReplaced = errors.New("peering: a newer link took its place")
+	ErrClosed   = errors.New("peering: closed")
+	ErrNoLink   = errors.New("peering: no link to this gateway")
+)
+
+// RemoteError is what the other side says of a question that it could not answer.
+type RemoteError struct{ Words string }
+
+func (e *RemoteError) Error() string { return e.Words }
+
+// Handler takes what comes. It is called on the link's reader, one message after another, and must not block: what takes
+// time goes on elsewhere and replies later. reply is nil for a message that asks nothing; else it is called once.
+type Handler func(from *Link, body []byte, reply func(answer any, err error))
+
+// Options are what a Hub is made of.
+type Options struct {
+	Self    Peer
+	Listen  string                      // address; with port 0 the system chooses one
+	Key     func(partner string) []byte // that links with a partner's gateways are keyed by; nil: none of ours
+	Topics  map[string]Handler
+	Up      func(*Link)                      // a link came up. It must not block
+	Changed func(p Peer, up bool, why error) // the first link of a peer came up, or the last one ended. It must not block
+	Beat    time.Duration                    // between two heartbeats; 0: 250 ms
+	Silence time.Duration                    // without an answer to one, after which a link ends; 0: 1 s
+	Stuck   time.Duration                    // in which bytes must be written; 0: Silence
+	Queue   int                              // bytes that wait on a link at most; 0: 2 MiB
+	Log     *slog.Logger
+}
+
+// Bounds.
+const (
+	MostFrame  = 1 << 20 // bytes of a frame's body
+	eachFrame  = 64      // bytes that a frame counts beside its own in a queue
+	redialFrom = 50 * time.Millisecond
+	redialMost = time.Second
+	helloLimit = 2 * time.Second
+)
+
+// Hub has all links of a gateway.
+type Hub struct {
+	o     Options
+	ln    net.Listener
+	ctx   context.Context
+	end   context.CancelFunc
+	tasks sync.WaitGroup
+	began time.Time
+
+	mu    sync.Mutex
+	links map[Who][]*Link // the newest last
+	kept  map[string]*kept
+	stats Stats
+	full  atomic.Int64
+}
+
+// kept is an address that a link is held to.
+type kept struct {
+	cancel context.CancelFunc
+	up     time.Duration // hub's time when its link came up; negative: it is down
+	since  time.Duration // since when it is as it is
+}
+
+// Stats count what links did since the start.
+type Stats struct {
+	Up     int            `json:"up"`               // links that came up
+	Ended  map[string]int `json:"ended,omitempty"`  // by why
+	Turned int            `json:"turned,omitempty"` // connections that were turned away at their hello
+	Full   int64          `json:"full,omitempty"`   // messages that were refused for want of room
+}
+
+// Open listens. Links come in from now on, and go out as Keep says, until Close.
+func Open(o Options) (*Hub, error) {
+	o.Beat = orElse(o.Beat, 250*time.Millisecond)
+	o.Silence = orElse(o.Silence, time.Second)
+	o.Stuck = orElse(o.Stuck, o.Silence)
+	if o.Queue <= 0 {
+		o.Queue = 2 << 20
+	}
+	if o.Changed == nil {
+		o.Changed = func(Peer, bool, error) {}
+	}
+	if o.Up == nil {
+		o.Up = func(*Link) {}
+	}
+	ln, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("peering: %w", err)
+	}
+	h := &Hub{o: o, ln: ln, began: time.Now(), links: map[Who][]*Link{}, kept: map[string]*kept{}, stats: Stats{Ended: map[string]int{}}}
+	h.ctx, h.end = context.WithCancel(context.Background())
+	h.task(h.accept)
+	return h, nil
+}
+
+func orElse(d, or time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return or
+}
+
+// now is the time since the hub was opened.
+func (h *Hub) now() time.Duration { return time.Since(h.began) }
+
+// task runs a goroutine that Close waits for.
+func (h *Hub) task(f func()) {
+	h.tasks.Add(1)
+	go func() {
+		defer h.tasks.Done()
+		f()
+	}()
+}
+
+// Addr is where it listens.
+func (h *Hub) Addr() string { return h.ln.Addr().String() }
+
+// Self is this gateway.
+func (h *Hub) Self() Peer { return h.o.Self }
+
+// Close ends all links and returns once every goroutine has ended.
+func (h *Hub) Close() {
+	h.end()
+	h.ln.Close()
+	for _, l := range h.Links("") {
+		l.fail(ErrClosed)
+	}
+	h.tasks.Wait()
+}
+
+// accept takes links that others open.
+func (h *Hub) accept() {
+	for {
+		c, err := h.ln.Accept()
+		if errors.Is(err, net.ErrClosed) || h.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			sleep(h.ctx, redialFrom) // out of descriptors: others may be closed meanwhile
+			continue
+		}
+		h.task(func() {
+			if err := h.run(c, false, "", func() {}); errors.Is(err, ErrKey) || errors.Is(err, ErrStrange) || errors.Is(err, ErrFrame) {
+				h.o.Log.Warn("a connection is turned away", "from", c.RemoteAddr(), "error", err)
+			}
+		})
+	}
+}
+
+// Keep holds a link to the gateway of a partner at an address, and opens another whenever it has ended, until Drop or
+// Close.
+func (h *Hub) Keep(address, partner string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.kept[address] != nil || h.ctx.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(h.ctx)
+	h.kept[address] = &kept{cancel: cancel, since: h.now()}
+	h.task(func() { h.keep(ctx, address, partner) })
+}
+
+// Drop no longer holds a link to an address; one that is up ends.
+func (h *Hub) Drop(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if k := h.kept[address]; k != nil {
+		k.cancel()
+		delete(h.kept, address)
+	}
+}
+
+// Down is for how long the link to a kept address has been down; 0: it is up, or the address is not kept.
+func (h *Hub) Down(address string) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if k := h.kept[address]; k != nil && k.up <= 0 {
+		return h.now() - k.since
+	}
+	return 0
+}
+
+// mark notes that the link to a kept address is up or down.
+func (h *Hub) mark(address string, up bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if k := h.kept[address]; k != nil {
+		k.since, k.up = h.now(), 0
+		if up {
+			k.up = k.since
+		}
+	}
+}
+
+func (h *Hub) keep(ctx context.Context, address, partner string) {
+	d := net.Dialer{Timeout: h.o.Silence, KeepAlive: -1}
+	if own, ok := h.ln.Addr().(*net.TCPAddr); ok && !own.IP.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: own.IP} // links go out from where they come in
+	}
+	wait := redialFrom
+	for ctx.Err() == nil {
+		c, err := d.DialContext(ctx, "tcp", address)
+		if err == nil {
+			stop := context.AfterFunc(ctx, func() { c.Close() })
+			begin := time.Now()
+			err = h.run(c, true, partner, func() { h.mark(address, true) })
+			stop()
+			h.mark(address, false)
+			if time.Since(begin) > redialMost {
+				wait = redialFrom
+			}
+		}
+		if errors.Is(err, ErrKey) || errors.Is(err, ErrStrange) {
+			h.o.Log.Warn("no link", "to", address, "partner", partner, "error", err)
+			wait = redialMost
+		}
+		sleep(ctx, wait/2+rand.N(wait))
+		wait = min(2*wait, redialMost)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// run is a link's reader from hello to end. It returns why the link ended.
+func (h *Hub) run(c net.Conn, dialed bool, partner string, up func()) error {
+	defer c.Close()
+	stop := context.AfterFunc(h.ctx, func() { c.Close() })
+	defer stop()
+	s, err := shake(c, h.o, dialed, partner)
+	if err != nil {
+		h.mu.Lock()
+		h.stats.Turned++
+		h.mu.Unlock()
+		return err
+	}
+	l := &Link{Peer: s.peer, hub: h, conn: c, in: s.in, out: s.out, queued: make(chan struct{}, 1), waiting: map[uint64]chan frame{}, done: make(chan struct{})}
+	l.heard.Store(int64(h.now()))
+	if !h.add(l) {
+		return ErrClosed
+	}
+	up()
+	written := make(chan struct{})
+	h.task(func() { defer close(written); l.write() })
+	l.fail(l.read())
+	<-written
+	h.remove(l)
+	return l.Err()
+}
+
+// add has a link be the one to its peer. An older life's end with it.
+func (h *Hub) add(l *Link) bool {
+	h.mu.Lock()
+	if h.ctx.Err() != nil {
+		h.mu.Unlock()
+		return false
+	}
+	who := l.Peer.Who()
+	old := h.links[who]
+	var gone []*Link
+	for _, o := range old {
+		if o.Peer.Life != l.Peer.Life {
+			gone = append(gone, o)
+		}
+	}
+	h.links[who] = append(old, l)
+	h.stats.Up++
+	h.mu.Unlock()
+	for _, o := range gone {
+		o.fail(ErrReplaced)
+	}
+	h.o.Up(l)
+	if len(old) == len(gone) {
+		h.o.Log.Info("link", "gateway", who, "life", l.Peer.Life, "up", true)
+		h.o.Changed(l.Peer, true, nil)
+	}
+	return true
+}
+
+func (h *Hub) remove(l *Link) {
+	h.mu.Lock()
+	who := l.Peer.Who()
+	h.links[who] = slices.DeleteFunc(h.links[who], func(o *Link) bool { return o == l })
+	last := !slices.ContainsFunc(h.links[who], func(o *Link) bool { return o.Peer.Life == l.Peer.Life })
+	if len(h.links[who]) == 0 {
+		delete(h.links, who)
+	}
+	h.stats.Ended[reason(l.Err())]++
+	h.mu.Unlock()
+	if last {
+		if h.ctx.Err() == nil {
+			h.o.Log.Info("link", "gateway", who, "life", l.Peer.Life, "up", false, "why", l.Err())
+		}
+		h.o.Changed(l.Peer, false, l.Err())
+	}
+}
+
+// reason is why a link ended, in a word or two.
+func reason(err error) string {
+	for _, k := range []struct {
+		err  error
+		word string
+	}{{ErrSilent, "silent"}, {ErrStuck, "stuck"}, {ErrOverflow, "overflow"}, {ErrFrame, "malformed"}, {ErrReplaced, "replaced"}, {ErrClosed, "closed here"}} {
+		if errors.Is(err, k.err) {
+			return k.word
+		}
+	}
+	return "broken"
+}
+
+// To is the newest link to a gateway; nil: there is none.
+func (h *Hub) To(who Who) *Link {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if all := h.links[who]; len(all) > 0 {
+		return all[len(all)-1]
+	}
+	return nil
+}
+
+// Links are the newest link to each gateway of a partner; empty: to each of all. They come in the order of names.
+func (h *Hub) Links(partner string) (out []*Link) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for who, all := range h.links {
+		if partner == "" || who.Partner == partner {
+			out = append(out, all[len(all)-1])
+		}
+	}
+	slices.SortFunc(out, func(a, b *Link) int { return compare(a.Peer.Who(), b.Peer.Who()) })
+	return out
+}
+
+func compare(a, b Who) int {
+	if a.Partner != b.Partner {
+		if a.Partner < b.Partner {
+			return -1
+		}
+		return 1
+	}
+	switch {
+	case a.Name < b.Name:
+		return -1
+	case a.Name > b.Name:
+		return 1
+	}
+	return 0
+}
+
+// Stats are what links did so far.
+func (h *Hub) Stats() Stats {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.stats
+	s.Full = h.full.Load()
+	s.Ended = map[string]int{}
+	for k, v := range h.stats.Ended {
+		s.Ended[k] = v
+	}
+	return s
+}
+
+// Link is a stream to one life of a gateway.
+type Link struct {
+	Peer Peer
+
+	hub    *Hub
+	conn   net.Conn
+	in     *opener
+	out    *sealer
+	queued chan struct{} // takes a word when the queue is no longer empty
+	heard  atomic.Int64  // ns of the hub's time when the heartbeat was sent that was answered last
+	rtt    atomic.Int64  // ns
+	done   chan struct{}
+
+	mu      sync.Mutex
+	frames  [][]byte              // that wait to be written
+	held    int                   // bytes of them
+	waiting map[uint64]chan frame // by the number of the question
+	number  uint64
+	err     error
+}
+
+// kinds of frames
+const (
+	beat   = iota + 1 // answered by echo with its body
+	echo              //
+	tell              // a message that asks nothing
+	ask               // answered by reply of its number
+	reply             //
+	refuse            // in place of a reply
+)
+
+type frame struct {
+	_      struct{} `cbor:",toarray"`
+	Kind   uint8
+	Number uint64
+	Topic  string
+	Body   cbor.RawMessage
+}
+
+// Done is closed once the link has ended.
+func (l *Link) Done() <-chan struct{} { return l.done }
+
+// Err is why it ended; nil: it has not.
+func (l *Link) Err() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.err
+}
+
+// RTT is how long heartbeats took there and back, about; 0: none has yet.
+func (l *Link) RTT() time.Duration { return time.Duration(l.rtt.Load()) }
+
+// Heard is how long ago the heartbeat was sent that was answered last: up to then the other side surely heard and was heard.
+func (l *Link) Heard() time.Duration { return l.hub.now() - time.Duration(l.heard.Load()) }
+
+// fail ends the link for a reason; the first one counts.
+func (l *Link) fail(why error) {
+	l.mu.Lock()
+	if l.err == nil {
+		l.err = why
+		close(l.done)
+	}
+	l.mu.Unlock()
+	l.conn.Close()
+}
+
+// put queues a frame.
+func (l *Link) put(f frame) error {
+	text, err := encoding.Marshal(f)
+	if err != nil {
+		return fmt.Errorf("peering: %w", err)
+	}
+	if len(text) > MostFrame {
+		return fmt.Errorf("%w: %d bytes; allowed: %d", ErrFrame, len(text), MostFrame)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err != nil {
+		return l.err
+	}
+	if l.held+len(text)+eachFrame > l.hub.o.Queue {
+		l.hub.full.Add(1)
+		return ErrFull
+	}
+	l.held += len(text) + eachFrame
+	l.frames = append(l.frames, text)
+	select {
+	case l.queued <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// next takes a frame from the queue; nil: it is empty.
+func (l *Link) next() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.frames) == 0 {
+		l.frames = nil
+		return nil
+	}
+	text := l.frames[0]
+	l.frames[0] = nil
+	l.frames = l.frames[1:]
+	l.held -= len(text) + eachFrame
+	return text
+}
+
+// Tell sends a message that asks nothing. No error says that it was queued, and no more.
+func (l *Link) Tell(topic string, message any) error {
+	body, err := encoding.Marshal(message)
+	if err != nil {
+		return fmt.Errorf("peering: %s: %w", topic, err)
+	}
+	return l.put(frame{Kind: tell, Topic: topic, Body: body})
+}
+
+// Asked is a question that is under way.
+type Asked struct {
+	link   *Link
+	number uint64
+	answer chan frame
+}
+
+// Ask sends a question. It comes in its place among all that is sent over the link; Wait brings the answer.
+func (l *Link) Ask(topic string, question any) (*Asked, error) {
+	body, err := encoding.Marshal(question)
+	if err != nil {
+		return nil, fmt.Errorf("peering: %s: %w", topic, err)
+	}
+	a := &Asked{link: l, answer: make(chan frame, 1)}
+	l.mu.Lock()
+	l.number++
+	a.number = l.number
+	l.waiting[a.number] = a.answer
+	l.mu.Unlock()
+	if err := l.put(frame{Kind: ask, Number: a.number, Topic: topic, Body: body}); err != nil {
+		a.forget()
+		return nil, err
+	}
+	return a, nil
+}
+
+func (a *Asked) forget() {
+	a.link.mu.Lock()
+	delete(a.link.waiting, a.number)
+	a.link.mu.Unlock()
+}
+
+// Wait waits for the answer until ctx or the link ends, and reads it into what answer points to. What the other side says
+// instead is a RemoteError.
+func (a *Asked) Wait(ctx context.Context, answer any) error {
+	defer a.forget()
+	var f frame
+	select {
+	case f = <-a.answer:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-a.link.done:
+		select {
+		case f = <-a.answer: // it came before the end
+		default:
+			return a.link.Err()
+		}
+	}
+	if f.Kind == refuse {
+		var words string
+		if err := decoding.Unmarshal(f.Body, &words); err != nil {
+			return fmt.Errorf("%w: %w", ErrFrame, err)
+		}
+		return &RemoteError{words}
+	}
+	if err := decoding.Unmarshal(f.Body, answer); err != nil {
+		return fmt.Errorf("%w: %w", ErrFrame, err)
+	}
+	return nil
+}
+
+// Do asks and waits.
+func (l *Link) Do(ctx context.Context, topic string, question, answer any) error {
+	a, err := l.Ask(topic, question)
+	if err != nil {
+		return err
+	}
+	return a.Wait(ctx, answer)
+}
+
+// read takes one frame after another until the link ends.
+func (l *Link) read() error {
+	for {
+		text, err := l.in.next()
+		if err != nil {
+			return err
+		}
+		var f frame
+		if err := decoding.Unmarshal(text, &f); err != nil {
+			return fmt.Errorf("%w: %w", ErrFrame, err)
+		}
+		if err := l.take(f); err != nil {
+			return err
+		}
+	}
+}
+
+// take does what a frame asks for.
+func (l *Link) take(f frame) error {
+	switch f.Kind {
+	case beat:
+		if l.put(frame{Kind: echo, Body: f.Body}) != nil {
+			return ErrOverflow
+		}
+	case echo:
+		var at int64
+		if err := decoding.Unmarshal(f.Body, &at); err != nil {
+			return fmt.Errorf("%w: a heartbeat's echo: %w", ErrFrame, err)
+		}
+		if at > l.heard.Load() {
+			l.heard.Store(at)
+			took, was := int64(l.hub.now())-at, l.rtt.Load()
+			if was > 0 {
+				took = was + (took-was)/8
+			}
+			l.rtt.Store(max(1, took))
+		}
+	case tell, ask:
+		handle := l.hub.o.Topics[f.Topic]
+		if handle == nil {
+			if f.Kind == ask {
+				return l.answer(f.Number, nil, fmt.Errorf("topic %q is not known here", f.Topic))
+			}
+			return nil // of a later version
+		}
+		if f.Kind == tell {
+			handle(l, f.Body, nil)
+			return nil
+		}
+		handle(l, f.Body, func(answer any, err error) {
+			if err := l.answer(f.Number, answer, err); err != nil {
+				l.fail(err)
+			}
+		})
+	case reply, refuse:
+		l.mu.Lock()
+		to := l.waiting[f.Number]
+		delete(l.waiting, f.Number)
+		l.mu.Unlock()
+		if to != nil {
+			to <- f
+		}
+	default:
+		return fmt.Errorf("%w: kind %d", ErrFrame, f.Kind)
+	}
+	return nil
+}
+
+// answer queues an answer; that there is no room for it ends the link, or the other side would wait for nothing.
+func (l *Link) answer(number uint64, answer any, refused error) error {
+	f := frame{Kind: reply, Number: number}
+	if refused != nil {
+		f.Kind, answer = refuse, refused.Error()
+	}
+	var err error
+	if f.Body, err = encoding.Marshal(answer); err != nil {
+		return fmt.Errorf("peering: an answer: %w", err)
+	}
+	if err := l.put(f); errors.Is(err, ErrFull) {
+		return ErrOverflow
+	}
+	return nil // a link that has ended has been told of
+}
+
+// write sends what is queued, and heartbeats, until the link ends.
+func (l *Link) write() {
+	tick := time.NewTicker(l.hub.o.Beat)
+	defer tick.Stop()
+	for {
+		text := l.next()
+		var err error
+		if text != nil {
+			select { // a heartbeat does not wait until the queue is empty
+			case <-tick.C:
+				err = l.beat()
+			default:
+			}
+		} else {
+			select {
+			case <-l.done:
+				return
+			case <-l.queued:
+			case <-tick.C:
+				err = l.beat()
+			}
+		}
+		if err == nil && text != nil {
+			err = l.send(text)
+		}
+		if err != nil {
+			l.fail(err)
+			return
+		}
+	}
+}
+
+// beat sends a heartbeat, unless those before have been silent for too long.
+func (l *Link) beat() error {
+	if l.Heard() > l.hub.o.Silence {
+		return fmt.Errorf("%w for %v", ErrSilent, l.hub.o.Silence)
+	}
+	body, err := encoding.Marshal(int64(l.hub.now()))
+	if err != nil {
+		return fmt.Errorf("peering: a heartbeat: %w", err)
+	}
+	text, err := encoding.Marshal(frame{Kind: beat, Body: body})
+	if err != nil {
+		return fmt.Errorf("peering: a heartbeat: %w", err)
+	}
+	return l.send(text)
+}
+
+// send writes a frame.
+func (l *Link) send(text []byte) error {
+	l.conn.SetWriteDeadline(time.Now().Add(l.hub.o.Stuck))
+	err := l.out.write(text)
+	var late net.Error
+	if errors.As(err, &late) && late.Timeout() {
+		return fmt.Errorf("%w (%v)", ErrStuck, l.hub.o.Stuck)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/peering/peering_test.go
@@ -0,0 +1,421 @@
+package peering
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"woodpick/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var testKey = []byte("the key of two partners")
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// options are a gateway's whose links hang on nothing's speed.
+func options(partner, name string, life uint64) Options {
+	return Options{Self: Peer{Partner: partner, Name: name, Life: life}, Listen: "127.0.0.1:0", Log: quiet(),
+		Key:  func(string) []byte { return testKey },
+		Beat: 10 * time.Millisecond, Silence: standin.Limit}
+}
+
+func open(t *testing.T, o Options) *Hub {
+	t.Helper()
+	h, err := Open(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.Close)
+	return h
+}
+
+// linked waits for a link from one to another.
+func linked(t *testing.T, from, to *Hub) *Link {
+	t.Helper()
+	var l *Link
+	standin.Until(t, "a link", func() bool { l = from.To(to.Self().Who()); return l != nil })
+	return l
+}
+
+func ctx(t *testing.T) context.Context {
+	c, cancel := context.WithTimeout(t.Context(), standin.Limit)
+	t.Cleanup(cancel)
+	return c
+}
+
+// Questions over one link come in their order, each gets its own answer, and a topic that is not known is told of.
+func TestQuestionsComeInOrderAndGetTheirAnswers(t *testing.T) {
+	var mu sync.Mutex
+	var came []int
+	o := options("b", "b1", 1)
+	o.Topics = map[string]Handler{
+		"double": func(from *Link, body []byte, reply func(any, error)) {
+			var n int
+			if err := Decode(body, &n); err != nil {
+				reply(nil, err)
+				return
+			}
+			mu.Lock()
+			came = append(came, n)
+			mu.Unlock()
+			if n%7 == 0 {
+				reply(nil, fmt.Errorf("no %d from %v", n, from.Peer.Who()))
+				return
+			}
+			go reply(2*n, nil)
+		},
+		"note": func(_ *Link, body []byte, reply func(any, error)) {
+			if reply != nil {
+				t.Error("a message that asks nothing can be answered")
+			}
+			mu.Lock()
+			came = append(came, -1)
+			mu.Unlock()
+		},
+	}
+	a, b := open(t, options("a", "a1", 1)), open(t, o)
+	a.Keep(b.Addr(), "b")
+	l := linked(t, a, b)
+	var all []*Asked
+	for i := range 300 {
+		q, err := l.Ask("double", i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, q)
+	}
+	if err := l.Tell("note", "x"); err != nil {
+		t.Fatal(err)
+	}
+	for i, q := range all {
+		var got int
+		err := q.Wait(ctx(t), &got)
+		var said *RemoteError
+		if i%7 == 0 {
+			if !errors.As(err, &said) || said.Words != fmt.Sprintf("no %d from a/a1", i) {
+				t.Errorf("%d: %v", i, err)
+			}
+		} else if err != nil || got != 2*i {
+			t.Errorf("%d: %d, %v", i, got, err)
+		}
+	}
+	standin.Until(t, "the note", func() bool { mu.Lock(); defer mu.Unlock(); return len(came) == 301 })
+	for i, n := range came[:300] {
+		if n != i {
+			t.Fatalf("question %d came in place %d", n, i)
+		}
+	}
+	if err := l.Do(ctx(t), "what", 1, nil); err == nil || err.Error() != `topic "what" is not known here` {
+		t.Errorf("%v", err)
+	}
+	standin.Until(t, "a round trip", func() bool { return l.RTT() > 0 })
+}
+
+// Only who has the key and a name in the file gets a link, and says so in the log.
+func TestStrangersGetNoLink(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Options)
+		want   error
+	}{
+		{"another key", func(o *Options) { o.Key = func(string) []byte { return []byte("another key") } }, ErrKey},
+		{"a partner that is in no file", func(o *Options) { o.Self.Partner = "x" }, ErrKey},
+		{"the same name", func(o *Options) { o.Self = Peer{Partner: "b", Name: "b1", Life: 9} }, ErrStrange},
+		{"no name", func(o *Options) { o.Self.Name = "" }, ErrKey},
+	} {
+		ob := options("b", "b1", 1)
+		ob.Key = func(partner string) []byte {
+			if partner == "a" || partner == "b" {
+				return testKey
+			}
+			return nil
+		}
+		b := open(t, ob)
+		oa := options("a", "a1", 1)
+		c.change(&oa)
+		conn, err := net.Dial("tcp", b.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := shake(conn, oa, true, ""); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, err, c.want)
+		}
+		conn.Close()
+		standin.Until(t, "it to be turned away", func() bool { return b.Stats().Turned == 1 })
+		if len(b.Links("")) != 0 {
+			t.Errorf("%s: there is a link", c.name)
+		}
+	}
+	b := open(t, options("b", "b1", 1))
+	conn, err := net.Dial("tcp", b.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := shake(conn, options("a", "a1", 1), true, "c"); !errors.Is(err, ErrStrange) {
+		t.Errorf("a gateway of another partner than was meant: %v", err)
+	}
+}
+
+// tamper passes bytes on until it is told to change one.
+type tamper struct {
+	net.Conn
+	now atomic.Bool
+}
+
+func (c *tamper) Write(p []byte) (int, error) {
+	if c.now.CompareAndSwap(true, false) {
+		p = append([]byte(nil), p...)
+		p[len(p)-1] ^= 1
+	}
+	return c.Conn.Write(p)
+}
+
+// A frame that was changed on its way, or that comes a second time, ends the link, and nothing of it is taken.
+func TestAFrameThatWasChangedOrRepeatedEndsTheLink(t *testing.T) {
+	for _, how := range []string{"changed", "repeated"} {
+		taken := make(chan int, 10)
+		ob := options("b", "b1", 1)
+		ob.Topics = map[string]Handler{"n": func(_ *Link, body []byte, _ func(any, error)) {
+			var n int
+			Decode(body, &n)
+			taken <- n
+		}}
+		ended := make(chan error, 1)
+		ob.Changed = func(_ Peer, up bool, why error) {
+			if !up {
+				ended <- why
+			}
+		}
+		b := open(t, ob)
+		conn, err := net.Dial("tcp", b.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := &tamper{Conn: conn}
+		s, err := shake(c, options("a", "a1", 1), true, "b")
+		if err != nil {
+			t.Fatal(err)
+		}
+		frameOf := func(n int) []byte {
+			body, _ := Encode(n)
+			text, _ := Encode(frame{Kind: tell, Topic: "n", Body: body})
+			return text
+		}
+		if err := s.out.write(frameOf(1)); err != nil {
+			t.Fatal(err)
+		}
+		if got := standin.Receive(t, taken, "the first"); got != 1 {
+			t.Errorf("got %d", got)
+		}
+		if how == "changed" {
+			c.now.Store(true)
+			s.out.write(frameOf(2))
+		} else {
+			conn.Write(s.out.buf) // the same bytes once more
+		}
+		if why := standin.Receive(t, ended, "the link's end"); !errors.Is(why, ErrFrame) {
+			t.Errorf("%s: %v", how, why)
+		}
+		if len(taken) > 0 {
+			t.Errorf("%s: %d was taken", how, <-taken)
+		}
+		conn.Close()
+	}
+}
+
+// stalled is a gateway that says hello and then reads nothing, though it goes on sending heartbeats.
+func stalled(t *testing.T, to *Hub, name string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", to.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := shake(conn, options("a", name, 1), true, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	all.Add(1)
+	stop := make(chan struct{})
+	go func() {
+		defer all.Done()
+		for n := int64(1); ; n++ {
+			body, _ := Encode(n)
+			text, _ := Encode(frame{Kind: beat, Body: body})
+			if s.out.write(text) != nil {
+				return
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}()
+	t.Cleanup(func() { close(stop); conn.Close(); all.Wait() })
+}
+
+// A gateway that sends and no longer reads is found out, be the queue to it full or empty, and no other link suffers.
+func TestAStalledReaderEndsItsLinkAndNoOther(t *testing.T) {
+	for _, flood := range []bool{false, true} {
+		ended := make(chan error, 1)
+		o := options("b", "b1", 1)
+		o.Silence, o.Queue = 300*time.Millisecond, 1<<20
+		o.Changed = func(p Peer, up bool, why error) {
+			if !up && p.Name == "slow" {
+				ended <- why
+			}
+		}
+		b := open(t, o)
+		good := options("a", "good", 1)
+		good.Topics = map[string]Handler{"echo": func(_ *Link, _ []byte, reply func(any, error)) { reply(1, nil) }}
+		g := open(t, good)
+		g.Keep(b.Addr(), "b")
+		toGood := linked(t, b, g)
+		stalled(t, b, "slow")
+		var toSlow *Link
+		standin.Until(t, "the link", func() bool { toSlow = b.To(Who{"a", "slow"}); return toSlow != nil })
+		full := false
+		for flood && !full {
+			err := toSlow.Tell("x", make([]byte, 64<<10))
+			full = errors.Is(err, ErrFull)
+			if err != nil && !full {
+				break // it has ended already
+			}
+		}
+		why := standin.Receive(t, ended, "its end")
+		if !errors.Is(why, ErrSilent) && !errors.Is(why, ErrStuck) {
+			t.Errorf("flooded %v: it ended for %v", flood, why)
+		}
+		var one int
+		if err := toGood.Do(ctx(t), "echo", 0, &one); err != nil || toGood.Err() != nil {
+			t.Errorf("the other link: %v, %v", err, toGood.Err())
+		}
+		if flood && full && b.Stats().Full == 0 {
+			t.Error("a refusal for want of room is not counted")
+		}
+		b.Close()
+		g.Close()
+	}
+}
+
+// A gateway that starts anew is another life: its link takes the place of the old one's, which is told of first, and a
+// link that broke comes back.
+func TestANewLifeTakesThePlaceOfTheOld(t *testing.T) {
+	type change struct {
+		life uint64
+		up   bool
+	}
+	changes := make(chan change, 20)
+	o := options("b", "b1", 1)
+	o.Changed = func(p Peer, up bool, _ error) { changes <- change{p.Life, up} }
+	b := open(t, o)
+	first := open(t, options("a", "a1", 7))
+	first.Keep(b.Addr(), "b")
+	if got := standin.Receive(t, changes, "the first life"); got != (change{7, true}) {
+		t.Errorf("%+v", got)
+	}
+	linked(t, first, b).fail(errors.New("broken for the test"))
+	for _, want := range []change{{7, false}, {7, true}} {
+		if got := standin.Receive(t, changes, "the link to break and to come back"); got != want {
+			t.Errorf("%+v, want %+v", got, want)
+		}
+	}
+	second := open(t, options("a", "a1", 8))
+	conn, err := net.Dial("tcp", b.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	first.Drop(b.Addr())
+	second.Keep(b.Addr(), "b")
+	seen := map[change]bool{}
+	for !seen[change{8, true}] || !seen[change{7, false}] {
+		seen[standin.Receive(t, changes, "the second life")] = true
+	}
+	if l := b.To(Who{"a", "a1"}); l == nil || l.Peer.Life != 8 {
+		t.Errorf("the link is to %+v", l)
+	}
+}
+
+// What waits for an answer hears of the link's end, and what is sent afterwards is refused.
+func TestTheEndOfALinkReachesWhoWaits(t *testing.T) {
+	o := options("b", "b1", 1)
+	got := make(chan struct{}, 1)
+	o.Topics = map[string]Handler{"never": func(*Link, []byte, func(any, error)) { got <- struct{}{} }}
+	a, b := open(t, options("a", "a1", 1)), open(t, o)
+	a.Keep(b.Addr(), "b")
+	l := linked(t, a, b)
+	q, err := l.Ask("never", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	standin.Receive(t, got, "the question")
+	b.Close()
+	if err := q.Wait(ctx(t), nil); err == nil || errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("%v", err)
+	}
+	if err := l.Tell("x", 1); err == nil {
+		t.Error("a message was queued on a link that has ended")
+	}
+}
+
+// FuzzFrames: whatever comes in place of a hello or a frame ends in an error and in nothing else.
+func FuzzFrames(f *testing.F) {
+	body, _ := Encode(1)
+	good, _ := Encode(frame{Kind: ask, Number: 1, Topic: "x", Body: body})
+	f.Add(good)
+	f.Add([]byte{0x85, 1, 0, 0x60, 0xf6})
+	f.Add([]byte{0x9f})
+	h := &Hub{o: Options{Queue: 1 << 20}, began: time.Now()}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var fr frame
+		if decoding.Unmarshal(b, &fr) != nil {
+			return
+		}
+		l := &Link{hub: h, queued: make(chan struct{}, 1), waiting: map[uint64]chan frame{}, done: make(chan struct{})}
+		l.take(fr)
+	})
+}
+
+// BenchmarkAsk is a question and its answer over loopback.
+func BenchmarkAsk(b *testing.B) {
+	o := options("b", "b1", 1)
+	o.Topics = map[string]Handler{"x": func(_ *Link, body []byte, reply func(any, error)) { reply(len(body), nil) }}
+	to, err := Open(o)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer to.Close()
+	from, err := Open(options("a", "a1", 1))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer from.Close()
+	from.Keep(to.Addr(), "b")
+	var l *Link
+	for ; l == nil; l = from.To(to.Self().Who()) {
+		time.Sleep(time.Millisecond)
+	}
+	body := make([]byte, 400)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		var n int
+		if err := l.Do(context.Background(), "x", body, &n); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
