--- /dev/null
+++ b/internal/custody/bench_test.go
@@ -0,0 +1,110 @@
+package custody
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"woodpick/internal/peering"
+)
+
+// node is one custodian with its links.
+type node struct {
+	hub *peering.Hub
+	c   *Custodian
+}
+
+// byName are custodians with links to one another over loopback.
+type byName map[string]*node
+
+type linksOf struct{ hub *peering.Hub }
+
+func (l linksOf) To(name string) *peering.Link {
+	return l.hub.To(peering.Who{Partner: "p", Name: name})
+}
+func (l linksOf) All() []*peering.Link { return l.hub.Links("p") }
+
+func group(tb testing.TB, n int, run Run) byName {
+	all := byName{}
+	var names []string
+	begin := time.Now()
+	for i := range n {
+		names = append(names, fmt.Sprint("g", i))
+	}
+	for i, name := range names {
+		k := &node{}
+		self := peering.Peer{Partner: "p", Name: name, Life: uint64(i + 1)}
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		holders := func() (out []Gateway) {
+			for i, m := range names {
+				out = append(out, Gateway{Name: m, Life: uint64(i + 1)})
+			}
+			return out
+		}
+		var topics map[string]peering.Handler
+		o := Options{Self: Gateway{Name: name, Life: self.Life}, Group: holders, Run: run, Holders: 3, Memory: 1 << 30, Keep: time.Second,
+			Forgets: time.Second, Fresh: time.Minute, Now: func() time.Duration { return time.Since(begin) }, Log: log}
+		links := &linksOf{}
+		o.Links = links
+		k.c = New(o)
+		topics = k.c.Topics()
+		var err error
+		k.hub, err = peering.Open(peering.Options{Self: self, Listen: "127.0.0.1:0", Key: func(string) []byte { return []byte("key") }, Topics: topics, Silence: time.Minute, Log: log})
+		if err != nil {
+			tb.Fatal(err)
+		}
+		links.hub = k.hub
+		all[name] = k
+	}
+	tb.Cleanup(func() {
+		for _, k := range all {
+			k.c.Close()
+			k.hub.Close()
+		}
+	})
+	for i, a := range names {
+		for _, b := range names[i+1:] {
+			all[a].hub.Keep(all[b].hub.Addr(), "p")
+		}
+	}
+	for _, k := range all {
+		for len(k.hub.Links("p")) < n-1 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return all
+}
+
+// BenchmarkTake is a call in custody from its taking to its answer, whose one attempt takes no time, by groups over loopback;
+// "without" is the same attempt with nobody asked.
+func BenchmarkTake(b *testing.B) {
+	served := Outcome{Kind: Served, Body: make([]byte, 200)}
+	run := func(ctx context.Context, _ *Record, _ []Intent, w *Work) Outcome {
+		if w != nil && !w.Intend(ctx, Intent{Pool: "boxes", Server: "b"}) {
+			return Outcome{Kind: Failed}
+		}
+		return served
+	}
+	b.Run("without", func(b *testing.B) {
+		for range b.N {
+			run(context.Background(), nil, nil, nil)
+		}
+	})
+	for _, n := range []int{2, 3, 5} {
+		b.Run(fmt.Sprint("group of ", n), func(b *testing.B) {
+			owner := group(b, n, run)["g0"].c
+			body := make([]byte, 400)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				r := Record{Key: Key{"note", fmt.Sprint(i)}, ID: fmt.Sprint(i), Method: "POST", Target: "/note/x", Body: body, Left: time.Minute}
+				if out, err := owner.Take(context.Background(), r, false, 0); err != nil || out.Kind != Served {
+					b.Fatalf("%+v, %v", out, err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/custody/page_test.go
@@ -0,0 +1,191 @@
+package custody
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/pages"
+)
+
+const page = "../../docs/design/custody.md"
+
+func table(t *testing.T, heading string) []pages.Row {
+	t.Helper()
+	rows, err := pages.Table(page, heading)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rows
+}
+
+// ballot reads "of A" or "2 by B".
+func ballot(words string) (Ballot, error) {
+	var b Ballot
+	if by, ok := strings.CutPrefix(words, "of "); ok {
+		b = Ballot{1, by, 0}
+	} else if _, err := fmt.Sscanf(words, "%d by %s", &b.N, &b.By); err != nil {
+		return b, fmt.Errorf("%q is no ballot", words)
+	}
+	if len(b.By) != 1 {
+		return b, fmt.Errorf("%q names nobody", words)
+	}
+	b.Life = uint64(b.By[0])
+	return b, nil
+}
+
+func recordOf(b Ballot) Record {
+	return Record{Key: Key{"note", "k"}, ID: "call of " + b.By, Owner: Gateway{Name: b.By, Life: b.Life}}
+}
+
+var kinds = map[string]Kind{"served": Served, "refused": Refused, "failed": Failed}
+
+// entry reads what a voter holds.
+func entry(words string) (*Entry, error) {
+	if words == "nothing" {
+		return nil, nil
+	}
+	var e *Entry
+	for _, part := range strings.Split(words, ", ") {
+		verb, rest, _ := strings.Cut(part, " ")
+		if e == nil && verb != "record" {
+			return nil, fmt.Errorf("%q comes before a record", part)
+		}
+		switch verb {
+		case "record":
+			b, err := ballot(rest)
+			if err != nil {
+				return nil, err
+			}
+			e = &Entry{Record: recordOf(b), Promised: b}
+		case "promised":
+			b, err := ballot(rest)
+			if err != nil {
+				return nil, err
+			}
+			e.Promised = b
+		case "intent":
+			by, notRun := strings.CutSuffix(rest, " not run")
+			b, err := ballot(by)
+			if err != nil {
+				return nil, err
+			}
+			e.TakeIntent(Intent{By: b, ID: e.Record.ID, NotRun: notRun})
+		case "outcome":
+			kind, by, later := strings.Cut(rest, " ")
+			b := e.Promised
+			if later {
+				var err error
+				if b, err = ballot(by); err != nil {
+					return nil, err
+				}
+			}
+			if kinds[kind] == 0 {
+				return nil, fmt.Errorf("%q is no outcome", kind)
+			}
+			e.TakeOutcome(Outcome{Kind: kinds[kind]}, b)
+		case "decided":
+			e.Decided = true
+		default:
+			return nil, fmt.Errorf("%q is nothing that a voter holds", part)
+		}
+	}
+	return e, nil
+}
+
+func TestWhatAVoterTakes(t *testing.T) {
+	for _, r := range table(t, "What a voter takes") {
+		e, err := entry(r.At("given"))
+		if err != nil {
+			t.Errorf("%s:%d: %v", page, r.Line, err)
+			continue
+		}
+		event := r.At("event")
+		event, heard := strings.CutSuffix(event, " while A is heard")
+		event, later := strings.CutSuffix(event, ", generation 1")
+		verb, rest, _ := strings.Cut(event, " ")
+		b, err := ballot(rest)
+		if err != nil {
+			t.Errorf("%s:%d: %v", page, r.Line, err)
+			continue
+		}
+		var got Verdict
+		switch verb {
+		case "record":
+			rec := recordOf(b)
+			if later {
+				rec.Gen = 1
+			}
+			got = MayRecord(e, &rec, b)
+		case "intent":
+			got = MayIntend(e, b)
+		case "outcome":
+			got = MaySettle(e, b)
+		case "claim":
+			got = MayClaim(e, b, heard)
+		default:
+			t.Errorf("%s:%d: nobody plays %q", page, r.Line, event)
+			continue
+		}
+		if got.String() != r.At("outcome") {
+			t.Errorf("%s:%d: given %s, %s: %v", page, r.Line, r.At("given"), r.At("event"), got)
+		}
+	}
+}
+
+func TestWhatAnHeirDoes(t *testing.T) {
+	effects := map[string]woodpick.Effect{"safe": woodpick.Safe, "keyed": woodpick.Keyed, "unsafe": woodpick.Unsafe}
+	for _, r := range table(t, "What an heir does") {
+		effect, ok := effects[r.At("effect")]
+		left, err := time.ParseDuration(r.At("time left"))
+		if !ok || err != nil {
+			t.Errorf("%s:%d: effect or time: %v", page, r.Line, err)
+			continue
+		}
+		var intents []Intent
+		for i, part := range strings.Split(r.At("intents"), ", ") {
+			pool, notRun := strings.CutSuffix(part, " not run")
+			if pool == "boxes" || pool == "partner" {
+				intents = append(intents, Intent{N: i, Pool: pool, NotRun: notRun})
+			} else if part != "none" {
+				t.Errorf("%s:%d: nobody plays the intent %q", page, r.Line, part)
+			}
+		}
+		if got := Next(effect, intents, left, func(pool string) bool { return pool == "partner" }); got.String() != r.At("outcome") {
+			t.Errorf("%s:%d: %v", page, r.Line, got)
+		}
+	}
+}
+
+func TestWhatAClaimLearns(t *testing.T) {
+	for _, r := range table(t, "Which entries a claim learns from") {
+		var entries []Entry
+		for _, words := range strings.Split(r.At("voters"), "; ") {
+			e, err := entry(words)
+			if err != nil || e == nil {
+				t.Fatalf("%s:%d: %v", page, r.Line, err)
+			}
+			entries = append(entries, *e)
+		}
+		_, intents, outcome := Merge(entries)
+		var said []string
+		for _, in := range intents {
+			s := fmt.Sprintf("%d by %d %s", in.N, in.By.N, in.By.By)
+			if in.NotRun {
+				s += " not run"
+			}
+			said = append(said, s)
+		}
+		kind := ""
+		for name, k := range kinds {
+			if outcome != nil && outcome.Kind == k {
+				kind = name
+			}
+		}
+		if got := strings.Join(said, ", "); got != r.At("intents") || kind != r.At("outcome") {
+			t.Errorf("%s:%d: %q, %q", page, r.Line, got, kind)
+		}
+	}
+}
--- /dev/null
+++ b/internal/custody/rules.go
@@ -0,0 +1,367 @@
+// Package custody keeps work in hand alive past the gateway that had it: another takes it over, once.
+//
+// A call in custody is recorded at a few gateways of the owner's own group, its voters, and whoever has it in hand goes by
+// ballots, as in Paxos (Lamport 2001) and Viewstamped Replication's views (Liskov, Cowling 2012). The owner's ballot is the
+// first one, and holds only at voters that took its record; every later one was promised by a majority. Before an attempt its intent, and before the answer the outcome, must have been taken by a majority of the
+// voters. An heir claims the call with a higher ballot at a majority, and learns there every intent and outcome that any
+// majority has taken before, for two majorities meet.
+//
+// What it promises:
+//
+//   - No attempt begins by a ballot once a majority has promised a higher one: whoever was claimed from, however long it was
+//     stopped or cut off, begins nothing. No clock and no verdict on who is dead is part of this. (An intent is asked for
+//     again where it is older than Options.Fresh when the first byte is to be written. What is left is a stop that is shorter
+//     or falls between that look and the write, against which only the server could help.)
+//   - At most one outcome is ever told, to the caller and to all who ask, at any gateway: it is told once a majority has taken
+//     it, and an heir that finds one taken goes on with it.
+//   - An heir sends a call again only where that is harmless: none of its intents may have run, or its effect is safe, or it
+//     is keyed, and then only to the group that drops repeats and while that remembers, which the decision module sees to.
+//     What is unsafe and may have run ends as failed.
+//   - A gateway that was started anew is no voter in what its earlier life had taken.
+//   - Memory is bounded (Options.Memory): past it new calls are not taken into custody, and what that means the class says
+//     (when_alone). An answer is kept for Options.Keep after it was settled, or until room is needed.
+//
+// The rules are this file's plain functions; docs/design/custody.md has them as tables, and a test plays each row.
+package custody
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"woodpick"
+)
+
+// Gateway is a life of a gateway.
+type Gateway struct {
+	Name string `cbor:"1,keyasint"`
+	Zone string `cbor:"2,keyasint,omitempty"`
+	Life uint64 `cbor:"3,keyasint"` // 0: not known here, for there is no link to it
+}
+
+// Key is what a call is asked for by: its class, and its idempotency key or, without one, the id that its caller gave it.
+type Key struct {
+	Class string `cbor:"1,keyasint"`
+	ID    string `cbor:"2,keyasint"`
+}
+
+// Ballot orders those who may have a call in hand. The zero Ballot is below all.
+type Ballot struct {
+	N    uint32 `cbor:"1,keyasint"`
+	By   string `cbor:"2,keyasint"`
+	Life uint64 `cbor:"3,keyasint"`
+}
+
+// Compare orders ballots.
+func (b Ballot) Compare(o Ballot) int {
+	return cmp.Or(cmp.Compare(b.N, o.N), cmp.Compare(b.By, o.By), cmp.Compare(b.Life, o.Life))
+}
+
+// Record is what is kept of a call, so that another can go on with it.
+type Record struct {
+	Key     Key                 `cbor:"1,keyasint"`
+	Gen     uint32              `cbor:"2,keyasint"` // of calls under one key, of which those before were refused
+	ID      string              `cbor:"3,keyasint"`
+	Method  string              `cbor:"4,keyasint"`
+	Target  string              `cbor:"5,keyasint"`
+	Repeats string              `cbor:"6,keyasint,omitempty"` // idempotency key
+	Type    string              `cbor:"7,keyasint,omitempty"`
+	Body    []byte              `cbor:"8,keyasint,omitempty"`
+	Left    time.Duration       `cbor:"9,keyasint"` // until its caller's deadline, when this was sent
+	Owner   Gateway             `cbor:"10,keyasint"`
+	Voters  []Gateway           `cbor:"11,keyasint"`
+	Tenant  string              `cbor:"12,keyasint,omitempty"`
+	Draws   []string            `cbor:"13,keyasint,omitempty"` // quotas that were drawn from for it
+	Path    []string            `cbor:"14,keyasint,omitempty"` // partners that it came through, the first one first
+	Hands   int                 `cbor:"15,keyasint,omitempty"`
+	Route   Route               `cbor:"16,keyasint"`
+	Again   bool                `cbor:"17,keyasint,omitempty"` // its caller asks for what it asked for before: it is never run for that alone
+	Headers map[string][]string `cbor:"18,keyasint,omitempty"` // that routes look at
+	Offer   [2]string           `cbor:"19,keyasint"`           // origin and name of the offer that a partner sent it by
+}
+
+// Route is what routes look at beside headers.
+type Route struct {
+	Listener string `cbor:"1,keyasint"`
+	Host     string `cbor:"2,keyasint,omitempty"`
+	Path     string `cbor:"3,keyasint"`
+	Draw     string `cbor:"4,keyasint"`
+}
+
+// Intent is an attempt that was allowed to begin.
+type Intent struct {
+	By     Ballot        `cbor:"1,keyasint"`
+	N      int           `cbor:"2,keyasint"` // of the call's attempts over all who had it in hand, from 0
+	Pool   string        `cbor:"3,keyasint"`
+	Server string        `cbor:"4,keyasint"`
+	Zone   string        `cbor:"5,keyasint,omitempty"`
+	Cell   int           `cbor:"6,keyasint,omitempty"`
+	Age    time.Duration `cbor:"7,keyasint"`           // since it was allowed, when this was sent
+	NotRun bool          `cbor:"8,keyasint,omitempty"` // it has ended, and is known not to have run
+	ID     string        `cbor:"9,keyasint"`           // of the record that it was for
+}
+
+// Kind says what an outcome is.
+type Kind uint8
+
+// Kinds of outcomes.
+const (
+	Served  Kind = iota + 1
+	Refused      // trying again is harmless
+	Failed       // promises nothing
+)
+
+// Outcome is the one final answer.
+type Outcome struct {
+	Kind  Kind          `cbor:"1,keyasint"`
+	Body  []byte        `cbor:"2,keyasint,omitempty"`
+	Type  string        `cbor:"3,keyasint,omitempty"`
+	Long  bool          `cbor:"4,keyasint,omitempty"` // it was too long to be kept: only who heard it first has it
+	Retry time.Duration `cbor:"5,keyasint,omitempty"` // of Refused: when to come back
+	Why   string        `cbor:"6,keyasint,omitempty"` // of Refused by a rule: which one
+
+	Live interface{ Discard() } `cbor:"-"` // the answer as it came, for whoever had it run
+}
+
+// Entry is what a voter has taken of a call.
+type Entry struct {
+	Record   Record   `cbor:"1,keyasint"`
+	Promised Ballot   `cbor:"2,keyasint"` // nothing of a lower one is taken
+	Intents  []Intent `cbor:"3,keyasint,omitempty"`
+	Outcome  *Outcome `cbor:"4,keyasint,omitempty"` // that was taken last, and
+	At       Ballot   `cbor:"5,keyasint"`           // by which ballot
+	Decided  bool     `cbor:"6,keyasint,omitempty"` // a majority has taken it
+}
+
+// Verdict is a voter's word.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Yes     Verdict = iota + 1
+	Higher          // a higher ballot was promised
+	Known           // another call has this key, or the call's outcome is decided
+	Heard           // whoever has the call in hand is heard here
+	Unknown         // this voter has taken no such call
+	Full            // there is no room
+	NotOf           // the voter is not of this life: it may have forgotten what it had taken
+)
+
+var verdicts = [...]string{"", "yes", "higher", "known", "heard", "unknown", "full", "another life"}
+
+func (v Verdict) String() string { return verdicts[min(int(v), len(verdicts)-1)] }
+
+// MayRecord says whether a voter that has e of this key (nil: nothing) takes a record by its owner's ballot.
+func MayRecord(e *Entry, r *Record, b Ballot) Verdict {
+	switch {
+	case e == nil:
+		return Yes
+	case r.Gen > e.Record.Gen && e.Outcome != nil && e.Outcome.Kind == Refused:
+		return Yes // what was refused may be asked for anew
+	case r.Gen != e.Record.Gen || r.Owner != e.Record.Owner || r.ID != e.Record.ID:
+		return Known
+	case b.Compare(e.Promised) < 0:
+		return Higher
+	}
+	return Yes
+}
+
+// standing says whether a voter goes by a ballot now.
+func standing(e *Entry, b Ballot) Verdict {
+	switch {
+	case b.Compare(e.Promised) < 0:
+		return Higher
+	case b.N == 1 && b != e.Promised:
+		return Known // another owner's: a first ballot was promised by nobody who did not take its record
+	}
+	return Yes
+}
+
+// MayIntend says whether a voter takes an intent.
+func MayIntend(e *Entry, b Ballot) Verdict {
+	switch {
+	case e == nil:
+		return Unknown
+	case e.Decided:
+		return Known
+	}
+	return standing(e, b)
+}
+
+// MaySettle says whether a voter takes an outcome. One that is decided stays.
+func MaySettle(e *Entry, b Ballot) Verdict {
+	switch {
+	case e == nil:
+		return Unknown
+	case e.Decided && b != e.At:
+		return Known
+	}
+	return standing(e, b)
+}
+
+// MayClaim says whether a voter promises a ballot. heard: whoever has the call in hand now has a link to this voter, and
+// has not given the call out of hand.
+func MayClaim(e *Entry, b Ballot, heard bool) Verdict {
+	switch {
+	case e == nil:
+		return Yes // it surely has taken nothing of this call
+	case e.Decided:
+		return Known
+	case b.Compare(e.Promised) <= 0:
+		return Higher
+	case heard:
+		return Heard
+	}
+	return Yes
+}
+
+// TakeIntent notes an intent that MayIntend allows. One that is asked for again takes its own place.
+func (e *Entry) TakeIntent(in Intent) {
+	e.Promised = in.By
+	i := slices.IndexFunc(e.Intents, func(o Intent) bool { return o.By == in.By && o.N == in.N })
+	if i < 0 {
+		e.Intents = append(e.Intents, in)
+	} else {
+		e.Intents[i] = in
+	}
+}
+
+// TakeOutcome notes an outcome that MaySettle allows.
+func (e *Entry) TakeOutcome(o Outcome, b Ballot) { e.Promised, e.At, e.Outcome = b, b, &o }
+
+// Merge is what an heir has to go by, from the entries of a majority: every intent that any of them has taken, the outcome of
+// the highest ballot, if there is one, and the record. An attempt that one of them knows not to have run has not. Where two
+// gateways were given one key at once, voters may hold two records: the one that an intent was for is the call's.
+func Merge(entries []Entry) (r Record, intents []Intent, outcome *Outcome) {
+	var at Ballot
+	for _, e := range entries {
+		for _, in := range e.Intents {
+			i := slices.IndexFunc(intents, func(o Intent) bool { return o.By == in.By && o.N == in.N })
+			if i < 0 {
+				intents = append(intents, in)
+				continue
+			}
+			intents[i].NotRun = intents[i].NotRun || in.NotRun
+			intents[i].Age = max(intents[i].Age, in.Age)
+		}
+		if e.Outcome != nil && (outcome == nil || e.At.Compare(at) > 0) {
+			outcome, at = e.Outcome, e.At
+		}
+	}
+	slices.SortFunc(intents, func(a, b Intent) int { return cmp.Or(a.By.Compare(b.By), cmp.Compare(a.N, b.N)) })
+	of := ""
+	if len(intents) > 0 {
+		of = intents[len(intents)-1].ID
+	}
+	for i, e := range entries {
+		take := i == 0 || e.Record.Gen > r.Gen || e.Record.Gen == r.Gen && r.ID != of && (e.Record.ID == of || e.Record.ID < r.ID)
+		left := r.Left
+		if take {
+			r = e.Record
+		}
+		if i > 0 && e.Record.Gen == r.Gen {
+			r.Left = max(left, e.Record.Left) // whoever heard of it soonest knows best
+		}
+	}
+	return r, intents, outcome
+}
+
+// Step is what an heir does with a call.
+type Step uint8
+
+// Steps.
+const (
+	Send  Step = iota + 1 // as the owner would have
+	Again                 // it may have run: only where the class's effect makes that harmless
+	Ask                   // it may run at a partner, which is asked what became of it and begins nothing for that
+	GiveUp
+)
+
+var steps = [...]string{"", "send", "send again", "ask the partner", "fail"}
+
+func (s Step) String() string { return steps[min(int(s), len(steps)-1)] }
+
+// Next is what whoever takes a call over does first. partner says whether a pool is a partner's.
+func Next(effect woodpick.Effect, intents []Intent, left time.Duration, partner func(pool string) bool) Step {
+	may := slices.DeleteFunc(slices.Clone(intents), func(in Intent) bool { return in.NotRun })
+	switch {
+	case left <= 0:
+		return GiveUp
+	case len(may) == 0:
+		return Send
+	case effect != woodpick.Unsafe:
+		return Again
+	case partner(may[len(may)-1].Pool):
+		return Ask
+	}
+	return GiveUp
+}
+
+// Majority is how many of n voters are needed.
+func Majority(n int) int { return n/2 + 1 }
+
+// Voters are who holds the calls of a key: the first of the group by a hash of key and name, of as many zones as there are,
+// and an odd number of them, the owner perhaps among them. Whoever sees the same group sees the same voters. In a group of
+// two the other one votes alone; alone nobody does.
+func Voters(k Key, own string, group []Gateway, holders int) []Gateway {
+	switch len(group) {
+	case 0, 1:
+		return nil
+	case 2:
+		return slices.DeleteFunc(slices.Clone(group), func(g Gateway) bool { return g.Name == own })
+	}
+	holders = min(holders, len(group))
+	if holders%2 == 0 {
+		holders--
+	}
+	order := slices.Clone(group)
+	slices.SortFunc(order, func(a, b Gateway) int {
+		return cmp.Or(cmp.Compare(weigh(k, b.Name), weigh(k, a.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	var out []Gateway
+	zones := map[string]int{}
+	for most := 1; len(out) < holders; most++ { // one of each zone first, then two
+		for _, g := range order {
+			if len(out) < holders && zones[g.Zone] < most && !slices.ContainsFunc(out, func(o Gateway) bool { return o.Name == g.Name }) {
+				zones[g.Zone]++
+				out = append(out, g)
+			}
+		}
+	}
+	return out
+}
+
+// weigh is a hash of a key and a name (FNV-1a, finished as splitmix64 is).
+func weigh(k Key, name string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, part := range []string{k.Class, k.ID, name} {
+		for i := range len(part) {
+			h = (h ^ uint64(part[i])) * 1099511628211
+		}
+		h = (h ^ 0xff) * 1099511628211
+	}
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// Patience is how long a voter waits, from when it lost whoever has a call in hand, until it claims the call: those first
+// that come first among the voters, so that they do not claim against one another.
+func Patience(voters []Gateway, lost, self string) time.Duration {
+	rank := 0
+	for _, v := range voters {
+		if v.Name == self {
+			break
+		}
+		if v.Name != lost {
+			rank++
+		}
+	}
+	return claimAfter + time.Duration(rank)*claimStep
+}
+
+// Times of a claim. A link that broke may come back at once.
+const (
+	claimAfter = 60 * time.Millisecond
+	claimStep  = 150 * time.Millisecond
+)
