Partners' route tables merged under each one's export rules

Path vector with a table as received, one chosen, one sent for each neighbour; rules narrow on the way; the owner's rule of now once more when a call arrives; a dispute without a stable outcome is held by hands.

--- /dev/null
+++ b/internal/offers/offers.go
@@ -0,0 +1,367 @@
+package offers
+
+import (
+	"context"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"woodpick/internal/peering"
+)
+
+// topicTable tells a neighbour's gateway of a table, or of what has changed in it.
+const (
+	topicTable = "offers.table"
+	topicAgain = "offers.again" // asks for the whole table
+)
+
+// table is what goes over a link. A table begins with its first part, of serial 0; what follows has the next serial each time.
+type table struct {
+	Serial uint64    `cbor:"1,keyasint"`
+	Put    []Offer   `cbor:"2,keyasint,omitempty"`
+	Gone   []ID      `cbor:"3,keyasint,omitempty"`
+	More   bool      `cbor:"4,keyasint,omitempty"` // the table or the change goes on with the next message
+	Digest uint64    `cbor:"5,keyasint"`           // of the whole table after the last part
+	Group  []Gateway `cbor:"6,keyasint,omitempty"` // of the first and last parts: the partner's gateways that live
+}
+
+// Gateway is one of a partner's that takes calls.
+type Gateway struct {
+	Name  string `cbor:"1,keyasint"`
+	Calls string `cbor:"2,keyasint"` // address
+	Zone  string `cbor:"3,keyasint,omitempty"`
+}
+
+// mostPart is how many offers go in one message.
+const mostPart = 400
+
+// coalesce is how long changes are gathered before a neighbour is told.
+const coalesce = 5 * time.Millisecond
+
+// Options are what an Exchange is made of.
+type Options struct {
+	Table *Table
+	Self  string
+	Group func() []Gateway // of this partner's gateways, those that live
+	Heard func()           // the gateways of some partner have changed; must not block
+}
+
+// Exchange tells neighbours of this gateway's table and takes theirs, by a task for each link.
+type Exchange struct {
+	o     Options
+	ctx   context.Context
+	end   context.CancelFunc
+	tasks sync.WaitGroup
+
+	mu    sync.Mutex
+	links map[*peering.Link]*reading
+	last  map[string][]Gateway // by partner, what Gateways told last
+	kick  chan struct{}        // closed when the own group has changed
+}
+
+// reading is how far a neighbour's table has come over a link.
+type reading struct {
+	source Source
+	next   uint64
+	whole  []Offer // of a table that has not come to its end
+	put    []Offer // of a change that has not
+	gone   []ID
+	held   map[ID]uint64 // digests of what the neighbour has told
+	group  []Gateway     // the neighbour's gateways, as this one of them told last
+	again  bool          // the whole table was asked for
+}
+
+// NewExchange returns one that tells nobody yet.
+func NewExchange(o Options) *Exchange {
+	x := &Exchange{o: o, links: map[*peering.Link]*reading{}, last: map[string][]Gateway{}, kick: make(chan struct{})}
+	x.ctx, x.end = context.WithCancel(context.Background())
+	x.task(x.sweep)
+	return x
+}
+
+func (x *Exchange) task(f func()) {
+	x.tasks.Add(1)
+	go func() {
+		defer x.tasks.Done()
+		f()
+	}()
+}
+
+// Close ends all tasks and returns once they have ended.
+func (x *Exchange) Close() {
+	x.end()
+	x.tasks.Wait()
+}
+
+// Topics are how neighbours reach it.
+func (x *Exchange) Topics() map[string]peering.Handler {
+	return map[string]peering.Handler{topicTable: x.take, topicAgain: x.again}
+}
+
+// sweepEvery is how often what is stale is looked at.
+const sweepEvery = 100 * time.Millisecond
+
+func (x *Exchange) sweep() {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	var group []Gateway
+	for {
+		select {
+		case <-x.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		x.o.Table.Sweep()
+		if now := x.o.Group(); !slices.Equal(now, group) {
+			group = now
+			x.Tell()
+		}
+	}
+}
+
+// Tell has neighbours told anew: this partner's gateways, or its rules, have changed.
+func (x *Exchange) Tell() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	close(x.kick)
+	x.kick = make(chan struct{})
+}
+
+// Up begins to tell a neighbour's gateway, over a link that has come up, until the link ends.
+func (x *Exchange) Up(l *peering.Link) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.links[l] != nil || x.ctx.Err() != nil {
+		return
+	}
+	r := &reading{source: Source{l.Peer.Partner, l.Peer.Name, l.Peer.Life}, held: map[ID]uint64{}}
+	x.links[l] = r
+	x.task(func() {
+		x.speak(l)
+		x.mu.Lock()
+		delete(x.links, l)
+		// Another link to the same life may go on telling the same table.
+		left := false
+		for _, o := range x.links {
+			left = left || o.source == r.source
+		}
+		x.mu.Unlock()
+		if !left {
+			x.o.Table.Lost(r.source)
+			x.o.Heard()
+		}
+	})
+}
+
+// speak tells a neighbour's gateway one table and then each change, until the link ends.
+func (x *Exchange) speak(l *peering.Link) {
+	var serial uint64
+	var sent map[ID]uint64
+	var group []Gateway
+	for {
+		x.mu.Lock()
+		kick, r := x.kick, x.links[l]
+		whole := sent == nil || r.again
+		r.again = false
+		x.mu.Unlock()
+		now, changed := x.o.Table.Sent(l.Peer.Partner)
+		live := x.o.Group()
+		if whole {
+			serial, sent = 0, map[ID]uint64{}
+		}
+		if !x.tell(l, now, sent, &serial, live, whole || !slices.Equal(group, live)) {
+			sent = nil // not all of it has gone out: the whole table will, when there is room
+			wait(x.ctx, l, nil, nil, 20*coalesce)
+		} else {
+			group = live
+			wait(x.ctx, l, changed, kick, time.Second)
+		}
+		wait(x.ctx, l, nil, nil, coalesce)
+		select {
+		case <-l.Done():
+			return
+		case <-x.ctx.Done():
+			return
+		default:
+		}
+	}
+}
+
+// wait waits until one of these is closed, the link ends, or a while has passed.
+func wait(ctx context.Context, l *peering.Link, a, b <-chan struct{}, most time.Duration) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-a:
+	case <-b:
+	case <-t.C:
+	case <-l.Done():
+	case <-ctx.Done():
+	}
+}
+
+// tell sends what differs between what was sent and the table of now, in parts. false: not all of it could be queued.
+func (x *Exchange) tell(l *peering.Link, now map[ID]Offer, sent map[ID]uint64, serial *uint64, group []Gateway, must bool) bool {
+	var put []Offer
+	var gone []ID
+	digests := make(map[ID]uint64, len(now))
+	for id, o := range now {
+		d, err := digestOf(&o)
+		if err != nil {
+			continue
+		}
+		digests[id] = d
+		if was, had := sent[id]; !had || was != d {
+			put = append(put, o)
+		}
+	}
+	for id := range sent {
+		if _, still := digests[id]; !still {
+			gone = append(gone, id)
+		}
+	}
+	if len(put)+len(gone) == 0 && !must {
+		return true
+	}
+	slices.SortFunc(put, func(a, b Offer) int { return strings.Compare(a.ID.String(), b.ID.String()) })
+	for first := true; first || len(put)+len(gone) > 0; first = false {
+		m := table{Serial: *serial}
+		n := min(mostPart, len(put))
+		m.Put, put = put[:n], put[n:]
+		k := min(mostPart-n, len(gone))
+		m.Gone, gone = gone[:k], gone[k:]
+		if m.More = len(put)+len(gone) > 0; !m.More {
+			m.Digest, m.Group = sum(digests), group // all of it each time: it is short
+		}
+		if l.Tell(topicTable, m) != nil {
+			return false
+		}
+		*serial++
+	}
+	clear(sent)
+	maps.Copy(sent, digests)
+	return true
+}
+
+// sum is a digest of a whole table, whatever its order.
+func sum(digests map[ID]uint64) (d uint64) {
+	for _, v := range digests {
+		d += v
+	}
+	return d
+}
+
+// digestOf is a digest of an offer.
+func digestOf(o *Offer) (uint64, error) {
+	text, err := peering.Encode(o)
+	if err != nil {
+		return 0, err
+	}
+	h := fnv.New64a()
+	h.Write(text)
+	return h.Sum64(), nil
+}
+
+// take takes a part of a neighbour's table. What does not follow what came before, or comes to another whole than the
+// neighbour says, has the whole table asked for.
+func (x *Exchange) take(l *peering.Link, body []byte, _ func(any, error)) {
+	var m table
+	x.Up(l) // its first word may come before this gateway was told of the link
+	x.mu.Lock()
+	r := x.links[l]
+	if r == nil {
+		x.mu.Unlock()
+		return
+	}
+	if err := peering.Decode(body, &m); err != nil || m.Serial != 0 && m.Serial != r.next {
+		x.mu.Unlock()
+		l.Tell(topicAgain, struct{}{})
+		return
+	}
+	whole := m.Serial == 0 || r.whole != nil
+	if m.Serial == 0 {
+		r.whole, r.put, r.gone = []Offer{}, nil, nil
+		clear(r.held)
+	}
+	r.next = m.Serial + 1
+	for i := range m.Put {
+		if d, err := digestOf(&m.Put[i]); err == nil {
+			r.held[m.Put[i].ID] = d
+		}
+	}
+	for _, id := range m.Gone {
+		delete(r.held, id)
+	}
+	if whole {
+		r.whole = append(r.whole, m.Put...)
+	} else {
+		r.put, r.gone = append(r.put, m.Put...), append(r.gone, m.Gone...)
+	}
+	if m.More {
+		x.mu.Unlock()
+		return
+	}
+	all, put, gone := r.whole, r.put, r.gone
+	r.whole, r.put, r.gone = nil, nil, nil
+	fits := sum(r.held) == m.Digest
+	groupChanged := !slices.Equal(r.group, m.Group)
+	r.group = m.Group
+	x.mu.Unlock()
+	switch {
+	case !fits:
+		l.Tell(topicAgain, struct{}{})
+	case whole:
+		x.o.Table.replace(r.source, all)
+	default:
+		x.o.Table.change(r.source, put, gone)
+	}
+	if groupChanged {
+		x.o.Heard()
+	}
+}
+
+// again has the whole table told once more.
+func (x *Exchange) again(l *peering.Link, _ []byte, _ func(any, error)) {
+	x.mu.Lock()
+	if r := x.links[l]; r != nil {
+		r.again = true
+	}
+	x.mu.Unlock()
+	x.Tell()
+}
+
+// Ask has every neighbour tell its whole table once more: more of it may be taken by the rules of now.
+func (x *Exchange) Ask() {
+	x.mu.Lock()
+	links := slices.Collect(maps.Keys(x.links))
+	x.mu.Unlock()
+	for _, l := range links {
+		l.Tell(topicAgain, struct{}{})
+	}
+}
+
+// Gateways are a partner's that live, as those of them tell to whom there are links.
+func (x *Exchange) Gateways(partner string) []Gateway {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var out []Gateway
+	for _, r := range x.links {
+		if r.source.Partner != partner {
+			continue
+		}
+		for _, w := range r.group {
+			if !slices.ContainsFunc(out, func(o Gateway) bool { return o.Name == w.Name }) {
+				out = append(out, w)
+			}
+		}
+	}
+	if len(out) == 0 { // nobody tells any more: those of before may still be there
+		return slices.Clone(x.last[partner])
+	}
+	slices.SortFunc(out, func(a, b Gateway) int { return strings.Compare(a.Name, b.Name) })
+	x.last[partner] = out
+	return slices.Clone(out)
+}
--- /dev/null
+++ b/internal/offers/table.go
@@ -0,0 +1,561 @@
+package offers
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Source is where a table as received came from: one link, to one life of a partner's gateway.
+type Source struct {
+	Partner, Gateway string
+	Life             uint64
+}
+
+// Flaps of an offer: that many changes of its best way in that time have it held for that long.
+const (
+	flapMost   = 6
+	flapWindow = 10 * time.Second
+	flapHold   = time.Minute
+)
+
+// Neighbour is what this partner goes by with one of its neighbours.
+type Neighbour struct {
+	Import  Import
+	Passing Passing
+}
+
+// Policy is what this partner goes by: its file's part of all this.
+type Policy struct {
+	Self       string
+	Own        []Offer // its exports
+	Neighbours map[string]Neighbour
+	Stale      time.Duration // that the offers of a partner are used whose links have all ended
+	Share      int           // gateways of this partner, over which an offer's room is dealt out
+}
+
+// Table holds what was received, and what is chosen of it. Its zero value is of no use; see NewTable.
+type Table struct {
+	now func() time.Time
+
+	mu      sync.RWMutex
+	policy  Policy
+	in      map[Source]map[ID]*Offer // as received, what was imported only
+	stale   map[string]time.Time     // partners whose links have all ended, since when
+	routes  map[ID]*route
+	byClass map[string]map[string][]*route // by prefix, the best first
+	changed chan struct{}                  // closed at the next change of what is chosen
+	refused map[string]map[string]int      // by neighbour, by why
+	counts  Counts
+}
+
+// Counts are of a table since its start.
+type Counts struct {
+	Changes int `json:"changes"` // of best ways
+	Held    int `json:"held"`    // offers whose preferences had no stable outcome
+	Dropped int `json:"dropped"` // ways that a refusal of their owner's ended
+}
+
+// route is one offer, with all ways to it.
+type route struct {
+	id    ID
+	ways  map[string]*Way // by neighbour; own: ""
+	best  *Way
+	flaps []time.Time
+	held  time.Time // until when; zero: it is not
+	open  atomic.Int64
+	// A refusal by the owner ends a version's ways until another version comes, or until a while has passed.
+	dropped map[string]drop
+}
+
+type drop struct {
+	version uint64
+	until   time.Time
+}
+
+// dropFor is how long a way is not used whose owner refused a call by its rule.
+const dropFor = 5 * time.Second
+
+// NewTable returns an empty one.
+func NewTable(p Policy, now func() time.Time) *Table {
+	t := &Table{now: now, in: map[Source]map[ID]*Offer{}, stale: map[string]time.Time{}, routes: map[ID]*route{},
+		byClass: map[string]map[string][]*route{}, changed: make(chan struct{}), refused: map[string]map[string]int{}}
+	t.SetPolicy(p)
+	return t
+}
+
+// SetPolicy goes by another file from now on. What was received is looked at anew; versions of own exports that did not
+// change stay.
+func (t *Table) SetPolicy(p Policy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	old := map[ID]*Way{}
+	for id, r := range t.routes {
+		if w := r.ways[""]; w != nil {
+			old[id] = w
+			delete(r.ways, "")
+		}
+	}
+	t.policy = p
+	touched := map[ID]bool{}
+	for id := range old {
+		touched[id] = true
+	}
+	for _, o := range p.Own {
+		o.ID.Origin, o.Path = p.Self, nil
+		o.Version = uint64(now.UnixMilli())
+		if was := old[o.ID]; was != nil {
+			o.Version = max(o.Version, was.Version+1)
+			same := was.Offer
+			same.Version = o.Version
+			if equal(&same, &o) {
+				o.Version = was.Version
+			}
+		}
+		t.route(o.ID).ways[""] = &Way{Offer: o, Own: true}
+		touched[o.ID] = true
+	}
+	for s, table := range t.in {
+		n, known := p.Neighbours[s.Partner]
+		for id, o := range table {
+			touched[id] = true
+			if !known || MayImport(o, p.Self, n.Import, 0, now) != "" {
+				delete(table, id)
+			}
+		}
+		if !known {
+			delete(t.in, s)
+			delete(t.stale, s.Partner)
+		}
+	}
+	t.choose(touched)
+}
+
+// equal says that two offers differ in nothing.
+func equal(a, b *Offer) bool {
+	r, o := &a.Rules, &b.Rules
+	return a.ID == b.ID && a.Version == b.Version && a.Class == b.Class && a.Prefix == b.Prefix && a.Cost == b.Cost && a.Room == b.Room && a.Custody == b.Custody &&
+		slices.Equal(a.Path, b.Path) && r.All == o.All && r.NoTransit == o.NoTransit && r.Hands == o.Hands && r.Effects == o.Effects && r.Until == o.Until &&
+		slices.Equal(r.To, o.To) && slices.Equal(r.Tenants, o.Tenants) && slices.Equal(r.Excluded, o.Excluded)
+}
+
+func sameWay(a, b *Way) bool {
+	return a.Own == b.Own && a.Preference == b.Preference && equal(&a.Offer, &b.Offer)
+}
+
+// route is the one of an ID, made if it is not there. The caller holds mu.
+func (t *Table) route(id ID) *route {
+	r := t.routes[id]
+	if r == nil {
+		r = &route{id: id, ways: map[string]*Way{}, dropped: map[string]drop{}}
+		t.routes[id] = r
+	}
+	return r
+}
+
+// replace takes the whole table of a source in place of what it told before.
+func (t *Table) replace(s Source, all []Offer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	touched := map[ID]bool{}
+	for other, table := range t.in { // an older life's, and what was kept as stale
+		if other.Partner == s.Partner && (other.Gateway == s.Gateway || !t.stale[s.Partner].IsZero()) {
+			for id := range table {
+				touched[id] = true
+			}
+			delete(t.in, other)
+		}
+	}
+	delete(t.stale, s.Partner)
+	t.in[s] = map[ID]*Offer{}
+	t.put(s, all, touched)
+	t.choose(touched)
+}
+
+// change takes what a source tells beyond its table.
+func (t *Table) change(s Source, put []Offer, gone []ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	table := t.in[s]
+	if table == nil {
+		return // its whole table has not come
+	}
+	touched := map[ID]bool{}
+	for _, id := range gone {
+		delete(table, id)
+		touched[id] = true
+	}
+	t.put(s, put, touched)
+	t.choose(touched)
+}
+
+// put takes offers of a source as far as they may be imported. The caller holds mu.
+func (t *Table) put(s Source, list []Offer, touched map[ID]bool) {
+	n, known := t.policy.Neighbours[s.Partner]
+	now, table := t.now(), t.in[s]
+	for i := range list {
+		o := &list[i]
+		why := ""
+		switch err := o.Check(s.Partner); {
+		case !known:
+			why = "the partner is not in the file"
+		case err != nil:
+			why = "malformed"
+		default:
+			held := len(table)
+			if table[o.ID] != nil {
+				held--
+			}
+			why = MayImport(o, t.policy.Self, n.Import, held, now)
+		}
+		touched[o.ID] = true
+		if why != "" {
+			delete(table, o.ID)
+			if t.refused[s.Partner] == nil {
+				t.refused[s.Partner] = map[string]int{}
+			}
+			t.refused[s.Partner][why]++
+			continue
+		}
+		table[o.ID] = o
+	}
+}
+
+// Lost says that a link has ended. The table that came over it goes, unless it was the last one of its partner: then it stays
+// as stale for a while.
+func (t *Table) Lost(s Source) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.in[s] == nil {
+		return
+	}
+	for other := range t.in {
+		if other.Partner == s.Partner && other != s && t.stale[s.Partner].IsZero() {
+			touched := map[ID]bool{}
+			for id := range t.in[s] {
+				touched[id] = true
+			}
+			delete(t.in, s)
+			t.choose(touched)
+			return
+		}
+	}
+	t.stale[s.Partner] = t.now()
+}
+
+// Sweep lets go of what has been stale for too long, and of offers that have ended.
+func (t *Table) Sweep() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	touched := map[ID]bool{}
+	for s, table := range t.in {
+		since, stale := t.stale[s.Partner]
+		gone := stale && now.Sub(since) >= t.policy.Stale
+		for id, o := range table {
+			if gone || o.Rules.Until != 0 && now.Unix() >= o.Rules.Until {
+				touched[id] = true
+				delete(table, id)
+			}
+		}
+		if gone {
+			delete(t.in, s)
+		}
+	}
+	for p, since := range t.stale {
+		if now.Sub(since) >= t.policy.Stale {
+			delete(t.stale, p)
+		}
+	}
+	for id, r := range t.routes {
+		if !r.held.IsZero() && !now.Before(r.held) {
+			r.held, r.flaps = time.Time{}, nil
+			touched[id] = true
+		}
+		for n, d := range r.dropped {
+			if !now.Before(d.until) {
+				delete(r.dropped, n)
+				touched[id] = true
+			}
+		}
+	}
+	t.choose(touched)
+}
+
+// Drop ends a way whose owner refused a call by its rule, as long as no other version comes and for a while.
+func (t *Table) Drop(w *Way) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.routes[w.ID]
+	if r == nil || len(w.Path) == 0 {
+		return
+	}
+	r.dropped[w.Path[0]] = drop{w.Version, t.now().Add(dropFor)}
+	t.counts.Dropped++
+	t.choose(map[ID]bool{w.ID: true})
+}
+
+// choose finds the best way of each offer that was touched, and its place among the offers of its prefix. The caller holds mu.
+func (t *Table) choose(touched map[ID]bool) {
+	if len(touched) == 0 {
+		return
+	}
+	now := t.now()
+	newest := map[string]map[ID]*Offer{} // by neighbour
+	for s, table := range t.in {
+		for id := range touched {
+			o := table[id]
+			if o == nil {
+				continue
+			}
+			if newest[s.Partner] == nil {
+				newest[s.Partner] = map[ID]*Offer{}
+			}
+			if was := newest[s.Partner][id]; was == nil || o.Version > was.Version || o.Version == was.Version && shorter(o, was) {
+				newest[s.Partner][id] = o
+			}
+		}
+	}
+	told := false
+	lists := map[[2]string]bool{} // to be put in order anew
+	for id := range touched {
+		r := t.routes[id]
+		if r == nil {
+			r = t.route(id)
+		}
+		for n := range r.ways {
+			if n != "" && newest[n][id] == nil {
+				delete(r.ways, n)
+			}
+		}
+		for n, table := range newest {
+			if o := table[id]; o != nil {
+				r.ways[n] = &Way{Offer: *o, Preference: t.policy.Neighbours[n].Import.Preference}
+			}
+		}
+		var best *Way
+		for n, w := range r.ways {
+			if d, is := r.dropped[n]; is && d.version == w.Version && now.Before(d.until) {
+				continue
+			}
+			if best == nil || Better(w, best, !r.held.IsZero()) < 0 {
+				best = w
+			}
+		}
+		if r.best != nil {
+			lists[[2]string{r.best.Class, r.best.Prefix}] = true
+		}
+		if best != nil {
+			lists[[2]string{best.Class, best.Prefix}] = true
+		}
+		if best != nil && r.best != nil && !slices.Equal(best.Path, r.best.Path) && r.held.IsZero() {
+			r.flaps = slices.DeleteFunc(append(r.flaps, now), func(at time.Time) bool { return now.Sub(at) > flapWindow })
+			if len(r.flaps) > flapMost {
+				r.held = now.Add(flapHold)
+				t.counts.Held++
+				for _, w := range r.ways {
+					if Better(w, best, true) < 0 {
+						best = w
+					}
+				}
+			}
+		}
+		if best != r.best {
+			if best == nil || r.best == nil || !sameWay(best, r.best) {
+				t.counts.Changes++
+				told = true
+			}
+			t.unlist(r)
+			if r.best = best; best != nil {
+				t.list(r)
+			}
+		}
+		if best == nil && len(r.ways) == 0 {
+			delete(t.routes, id)
+		}
+	}
+	for k := range lists {
+		slices.SortFunc(t.byClass[k[0]][k[1]], func(a, b *route) int { return Better(a.best, b.best, false) })
+	}
+	if told {
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+}
+
+// unlist and list keep the offers by class and prefix. The caller holds mu.
+func (t *Table) unlist(r *route) {
+	if r.best == nil {
+		return
+	}
+	in := t.byClass[r.best.Class]
+	in[r.best.Prefix] = slices.DeleteFunc(in[r.best.Prefix], func(o *route) bool { return o == r })
+	if len(in[r.best.Prefix]) == 0 {
+		delete(in, r.best.Prefix)
+	}
+}
+
+func (t *Table) list(r *route) {
+	in := t.byClass[r.best.Class]
+	if in == nil {
+		in = map[string][]*route{}
+		t.byClass[r.best.Class] = in
+	}
+	in[r.best.Prefix] = append(in[r.best.Prefix], r)
+}
+
+// shorter orders two words of one neighbour's on one version of an offer, as its gateways may tell while it changes its way.
+func shorter(a, b *Offer) bool {
+	return cmp.Or(cmp.Compare(len(a.Path), len(b.Path)), cmp.Compare(a.Cost, b.Cost), slices.Compare(a.Path, b.Path)) < 0
+}
+
+// Chosen is the way that a call takes.
+type Chosen struct {
+	*Way
+	route *route
+}
+
+// Take counts the call as one of those that the way has, until Done. It has no effect on ways of one's own.
+func (c Chosen) Take() { c.route.open.Add(1) }
+
+// Done ends a Take.
+func (c Chosen) Done() { c.route.open.Add(-1) }
+
+// Choose is the way of a call: of the offers below whose paths it lies, those of the longest path that take it, the best one.
+// false: it is nobody's offer, and the own routes say what becomes of it.
+func (t *Table) Choose(c *Call) (Chosen, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	in := t.byClass[c.Class]
+	if in == nil {
+		return Chosen{}, false
+	}
+	now := t.now()
+	for end := len(c.Path); end > 0; end = strings.LastIndexByte(c.Path[:end-1], '/') + 1 {
+		if c.Path[end-1] != '/' {
+			if end = strings.LastIndexByte(c.Path[:end], '/') + 1; end == 0 {
+				break
+			}
+		}
+		for _, r := range in[c.Path[:end]] {
+			room := r.best.Room
+			if room > 0 && !r.best.Own && r.open.Load() >= int64(max(1, room/max(1, t.policy.Share))) {
+				continue
+			}
+			if r.best.Allows(c, now) {
+				return Chosen{r.best, r}, true
+			}
+		}
+	}
+	return Chosen{}, false
+}
+
+// Come says why a call from a neighbour, by an offer that it names, is not taken here; empty: it is, and w is its way on.
+func (t *Table) Come(id ID, c *Call) (w Chosen, why string) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	now := t.now()
+	r := t.routes[id]
+	if r == nil || r.best == nil {
+		return Chosen{}, "there is no such offer"
+	}
+	if r.best.Own {
+		return Chosen{r.best, r}, MayCome(&r.best.Offer, c, t.policy.Self, now)
+	}
+	if len(c.Came) == 0 {
+		return Chosen{}, "it goes round"
+	}
+	from := c.Came[len(c.Came)-1]
+	if _, why := t.export(r, from, now); why != "" {
+		return Chosen{}, why
+	}
+	if !r.best.Allows(c, now) {
+		return Chosen{}, "its rules do not allow this call here"
+	}
+	return Chosen{r.best, r}, ""
+}
+
+// export is the best way of an offer as it is told to a neighbour. The caller holds mu.
+func (t *Table) export(r *route, to string, now time.Time) (Offer, string) {
+	if r.best == nil {
+		return Offer{}, "there is no way"
+	}
+	var p Passing
+	if !r.best.Own {
+		p = t.policy.Neighbours[r.best.Path[0]].Passing
+	}
+	return MayExport(r.best.Offer, t.policy.Self, to, r.best.Own, p, now)
+}
+
+// Sent is the table that a neighbour is told now, and what tells of its next change.
+func (t *Table) Sent(to string) (map[ID]Offer, <-chan struct{}) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	now := t.now()
+	out := map[ID]Offer{}
+	for id, r := range t.routes {
+		if o, why := t.export(r, to, now); why == "" {
+			out[id] = o
+		}
+	}
+	return out, t.changed
+}
+
+// Line is one way, for people.
+type Line struct {
+	ID     string   `json:"offer"`
+	Class  string   `json:"class"`
+	Prefix string   `json:"prefix"`
+	Path   []string `json:"path,omitempty"` // empty: this partner's own
+	Best   bool     `json:"best"`
+	Stale  bool     `json:"stale,omitempty"`
+	Held   bool     `json:"held,omitempty"`
+}
+
+// Status is what a table holds.
+type Status struct {
+	Counts
+	Offers  int                       `json:"offers"`
+	Digest  uint64                    `json:"digest"` // of what is chosen: the same at all gateways that act alike
+	Refused map[string]map[string]int `json:"refused,omitempty"`
+	Stale   []string                  `json:"stale,omitempty"`
+	Lines   []Line                    `json:"lines,omitempty"`
+}
+
+// mostLines of a Status.
+const mostLines = 200
+
+// Status is what the table holds now.
+func (t *Table) Status() Status {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	s := Status{Counts: t.counts, Offers: len(t.routes), Refused: map[string]map[string]int{}, Stale: slices.Sorted(maps.Keys(t.stale))}
+	for n, m := range t.refused {
+		s.Refused[n] = maps.Clone(m)
+	}
+	ids := slices.SortedFunc(maps.Keys(t.routes), func(a, b ID) int { return strings.Compare(a.String(), b.String()) })
+	h := fnv.New64a()
+	for _, id := range ids {
+		r := t.routes[id]
+		if r.best != nil {
+			h.Write([]byte(id.String()))
+			h.Write([]byte{0})
+			h.Write([]byte(strings.Join(r.best.Path, "/")))
+			h.Write([]byte{0})
+		}
+		for _, n := range slices.Sorted(maps.Keys(r.ways)) {
+			w := r.ways[n]
+			if len(s.Lines) < mostLines {
+				s.Lines = append(s.Lines, Line{id.String(), w.Class, w.Prefix, w.Path, w == r.best, !t.stale[n].IsZero(), !r.held.IsZero()})
+			}
+		}
+	}
+	s.Digest = h.Sum64()
+	return s
+}
--- /dev/null
+++ b/internal/offers/table_test.go
@@ -0,0 +1,368 @@
+package offers
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"woodpick"
+)
+
+func hands(string) bool { return false }
+
+// policyOf is a partner's that takes all of its neighbours and passes all on.
+func policyOf(self string, preference map[string]int, neighbours ...string) Policy {
+	p := Policy{Self: self, Neighbours: map[string]Neighbour{}, Stale: time.Minute, Share: 1}
+	for _, n := range neighbours {
+		var to []string
+		for _, o := range neighbours {
+			if o != n {
+				to = append(to, o)
+			}
+		}
+		pref := 100
+		if v, ok := preference[n]; ok {
+			pref = v
+		}
+		p.Neighbours[n] = Neighbour{Import{Accept: []string{"/"}, Preference: pref, Most: 1 << 20}, Passing{To: to, Custody: hands}}
+	}
+	return p
+}
+
+func offer(origin, name, prefix string, path ...string) Offer {
+	return Offer{ID: ID{origin, name}, Version: 1, Class: "view", Prefix: prefix, Path: path, Rules: Rules{All: true, Hands: 8, Effects: AllEffects}}
+}
+
+// clock is a time that tests set.
+type clock struct{ at time.Time }
+
+func (c *clock) now() time.Time { return c.at }
+
+// The way of a call is that of the longest path that takes it, and of these the best.
+func TestTheLongestPathThatTakesACall(t *testing.T) {
+	c := &clock{noon}
+	p := policyOf("p0", map[string]int{"p2": 200}, "p1", "p2")
+	own := offer("p0", "own", "/view/wells/")
+	p.Own = []Offer{own}
+	tb := NewTable(p, c.now)
+	deep := offer("p1", "deep", "/view/wells/north/", "p1")
+	deep.Rules.Tenants = []string{"acme"}
+	tb.replace(Source{"p1", "g", 1}, []Offer{deep, offer("p1", "all", "/view/", "p1"), offer("p1", "well", "/view/wells/", "p1")})
+	tb.replace(Source{"p2", "g", 1}, []Offer{offer("p2", "all", "/view/", "p2")})
+	for _, k := range []struct {
+		path, tenant, want string
+		came               []string
+	}{
+		{"/view/wells/north/7", "acme", "p1/deep", nil},
+		{"/view/wells/north/7", "other", "p0/own", nil},
+		{"/view/wells/7", "", "p0/own", nil},
+		{"/view/wells", "", "p2/all", nil},
+		{"/view/x/y/z", "", "p2/all", nil},
+		{"/view/x", "", "p1/all", []string{"p2"}}, // not back to where it came through
+		{"/view", "", "", nil},
+		{"/", "", "", nil},
+	} {
+		w, ok := tb.Choose(&Call{Class: "view", Path: k.path, Tenant: k.tenant, Effect: woodpick.Safe, Came: k.came})
+		got := ""
+		if ok {
+			got = w.ID.String()
+		}
+		if got != k.want {
+			t.Errorf("%s of %q: %q, want %q", k.path, k.tenant, got, k.want)
+		}
+	}
+	if _, ok := tb.Choose(&Call{Class: "note", Path: "/note/x"}); ok {
+		t.Error("a way for a class that nobody offers")
+	}
+}
+
+// What one partner sends beyond its bound or malformed harms nothing else.
+func TestAPartnersSurplusHarmsNothingElse(t *testing.T) {
+	c := &clock{noon}
+	p := policyOf("p0", nil, "p1", "p2")
+	n := p.Neighbours["p1"]
+	n.Import.Most = 100
+	p.Neighbours["p1"] = n
+	tb := NewTable(p, c.now)
+	tb.replace(Source{"p2", "g", 1}, []Offer{offer("p2", "all", "/view/two/", "p2")})
+	var all []Offer
+	for i := range 5000 {
+		all = append(all, offer("p1", fmt.Sprint("o", i), fmt.Sprintf("/view/%d/", i), "p1"))
+	}
+	bad := offer("p1", "bad", "/view/bad", "p1")
+	stolen := offer("p2", "all", "/view/two/", "p1", "p2")
+	tb.replace(Source{"p1", "g", 1}, append([]Offer{bad, stolen}, all...))
+	s := tb.Status()
+	if s.Offers != 100+1-1+0 && s.Offers != 101 {
+		t.Errorf("%d offers", s.Offers)
+	}
+	if s.Refused["p1"]["malformed"] != 1 || s.Refused["p1"]["there are too many from there"] < 4900 {
+		t.Errorf("%v", s.Refused)
+	}
+	if w, ok := tb.Choose(&Call{Class: "view", Path: "/view/two/x", Effect: woodpick.Safe}); !ok || w.Path[0] != "p2" {
+		t.Errorf("%+v", w.Way)
+	}
+}
+
+// A partner whose links have all ended is used for a while, and then not; a new life's table takes the old one's place.
+func TestStaleOffersGo(t *testing.T) {
+	c := &clock{noon}
+	tb := NewTable(policyOf("p0", nil, "p1"), c.now)
+	first, second := Source{"p1", "a", 1}, Source{"p1", "b", 1}
+	tb.replace(first, []Offer{offer("p1", "x", "/view/x/", "p1")})
+	tb.replace(second, []Offer{offer("p1", "x", "/view/x/", "p1"), offer("p1", "y", "/view/y/", "p1")})
+	has := func(path string) bool {
+		_, ok := tb.Choose(&Call{Class: "view", Path: path, Effect: woodpick.Safe})
+		return ok
+	}
+	tb.Lost(second)
+	if !has("/view/x/1") || has("/view/y/1") || len(tb.Status().Stale) > 0 {
+		t.Error("what only one link told outlives that link while another is up")
+	}
+	tb.Lost(first)
+	c.at = c.at.Add(59 * time.Second)
+	tb.Sweep()
+	if !has("/view/x/1") || len(tb.Status().Stale) != 1 {
+		t.Error("stale offers went too soon")
+	}
+	tb.replace(Source{"p1", "a", 2}, []Offer{offer("p1", "z", "/view/z/", "p1")})
+	if has("/view/x/1") || !has("/view/z/1") || len(tb.Status().Stale) != 0 {
+		t.Error("a new life's table does not take the place of the stale one")
+	}
+	tb.Lost(Source{"p1", "a", 2})
+	c.at = c.at.Add(time.Minute)
+	tb.Sweep()
+	if has("/view/z/1") || tb.Status().Offers != 0 {
+		t.Error("stale offers stay")
+	}
+}
+
+// A rule that is tightened holds for calls that come at once, and who was refused by it drops the way until another version.
+func TestATightenedRule(t *testing.T) {
+	c := &clock{noon}
+	p := policyOf("p0", nil, "p1")
+	p.Own = []Offer{offer("p0", "x", "/view/x/")}
+	tb := NewTable(p, c.now)
+	call := &Call{Class: "view", Path: "/view/x/1", Effect: woodpick.Safe, Came: []string{"p1"}}
+	id := ID{"p0", "x"}
+	if _, why := tb.Come(id, call); why != "" {
+		t.Fatal(why)
+	}
+	sent, _ := tb.Sent("p1")
+	before := sent[id].Version
+	tb.SetPolicy(p)
+	if sent, _ = tb.Sent("p1"); sent[id].Version != before {
+		t.Error("a rule that says the same has another version")
+	}
+	p.Own = []Offer{offer("p0", "x", "/view/x/")}
+	p.Own[0].Rules.All = false
+	tb.SetPolicy(p)
+	if _, why := tb.Come(id, call); why != "partner p1 may not have the offer" {
+		t.Errorf("%q", why)
+	}
+	if sent, _ = tb.Sent("p1"); len(sent) != 0 {
+		t.Error("it is still told")
+	}
+	there := NewTable(policyOf("p1", nil, "p0"), c.now)
+	src := Source{"p0", "g", 1}
+	there.replace(src, []Offer{offer("p0", "x", "/view/x/", "p0")})
+	ask := &Call{Class: "view", Path: "/view/x/1", Effect: woodpick.Safe}
+	w, ok := there.Choose(ask)
+	if !ok {
+		t.Fatal("no way")
+	}
+	there.Drop(w.Way)
+	if _, ok := there.Choose(ask); ok {
+		t.Error("the way is still used")
+	}
+	next := offer("p0", "x", "/view/x/", "p0")
+	next.Version = 2
+	there.change(src, []Offer{next}, nil)
+	if _, ok := there.Choose(ask); !ok {
+		t.Error("another version is not used")
+	}
+}
+
+// Room is dealt out over the gateways of a partner.
+func TestRoomIsDealtOut(t *testing.T) {
+	c := &clock{noon}
+	p := policyOf("p0", nil, "p1")
+	p.Share = 2
+	tb := NewTable(p, c.now)
+	o := offer("p1", "x", "/view/x/", "p1")
+	o.Room = 4
+	tb.replace(Source{"p1", "g", 1}, []Offer{o})
+	ask := &Call{Class: "view", Path: "/view/x/1", Effect: woodpick.Safe}
+	w, _ := tb.Choose(ask)
+	w.Take()
+	if _, ok := tb.Choose(ask); !ok {
+		t.Error("one of two places is taken, and there is no way")
+	}
+	w.Take()
+	if _, ok := tb.Choose(ask); ok {
+		t.Error("both places are taken")
+	}
+	w.Done()
+	if _, ok := tb.Choose(ask); !ok {
+		t.Error("a place is free again")
+	}
+}
+
+// world is some partners that tell one another, message by message.
+type world struct {
+	c      *clock
+	tables map[string]*Table
+	names  []string
+}
+
+// step has one partner tell another, and says whether that changed anything there.
+func (w *world) step(from, to string) bool {
+	a, b := w.tables[from], w.tables[to]
+	all, _ := a.Sent(to)
+	var list []Offer
+	for _, o := range all {
+		list = append(list, o)
+	}
+	before := b.Status().Changes
+	b.replace(Source{from, "g", 1}, list)
+	return b.Status().Changes != before
+}
+
+// The dispute that has no stable outcome ends in a hold, and then nothing changes any more, whatever the order of messages.
+func TestADisputeWithoutAStableOutcomeIsHeld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{c: &clock{noon}, tables: map[string]*Table{}, names: []string{"p0", "p1", "p2", "p3"}}
+		origin := policyOf("p0", nil, "p1", "p2", "p3")
+		origin.Own = []Offer{offer("p0", "x", "/view/x/")}
+		origin.Own[0].Rules.Hands = 2 // by way of one other, and no further
+		w.tables["p0"] = NewTable(origin, w.c.now)
+		for i := 1; i <= 3; i++ { // each prefers the way through the next one
+			next := fmt.Sprint("p", i%3+1)
+			others := []string{"p0", "p1", "p2", "p3"}
+			others = slices.DeleteFunc(others, func(n string) bool { return n == fmt.Sprint("p", i) })
+			w.tables[fmt.Sprint("p", i)] = NewTable(policyOf(fmt.Sprint("p", i), map[string]int{next: 900}, others...), w.c.now)
+		}
+		quiet := 0
+		for n := 0; quiet < 200; n++ { // of twelve pairs one may be all that could change something
+			if n > 8000 {
+				t.Fatal("it does not settle")
+			}
+			w.c.at = w.c.at.Add(time.Millisecond)
+			from := rapid.IntRange(0, 3).Draw(t, "from")
+			to := (from + 1 + rapid.IntRange(0, 2).Draw(t, "to")) % 4
+			if w.step(w.names[from], w.names[to]) {
+				quiet = 0
+			} else {
+				quiet++
+			}
+		}
+		for _, name := range w.names[1:] {
+			way, ok := w.tables[name].Choose(&Call{Class: "view", Path: "/view/x/1", Effect: woodpick.Safe})
+			if !ok || way.Path[len(way.Path)-1] != "p0" || slices.Contains(way.Path, name) {
+				t.Fatalf("%s goes by %+v", name, way.Way)
+			}
+		}
+	})
+}
+
+// Whatever partners hear in whatever order, rules only narrow on the way, no path has a partner twice, and no call that one
+// sends by its table is refused by an owner whose rules have not changed.
+func TestRulesOnlyNarrowOnTheWay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"p0", "p1", "p2", "p3", "p4"}
+		w := &world{c: &clock{noon}, tables: map[string]*Table{}, names: names}
+		rules := map[ID]Rules{}
+		for _, self := range names {
+			var others []string
+			for _, n := range names {
+				if n != self && rapid.IntRange(0, 3).Draw(t, "knows") > 0 {
+					others = append(others, n)
+				}
+			}
+			p := policyOf(self, nil, others...)
+			for i := range rapid.IntRange(0, 2).Draw(t, "exports") {
+				o := offer(self, fmt.Sprint("x", i), fmt.Sprintf("/view/%s%d/", self, i))
+				o.Rules = Rules{All: rapid.Bool().Draw(t, "all"), To: rapid.SliceOfNDistinct(rapid.SampledFrom(names), 0, 3, rapid.ID).Draw(t, "to"),
+					NoTransit: rapid.Bool().Draw(t, "no transit"), Hands: rapid.IntRange(1, 4).Draw(t, "hands"), Effects: AllEffects}
+				rules[ID{self, o.ID.Name}] = o.Rules
+				p.Own = append(p.Own, o)
+			}
+			w.tables[self] = NewTable(p, w.c.now)
+		}
+		for range 120 {
+			from := rapid.IntRange(0, 4).Draw(t, "from")
+			w.step(names[from], names[(from+1+rapid.IntRange(0, 3).Draw(t, "to"))%5])
+		}
+		for _, self := range names {
+			for id, r := range w.tables[self].routes {
+				if r.best == nil || r.best.Own {
+					continue
+				}
+				b := r.best
+				own := rules[id]
+				if len(b.Path) > own.Hands || len(b.Path) > 1 && own.NoTransit || !own.All && !slices.Contains(own.To, self) || slices.Contains(b.Path, self) {
+					t.Fatalf("%s has %+v by rules %+v", self, b.Offer, own)
+				}
+				// A call goes from table to table, as long as each still has the way that it told of.
+				call := &Call{Class: "view", Path: b.Prefix + "1", Effect: woodpick.Safe}
+				at, way := self, Chosen{b, r}
+				for !way.Own {
+					call.Came = append(call.Came, at)
+					at = way.Path[0]
+					if len(call.Came) > 8 {
+						t.Fatalf("the call goes round: %v", call.Came)
+					}
+					next, why := w.tables[at].Come(id, call)
+					if why != "" {
+						if next.Way != nil && next.Own {
+							t.Fatalf("the owner refuses %v: %s, rules %+v", call.Came, why, own)
+						}
+						break // the tables have not settled
+					}
+					way = next
+				}
+			}
+		}
+	})
+}
+
+func bigTable(n int) (*Table, []Offer) {
+	tb := NewTable(policyOf("p0", nil, "p1", "p2", "p3"), time.Now)
+	var all []Offer
+	for i := range n {
+		all = append(all, offer("p1", fmt.Sprint("o", i), fmt.Sprintf("/view/a%d/b%d/", i%100, i), "p1"))
+	}
+	tb.replace(Source{"p1", "g", 1}, all)
+	return tb, all
+}
+
+// BenchmarkChoose chooses among 10,000 offers.
+func BenchmarkChoose(b *testing.B) {
+	tb, _ := bigTable(10_000)
+	calls := make([]*Call, 1000)
+	for i := range calls {
+		calls[i] = &Call{Class: "view", Path: fmt.Sprintf("/view/a%d/b%d/leaf/17", i%100, i), Effect: woodpick.Safe}
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		if _, ok := tb.Choose(calls[i%len(calls)]); !ok {
+			b.Fatal("no way")
+		}
+	}
+}
+
+// BenchmarkChange takes 1,000 changed offers among 10,000.
+func BenchmarkChange(b *testing.B) {
+	tb, all := bigTable(10_000)
+	s := Source{"p1", "g", 1}
+	for i := range b.N {
+		some := slices.Clone(all[:1000])
+		for k := range some {
+			some[k].Version, some[k].Cost = uint64(i+2), i%7
+		}
+		tb.change(s, some, nil)
+	}
+}
