One budget of calls that all partners draw from, with a bound

Tokens out of one bucket, taken out before they are given and used within a lease; a keeper by majority for a term, whose successor begins empty; floors lent by waivers that clocks cannot break. Tables of the page, and rapid models of elections and waivers with clocks that drift; a promise or a waiver shorter by the drift fails them.

--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,191 @@
+// Package budget has the rules of a common budget of calls (internal/quota keeps one): what its terms allow, who may be its
+// keeper, whose turn it is, and for how long a floor is lent. They are plain functions with no clock of their own;
+// docs/design/quota.md has them as tables, and a test plays each row.
+package budget
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Drift is by how much clocks may differ in rate.
+const Drift = 0.02
+
+// Longer and Shorter are a length of time by a clock that may be slow, or fast.
+func Longer(d time.Duration) time.Duration  { return time.Duration(float64(d) * (1 + Drift)) }
+func Shorter(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 - Drift)) }
+
+// Cut says what a gateway does that reaches no keeper.
+type Cut string
+
+// Cuts.
+const (
+	Floor  Cut = "floor"  // it goes on with its part of its partner's floor
+	Closed Cut = "closed" // it refuses
+	Open   Cut = "open"   // it takes all: there is no bound then
+)
+
+// Partner is a partner's part in a budget.
+type Partner struct {
+	Name     string
+	Floor    float64 // calls a second that are its own
+	Weight   float64 // of its claim on what is beyond floors
+	Gateways int     // that draw for it
+}
+
+// Terms are those of a budget.
+type Terms struct {
+	Name     string
+	Rate     float64 // calls a second
+	Burst    float64 // calls that may come at once
+	Over     float64 // share of what is allowed in a window that may be drawn beyond it
+	Lease    time.Duration
+	Term     time.Duration // of a keeper
+	Wait     time.Duration // that a call may wait for a token
+	WhenCut  Cut
+	Partners []Partner
+}
+
+// Depth is how many tokens the keeper's bucket holds. Tokens that are out may be used together with what the bucket holds,
+// and so may each gateway's one of its own floor: the burst has to be enough for all of it.
+func (t Terms) Depth() float64 {
+	return max(1, t.Burst-t.Rate*Longer(t.Lease).Seconds()-t.own())
+}
+
+// own is how many calls gateways may draw at once of floors, when they are cut off.
+func (t Terms) own() (n float64) {
+	if t.WhenCut != Floor {
+		return 0
+	}
+	for _, p := range t.Partners {
+		if p.Floor > 0 {
+			n += float64(p.Gateways)
+		}
+	}
+	return n
+}
+
+// floors are all floors together.
+func (t Terms) floors() (sum float64) {
+	for _, p := range t.Partners {
+		sum += p.Floor
+	}
+	return sum
+}
+
+// Allowed is what the budget allows in a window.
+func (t Terms) Allowed(window time.Duration) float64 { return t.Rate*window.Seconds() + t.Burst }
+
+// Bound is how many calls draw in a window at most: what the bucket held and what came into it from Lease before the window
+// on, for tokens of then may still be used in it, and a call of its own floor for each gateway that may be cut off.
+func (t Terms) Bound(window time.Duration) float64 {
+	if t.WhenCut == Open {
+		return math.Inf(1)
+	}
+	return t.Depth() + t.Rate*(window.Seconds()+Longer(t.Lease).Seconds()) + t.own()
+}
+
+// Windows are those for which bounds are told and held.
+var windows = [...]time.Duration{time.Second, 10 * time.Second}
+
+// Check says why terms cannot be held, and which one of them to change.
+func (t Terms) Check() (field, why string) {
+	switch {
+	case !(t.Rate > 0 && t.Rate <= 1e6):
+		return "rate", fmt.Sprintf("found %v; allowed: above 0, up to 1e6 calls a second", t.Rate)
+	case !(t.Burst >= 1 && t.Burst <= 1e6):
+		return "burst", fmt.Sprintf("found %v; allowed: 1 to 1e6 calls", t.Burst)
+	case !(t.Over >= 0 && t.Over <= 1):
+		return "over", fmt.Sprintf("found %v; allowed: 0 to 1, a share of what a window allows", t.Over)
+	case t.floors() > t.Rate:
+		return "rate", fmt.Sprintf("found %v, but the partners' floors add up to %v", t.Rate, t.floors())
+	}
+	for _, w := range windows {
+		if most, allowed := t.Bound(w), t.Allowed(w); t.WhenCut != Open && most > allowed*(1+t.Over)+1e-9 {
+			if own := t.own(); own > 0 && t.Depth() == 1 {
+				return "when_cut", fmt.Sprintf(`found "floor": cut off, %v gateways could each draw a call of their own at once, so that %v calls could be drawn in %v where %v and %v %% more are allowed; allowed: when_cut = "closed", a greater burst, or floors for partners of fewer gateways`,
+					own, round(most), w, round(allowed), 100*t.Over)
+			}
+			return "lease", fmt.Sprintf("found %v: tokens that are out for so long make it %v calls in %v, where %v and %v %% more are allowed; allowed: a shorter lease, or a burst of %v or more",
+				t.Lease, round(most), w, round(allowed), 100*t.Over, math.Ceil(t.Burst+most-allowed*(1+t.Over)))
+		}
+	}
+	return "", ""
+}
+
+func round(v float64) float64 { return math.Round(v*10) / 10 }
+
+// Words tell what is promised, for a plan.
+func (t Terms) Words() string {
+	if t.WhenCut == Open {
+		return fmt.Sprintf("quota %q: %v calls a second and %v at once while its keeper is reached; without it every call is taken, and there is no bound", t.Name, t.Rate, t.Burst)
+	}
+	s := fmt.Sprintf("quota %q: at most %v calls in any second (%v allowed) and %v in any 10 s (%v allowed), over all gateways, whatever fails",
+		t.Name, round(t.Bound(windows[0])), round(t.Allowed(windows[0])), round(t.Bound(windows[1])), round(t.Allowed(windows[1])))
+	if t.WhenCut == Closed {
+		return s + "; a gateway that reaches no keeper refuses"
+	}
+	return s + fmt.Sprintf("; a gateway that reaches no keeper goes on with its part of its partner's floor, after %v", Longer(Waiver))
+}
+
+// Vote is what one that could be keeper has promised.
+type Vote struct {
+	Term   uint64
+	Keeper string
+	Until  time.Duration // by its own clock: before that it promises nobody else anything
+}
+
+// MayVote says whether a voter that began at a time promises a term to one who asks, and what its vote is then.
+func MayVote(v Vote, began, now time.Duration, term time.Duration, number uint64, who string) (Vote, bool) {
+	switch {
+	case now-began < Longer(term):
+		return v, false // it may have promised before it was started
+	case number < v.Term, number == v.Term && v.Keeper != who:
+		return v, false
+	case v.Keeper != who && now < v.Until:
+		return v, false
+	}
+	return Vote{number, who, now + Longer(term)}, true
+}
+
+// Claim is what a partner wants of a bucket, and what it has had.
+type Claim struct {
+	Want   int     // tokens that its gateways wait for
+	Credit float64 // of its floor: what it could have had and has not
+	Had    float64 // beyond its floor, for its weight
+}
+
+// Turn is whose turn it is for the next token: first those whose floor is owed, the one that is owed most; then the one that
+// has had least for its weight. -1: nobody wants any.
+func Turn(claims []Claim) int {
+	best := -1
+	for i, c := range claims {
+		switch {
+		case c.Want <= 0:
+		case best < 0, ahead(c, claims[best]):
+			best = i
+		}
+	}
+	return best
+}
+
+func ahead(a, b Claim) bool {
+	switch owedA, owedB := a.Credit >= 1, b.Credit >= 1; {
+	case owedA != owedB:
+		return owedA
+	case owedA:
+		return a.Credit > b.Credit
+	}
+	return a.Had < b.Had
+}
+
+// Waiver is how long a floor is lent that its gateway does not need.
+const Waiver = time.Second
+
+// Lent says until when a keeper may lend a floor whose gateway waived it in an answer to a message of the keeper's of a
+// time, and until when, by its own clock, the gateway draws nothing of it then. The keeper's message came before the answer
+// went out, so that the first is over before the second.
+func Lent(asked, answered time.Duration) (keeper, gateway time.Duration) {
+	return asked + Waiver, answered + Longer(Waiver)
+}
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,194 @@
+package budget
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"woodpick/internal/pages"
+)
+
+const page = "../../docs/design/quota.md"
+
+func rows(t *testing.T, heading string) []pages.Row {
+	t.Helper()
+	r, err := pages.Table(page, heading)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func length(t *testing.T, r pages.Row, text string) time.Duration {
+	t.Helper()
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatalf("%s:%d: %v", page, r.Line, err)
+	}
+	return d
+}
+
+func TestVotes(t *testing.T) {
+	for _, r := range rows(t, "Who may be promised a term") {
+		var v Vote
+		var began time.Duration
+		switch f := strings.Fields(r.At("given")); {
+		case len(f) == 1 && f[0] == "nothing":
+		case len(f) == 3 && f[0] == "started":
+			began = length(t, r, f[2])
+		case len(f) == 5 && f[1] == "to":
+			fmt.Sscan(f[0], &v.Term)
+			v.Keeper, v.Until = f[2], length(t, r, f[4])
+		default:
+			t.Errorf("%s:%d: nobody plays %q", page, r.Line, r.At("given"))
+			continue
+		}
+		var at, who string
+		var number uint64
+		if _, err := fmt.Sscanf(r.At("event"), "at %s %s asks for %d", &at, &who, &number); err != nil {
+			t.Errorf("%s:%d: nobody plays %q", page, r.Line, r.At("event"))
+			continue
+		}
+		next, ok := MayVote(v, began, length(t, r, at), time.Second, number, who)
+		got := "no"
+		if ok {
+			got = fmt.Sprintf("yes, until %v", next.Until)
+			if next.Term != number || next.Keeper != who {
+				t.Errorf("%s:%d: %+v", page, r.Line, next)
+			}
+		} else if next != v {
+			t.Errorf("%s:%d: a refusal changes the vote to %+v", page, r.Line, next)
+		}
+		if got != r.At("outcome") {
+			t.Errorf("%s:%d: %s", page, r.Line, got)
+		}
+	}
+}
+
+func TestTurns(t *testing.T) {
+	for _, r := range rows(t, "Whose turn it is") {
+		var claims []Claim
+		for _, p := range strings.Split(r.At("partners"), ", ") {
+			var c Claim
+			if _, err := fmt.Sscanf(strings.ReplaceAll(p, "/", " "), "%d %g %g", &c.Want, &c.Credit, &c.Had); err != nil {
+				t.Fatalf("%s:%d: %v", page, r.Line, err)
+			}
+			claims = append(claims, c)
+		}
+		if got := map[int]string{-1: "nobody", 0: "first", 1: "second"}[Turn(claims)]; got != r.At("outcome") {
+			t.Errorf("%s:%d: %s", page, r.Line, got)
+		}
+	}
+}
+
+func TestBounds(t *testing.T) {
+	for _, r := range rows(t, "What terms bound") {
+		var b Terms
+		var over, lease, cut string
+		if _, err := fmt.Sscan(r.At("terms"), &b.Rate, &b.Burst, &over, &lease, &cut); err != nil {
+			t.Fatalf("%s:%d: %v", page, r.Line, err)
+		}
+		fmt.Sscanf(over, "%g%%", &b.Over)
+		b.Over /= 100
+		b.Lease, b.WhenCut = length(t, r, lease), Cut(cut)
+		for _, p := range strings.Split(r.At("partners"), ", ") {
+			var k Partner
+			if _, err := fmt.Sscanf(p, "%g x %d", &k.Floor, &k.Gateways); err != nil {
+				t.Fatalf("%s:%d: %v", page, r.Line, err)
+			}
+			b.Partners = append(b.Partners, k)
+		}
+		if field, why := b.Check(); field != r.At("outcome") {
+			t.Errorf("%s:%d: %s: %s", page, r.Line, field, why)
+		}
+		for column, w := range map[string]time.Duration{"in 1s": time.Second, "in 10s": 10 * time.Second} {
+			if want := r.At(column); want != "" && fmt.Sprint(math.Round(b.Bound(w)*10)/10) != want {
+				t.Errorf("%s:%d: %v in %v", page, r.Line, math.Round(b.Bound(w)*10)/10, w)
+			}
+		}
+	}
+}
+
+// Whatever clocks show and however late messages come, as long as clocks' rates differ by the drift at most, two terms never
+// overlap, and a voter that is started anew makes no two of them.
+func TestThereAreNeverTwoKeepers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const term = time.Second
+		type voter struct {
+			rate  float64 // of its clock
+			off   time.Duration
+			vote  Vote
+			began time.Duration // by its clock
+		}
+		n := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "voters")
+		voters := make([]*voter, n)
+		for i := range voters {
+			voters[i] = &voter{rate: 1 + (rapid.Float64Range(-0.5, 0.5).Draw(t, "rate"))*Drift, off: time.Duration(rapid.IntRange(-100, 100).Draw(t, "off")) * time.Second}
+			voters[i].began = voters[i].off
+		}
+		clock := func(v *voter, now time.Duration) time.Duration { return v.off + time.Duration(v.rate*float64(now)) }
+		type reign struct {
+			who        int
+			from, till time.Duration // real
+		}
+		var reigns []reign
+		now := 10 * time.Second
+		for range rapid.IntRange(1, 60).Draw(t, "asks") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "later")) * time.Millisecond
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				v := voters[rapid.IntRange(0, n-1).Draw(t, "who")]
+				v.vote, v.began = Vote{}, clock(v, now)
+			}
+			who := rapid.IntRange(0, n-1).Draw(t, "candidate")
+			me := voters[who]
+			asked := clock(me, now)
+			number := uint64(rapid.IntRange(1, 40).Draw(t, "number"))
+			yes, last := 0, now
+			for _, v := range voters {
+				at := now + time.Duration(rapid.IntRange(0, 1200).Draw(t, "there"))*time.Millisecond
+				if rapid.IntRange(0, 5).Draw(t, "lost") == 0 {
+					continue
+				}
+				next, ok := MayVote(v.vote, v.began, clock(v, at), term, number, fmt.Sprint(who))
+				v.vote = next
+				if back := at + time.Duration(rapid.IntRange(0, 300).Draw(t, "back"))*time.Millisecond; ok {
+					yes++
+					last = max(last, back)
+				}
+			}
+			if yes > n/2 {
+				till := asked + Shorter(term) // by its own clock
+				real := time.Duration(float64(till-me.off) / me.rate)
+				if real > last {
+					reigns = append(reigns, reign{who, last, real})
+				}
+			}
+		}
+		for i, a := range reigns {
+			for _, b := range reigns[:i] {
+				if a.who != b.who && a.from < b.till && b.from < a.till {
+					t.Fatalf("%d from %v to %v, %d from %v to %v", a.who, a.from, a.till, b.who, b.from, b.till)
+				}
+			}
+		}
+	})
+}
+
+// A floor that is lent is drawn by nobody else, however late the waiver comes to the keeper, or whether it does.
+func TestALentFloorIsDrawnOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		keeper, gateway := 1+rapid.Float64Range(-0.5, 0.5).Draw(t, "keeper")*Drift, 1+rapid.Float64Range(-0.5, 0.5).Draw(t, "gateway")*Drift
+		stamp := time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "stamp")) // real
+		sent := stamp + time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "later"))
+		byKeeper := func(real time.Duration) time.Duration { return time.Duration(float64(real) * keeper) }
+		byGateway := func(real time.Duration) time.Duration { return time.Duration(float64(real) * gateway) }
+		lent, drawn := Lent(byKeeper(stamp), byGateway(sent))
+		if until, from := float64(lent)/keeper, float64(drawn)/gateway; until > from {
+			t.Fatalf("lent until %v, drawn from %v", time.Duration(until), time.Duration(from))
+		}
+	})
+}
