Federation, partners, exports, quotas and custody in the file, each error by line

One model, plan and apply as for all else; plan says in words what each when_alone gives up and how far over a quota can be, and terms that cannot be held are refused by line. deploy/federation.hcl loads in a test, and 13 ways to spoil it are told.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -49,6 +49,7 @@
 	k.listeners()
 	k.pools()
 	k.routes()
+	k.federation()
 	k.needs()
 	k.problems.sort()
 	return k.problems
@@ -439,13 +440,16 @@
 // while servers need less.
 func (c *Config) Needs() Needs {
 	most, servers := 0, 0
-	for _, p := range c.Pools {
+	for _, p := range c.AllPools() {
 		most += p.Connections.Most
 		servers += len(p.Servers)
 	}
 	own := c.OwnDescriptors()
-	memory := int64(baseMemory) + int64(most)*(callerMemory+connectionMemory) + int64(len(c.Pools))*poolMemory +
-		int64(servers)*serverMemory + int64(len(c.Routes))*routeMemory
+	memory := int64(baseMemory) + int64(most)*(callerMemory+connectionMemory) + int64(len(c.AllPools()))*poolMemory +
+		int64(servers)*serverMemory + int64(len(c.Routes))*routeMemory + int64(c.links())*linkMemory
+	if c.Federation != nil {
+		memory += int64(c.Federation.Memory)
+	}
 	return Needs{Descriptors: own + 2*most, Memory: Size(memory)}
 }
 
@@ -465,7 +469,7 @@
 	if c.Node.Peers.Listen != "" {
 		door++
 	}
-	return Reserved + door + max(0, len(c.Listeners)-1) + 2*max(0, registries-1)
+	return Reserved + door + c.links() + max(0, len(c.Listeners)-1) + 2*max(0, registries-1)
 }
 
 // needs compares what is asked for with the limits.
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -400,6 +400,18 @@
 		{kind: "route", labelled: true, required: true, read: func(b *hclsyntax.Body, path, label string) {
 			c.Routes = append(c.Routes, r.route(b, path, label))
 		}},
+		{kind: "federation", labelled: true, single: true, read: func(b *hclsyntax.Body, path, label string) {
+			c.Federation = r.federation(b, path, label)
+		}},
+		{kind: "partner", labelled: true, read: func(b *hclsyntax.Body, path, label string) {
+			c.Partners = append(c.Partners, r.partner(b, path, label))
+		}},
+		{kind: "export", labelled: true, read: func(b *hclsyntax.Body, path, label string) {
+			c.Exports = append(c.Exports, r.export(b, path, label))
+		}},
+		{kind: "quota", labelled: true, read: func(b *hclsyntax.Body, path, label string) {
+			c.Quotas = append(c.Quotas, r.quota(b, path, label))
+		}},
 	})
 	return c
 }
@@ -447,7 +459,12 @@
 		{"deadline", true, duration(&c.Deadline)},
 		{"late_share", false, decimal(&c.LateShare)},
 		{"worth", false, decimal(&c.Worth)},
-	}, nil)
+	}, []block{
+		{kind: "custody", single: true, read: func(b *hclsyntax.Body, path, _ string) {
+			c.Custody = &Custody{}
+			r.body(b, path, []field{{"when_alone", true, words(&c.Custody.WhenAlone)}}, nil)
+		}},
+	})
 	return c
 }
 
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -111,7 +111,7 @@
 		{`default = true`, `paths = ["/note/*"]`, `f.hcl:22:3: route.all.paths: it can never match`},
 		{`default = true`, `classes = "view"`, `f.hcl:22:13: route.all.classes: found the text "view"; allowed: a list`},
 		{`default = true`, `classes = [1]`, `f.hcl:22:13: route.all.classes: a list's entry is no text`},
-		{`route "all" {`, `rout "all" {`, `f.hcl:21:1: rout: found an unknown block; allowed here: class { }, listener { }, node { }, pool { }, route { }`},
+		{`route "all" {`, `rout "all" {`, `f.hcl:21:1: rout: found an unknown block; allowed here: class { }, export { }, federation { }, listener { }, node { }, partner { }, pool { }, quota { }, route { }`},
 		{`route "all" {`, "server = 1\nroute \"all\" {", `f.hcl:21:1: server: found an unknown field; allowed here: class { }`},
 		{`node "n1" {`, "node \"n2\" {\n limits {\n memory = \"64MiB\"\n descriptors = 256\n}\n}\nnode \"n1\" {", `f.hcl:8:1: node: found a second block; allowed: one`},
 		{`limits {`, `limits "x" {`, `f.hcl:3:3: node.limits: found the name "x"; allowed: none`},
@@ -270,7 +270,8 @@
 		"listener": reflect.TypeFor[Listener](), "pool": reflect.TypeFor[Pool](), "copies": reflect.TypeFor[Copies](),
 		"shedding": reflect.TypeFor[Shedding](), "connections": reflect.TypeFor[Connections](), "slow_start": reflect.TypeFor[SlowStart](),
 		"load_reports": reflect.TypeFor[LoadReports](), "registry": reflect.TypeFor[Registry](), "server": reflect.TypeFor[Server](), "route": reflect.TypeFor[route.Route](),
-		"header": reflect.TypeFor[route.Header](), "to": reflect.TypeFor[route.Target]()}
+		"header": reflect.TypeFor[route.Header](), "to": reflect.TypeFor[route.Target](), "custody": reflect.TypeFor[Custody](),
+		"federation": reflect.TypeFor[Federation](), "partner": reflect.TypeFor[Partner](), "export": reflect.TypeFor[Export](), "quota": reflect.TypeFor[Quota]()}
 	seen := 0
 	for kind, block := range blocks {
 		text, there := sections[kind]
@@ -371,3 +372,65 @@
 		}
 	}
 }
+
+func TestTheExampleOfAFederationLoads(t *testing.T) {
+	c, problems := Load("../../deploy/federation.hcl")
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	note, _ := c.Class("note")
+	drilling, _ := find(c.Partners, "drilling", Partner.name)
+	if f := c.Federation; f == nil || f.Partner != "chavara" || f.Holders != 3 || f.Memory != 16<<20 || len(c.Partners) != 2 || len(c.Exports) != 2 || len(c.Quotas) != 1 ||
+		note.Custody == nil || note.Custody.WhenAlone != RefuseAlone || drilling.Preference != 200 || drilling.Links != 2 || c.Exports[1].Hands != 1 || len(c.Quotas[0].Keepers) != 3 {
+		t.Errorf("got %+v", c)
+	}
+	words := strings.Join(c.FederationWords(), "\n")
+	for _, want := range []string{`class "view": where too few holders are reached its calls are served all the same`, `class "note": where too few holders are reached its calls are refused`,
+		`quota "notes": at most 120 calls in any second (120 allowed) and 660 in any 10 s`} {
+		if !strings.Contains(words, want) {
+			t.Errorf("%q is not in\n%s", want, words)
+		}
+	}
+	again, problems := Parse([]byte(good), "good.hcl")
+	if len(problems) > 0 || again.FederationWords() != nil || len(again.AllPools()) != len(again.Pools) || len(c.AllPools()) != 3 {
+		t.Errorf("%v", problems)
+	}
+}
+
+// What is wrong with a federation is told by line, with what is allowed.
+func TestErrorsOfAFederationTellPlaceAndWhatIsAllowed(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/federation.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ from, to, want string }{
+		{`listener = "partners"`, `listener = "nobody"`, `federation.chavara.listener: found "nobody": there is no listener of that name`},
+		{`when_alone = "serve"`, `when_alone = "hope"`, `class.view.custody.when_alone: found "hope"; allowed: "serve", "refuse"`},
+		{`pass_on_to  = ["karunagappally"]`, `pass_on_to  = ["lab"]`, `partner.drilling.pass_on_to: found "lab": there is no partner of that name`},
+		{`accept      = ["/view/wells/"]`, `accept      = ["/view/wells"]`, `partner.drilling.accept: found "/view/wells"; allowed: a path with a slash at both ends`},
+		{`path     = "/note/chavara/"`, `path     = "/view/chavara/"`, `export.notes.path: found "/view/chavara/"; allowed: a path of the class with a slash at its end, from "/note/" on`},
+		{`effects  = ["unsafe"]`, `effects  = ["safe"]`, `export.notes.effects: the class "note" is unsafe, which is not among them`},
+		{`hands   = 2`, `hands   = 9`, `export.views.hands: found 9; allowed: 1 to 8`},
+		{`burst    = 60`, `burst    = 2`, `quota.notes.when_cut: found "floor": cut off, 5 gateways could each draw a call of their own at once`},
+		{`rate     = 60`, `rate     = 15`, `quota.notes.rate: found 15, but the partners' floors add up to 20`},
+		{`keeper "drilling/gw" {
+    address = "127.0.2.1:7946"
+  }`, ``, `quota.notes: found 2 keepers; allowed: 1, 3, 5 or 7`},
+		{`keeper "drilling/gw"`, `keeper "drilling"`, `quota.notes.keeper.drilling: found the name "drilling"; allowed: a partner's and a gateway's, as in "chavara/annot-1"`},
+		{`gateways = ["127.0.1.1:7946", "127.0.1.2:7946"]`, `gateways = []`, `partner.karunagappally.gateways: found 0; allowed: 1 to 256`},
+		{`federation "chavara" {
+  listener = "partners"
+  memory   = "16MiB"
+  keep     = "30s"
+  stale    = "30s"
+}`, ``, `it needs a federation block`},
+	} {
+		if !strings.Contains(string(text), c.from) {
+			t.Fatalf("the example has no %q", c.from)
+		}
+		_, problems := Parse([]byte(strings.Replace(string(text), c.from, c.to, 1)), "f.hcl")
+		if err := problems.Err(); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: %v, want %q", c.to, err, c.want)
+		}
+	}
+}
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -25,6 +25,11 @@
 	Listeners []Listener    `json:"listeners"`
 	Pools     []Pool        `json:"pools"`
 	Routes    []route.Route `json:"routes"`
+
+	Federation *Federation `json:"federation,omitempty"` // nil: the node is no gateway
+	Partners   []Partner   `json:"partners,omitempty"`
+	Exports    []Export    `json:"exports,omitempty"`
+	Quotas     []Quota     `json:"quotas,omitempty"`
 }
 
 // Node is what concerns the process as a whole.
@@ -68,6 +73,7 @@
 	Deadline  Duration `json:"deadline"`             // how long a caller waits over all its tries
 	LateShare float64  `json:"late_share,omitempty"` // share of the worth that a later answer earns
 	Worth     float64  `json:"worth"`
+	Custody   *Custody `json:"custody,omitempty"` // another gateway takes its calls over; nil: none does
 }
 
 // Listener is an address where callers connect.
@@ -269,6 +275,21 @@
 	for i := range out.Pools {
 		out.Pools[i].Servers = sorted(out.Pools[i].Servers, func(s Server) string { return s.Name })
 	}
+	out.Partners = sorted(c.Partners, Partner.name)
+	for i := range out.Partners {
+		p := &out.Partners[i]
+		p.Accept, p.Deny, p.PassOnTo, p.Gateways = sorted(p.Accept, self), sorted(p.Deny, self), sorted(p.PassOnTo, self), sorted(p.Gateways, self)
+	}
+	out.Exports = sorted(c.Exports, Export.name)
+	for i := range out.Exports {
+		e := &out.Exports[i]
+		e.To, e.Tenants, e.Excluded = sorted(e.To, self), sorted(e.Tenants, self), sorted(e.Excluded, self)
+		e.Effects = sorted(e.Effects, func(v Effect) string { return string(v) })
+	}
+	out.Quotas = sorted(c.Quotas, Quota.name)
+	for i := range out.Quotas {
+		out.Quotas[i].Partners = sorted(out.Quotas[i].Partners, QuotaPartner.name)
+	}
 	out.Routes = sorted(c.Routes, func(r route.Route) string { return r.Name })
 	for i := range out.Routes {
 		r := &out.Routes[i]
@@ -332,7 +353,11 @@
 		Asks: p.LoadReports.Ask, MaxAttempts: p.Attempts, MayCancel: p.Cancel, Tick: time.Duration(p.Tick), MaxRetryAfter: time.Duration(p.RetryAfter),
 		ColdFrom: p.SlowStart.From, WarmAfter: time.Duration(p.SlowStart.Over)}
 	for _, class := range c.Classes {
-		s.Classes = append(s.Classes, class.ForModule())
+		m := class.ForModule()
+		if strings.HasPrefix(p.Name, PartnerPool("")) && m.Effect == woodpick.Keyed {
+			m.Effect = woodpick.Unsafe // whose boxes drop repeats there nobody knows here: what became of a call is asked
+		}
+		s.Classes = append(s.Classes, m)
 	}
 	if p.Registry != nil {
 		s.AskDiscovery, s.AskWithin = p.Registry.Mode == Asked, time.Duration(p.Registry.AskWithin)
--- a/internal/plan/diff.go
+++ b/internal/plan/diff.go
@@ -40,7 +40,7 @@
 
 // Change is what becomes of one resource.
 type Change struct {
-	Kind   string  `json:"kind"` // node, class, listener, pool, route
+	Kind   string  `json:"kind"` // node, class, listener, pool, route, federation, partner, export, quota
 	Name   string  `json:"name"`
 	Action Action  `json:"action"`
 	Effect Effect  `json:"effect"` // the hardest among its fields'
@@ -79,6 +79,9 @@
 		switch {
 		case was == nil:
 			c.Action = Add
+			if k.kind == "federation" {
+				c.Effect = NeedsRestart
+			}
 		case is == nil:
 			c.Action = Remove
 			c.Effect = removal(k.kind)
@@ -99,7 +102,7 @@
 // resource names a resource. A node has no name here: its name is a field of it.
 type resource struct{ kind, name string }
 
-var kinds = []string{"node", "class", "listener", "pool", "route"}
+var kinds = []string{"node", "class", "listener", "pool", "route", "federation", "partner", "export", "quota"}
 
 // resources are all resources of a configuration.
 func resources(c *config.Config) map[resource]json.RawMessage {
@@ -128,6 +131,18 @@
 	for _, v := range c.Routes {
 		put("route", v.Name, v)
 	}
+	if c.Federation != nil {
+		put("federation", "", c.Federation)
+	}
+	for _, v := range c.Partners {
+		put("partner", v.Name, v)
+	}
+	for _, v := range c.Exports {
+		put("export", v.Name, v)
+	}
+	for _, v := range c.Quotas {
+		put("quota", v.Name, v)
+	}
 	return out
 }
 
@@ -138,7 +153,7 @@
 	}
 	out := map[string]json.RawMessage{}
 	flatten(out, "", text)
-	if kind != "node" {
+	if kind != "node" && kind != "federation" {
 		delete(out, "name")
 	}
 	return out
@@ -205,7 +220,7 @@
 			continue
 		}
 		switch {
-		case was == nil:
+		case was == nil && kind != "federation":
 			f.Effect = Live
 		case is == nil:
 			f.Effect = removal(kind)
@@ -217,15 +232,23 @@
 
 // removal is what it does to take a resource away.
 func removal(kind string) Effect {
-	if kind == "listener" || kind == "pool" {
+	switch kind {
+	case "listener", "pool":
 		return Drains
+	case "federation":
+		return NeedsRestart
 	}
 	return Live
 }
 
 // effectOf is what the change of a field does.
 func effectOf(kind, path string) Effect {
+	if kind == "federation" {
+		return NeedsRestart
+	}
 	switch kind + "." + path {
+	case "partner.key_file":
+		return NeedsRestart
 	case "node.peers.listen", "node.peers.advertise", "node.peers.key_file", "node.peers.seeds", "node.peers.region", "node.peers.period", "node.peers.listen_only",
 		"node.peers.fresh", "node.peers.delay":
 		return NeedsRestart
