A node with a federation is a gateway: quota, custody and offers round the engine

A call's way is the same whether it has just come or is taken over; a partner is a pool whose list its gateways tell, and what became of a call there is asked. Nothing of it is there on the platform: no socket, no pool, no goroutine (TestThePlatformsNodeOpensNoRoom).

--- a/cmd/damsontrestle/plan.go
+++ b/cmd/damsontrestle/plan.go
@@ -126,6 +126,9 @@
 	io.WriteString(to, plan.Text(p.Changes))
 	n := cfg.Needs()
 	fmt.Fprintf(to, "Needs %d of %d descriptors and about %v of %v memory.\n", n.Descriptors, cfg.Node.Limits.Descriptors, n.Memory.Rounded(), cfg.Node.Limits.Memory)
+	for _, w := range cfg.FederationWords() {
+		fmt.Fprintf(to, "%s.\n", w)
+	}
 	if r := plan.Restarts(p.Changes); len(r) > 0 {
 		fmt.Fprintf(to, "Takes effect at the next start only: %s.\n", join(r))
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,7 +39,7 @@
 	for _, l := range cfg.Listeners {
 		v.listeners[l.Name] = l
 	}
-	for _, p := range cfg.Pools {
+	for _, p := range cfg.AllPools() {
 		if engines[p.Name] == nil {
 			return nil, fmt.Errorf("dispatch: pool %q has no engine", p.Name)
 		}
@@ -81,10 +81,18 @@
 	ErrNoRoute = errors.New("no route takes this call")
 )
 
+// Guard stands before the engines where gateways are federated: it takes calls that need more than an engine.
+type Guard interface {
+	// Take says whether it takes a call that was read under a View; exactly one answer comes on the call's channel then. It
+	// must not block, and gives calls on by Hand later.
+	Take(v *View, c *engine.Call, r *route.Call) bool
+}
+
 // Dispatcher holds the View of now.
 type Dispatcher struct {
-	view atomic.Pointer[View]
-	mu   sync.RWMutex // held for reading while a call is handed over, for writing while the View is swapped
+	view  atomic.Pointer[View]
+	guard Guard        // nil: none
+	mu    sync.RWMutex // held for reading while a call is handed over, for writing while the View is swapped
 }
 
 // New returns a Dispatcher with its first View.
@@ -105,6 +113,9 @@
 	if d.view.Load() != v {
 		return ErrStale
 	}
+	if d.guard != nil && d.guard.Take(v, c, r) {
+		return nil
+	}
 	to, ok := v.table.Choose(r)
 	if !ok {
 		return ErrNoRoute
@@ -113,6 +124,31 @@
 	return nil
 }
 
+// SetGuard has a Guard asked from now on, before any engine.
+func (d *Dispatcher) SetGuard(g Guard) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.guard = g
+}
+
+// Pool is the pool that the routes of now name for a call.
+func (d *Dispatcher) Pool(r *route.Call) (string, bool) {
+	to, ok := d.view.Load().table.Choose(r)
+	return to.Pool, ok
+}
+
+// Hand gives a call to the engine of a pool, past the Guard. With no error, exactly one answer comes on its channel.
+func (d *Dispatcher) Hand(c *engine.Call, pool string) error {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	e := d.view.Load().pools[pool]
+	if e == nil {
+		return ErrNoRoute
+	}
+	e.Take(c)
+	return nil
+}
+
 // Swap puts another View in place and runs with while no call is handed over: what that posts to engines
 // comes after all calls taken under the old View and before any under the new one.
 func (d *Dispatcher) Swap(v *View, with func()) {
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,459 @@
+// Package gateway makes a node one of a federation: it holds the links to the others of its group and to partners, and takes
+// a call's way through quota, custody and offers to the engine of a pool or to a partner. What is decided there is theirs;
+// this package puts them one after another, the same for a call that has just come and for one that is taken over.
+//
+// What it promises:
+//
+//   - A call draws once from each budget that it matches, at the gateway that it came to first: what was drawn goes with it,
+//     into custody and to partners.
+//   - A call of a partner's is taken only with that partner's tag over it, by the rules of now.
+//   - Every call that it takes has one answer within its caller's time.
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/clock"
+	"woodpick/internal/config"
+	"woodpick/internal/custody"
+	"woodpick/internal/discovery"
+	"woodpick/internal/dispatch"
+	"woodpick/internal/members"
+	"woodpick/internal/offers"
+	"woodpick/internal/peering"
+	"woodpick/internal/quota"
+)
+
+// Options are what a Gateway is made of.
+type Options struct {
+	Config *config.Config
+	Key    []byte                                    // of the own group
+	Keys   map[string][]byte                         // of partners
+	Addr   netip.AddrPort                            // where others of the group reach this one
+	Living func() []members.Peer                     // the others of the group that live
+	Calls  *dispatch.Dispatcher                      // that calls go on by
+	List   func(partner string, list discovery.List) // takes a partner's gateways
+	Status func(pool string) (n int)                 // connections of a pool; may be nil
+	Clock  clock.Clock
+	Log    *slog.Logger
+}
+
+// Gateway is a node's part in a federation.
+type Gateway struct {
+	o       Options
+	self    peering.Who
+	life    uint64
+	hub     *peering.Hub
+	custody *custody.Custodian
+	table   *offers.Table
+	offers  *offers.Exchange
+	ctx     context.Context
+	end     context.CancelFunc
+	tasks   sync.WaitGroup
+	heard   chan struct{} // a partner's gateways have changed
+	policy  atomic.Pointer[policy]
+
+	mu     sync.Mutex
+	purses map[string]*quota.Purse
+}
+
+// policy is what a configuration says of calls.
+type policy struct {
+	cfg      *config.Config
+	classes  map[string]config.Class
+	headers  []string // that routes look at
+	listener string   // of partners' calls
+	budgets  []quota.Budget
+	partners map[string]bool
+}
+
+// Status is what a gateway holds now.
+type Status struct {
+	Partner string                  `json:"partner"`
+	Life    uint64                  `json:"life"`
+	Links   []LinkStatus            `json:"links"`
+	Stats   peering.Stats           `json:"link_stats"`
+	Custody custody.Status          `json:"custody"`
+	Offers  offers.Status           `json:"offers"`
+	Quotas  map[string]quota.Status `json:"quotas,omitempty"`
+}
+
+// LinkStatus is one link.
+type LinkStatus struct {
+	Gateway string        `json:"gateway"`
+	Zone    string        `json:"zone,omitempty"`
+	Life    uint64        `json:"life"`
+	RTT     time.Duration `json:"rtt"`
+}
+
+// Open opens the links. Calls come once the dispatcher has it as its Guard.
+func Open(o Options) (*Gateway, error) {
+	f := o.Config.Federation
+	g := &Gateway{o: o, self: peering.Who{Partner: f.Partner, Name: o.Config.Node.Name}, life: rand.Uint64()>>1 + 1, heard: make(chan struct{}, 1),
+		purses: map[string]*quota.Purse{}}
+	g.ctx, g.end = context.WithCancel(context.Background())
+	p := newPolicy(o.Config)
+	g.policy.Store(p)
+	g.table = offers.NewTable(g.offerPolicy(o.Config), time.Now)
+	g.offers = offers.NewExchange(offers.Options{Table: g.table, Self: f.Partner, Group: g.group, Heard: g.listen})
+	g.custody = custody.New(custody.Options{Self: custody.Gateway{Name: g.self.Name, Zone: o.Config.Node.Zone, Life: g.life}, Links: links{g}, Group: g.holders,
+		Run: g.resume, Holders: f.Holders, Memory: int(f.Memory), Keep: time.Duration(f.Keep), Fresh: time.Duration(f.Silence) / 2, Forgets: longest(o.Config), Now: o.Clock.Now, Log: o.Log})
+	topics := maps.Clone(g.custody.Topics())
+	maps.Copy(topics, g.offers.Topics())
+	maps.Copy(topics, quota.Topics(g.purse))
+	var err error
+	silence := time.Duration(f.Silence)
+	g.hub, err = peering.Open(peering.Options{Self: peering.Peer{Partner: g.self.Partner, Name: g.self.Name, Zone: o.Config.Node.Zone, Life: g.life, Calls: callsAt(o.Config)},
+		Listen: o.Config.Node.Peers.Listen, Key: g.key, Topics: topics, Up: g.up, Changed: g.changed, Beat: silence / 4, Silence: silence, Log: o.Log})
+	if err != nil {
+		g.end()
+		g.offers.Close()
+		g.custody.Close()
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	g.setBudgets(p.budgets)
+	g.task(g.connect)
+	return g, nil
+}
+
+func (g *Gateway) task(f func()) {
+	g.tasks.Add(1)
+	go func() {
+		defer g.tasks.Done()
+		f()
+	}()
+}
+
+// Close ends all links and tasks, and returns once they have ended.
+func (g *Gateway) Close() {
+	g.end()
+	g.custody.Close()
+	g.tasks.Wait()
+	g.mu.Lock()
+	purses := g.purses
+	g.purses = map[string]*quota.Purse{}
+	g.mu.Unlock()
+	for _, p := range purses {
+		p.Close()
+	}
+	g.offers.Close()
+	g.hub.Close()
+}
+
+// HandOver gives the calls in custody that are not answered yet to others of the group: this gateway ends.
+func (g *Gateway) HandOver() { g.custody.HandOver() }
+
+func newPolicy(c *config.Config) *policy {
+	p := &policy{cfg: c, classes: map[string]config.Class{}, listener: c.Federation.Listener, partners: map[string]bool{}}
+	for _, class := range c.Classes {
+		p.classes[class.Name] = class
+	}
+	for _, r := range c.Routes {
+		for _, h := range r.Headers {
+			if !slices.Contains(p.headers, h.Name) {
+				p.headers = append(p.headers, h.Name)
+			}
+		}
+	}
+	for _, q := range c.Quotas {
+		b := quota.Budget{Terms: q.Terms(), Classes: q.Classes, Tenants: q.Tenants}
+		for _, k := range q.Keepers {
+			b.Keepers = append(b.Keepers, quota.KeeperOf(k.Name))
+		}
+		p.budgets = append(p.budgets, b)
+	}
+	for _, n := range c.Partners {
+		p.partners[n.Name] = true
+	}
+	return p
+}
+
+// offerPolicy is a configuration's part in offers.
+func (g *Gateway) offerPolicy(c *config.Config) offers.Policy {
+	p := offers.Policy{Self: c.Federation.Partner, Neighbours: map[string]offers.Neighbour{}, Stale: time.Duration(c.Federation.Stale), Share: 1 + len(g.o.Living())}
+	for _, n := range c.Partners {
+		p.Neighbours[n.Name] = offers.Neighbour{Import: offers.Import{Accept: n.Accept, Deny: n.Deny, Preference: n.Preference, Most: n.MostOffers},
+			Passing: offers.Passing{To: n.PassOnTo, Cost: n.Cost, Custody: inCustody(c)}}
+	}
+	effects := map[config.Effect]woodpick.Effect{config.Safe: woodpick.Safe, config.Keyed: woodpick.Keyed, config.Unsafe: woodpick.Unsafe}
+	for _, e := range c.Exports {
+		o := offers.Offer{ID: offers.ID{Origin: p.Self, Name: e.Name}, Class: e.Class, Prefix: e.Path, Cost: e.Cost, Room: e.Room,
+			Rules: offers.Rules{All: e.All, To: e.To, NoTransit: !e.Transit, Hands: e.Hands, Tenants: e.Tenants, Excluded: e.Excluded}}
+		o.Custody = inCustody(c)(e.Class)
+		for _, v := range e.Effects {
+			o.Rules.Effects |= offers.Of(effects[v])
+		}
+		if at, err := time.Parse(time.RFC3339, e.Until); err == nil {
+			o.Rules.Until = at.Unix()
+		}
+		p.Own = append(p.Own, o)
+	}
+	return p
+}
+
+// longest is how long a caller may wait over all its tries.
+func longest(c *config.Config) (d time.Duration) {
+	for _, class := range c.Classes {
+		d = max(d, time.Duration(class.Deadline))
+	}
+	return d
+}
+
+// inCustody says which classes a configuration has in custody.
+func inCustody(c *config.Config) func(class string) bool {
+	return func(name string) bool {
+		class, ok := c.Class(name)
+		return ok && class.Custody != nil
+	}
+}
+
+// SetConfig goes by another configuration from now on.
+func (g *Gateway) SetConfig(c *config.Config) {
+	if c.Federation == nil {
+		return // that takes a restart
+	}
+	p := newPolicy(c)
+	g.policy.Store(p)
+	g.table.SetPolicy(g.offerPolicy(c))
+	g.offers.Tell()
+	g.offers.Ask()
+	g.setBudgets(p.budgets)
+	g.listen()
+}
+
+// setBudgets has a purse for each budget. One whose keepers stay goes on.
+func (g *Gateway) setBudgets(budgets []quota.Budget) {
+	g.mu.Lock()
+	var gone []*quota.Purse
+	next := map[string]*quota.Purse{}
+	for _, b := range budgets {
+		if old := g.purses[b.Name]; old != nil && old.SameKeepers(b) {
+			old.Change(b)
+			next[b.Name] = old
+			continue
+		}
+		next[b.Name] = quota.New(quota.Options{Budget: b, Self: g.self, To: g.hub.To, Now: g.o.Clock.Now, Log: g.o.Log})
+	}
+	for name, old := range g.purses {
+		if next[name] != old {
+			gone = append(gone, old)
+		}
+	}
+	g.purses = next
+	g.mu.Unlock()
+	for _, p := range gone {
+		g.task(p.Close)
+	}
+}
+
+// purse is the one of a budget; nil: there is none.
+func (g *Gateway) purse(name string) *quota.Purse {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.purses[name]
+}
+
+// key is what links with a partner's gateways are keyed by.
+func (g *Gateway) key(partner string) []byte {
+	if partner == g.self.Partner {
+		return g.o.Key
+	}
+	if !g.policy.Load().partners[partner] {
+		return nil
+	}
+	return g.o.Keys[partner]
+}
+
+// up has a partner's gateway told of offers.
+func (g *Gateway) up(l *peering.Link) {
+	if l.Peer.Partner != g.self.Partner {
+		g.offers.Up(l)
+	} else {
+		g.custody.Linked(l)
+	}
+}
+
+func (g *Gateway) changed(p peering.Peer, up bool, _ error) {
+	if !up && p.Partner == g.self.Partner {
+		g.custody.Lost(p)
+	}
+}
+
+// links are those of the own group, as custody has them.
+type links struct{ *Gateway }
+
+// To implements custody.Links.
+func (l links) To(name string) *peering.Link {
+	return l.hub.To(peering.Who{Partner: l.self.Partner, Name: name})
+}
+
+// All implements custody.Links.
+func (l links) All() []*peering.Link { return l.hub.Links(l.self.Partner) }
+
+// holders are the gateways of the own group that live, in the order of their names.
+func (g *Gateway) holders() []custody.Gateway {
+	out := []custody.Gateway{{Name: g.self.Name, Zone: g.o.Config.Node.Zone, Life: g.life}}
+	for _, m := range g.o.Living() {
+		h := custody.Gateway{Name: m.Name, Zone: m.Zone}
+		if g.hub != nil {
+			if l := (links{g}).To(m.Name); l != nil {
+				h.Life = l.Peer.Life
+			}
+		}
+		out = append(out, h)
+	}
+	slices.SortFunc(out, func(a, b custody.Gateway) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// callsAt is where partners' calls come in.
+func callsAt(c *config.Config) string {
+	if c.Federation.Calls != "" {
+		return c.Federation.Calls
+	}
+	l, _ := c.Listener(c.Federation.Listener)
+	return l.Address
+}
+
+// group is what partners are told of: this gateway and those of its group that it has links to, as far as they take calls.
+func (g *Gateway) group() (out []offers.Gateway) {
+	if at := callsAt(g.o.Config); at != "" {
+		out = append(out, offers.Gateway{Name: g.self.Name, Calls: at, Zone: g.o.Config.Node.Zone})
+	}
+	if g.hub == nil {
+		return out
+	}
+	for _, l := range g.hub.Links(g.self.Partner) {
+		if l.Peer.Calls != "" {
+			out = append(out, offers.Gateway{Name: l.Peer.Name, Calls: l.Peer.Calls, Zone: l.Peer.Zone})
+		}
+	}
+	slices.SortFunc(out, func(a, b offers.Gateway) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// listen has the lists of partners' gateways looked at.
+func (g *Gateway) listen() {
+	select {
+	case g.heard <- struct{}{}:
+	default:
+	}
+}
+
+// Times of connecting.
+const (
+	connectEvery = 50 * time.Millisecond
+	otherAfter   = 2 // times the silence that ends a link, after which another of a partner's gateways is tried
+)
+
+// connect holds links to those of the group whose names come later, to as many gateways of each partner as the file says, and
+// to keepers; and gives partners' gateways to their pools.
+func (g *Gateway) connect() {
+	tick := time.NewTicker(connectEvery)
+	defer tick.Stop()
+	kept := map[string]string{}
+	first := map[string]int{} // of a partner's gateways, in the order of this one
+	given := map[string][]offers.Gateway{}
+	for {
+		p := g.policy.Load()
+		want := map[string]string{}
+		for _, m := range g.o.Living() {
+			if m.Name > g.self.Name {
+				want[m.Addr.String()] = g.self.Partner
+			}
+		}
+		for _, n := range p.cfg.Partners {
+			order := g.order(n.Gateways)
+			for i := range min(n.Links, len(order)) {
+				at := order[(first[n.Name]+i)%len(order)]
+				if g.hub.Down(at) > otherAfter*time.Duration(p.cfg.Federation.Silence) && len(order) > n.Links {
+					first[n.Name] += n.Links
+					break
+				}
+				want[at] = n.Name
+			}
+		}
+		for _, q := range p.cfg.Quotas {
+			for _, k := range q.Keepers {
+				if who := quota.KeeperOf(k.Name); who.Partner != g.self.Partner {
+					want[k.Address] = who.Partner
+				}
+			}
+		}
+		for at, partner := range want {
+			if kept[at] != partner {
+				g.hub.Drop(at)
+				g.hub.Keep(at, partner)
+				kept[at] = partner
+			}
+		}
+		for at := range kept {
+			if want[at] == "" {
+				g.hub.Drop(at)
+				delete(kept, at)
+			}
+		}
+		for _, n := range p.cfg.Partners {
+			now := g.offers.Gateways(n.Name)
+			if !slices.Equal(now, given[n.Name]) {
+				given[n.Name] = now
+				g.o.List(n.Name, listOf(now))
+			}
+		}
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-tick.C:
+		case <-g.heard:
+		}
+	}
+}
+
+// order is the order in which this gateway tries a partner's, another one for each gateway.
+func (g *Gateway) order(addresses []string) []string {
+	out := slices.Clone(addresses)
+	weigh := func(a string) uint64 {
+		h := fnv.New64a()
+		h.Write([]byte(g.self.String() + " " + a))
+		x := h.Sum64()
+		x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+		return x ^ x>>27
+	}
+	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(weigh(a), weigh(b)), cmp.Compare(a, b)) })
+	return out
+}
+
+// listOf are a partner's gateways as a pool has its servers.
+func listOf(gateways []offers.Gateway) discovery.List {
+	l := discovery.List{Full: true}
+	for _, w := range gateways {
+		l.Targets = append(l.Targets, discovery.Target{Endpoint: w.Calls, Server: woodpick.Server{ID: w.Name, Zone: w.Zone}})
+	}
+	return l
+}
+
+// Status is what the gateway holds now.
+func (g *Gateway) Status() Status {
+	s := Status{Partner: g.self.Partner, Life: g.life, Stats: g.hub.Stats(), Custody: g.custody.Status(), Offers: g.table.Status(), Quotas: map[string]quota.Status{}}
+	for _, l := range g.hub.Links("") {
+		s.Links = append(s.Links, LinkStatus{l.Peer.Who().String(), l.Peer.Zone, l.Peer.Life, l.RTT()})
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, p := range g.purses {
+		s.Quotas[name] = p.Status()
+	}
+	return s
+}
--- /dev/null
+++ b/internal/gateway/pass.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"strings"
+
+	"woodpick/internal/offers"
+	"woodpick/internal/peering"
+)
+
+// Header is the header that goes with a call to a partner's gateway: a pass and its tag by the partners' key, both in base64.
+const Header = "X-Federation"
+
+// Headers of callers.
+const (
+	retryHeader  = "X-Retry-Of"  // the id that a call was asked for by before, whose answer has not come
+	backHeader   = "X-Come-Back" // the id that a call was refused by before, where its caller comes at the time that it was told
+	tenantHeader = "X-Tenant"
+)
+
+// pass says of a call what its headers do not: whence it comes and by which offer, and what was drawn for it. The tag is over
+// all of it, the call's id and its target among that.
+type pass struct {
+	ID     string    `cbor:"1,keyasint"`
+	Target string    `cbor:"2,keyasint"`
+	Came   []string  `cbor:"3,keyasint"` // partners that the call came through; the last one sends it
+	Offer  offers.ID `cbor:"4,keyasint"`
+	Tenant string    `cbor:"5,keyasint,omitempty"`
+	Draws  []string  `cbor:"6,keyasint,omitempty"`
+	Again  bool      `cbor:"7,keyasint,omitempty"` // only what became of it is asked for: it is not to be begun
+	From   string    `cbor:"8,keyasint"`           // the sender's own word for the call, the same in all its gateways
+}
+
+// mostPass is how long a header may be.
+const mostPass = 8 << 10
+
+var errPass = errors.New("the pass")
+
+func tagOf(key, text []byte) []byte {
+	m := hmac.New(sha256.New, key)
+	m.Write([]byte("damsontrestle pass"))
+	m.Write(text)
+	return m.Sum(nil)[:16]
+}
+
+// seal is a pass as a header.
+func (p *pass) seal(key []byte) (string, error) {
+	text, err := peering.Encode(p)
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", errPass, err)
+	}
+	e := base64.RawURLEncoding
+	return e.EncodeToString(text) + "." + e.EncodeToString(tagOf(key, text)), nil
+}
+
+// openPass reads a header of a call. The error says why the call is none of a partner's.
+func openPass(header []string, key func(partner string) []byte, id, target string) (*pass, error) {
+	if len(header) != 1 || len(header[0]) > mostPass {
+		return nil, fmt.Errorf("%w is missing, comes twice or is too long", errPass)
+	}
+	a, b, _ := strings.Cut(header[0], ".")
+	text, err := base64.RawURLEncoding.DecodeString(a)
+	if err != nil {
+		return nil, fmt.Errorf("%w is malformed", errPass)
+	}
+	tag, err := base64.RawURLEncoding.DecodeString(b)
+	if err != nil {
+		return nil, fmt.Errorf("%w is malformed", errPass)
+	}
+	var p pass
+	if err := peering.Decode(text, &p); err != nil || len(p.Came) == 0 || len(p.Came) > offers.MostHands {
+		return nil, fmt.Errorf("%w is malformed", errPass)
+	}
+	k := key(p.Came[len(p.Came)-1])
+	if k == nil || !hmac.Equal(tag, tagOf(k, text)) {
+		return nil, fmt.Errorf("%w has a tag of another key", errPass)
+	}
+	if p.ID != id || p.Target != target {
+		return nil, fmt.Errorf("%w is another call's", errPass)
+	}
+	return &p, nil
+}
--- a/internal/node/change.go
+++ b/internal/node/change.go
@@ -97,7 +97,7 @@
 			return err
 		}
 	}
-	for _, p := range c.cfg.Pools {
+	for _, p := range c.cfg.AllPools() {
 		if err := c.makePool(p); err != nil {
 			return err
 		}
@@ -280,10 +280,13 @@
 		n.figures.Know(class.Name)
 	}
 	for _, u := range c.updates {
-		u.pool.back.SetLimits(limitsOf(u.cfg))
+		u.pool.back.SetLimits(limitsOf(c.cfg, u.cfg))
 	}
 	c.switchListeners(&gone)
 	n.cfg = c.cfg
+	if n.gateway != nil {
+		n.gateway.SetConfig(c.cfg)
+	}
 	n.retire(gone)
 	return nil
 }
--- a/internal/node/ending.go
+++ b/internal/node/ending.go
@@ -21,6 +21,7 @@
 	lastMargin  = 150 * time.Millisecond // from the last answers to the end
 	quietGrace  = 300 * time.Millisecond // after the last connection was accepted
 	drainStep   = 20 * time.Millisecond
+	handOver    = 100 * time.Millisecond // before the last answers, calls in custody are given to others
 )
 
 // ending tells, from the moment that the node was told to end, until when it accepts connections, until
@@ -98,6 +99,9 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("callers are left: %w", ctx.Err())
 		}
+		if n.gateway != nil && since() >= e.last-handOver {
+			n.gateway.HandOver()
+		}
 		if !told && since() >= e.last {
 			for _, p := range pools {
 				p.engine.LastCall()
--- /dev/null
+++ b/internal/node/gateway.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"fmt"
+	"net/netip"
+
+	"woodpick/internal/config"
+	"woodpick/internal/discovery"
+	"woodpick/internal/gateway"
+	"woodpick/internal/peers"
+)
+
+// openGateway makes the node a gateway, where its file has a federation.
+func (n *Node) openGateway(c *config.Config) error {
+	if c.Federation == nil || n.peers == nil {
+		return nil
+	}
+	key, err := peers.LoadKey(c.Node.Peers.KeyFile)
+	if err != nil {
+		return err
+	}
+	o := gateway.Options{Config: c, Key: key, Keys: map[string][]byte{}, Living: n.peers.Living, Calls: n.calls, List: n.giveGateways, Clock: n.clock, Log: n.log}
+	for _, p := range c.Partners {
+		if o.Keys[p.Name], err = peers.LoadKey(p.KeyFile); err != nil {
+			return fmt.Errorf("partner %q: %w", p.Name, err)
+		}
+	}
+	at := c.Node.Peers.Listen
+	if c.Node.Peers.Advertise != "" {
+		at = c.Node.Peers.Advertise
+	}
+	if o.Addr, err = netip.ParseAddrPort(at); err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
+	if n.gateway, err = gateway.Open(o); err != nil {
+		return err
+	}
+	n.calls.SetGuard(n.gateway)
+	return nil
+}
+
+// giveGateways gives the gateways of a partner to their pool.
+func (n *Node) giveGateways(partner string, list discovery.List) {
+	n.mu.Lock()
+	p := n.pools[config.PartnerPool(partner)]
+	n.mu.Unlock()
+	if p != nil {
+		p.engine.TakeList(list)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"woodpick/internal/duty"
 	"woodpick/internal/engine"
 	"woodpick/internal/figures"
+	"woodpick/internal/gateway"
 	"woodpick/internal/mgmt"
 	"woodpick/internal/peers"
 	"woodpick/internal/succession"
@@ -38,8 +39,9 @@
 	start   *first
 	servers *descriptors.Share // of the connections to servers
 	figures figures.Set
-	door    *mgmt.Server // nil: none
-	peers   *peers.Room  // nil: the node knows of no other
+	door    *mgmt.Server     // nil: none
+	peers   *peers.Room      // nil: the node knows of no other
+	gateway *gateway.Gateway // nil: it is no gateway
 	callers *callers.Set
 	calls   *dispatch.Dispatcher
 
@@ -122,7 +124,7 @@
 	if err := c.Commit(); err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
-	if err := errors.Join(n.openDoor(cfg.Node.Management), n.openPeers(cfg.Node)); err != nil {
+	if err := errors.Join(n.openDoor(cfg.Node.Management), n.openPeers(cfg.Node), n.openGateway(cfg)); err != nil {
 		n.close()
 		return nil, fmt.Errorf("node: %w", err)
 	}
@@ -235,6 +237,9 @@
 	if n.door != nil {
 		n.door.Close()
 	}
+	if n.gateway != nil {
+		n.gateway.Close()
+	}
 	if n.peers != nil {
 		n.peers.Close()
 	}
@@ -266,6 +271,7 @@
 	Callers   int                       `json:"callers"`            // connections
 	Ready     bool                      `json:"ready"`
 	Peers     *peers.Status             `json:"peers,omitempty"` // what is known of other nodes
+	Gateway   *gateway.Status           `json:"gateway,omitempty"`
 }
 
 // ListenerStatus is what a listener does.
@@ -294,6 +300,10 @@
 		st := n.peers.Status()
 		s.Peers = &st
 	}
+	if n.gateway != nil {
+		st := n.gateway.Status()
+		s.Gateway = &st
+	}
 	for name, p := range pools {
 		s.Pools[name] = PoolStatus{p.engine.Status(), p.back.Connections()}
 	}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -29,15 +29,15 @@
 	static   map[string]discovery.Target // the list that the configuration holds
 }
 
-func limitsOf(p config.Pool) http1.Limits {
+func limitsOf(c *config.Config, p config.Pool) http1.Limits {
 	return http1.Limits{Most: p.Connections.Most, ConnectTimeout: time.Duration(p.Connections.ConnectTimeout),
-		Idle: time.Duration(p.Connections.Idle), Busy: p.LoadReports.Busy, AskPath: p.LoadReports.AskPath}
+		Idle: time.Duration(p.Connections.Idle), Busy: p.LoadReports.Busy, AskPath: p.LoadReports.AskPath, From: c.LeavesFrom(p)}
 }
 
 // newPool makes a pool that knows the list that is known, or the one that its configuration holds, and
 // watches its registry from then on. Nothing runs before start.
 func (n *Node) newPool(cfg *config.Config, p config.Pool, seed uint64, known discovery.List) (*pool, error) {
-	out := &pool{name: p.Name, cfg: p, settings: cfg.Settings(p), back: http1.NewBack(n.clock, n.servers, &n.figures, limitsOf(p))}
+	out := &pool{name: p.Name, cfg: p, settings: cfg.Settings(p), back: http1.NewBack(n.clock, n.servers, &n.figures, limitsOf(cfg, p))}
 	log := n.log
 	if n.named {
 		log = log.With("pool", p.Name)
--- a/internal/node/sight_test.go
+++ b/internal/node/sight_test.go
@@ -41,7 +41,8 @@
 	}
 }
 
-// On the platform, whose configuration has no peers block, no room is opened and nothing is counted for others.
+// On the platform, whose configuration has no peers block and no federation, no room is opened, no links are, and nothing is
+// counted for others.
 func TestThePlatformsNodeOpensNoRoom(t *testing.T) {
 	ag := standin.NewAgent(t)
 	cfg := testConfig(`{"rev":%d,"all":true,"targets":[]}`)
@@ -52,7 +53,7 @@
 		defer n.mu.Unlock()
 		return n.serving
 	})
-	if s := n.Status(); n.peers != nil || s.Peers != nil {
+	if s := n.Status(); n.peers != nil || s.Peers != nil || n.gateway != nil || s.Gateway != nil || len(n.pools) != 1 {
 		t.Errorf("a room is open: %+v", s.Peers)
 	}
 	for name, p := range n.pools {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -72,6 +72,7 @@
 	asks     chan chan Status
 	done     chan struct{}
 	started  chan struct{}
+	living   atomic.Pointer[[]members.Peer]
 	held     map[string]members.Status // as was logged last
 	logged   int                       // changes of the membership that were
 	counts   Counts
@@ -285,6 +286,13 @@
 		return
 	}
 	r.logged = r.machine.Changes()
+	var living []members.Peer
+	for _, k := range r.machine.Members() {
+		if k.Status <= members.Suspect {
+			living = append(living, k.Peer)
+		}
+	}
+	r.living.Store(&living)
 	for _, k := range r.machine.Members() {
 		if was, known := r.held[k.Name]; !known || was != k.Status {
 			r.held[k.Name] = k.Status
@@ -311,6 +319,14 @@
 	return s
 }
 
+// Living are the other members that are held for alive, or are only suspected not to be; none before Run.
+func (r *Room) Living() []members.Peer {
+	if l := r.living.Load(); l != nil {
+		return *l
+	}
+	return nil
+}
+
 // Status tells what is known; nothing before Run and after its end.
 func (r *Room) Status() Status {
 	to := make(chan Status, 1)
