--- /dev/null
+++ b/cmd/fleetlab/league.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"woodpick/internal/budget"
+	"woodpick/internal/rig/league"
+)
+
+func newLeague() *cobra.Command {
+	var (
+		o        league.Options
+		d        league.Day
+		binary   string
+		seeds    int
+		quota    float64
+		baseline bool
+	)
+	cmd := &cobra.Command{Use: "league", Short: "Play gateways of several partners as processes, with faults between them",
+		Long: "league starts gateways of several partners, their boxes and callers, strikes them with one kind of fault over and\n" +
+			"over, and prints what callers heard against what boxes ran. A breach of a rule makes the command fail. -baseline\n" +
+			"plays the same without custody: callers send again by themselves what is harmless to send again.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if !slices.Contains(league.Faults, d.Fault) {
+				return fmt.Errorf("found the fault %q; allowed: %v", d.Fault, league.Faults)
+			}
+			if _, err := os.Stat(binary); err != nil {
+				return fmt.Errorf("the program: %w; build it first: go build -o bin/ ./cmd/...", err)
+			}
+			o.Binary = binary
+			o.Log = func(format string, args ...any) { fmt.Fprintf(cmd.ErrOrStderr(), format+"\n", args...) }
+			if !baseline {
+				o.Custody = "refuse"
+			}
+			broken := 0
+			for s := range seeds {
+				d.Seed = uint64(s + 1)
+				o.Seed = d.Seed
+				d.Bound = nil
+				if quota > 0 {
+					var text string
+					d.Bound, text = leagueQuota(quota, o.Partners, o.Gateways)
+					o.Quota = text
+				}
+				begin := time.Now()
+				l, err := league.Start(cmd.Context(), o)
+				if err != nil {
+					return err
+				}
+				if err := l.Settle(cmd.Context(), 3*o.Partners); err != nil {
+					l.Close()
+					return err
+				}
+				ready := time.Since(begin)
+				f := l.Play(cmd.Context(), d)
+				memory, cpu := l.Cost()
+				l.Close()
+				what := "custody"
+				if baseline {
+					what = "none"
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%d x %d, %s, custody %s, seed %d: %s; ready in %v; %.1f MB each, %v of processor time a call\n", o.Partners, o.Gateways, d.Fault, what, d.Seed, f.Line(),
+					ready.Round(10*time.Millisecond), float64(memory)/(1<<20), (cpu / time.Duration(max(1, f.Calls))).Round(time.Microsecond))
+				for i, b := range f.Breaches {
+					if i < 20 {
+						fmt.Fprintln(cmd.OutOrStdout(), "  breach:", b)
+					}
+				}
+				broken += len(f.Breaches)
+				if f.Over > 1 {
+					broken++
+				}
+			}
+			if broken > 0 {
+				return fmt.Errorf("%d breaches", broken)
+			}
+			return nil
+		}}
+	fl := cmd.Flags()
+	fl.StringVar(&binary, "program", "bin/damsontrestle", "the program; one that is built with -tags rig for faults at points")
+	fl.IntVar(&o.Partners, "partners", 6, "")
+	fl.IntVar(&o.Gateways, "gateways", 10, "of each partner")
+	fl.IntVar(&o.Boxes, "boxes", 8, "of each partner")
+	fl.IntVar(&o.Zones, "zones", 2, "of each partner")
+	fl.IntVar(&o.Links, "links", 2, "that each gateway holds to each partner")
+	fl.DurationVar(&o.Service, "service", 100*time.Millisecond, "that a box takes for a call")
+	fl.DurationVar(&o.Silence, "silence", time.Second, "that ends a link")
+	fl.DurationVar(&d.Patience, "patience", 3*time.Second, "of callers")
+	fl.DurationVar(&d.Length, "length", 20*time.Second, "")
+	fl.Float64Var(&d.Rate, "rate", 5, "calls a second that come to each gateway")
+	fl.Float64Var(&d.Away, "away", 0.3, "share of calls for another partner")
+	fl.StringVar(&d.Fault, "fault", "none", fmt.Sprint(league.Faults))
+	fl.DurationVar(&d.Every, "every", 200*time.Millisecond, "between two faults")
+	fl.DurationVar(&d.For, "for", time.Second, "that a fault lasts")
+	fl.IntVar(&seeds, "seeds", 1, "")
+	fl.Float64Var(&quota, "quota", 0, "notes a second that all partners may call together; 0: no quota")
+	fl.BoolVar(&baseline, "baseline", false, "without custody")
+	return cmd
+}
+
+// leagueQuota is a budget of all partners alike, without floors, and its bound.
+func leagueQuota(rate float64, partners, gateways int) (func(time.Duration) float64, string) {
+	t := budget.Terms{Name: "notes", Rate: rate, Burst: max(10, rate), Over: 0.05, Lease: 300 * time.Millisecond, Term: time.Second, WhenCut: budget.Closed}
+	text := fmt.Sprintf(" rate = %v\n burst = %v\n term = \"1s\"\n wait = \"100ms\"\n when_cut = \"closed\"\n classes = [\"note\"]\n", t.Rate, t.Burst)
+	for p := range partners {
+		t.Partners = append(t.Partners, budget.Partner{Name: league.Name(p), Weight: 1, Gateways: gateways})
+		text += fmt.Sprintf(" partner %q {\n gateways = %d\n }\n", league.Name(p), gateways)
+	}
+	return t.Bound, text
+}
--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -17,7 +17,7 @@
 	defer stop()
 	root := &cobra.Command{Use: "fleetlab", Short: "Play experiments with hundreds of nodes, and faults between them",
 		SilenceErrors: true, SilenceUsage: true}
-	root.AddCommand(newRun(), newWeigh(), newCompare(), newExplore(), newCrowd(), newValidate())
+	root.AddCommand(newRun(), newWeigh(), newCompare(), newExplore(), newCrowd(), newLeague(), newValidate())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintf(os.Stderr, "Error: %v\n", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/rig/league/audit.go
@@ -0,0 +1,205 @@
+package league
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Run is a call at a box.
+type Run struct {
+	ID, Key, Class, Path, Box string
+	Partner                   int
+	At                        time.Duration
+	Dropped                   bool // it was a repeat of its key, and nothing was done
+}
+
+// Heard is what a caller heard once.
+type Heard struct {
+	Call    string // the first id that it was asked for by
+	ID      string // of this asking
+	Gateway string
+	Status  int // 0: the connection broke, or nothing came
+	Settled bool
+	Body    string
+	Words   string // of an error
+	Unsent  bool   // nobody took it
+	Retry   time.Duration
+	At      time.Duration
+	Took    time.Duration
+}
+
+// Audit holds what boxes ran against what callers heard.
+type Audit struct {
+	mu     sync.Mutex
+	runs   map[string][]Run // by what a call is known by: its key, or its first id
+	firsts map[string]string
+	heard  map[string][]Heard
+	cells  map[[2]int]*cell
+	holds  map[string]*hold
+	rules  []rule
+	all    []Run
+}
+
+type hold struct {
+	got     chan string
+	release chan struct{}
+}
+
+// rule forbids calls from an instant on.
+type rule struct {
+	from    time.Duration
+	partner int // whose boxes must not run them
+	words   string
+	forbids func(Run) bool
+}
+
+func newAudit() *Audit {
+	return &Audit{runs: map[string][]Run{}, firsts: map[string]string{}, heard: map[string][]Heard{}, cells: map[[2]int]*cell{}, holds: map[string]*hold{}}
+}
+
+func (a *Audit) cellOf(partner, n int) *cell {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	k := [2]int{partner, n}
+	if a.cells[k] == nil {
+		a.cells[k] = &cell{ran: map[string]string{}, busy: map[string]chan struct{}{}}
+	}
+	return a.cells[k]
+}
+
+// ran notes a run, and tells how many there were of the call.
+func (a *Audit) ran(r Run) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	k := r.Key
+	if k == "" {
+		k = r.ID
+		if first := a.firsts[r.ID]; first != "" {
+			k = first
+		}
+	}
+	a.runs[k] = append(a.runs[k], r)
+	a.all = append(a.all, r)
+	return len(a.runs[k])
+}
+
+func (a *Audit) over(string, time.Duration) {}
+
+// Runs are the runs of a call, by its first id or its key.
+func (a *Audit) Runs(call string) []Run {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.runs[call])
+}
+
+// Hold has boxes keep the call of an id until release is closed; each box that has it says its name.
+func (a *Audit) Hold(id string) (got <-chan string, release func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h := &hold{make(chan string, 16), make(chan struct{})}
+	a.holds[id] = h
+	return h.got, sync.OnceFunc(func() {
+		a.mu.Lock()
+		delete(a.holds, id)
+		a.mu.Unlock()
+		close(h.release)
+	})
+}
+
+func (a *Audit) held(id string) *hold {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holds[id]
+}
+
+// asks notes that a call is asked for by another id.
+func (a *Audit) asks(id, first string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.firsts[id] = first
+}
+
+func (a *Audit) hears(h Heard) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.heard[h.Call] = append(a.heard[h.Call], h)
+}
+
+// Forbid notes that a partner's boxes must not begin some calls from an instant on.
+func (a *Audit) Forbid(from time.Duration, partner int, words string, forbids func(Run) bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.rules = append(a.rules, rule{from, partner, words, forbids})
+}
+
+// Breaches are all that is against the rules: what is unsafe ran twice, a key's work was done twice, two that asked about one
+// call heard different settled answers, a settled success that no box ran, a call on a forbidden path.
+func (a *Audit) Breaches() (out []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	say := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	for call, runs := range a.runs {
+		done := 0
+		for _, r := range runs {
+			if !r.Dropped {
+				done++
+			}
+		}
+		if runs[0].Class != "view" && done > 1 {
+			say("%s: the %s call was run %d times: %+v", call, runs[0].Class, done, runs)
+		}
+		for _, r := range runs {
+			for _, f := range a.rules {
+				if r.Partner == f.partner && r.At >= f.from && f.forbids(r) {
+					say("%s: ran at %s at %v: %s", call, r.Box, r.At, f.words)
+				}
+			}
+		}
+	}
+	for call, all := range a.heard {
+		first := -1
+		for i, h := range all {
+			if !h.Settled || h.Status == 503 {
+				continue // what was refused may be asked for anew
+			}
+			if first < 0 {
+				first = i
+			}
+			if h.Status != all[first].Status || h.Status == 200 && h.Body != all[first].Body {
+				say("%s: one heard %d %q at %s, another %d %q at %s", call, all[first].Status, all[first].Body, all[first].Gateway, h.Status, h.Body, h.Gateway)
+			}
+			if h.Status == 200 && !slices.ContainsFunc(a.runs[call], func(r Run) bool { return strings.HasPrefix(h.Body, r.Box+" ran ") }) {
+				say("%s: heard %q at %s, which no box made", call, h.Body, h.Gateway)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Most is the most runs of a class that began within any window, and when that window began.
+func (a *Audit) Most(class string, window time.Duration) (most int, at time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var times []time.Duration
+	for _, r := range a.all {
+		if r.Class == class {
+			times = append(times, r.At)
+		}
+	}
+	slices.SortFunc(times, func(x, y time.Duration) int { return cmp.Compare(x, y) })
+	from := 0
+	for i, t := range times {
+		for t-times[from] > window {
+			from++
+		}
+		if i-from+1 > most {
+			most, at = i-from+1, times[from]
+		}
+	}
+	return most, at
+}
--- /dev/null
+++ b/internal/rig/league/league_test.go
@@ -0,0 +1,559 @@
+package league
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"woodpick/internal/rig/link"
+	"woodpick/internal/standin"
+)
+
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "built")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "damsontrestle")
+	cmd := exec.Command("go", "build", "-tags", "rig", "-o", path, "./cmd/damsontrestle")
+	cmd.Dir = "../../.."
+	if out, err := cmd.CombinedOutput(); err != nil {
+		os.RemoveAll(dir)
+		return "", fmt.Errorf("%w\n%s", err, out)
+	}
+	return path, nil
+})
+
+// TestMain removes what was built.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if path, err := build(); err == nil {
+		os.RemoveAll(filepath.Dir(path))
+	}
+	os.Exit(code)
+}
+
+// start starts nine gateways of three partners, unless the options say otherwise, and waits until they know one another and
+// all offers. They end with the test, and so do all breaches of the rules.
+func start(t *testing.T, o Options) *League {
+	t.Helper()
+	path, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.Binary = path
+	if o.Partners == 0 {
+		o.Partners = 3
+	}
+	if o.Gateways == 0 {
+		o.Gateways = 3
+	}
+	if o.Boxes == 0 {
+		o.Boxes = 4
+	}
+	if o.Silence == 0 {
+		o.Silence = standin.Limit // a machine that is slow looks like no silence
+	}
+	if o.Deadline == 0 {
+		o.Deadline = 30 * time.Second
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*standin.Limit)
+	defer cancel()
+	l, err := Start(ctx, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for _, b := range l.Audit.Breaches() {
+			t.Errorf("breach: %s", b)
+		}
+		if t.Failed() {
+			for _, g := range l.Gateways[:min(4, len(l.Gateways))] {
+				t.Logf("%s:\n%s", g.Name, tail(g.Log(), 800))
+			}
+		}
+		l.Close()
+	})
+	settle(t, l)
+	return l
+}
+
+// settle waits until all that run know one another and all offers.
+func settle(t *testing.T, l *League) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*standin.Limit)
+	defer cancel()
+	if err := l.Settle(ctx, 3*l.o.Partners); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func tail(s string, n int) string { return s[max(0, len(s)-n):] }
+
+// done counts the runs of a call that did something, and those that a cell discarded.
+func done(runs []Run) (done, dropped int) {
+	for _, r := range runs {
+		if r.Dropped {
+			dropped++
+		} else {
+			done++
+		}
+	}
+	return done, dropped
+}
+
+// behind runs something and returns a channel that takes its result.
+func behind[T any](f func() T) <-chan T {
+	c := make(chan T, 1)
+	go func() { c <- f() }()
+	return c
+}
+
+// Given a gateway that is killed while it has a call in hand, at each of its steps: another goes on with it, once, and all who
+// ask hear the same. What is unsafe and may have run ends as failed.
+func TestAKilledGatewaysCallIsTakenOverOnce(t *testing.T) {
+	l := start(t, Options{Custody: "refuse"})
+	victim := l.Gateway(0, 0)
+	n := 0
+	for _, c := range []struct {
+		class, point  string
+		status        int // 0: 200 or 502, as the kill met the intent on its way
+		done, dropped int // runs; negative: up to as many
+	}{
+		{"view", "recorded", 200, -2, 0},
+		{"note", "recorded", 0, -1, 0},
+		{"log", "recorded", 200, -1, 0},
+		{"view", "intended", 200, 1, 0},
+		{"note", "intended", 502, 0, 0},
+		{"log", "intended", 200, 1, 0},
+		{"view", "ran", 200, 2, 0},
+		{"note", "ran", 502, 1, 0},
+		{"log", "ran", 200, 1, 1},
+		{"view", "settled", 200, 1, 0},
+		{"note", "settled", 200, 1, 0},
+		{"log", "settled", 200, 1, 0},
+	} {
+		n++
+		victim.Kill()
+		victim.With(fmt.Sprintf("DAMSONTRESTLE_FAULT=custody.%s:1:kill", c.point))
+		if err := victim.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		settle(t, l)
+		call := Call{ID: fmt.Sprintf("c%d-%s-%s", n, c.class, c.point), Class: c.class, Path: "p0/x"}
+		of := call.ID
+		if c.class == "log" {
+			call.Key = "key-" + call.ID
+			of = call.Key
+		}
+		first := l.Ask(t.Context(), victim, call)
+		standin.Receive(t, victim.Ended(), "the kill")
+		if first.Status != 0 {
+			t.Errorf("%s %s: the caller of the killed gateway heard %+v", c.class, c.point, first)
+		}
+		var answers []<-chan Heard
+		for i, g := range l.Of(0, victim) {
+			again := call
+			again.ID, again.Of = fmt.Sprintf("%s-again%d", call.ID, i), call.ID
+			answers = append(answers, behind(func() Heard {
+				h, _ := l.Insist(t.Context(), g, again)
+				return h
+			}))
+		}
+		for _, a := range answers {
+			h := standin.Receive(t, a, "an answer")
+			if !h.Settled || h.Status != c.status && (c.status != 0 || h.Status != 200 && h.Status != 502) {
+				t.Errorf("%s %s: %+v, want a settled %d", c.class, c.point, h, c.status)
+			}
+		}
+		ran, dropped := done(l.Audit.Runs(of))
+		if c.done >= 0 && (ran != c.done || dropped != c.dropped) || c.done < 0 && ran > -c.done {
+			t.Errorf("%s %s: %d runs and %d repeats, want %d and %d: %+v", c.class, c.point, ran, dropped, c.done, c.dropped, l.Audit.Runs(of))
+		}
+	}
+}
+
+// A gateway that is killed as an heir, once it has claimed a call or has an attempt allowed, is followed by the next.
+func TestAKilledHeirIsFollowedByTheNext(t *testing.T) {
+	l := start(t, Options{Partners: 1, Gateways: 5, Boxes: 8, Custody: "refuse"})
+	owner := l.Gateway(0, 0)
+	for i, c := range []struct {
+		class, point string
+		status, done int
+	}{{"view", "claimed", 200, 1}, {"note", "claimed", 502, 0}, {"view", "intended", 200, 1}} {
+		// Whoever is the heir dies by its own first claim: all others have the fault.
+		for k, g := range l.Gateways {
+			g.Kill()
+			g.With(fmt.Sprintf("DAMSONTRESTLE_FAULT=custody.%s:1:kill", c.point))
+			if k == 0 {
+				g.With("DAMSONTRESTLE_FAULT=custody.intended:1:kill")
+			}
+			if err := g.Start(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		settle(t, l)
+		call := Call{ID: fmt.Sprintf("h%d", i), Class: c.class, Path: "p0/x"}
+		l.Ask(t.Context(), owner, call)
+		standin.Receive(t, owner.Ended(), "the owner's kill")
+		var heir *Gateway
+		standin.Until(t, "the first heir's kill", func() bool {
+			for _, g := range l.Gateways[1:] {
+				select {
+				case <-g.Ended():
+					heir = g
+					return true
+				default:
+				}
+			}
+			return false
+		})
+		// The next one must live: a claim that it makes is its own first one.
+		if ran, _ := done(l.Audit.Runs(call.ID)); ran > 0 && c.class != "view" {
+			t.Errorf("%s %s: it ran %d times before the heir's end", c.class, c.point, ran)
+		}
+		// Two of three voters are gone: nobody may go on, and nobody is told anything that is not so.
+		for _, g := range l.Gateways[1:] {
+			if g != heir {
+				again := call
+				again.ID, again.Of, again.Wait = call.ID+"-again", call.ID, 2*time.Second
+				if h := l.Ask(t.Context(), g, again); h.Settled && h.Status != c.status {
+					t.Errorf("%s %s: %+v", c.class, c.point, h)
+				}
+				break
+			}
+		}
+	}
+}
+
+// A gateway that is stopped with an attempt allowed, and awakes after another has taken its call over, begins nothing; and
+// whoever waited at it hears what all hear.
+func TestAGatewayThatWasStoppedBeginsNothingWhenItAwakes(t *testing.T) {
+	l := start(t, Options{Custody: "refuse", Silence: time.Second, Period: time.Second})
+	owner := l.Gateway(0, 0)
+	for i, class := range []string{"view", "note", "log"} {
+		owner.Kill()
+		owner.With("DAMSONTRESTLE_FAULT=custody.intended:1:stop")
+		if err := owner.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		settle(t, l)
+		call := Call{ID: fmt.Sprintf("s%d", i), Class: class, Path: "p0/x"}
+		of := call.ID
+		if class == "log" {
+			call.Key, of = "key-"+call.ID, "key-"+call.ID
+		}
+		waits := behind(func() Heard { return l.Ask(t.Context(), owner, call) })
+		again := call
+		again.ID, again.Of = call.ID+"-again", call.ID
+		var h Heard
+		standin.Until(t, "the call to be taken over", func() bool {
+			again.ID += "'"
+			h, _ = l.Insist(t.Context(), l.Gateway(0, 1), again)
+			return h.Settled
+		})
+		before, _ := done(l.Audit.Runs(of))
+		if class == "note" && (before > 0 || h.Status != 502) || class != "note" && (before != 1 || h.Status != 200) {
+			t.Errorf("%s: %d runs, and %+v", class, before, h)
+		}
+		if err := owner.Signal(syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+		first := standin.Receive(t, waits, "the answer at the gateway that was stopped")
+		if first.Status != h.Status || first.Settled && first.Body != h.Body {
+			t.Errorf("%s: who waited heard %+v, others %+v", class, first, h)
+		}
+		if after, _ := done(l.Audit.Runs(of)); after != before {
+			t.Errorf("%s: %d runs before it awoke, %d after", class, before, after)
+		}
+	}
+}
+
+// While a partner is cut off, one way or both, its calls cost others nothing and its own are answered in time; a call that was
+// with it when the cut came is told as it was settled there, once the cut is over.
+func TestAPartnerThatIsCutOff(t *testing.T) {
+	for _, how := range []string{"both ways", "there", "back"} {
+		t.Run(how, func(t *testing.T) {
+			l := start(t, Options{Custody: "refuse", Silence: time.Second, Stale: 20 * time.Second})
+			from, to := l.Of(0), l.Of(1)
+			if how == "back" {
+				from, to = to, from
+			}
+			held := Call{ID: "held-" + how, Class: "note", Path: "p1/x"}
+			got, release := l.Audit.Hold(held.ID)
+			defer release()
+			waits := behind(func() Heard { return l.Ask(t.Context(), l.Gateway(0, 0), held) })
+			standin.Receive(t, got, "the call at its box")
+			mend := l.Cut(from, to, how == "both ways")
+			for i := range 6 { // others are served as ever, both sides of the cut among them
+				for _, c := range []Call{{Class: "note", Path: "p0/x"}, {Class: "note", Path: "p2/x"}} {
+					c.ID = fmt.Sprint(how, i, c.Path)
+					if h := l.Ask(t.Context(), l.Gateway(0, i%3), c); h.Status != 200 {
+						t.Errorf("%+v", h)
+					}
+				}
+				c := Call{ID: fmt.Sprint(how, i, "from p2"), Class: "note", Path: "p1/x"}
+				if h := l.Ask(t.Context(), l.Gateway(2, i%3), c); h.Status != 200 {
+					t.Errorf("%+v", h)
+				}
+			}
+			lost := Call{ID: "lost-" + how, Class: "note", Path: "p1/x", Wait: 2 * time.Second}
+			if h := l.Ask(t.Context(), l.Gateway(0, 1), lost); h.Status != 502 && h.Status != 503 || h.Took > lost.Wait+500*time.Millisecond {
+				t.Errorf("a call into the cut: %+v", h)
+			}
+			release()
+			mend()
+			if h := standin.Receive(t, waits, "the answer of the call that was there"); h.Status != 200 || !h.Settled {
+				t.Errorf("%+v", h)
+			}
+			if ran, _ := done(l.Audit.Runs(held.ID)); ran != 1 {
+				t.Errorf("it ran %d times", ran)
+			}
+			settle(t, l)
+			if h := l.Ask(t.Context(), l.Gateway(0, 2), Call{ID: "after-" + how, Class: "note", Path: "p1/x"}); h.Status != 200 {
+				t.Errorf("after the cut: %+v", h)
+			}
+		})
+	}
+}
+
+// A partner's gateway that is killed under a call from another partner: whoever has it in hand there then tells what became
+// of it, and the caller hears that from its own gateway.
+func TestAPartnersGatewayIsKilledUnderACall(t *testing.T) {
+	l := start(t, Options{Custody: "refuse"})
+	for _, c := range []struct {
+		class        string
+		status, runs int
+	}{{"log", 200, 1}, {"view", 200, 2}, {"note", 502, 1}} { // keys first: who was started anew votes on none for a while
+		call := Call{ID: "under-" + c.class, Class: c.class, Path: "p1/x"}
+		of := call.ID
+		if c.class == "log" {
+			call.Key, of = "key-"+call.ID, "key-"+call.ID
+		}
+		got, release := l.Audit.Hold(call.ID)
+		waits := behind(func() Heard { return l.Ask(t.Context(), l.Gateway(0, 0), call) })
+		standin.Receive(t, got, "the call at its box")
+		var has *Gateway
+		for _, g := range l.Of(1) {
+			if s, err := g.Show(t.Context()); err == nil && s.Status.Gateway.Custody.InHand > 0 {
+				has = g
+			}
+		}
+		if has == nil {
+			t.Fatal("no gateway of the partner has the call in hand")
+		}
+		has.Kill()
+		if c.class == "view" {
+			standin.Receive(t, got, "the call at another box")
+		}
+		release()
+		h := standin.Receive(t, waits, "the answer")
+		if h.Status != c.status || !h.Settled || h.Status == 200 && !strings.HasPrefix(h.Body, "p1-b") {
+			t.Errorf("%s: %+v, want %d", c.class, h, c.status)
+		}
+		if ran, _ := done(l.Audit.Runs(of)); ran != c.runs {
+			t.Errorf("%s: it ran %d times, want %d", c.class, ran, c.runs)
+		}
+		if err := has.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		settle(t, l)
+	}
+}
+
+// forbidden are calls of p0's callers: their ids say so.
+func forbidden(r Run) bool { return strings.HasPrefix(r.ID, "p0-") }
+
+// A rule that is tightened while the partner concerned is cut off holds at its owner from the apply on, whatever the other
+// still believes; and who is refused by it knows at once.
+func TestARuleTightenedDuringACut(t *testing.T) {
+	l := start(t, Options{Custody: "refuse", Silence: time.Second})
+	ask := func(p, i int, id string) Heard {
+		return l.Ask(t.Context(), l.Gateway(p, i), Call{ID: fmt.Sprintf("p%d-%s", p, id), Class: "note", Path: "p1/x", Wait: 5 * time.Second})
+	}
+	if h := ask(0, 0, "before"); h.Status != 200 {
+		t.Fatalf("%+v", h)
+	}
+	mend := l.Cut(l.Of(0), l.Of(1), true)
+	for _, g := range l.Of(1) {
+		err := g.Change(t.Context(), func(text string) string {
+			return strings.Replace(text, "path = \"/note/p1/\"\n all = true", "path = \"/note/p1/\"\n to = [\"p2\"]", 1)
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.Audit.Forbid(l.now(), 1, "p1 lets p0 have it no more", forbidden)
+	standin.Until(t, "p0 to be cut off", func() bool {
+		s, err := l.Gateway(0, 0).Show(t.Context())
+		return err == nil && len(s.Status.Gateway.Offers.Stale) > 0
+	})
+	mend()
+	for i := range 9 { // some come before p0 has heard anything
+		if h := ask(0, i%3, fmt.Sprint("after", i)); h.Status == 200 {
+			t.Errorf("%+v", h)
+		}
+		if h := ask(2, i%3, fmt.Sprint("after", i)); h.Status != 200 {
+			t.Errorf("%+v", h)
+		}
+	}
+	standin.Until(t, "p0's tables to agree", func() bool {
+		for _, g := range l.Of(0) {
+			s, err := g.Show(t.Context())
+			if err != nil || s.Status.Gateway.Offers.Offers != 8 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// A gateway whose links pass next to nothing on is lost to its group within the silence that the file says, and to nobody
+// else: calls that do not need it go on, in custody of those that are left.
+func TestASlowPeerCostsOthersNothing(t *testing.T) {
+	l := start(t, Options{Partners: 2, Gateways: 4, Custody: "refuse", Silence: time.Second})
+	slow := l.Gateway(0, 3)
+	for _, g := range l.But(slow) {
+		l.Set(g, slow, link.Shape{Bandwidth: 20})
+	}
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	for w := range 4 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				h := l.Ask(t.Context(), l.Gateway(0, w%3), Call{ID: fmt.Sprintf("w%d-%d", w, i), Class: "note", Path: fmt.Sprintf("p%d/x", i%2)})
+				if h.Status != 200 {
+					t.Errorf("%+v", h)
+					return
+				}
+			}
+		}()
+	}
+	standin.Until(t, "its links to end", func() bool {
+		s, err := l.Gateway(0, 0).Show(t.Context())
+		if err != nil {
+			return false
+		}
+		for _, k := range s.Status.Gateway.Links {
+			if strings.HasSuffix(k.Gateway, slow.Name) {
+				return false
+			}
+		}
+		return true
+	})
+	close(stop)
+	all.Wait()
+}
+
+// A gateway that ends in order gives what it has in hand to another, which goes on with it; nothing waits for a failure.
+func TestAGatewayThatEndsHandsOver(t *testing.T) {
+	l := start(t, Options{Partners: 1, Custody: "refuse", Deadline: 20 * time.Second})
+	owner := l.Gateway(0, 0)
+	got, release := l.Audit.Hold("handed")
+	defer release()
+	call := Call{ID: "handed", Class: "view", Path: "p0/x"}
+	first := behind(func() Heard { return l.Ask(t.Context(), owner, call) })
+	standin.Receive(t, got, "the call at its box")
+	if err := owner.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	standin.Receive(t, got, "the call at another box, by another gateway")
+	release()
+	again := call
+	again.ID, again.Of = "handed-again", "handed"
+	h, _ := l.Insist(t.Context(), l.Gateway(0, 1), again)
+	if h.Status != 200 || !h.Settled {
+		t.Errorf("%+v", h)
+	}
+	if f := standin.Receive(t, first, "what its first caller heard"); f.Status == 200 && f.Body != h.Body {
+		t.Errorf("%+v, others %+v", f, h)
+	}
+	standin.Receive(t, owner.Ended(), "its end")
+}
+
+// Alone, a gateway does what its file says, and a holder that was started anew is no voter in what its earlier life had taken.
+func TestAloneAndAmnesia(t *testing.T) {
+	for _, when := range []string{"serve", "refuse"} {
+		l := start(t, Options{Partners: 1, Custody: when})
+		for _, g := range l.Gateways[1:] {
+			g.Kill()
+		}
+		standin.Until(t, "it to be alone", func() bool {
+			s, err := l.Gateway(0, 0).Show(t.Context())
+			return err == nil && len(s.Status.Gateway.Links) == 0
+		})
+		h := l.Ask(t.Context(), l.Gateway(0, 0), Call{ID: "alone-" + when, Class: "note", Path: "p0/x"})
+		if when == "serve" && (h.Status != 200 || h.Settled) || when == "refuse" && (h.Status != 503 || h.Retry <= 0) {
+			t.Errorf("%s: %+v", when, h)
+		}
+	}
+	l := start(t, Options{Partners: 1, Custody: "refuse"})
+	got, release := l.Audit.Hold("forgotten")
+	defer release()
+	behind(func() Heard {
+		return l.Ask(t.Context(), l.Gateway(0, 0), Call{ID: "forgotten", Class: "view", Path: "p0/x"})
+	})
+	standin.Receive(t, got, "the call at its box")
+	l.Gateway(0, 1).Kill()
+	if err := l.Gateway(0, 1).Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	settle(t, l)
+	l.Gateway(0, 0).Kill()
+	// Of its three voters one is dead and one has forgotten: the third alone decides nothing.
+	h := l.Ask(t.Context(), l.Gateway(0, 1), Call{ID: "forgotten-again", Of: "forgotten", Class: "view", Path: "p0/x", Wait: 2 * time.Second})
+	if h.Settled || h.Status == 200 {
+		t.Errorf("%+v", h)
+	}
+	if ran, _ := done(l.Audit.Runs("forgotten")); ran != 1 {
+		t.Errorf("it ran %d times", ran)
+	}
+}
+
+// Past its memory a gateway takes no more into custody, and refuses at once with a time to come back.
+func TestHoldersWithoutRoomRefuse(t *testing.T) {
+	l := start(t, Options{Partners: 1, Custody: "refuse", Memory: "64KiB"})
+	var releases []func()
+	refused := 0
+	var all []<-chan Heard
+	for i := range 120 {
+		id := fmt.Sprint("big", i)
+		_, release := l.Audit.Hold(id)
+		releases = append(releases, release)
+		all = append(all, behind(func() Heard {
+			return l.Ask(t.Context(), l.Gateway(0, i%3), Call{ID: id, Class: "note", Path: "p0/x"})
+		}))
+	}
+	standin.Until(t, "a refusal", func() bool {
+		s, err := l.Gateway(0, 0).Show(t.Context())
+		return err == nil && s.Status.Gateway.Custody.Voter.Full > 0
+	})
+	for _, r := range releases {
+		r()
+	}
+	for _, c := range all {
+		h := standin.Receive(t, c, "an answer")
+		if h.Status == 503 && h.Retry > 0 {
+			refused++
+		} else if h.Status != 200 {
+			t.Errorf("%+v", h)
+		}
+	}
+	if refused == 0 {
+		t.Error("nothing was refused")
+	}
+}
--- /dev/null
+++ b/internal/rig/league/quota_test.go
@@ -0,0 +1,230 @@
+package league
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"woodpick/internal/budget"
+	"woodpick/internal/standin"
+)
+
+// crowd asks for notes at all gateways that run, over and over, until stop; it counts what it heard.
+type crowd struct {
+	served, refused atomic.Int64
+	slowest         atomic.Int64 // ns that a served call took
+	stop            func()
+}
+
+func newCrowd(t *testing.T, l *League, each int) *crowd {
+	c := &crowd{}
+	ctx, cancel := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	for gi, g := range l.Gateways {
+		for w := range each {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				for i := 0; ctx.Err() == nil; i++ {
+					h := l.Ask(ctx, g, Call{ID: fmt.Sprintf("q%d-%d-%d", gi, w, i), Class: "note", Path: Name(g.Partner) + "/x"})
+					switch {
+					case h.Status == 200:
+						c.served.Add(1)
+						for was := c.slowest.Load(); int64(h.Took) > was && !c.slowest.CompareAndSwap(was, int64(h.Took)); was = c.slowest.Load() {
+						}
+					case h.Status == 503 && h.Retry > 0:
+						c.refused.Add(1)
+					case h.Status != 0 && ctx.Err() == nil:
+						t.Errorf("%+v", h)
+					}
+					select {
+					case <-ctx.Done():
+					case <-time.After(10 * time.Millisecond):
+					}
+				}
+			}()
+		}
+	}
+	c.stop = sync.OnceFunc(func() { cancel(); all.Wait() })
+	t.Cleanup(c.stop)
+	return c
+}
+
+// more waits until as many more calls have been served.
+func (c *crowd) more(t *testing.T, n int64) {
+	t.Helper()
+	was := c.served.Load()
+	standin.Until(t, "more calls to be served", func() bool { return c.served.Load() >= was+n })
+}
+
+// held says that no window saw more calls than the terms bound. A call comes to its box as long after its draw as the slowest
+// took at most, so that the windows of draws are that much longer.
+func held(t *testing.T, l *League, c *crowd, terms budget.Terms) {
+	t.Helper()
+	for _, w := range []time.Duration{time.Second, 10 * time.Second} {
+		most, at := l.Audit.Most("note", w)
+		if bound := terms.Bound(w + time.Duration(c.slowest.Load())); float64(most) > bound {
+			t.Errorf("%d calls began in %v from %v on, bound %.1f", most, w, at, bound)
+		}
+	}
+}
+
+// keeper is the gateway that keeps the quota.
+func keeper(t *testing.T, l *League) (k *Gateway) {
+	t.Helper()
+	standin.Until(t, "a keeper", func() bool {
+		for _, g := range l.Gateways {
+			if g.Log() == "" {
+				continue
+			}
+			if s, err := g.Show(t.Context()); err == nil && s.Status.Gateway.Quotas["notes"].Mine {
+				k = g
+				return true
+			}
+		}
+		return false
+	})
+	return k
+}
+
+func notes(rate, burst float64, cut budget.Cut, floor float64) (budget.Terms, string) {
+	t := budget.Terms{Name: "notes", Rate: rate, Burst: burst, Over: 0.05, Lease: 300 * time.Millisecond, Term: time.Second, WhenCut: cut}
+	text := fmt.Sprintf(" rate = %v\n burst = %v\n lease = \"300ms\"\n term = \"1s\"\n wait = \"50ms\"\n when_cut = %q\n classes = [\"note\"]\n", rate, burst, string(cut))
+	for p := range 3 {
+		t.Partners = append(t.Partners, budget.Partner{Name: Name(p), Floor: floor, Weight: 1, Gateways: 3})
+		text += fmt.Sprintf(" partner %q {\n floor = %v\n gateways = 3\n }\n", Name(p), floor)
+	}
+	return t, text
+}
+
+// Nine gateways of three partners draw from one budget while its keeper is killed, a keeper is stopped and awakes, and a partner
+// is cut off: no window sees more than the file's terms bound, and after each fault there is a keeper again.
+func TestOneBudgetWhateverFails(t *testing.T) {
+	terms, text := notes(60, 60, budget.Floor, 6)
+	l := start(t, Options{Quota: text, Custody: "serve", Silence: time.Second})
+	c := newCrowd(t, l, 3)
+	first := keeper(t, l)
+	c.more(t, 100)
+	first.Kill()
+	second := keeper(t, l)
+	if second == first {
+		t.Errorf("%s is the keeper though it was killed", first.Name)
+	}
+	c.more(t, 100)
+	if err := first.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	mend := l.Cut(l.Of(second.Partner), l.But(l.Of(second.Partner)...), true)
+	standin.Until(t, "another keeper on the other side", func() bool {
+		for _, g := range l.But(l.Of(second.Partner)...) {
+			if s, err := g.Show(t.Context()); err == nil && s.Status.Gateway.Quotas["notes"].Mine {
+				return true
+			}
+		}
+		return false
+	})
+	standin.Until(t, "the part that is cut off to draw of its floor", func() bool {
+		s, err := second.Show(t.Context())
+		return err == nil && s.Status.Gateway.Quotas["notes"].Own > 0
+	})
+	mend()
+	c.more(t, 100)
+	// Lowered to a tenth, with tokens out.
+	low, lowText := notes(6, 30, budget.Closed, 0)
+	for _, g := range l.Gateways {
+		err := g.Change(t.Context(), func(text string) string {
+			i := strings.Index(text, "quota \"notes\" {")
+			return text[:i] + "quota \"notes\" {\n" + lowText + "\n" + l.Keepers(3, g) + "}"
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	lowered := l.now()
+	c.more(t, 20)
+	c.stop()
+	held(t, l, c, terms)
+	if c.refused.Load() == 0 {
+		t.Error("nothing was refused: the budget was never met")
+	}
+	l.Audit.mu.Lock()
+	defer l.Audit.mu.Unlock()
+	n := 0
+	for _, r := range l.Audit.all {
+		if r.Class == "note" && r.At > lowered+time.Duration(c.slowest.Load())+terms.Lease {
+			n++
+		}
+	}
+	if bound := low.Bound(l.now() - lowered); float64(n) > bound {
+		t.Errorf("%d calls began in %v after the budget was lowered, bound %.1f", n, l.now()-lowered, bound)
+	}
+}
+
+// A call draws once in all, however many partners and gateways it comes through, and whoever takes it over.
+func TestACallDrawsOnce(t *testing.T) {
+	_, text := notes(1000, 1000, budget.Closed, 0)
+	l := start(t, Options{Quota: text, Custody: "refuse"})
+	keeper(t, l)
+	drawn := func() (n int64) {
+		for _, g := range l.Gateways {
+			s, err := g.Show(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			n += s.Status.Gateway.Quotas["notes"].Drawn
+		}
+		return n
+	}
+	served := func(at *Gateway, c Call) {
+		t.Helper()
+		standin.Until(t, "the call to be served", func() bool { // at first a token may be late
+			h := l.Ask(t.Context(), at, c)
+			if h.Status != 200 && h.Status != 503 {
+				t.Fatalf("%+v", h)
+			}
+			c.ID += "'"
+			return h.Status == 200
+		})
+	}
+	before := drawn()
+	const calls = 12
+	for i := range calls {
+		served(l.Gateway(i%3, i%2), Call{ID: fmt.Sprint("d", i), Class: "note", Path: Name((i+1)%3) + "/x"})
+	}
+	if n := drawn() - before; n != calls {
+		t.Errorf("%d calls drew %d times", calls, n)
+	}
+	// Taken over: the owner is killed before any attempt, and the heir draws nothing.
+	owner := l.Gateway(0, 0)
+	got, release := l.Audit.Hold("over")
+	defer release()
+	behind(func() Heard { return l.Ask(t.Context(), owner, Call{ID: "over", Class: "note", Path: "p0/x"}) })
+	standin.Receive(t, got, "the call at its box")
+	gone := int64(0)
+	s, err := owner.Show(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone = s.Status.Gateway.Quotas["notes"].Drawn
+	all := drawn()
+	owner.Kill()
+	h, _ := l.Insist(t.Context(), l.Gateway(0, 1), Call{ID: "over-again", Of: "over", Class: "note", Path: "p0/x"})
+	if !h.Settled || h.Status != 502 {
+		t.Errorf("%+v", h)
+	}
+	left := int64(0)
+	for _, g := range l.But(owner) {
+		s, err := g.Show(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		left += s.Status.Gateway.Quotas["notes"].Drawn
+	}
+	if left != all-gone {
+		t.Errorf("the heirs drew %d times", left-(all-gone))
+	}
+}
