A call that no engine has may be left; an offer's room goes by the gateways that live

Read, not seen: a call that the gateway answers itself (a partner's without a pass) had no owner, and a caller that left at that moment would have met nothing there (engine.Call.Leave); a test has it. Room was dealt out over the gateways that lived when the file was read: none at a start. It follows the group now.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -70,7 +70,7 @@
 		left(at)
 		return
 	}
-	if !owner.post(callerGone{c, at}) {
+	if owner == nil || !owner.post(callerGone{c, at}) { // answered by whoever stands before the engines, or by one that has ended
 		c.discard()
 	}
 }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -346,6 +346,18 @@
 	}
 }
 
+// A call that was answered before any engine had it may be left all the same.
+func TestACallThatNoEngineHasMayBeLeft(t *testing.T) {
+	c := NewCall("id", Request{})
+	c.Finish(Answer{Kind: Refused})
+	c.Leave(0)
+	select {
+	case a := <-c.Answer():
+		t.Errorf("%+v is still there for a caller that has gone", a)
+	default:
+	}
+}
+
 // taught is an engine that runs, and whose ten calls so far took 20 ms each by its clock.
 func taught(t *testing.T, s *script) *Engine {
 	e := newEngine(t, s, servers("s1", "s2"))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -369,7 +369,9 @@
 	for {
 		p := g.policy.Load()
 		want := map[string]string{}
-		for _, m := range g.o.Living() {
+		living := g.o.Living()
+		g.table.SetShare(1 + len(living))
+		for _, m := range living {
 			if m.Name > g.self.Name {
 				want[m.Addr.String()] = g.self.Partner
 			}
--- a/internal/offers/table.go
+++ b/internal/offers/table.go
@@ -137,6 +137,13 @@
 	t.choose(touched)
 }
 
+// SetShare says over how many gateways of this partner an offer's room is dealt out from now on.
+func (t *Table) SetShare(gateways int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.policy.Share = gateways
+}
+
 // equal says that two offers differ in nothing.
 func equal(a, b *Offer) bool {
 	r, o := &a.Rules, &b.Rules
--- a/internal/offers/table_test.go
+++ b/internal/offers/table_test.go
@@ -209,6 +209,10 @@
 	if _, ok := tb.Choose(ask); !ok {
 		t.Error("a place is free again")
 	}
+	tb.SetShare(4)
+	if _, ok := tb.Choose(ask); ok {
+		t.Error("with four gateways each has one place, and that is taken")
+	}
 }
 
 // world is some partners that tell one another, message by message.
