A refusal that is told again says that nothing ran only where that is so

Read, not seen: an answer kept in custody lost whether its refusal proved that no attempt had run, and was told again as if it did (internal/gateway/call.go, answerOf). To a partner's gateway that is X-Not-Run: 1, by which it may send elsewhere. The outcome now carries the proof, and the front gives the header only with it.

--- a/internal/custody/rules.go
+++ b/internal/custody/rules.go
@@ -112,12 +112,13 @@
 
 // Outcome is the one final answer.
 type Outcome struct {
-	Kind  Kind          `cbor:"1,keyasint"`
-	Body  []byte        `cbor:"2,keyasint,omitempty"`
-	Type  string        `cbor:"3,keyasint,omitempty"`
-	Long  bool          `cbor:"4,keyasint,omitempty"` // it was too long to be kept: only who heard it first has it
-	Retry time.Duration `cbor:"5,keyasint,omitempty"` // of Refused: when to come back
-	Why   string        `cbor:"6,keyasint,omitempty"` // of Refused by a rule: which one
+	Kind   Kind          `cbor:"1,keyasint"`
+	Body   []byte        `cbor:"2,keyasint,omitempty"`
+	Type   string        `cbor:"3,keyasint,omitempty"`
+	Long   bool          `cbor:"4,keyasint,omitempty"` // it was too long to be kept: only who heard it first has it
+	Retry  time.Duration `cbor:"5,keyasint,omitempty"` // of Refused: when to come back
+	Why    string        `cbor:"6,keyasint,omitempty"` // of Refused by a rule: which one
+	NotRun bool          `cbor:"7,keyasint,omitempty"` // of Refused: no attempt of it may have run
 
 	Live interface{ Discard() } `cbor:"-"` // the answer as it came, for whoever had it run
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -268,7 +268,7 @@
 		}
 		return engine.Answer{Kind: engine.Served, Reply: engine.Reply{Body: o.Body, ContentType: o.Type, Length: int64(len(o.Body))}}
 	case custody.Refused:
-		return engine.Answer{Kind: engine.Refused, RetryAfter: max(o.Retry, time.Millisecond), NotRun: true, Why: o.Why}
+		return engine.Answer{Kind: engine.Refused, RetryAfter: max(o.Retry, time.Millisecond), NotRun: o.NotRun, Why: o.Why}
 	}
 	return engine.Answer{Kind: engine.Failed}
 }
@@ -292,7 +292,7 @@
 			o.Body = a.Reply.Body
 		}
 	case engine.Refused:
-		o.Kind, o.Retry, o.Why = custody.Refused, a.RetryAfter, a.Why
+		o.Kind, o.Retry, o.Why, o.NotRun = custody.Refused, a.RetryAfter, a.Why, a.NotRun
 	default:
 		o.Kind = custody.Failed
 	}
@@ -346,7 +346,7 @@
 			if last.Kind != 0 {
 				return last
 			}
-			return custody.Outcome{Kind: custody.Refused, Why: why, Retry: comeBack}
+			return custody.Outcome{Kind: custody.Refused, NotRun: true, Why: why, Retry: comeBack}
 		}
 		var ruled bool
 		var unsure bool
@@ -478,7 +478,7 @@
 		}
 	}
 	if err := g.o.Calls.Hand(inner, pool); err != nil {
-		return custody.Outcome{Kind: custody.Refused, Retry: comeBack, Why: "no pool takes this call now"}, false, false
+		return custody.Outcome{Kind: custody.Refused, NotRun: true, Retry: comeBack, Why: "no pool takes this call now"}, false, false
 	}
 	select {
 	case a := <-inner.Answer():
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -265,7 +265,7 @@
 		return nil
 	}
 	status, words := intake.Words(a)
-	if a.Kind == engine.Refused && a.Why != "" { // to a partner's gateway, which must know that nothing ran
+	if a.Kind == engine.Refused && a.NotRun && a.Why != "" { // to a partner's gateway, which must know that nothing ran
 		h.Set("X-Not-Run", "1")
 		h.Set(RefusedBy, a.Why)
 	}
