Tests' closed ports lie where nobody is given one by chance

Seen: one of three runs of all tests failed in TestApplyLeavesRunningWhatThePlanSaid with "listener l2: 127.0.0.1:45473: address already in use"; alone the package passed three times of three. The lines at fault: standin.ClosedPort let the system choose a port of 127.0.0.1 and gave it back, and the league, with its hundreds of links beside, is given such ports all the time.

Change: another address of the loopback, and ports below those that the system gives out.

--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -124,13 +125,15 @@
 	}
 }
 
-// ClosedPort is an address where nobody listens.
+// ClosedPort is an address where nobody listens, and where nobody will by chance: another test that lets the system choose a
+// port, or connects, is given one of 127.0.0.1's, above 32767.
 func ClosedPort(t TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	address := fmt.Sprintf("127.%d.%d.%d:%d", 220+rand.IntN(30), rand.IntN(256), 1+rand.IntN(254), 10_000+rand.IntN(20_000))
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatalf("%v", err)
 	}
 	ln.Close()
-	return ln.Addr().String()
+	return address
 }
