A voter hears questions in the order of real time; draws have a seed

Looked into: the history that it had drawn. Voter 0 gave 1 its vote at 12.02 s, rightly, for its promise to 0 was over at 12.0199 s; the next question of 1's was asked at 11.395 s and reached the same voter at once, and the test put it after the one of 12.02 s, because it played questions in the order in which they were asked. The lines at fault: the loop over voters in the test.

Change: what happens is drawn first and played in the order of real time; terms, restarts and expiries meet more often. Taken out, a test fails: the promise outlasts its term; a voter that has just started promises nothing; a promise to another holds. Draws go by a seed (internal/standin/seeded), so that a commit's verdict is not chance's.

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -1,14 +1,18 @@
 package budget
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	_ "woodpick/internal/standin/seeded"
+
 	"woodpick/internal/pages"
 )
 
@@ -105,7 +109,8 @@
 }
 
 // Whatever clocks show and however late messages come, as long as clocks' rates differ by the drift at most, two terms never
-// overlap, and a voter that is started anew makes no two of them.
+// overlap, and a voter that is started anew makes no two of them. What happens is drawn first and then played in the order of
+// real time: a voter hears questions in the order in which they reach it, which is not the one in which they were asked.
 func TestThereAreNeverTwoKeepers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const term = time.Second
@@ -118,7 +123,7 @@
 		n := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "voters")
 		voters := make([]*voter, n)
 		for i := range voters {
-			voters[i] = &voter{rate: 1 + (rapid.Float64Range(-0.5, 0.5).Draw(t, "rate"))*Drift, off: time.Duration(rapid.IntRange(-100, 100).Draw(t, "off")) * time.Second}
+			voters[i] = &voter{rate: 1 + rapid.SampledFrom([]float64{-0.5, 0, 0.2, 0.5}).Draw(t, "rate")*Drift, off: time.Duration(rapid.IntRange(-100, 100).Draw(t, "off")) * time.Second}
 			voters[i].began = voters[i].off
 		}
 		clock := func(v *voter, now time.Duration) time.Duration { return v.off + time.Duration(v.rate*float64(now)) }
@@ -127,38 +132,62 @@
 			from, till time.Duration // real
 		}
 		var reigns []reign
+		type event struct {
+			at time.Duration // real
+			do func(now time.Duration)
+		}
+		var events []event
+		on := func(at time.Duration, do func(now time.Duration)) { events = append(events, event{at, do}) }
+		// A length of time, one in three of them about as long as a term.
+		length := func(most int, label string) time.Duration {
+			if rapid.IntRange(0, 2).Draw(t, "about a term") == 0 {
+				return time.Duration(rapid.IntRange(960, 1040).Draw(t, label)) * time.Millisecond
+			}
+			return time.Duration(rapid.IntRange(0, most).Draw(t, label)) * time.Millisecond
+		}
 		now := 10 * time.Second
-		for range rapid.IntRange(1, 60).Draw(t, "asks") {
-			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "later")) * time.Millisecond
-			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+		high := 1
+		for range rapid.IntRange(5, 60).Draw(t, "asks") {
+			now += length(600, "later")
+			if rapid.IntRange(0, 3).Draw(t, "restart") == 0 {
 				v := voters[rapid.IntRange(0, n-1).Draw(t, "who")]
-				v.vote, v.began = Vote{}, clock(v, now)
+				on(now-length(300, "before"), func(now time.Duration) { v.vote, v.began = Vote{}, clock(v, now) })
 			}
 			who := rapid.IntRange(0, n-1).Draw(t, "candidate")
 			me := voters[who]
-			asked := clock(me, now)
-			number := uint64(rapid.IntRange(1, 40).Draw(t, "number"))
-			yes, last := 0, now
+			// By its own clock, and the real time at which the term is over by it.
+			till := time.Duration(float64(clock(me, now)+Shorter(term)-me.off) / me.rate)
+			high = max(1, high+rapid.IntRange(-1, 2).Draw(t, "number"))
+			number := uint64(high)
+			yes := 0
 			for _, v := range voters {
-				at := now + time.Duration(rapid.IntRange(0, 1200).Draw(t, "there"))*time.Millisecond
+				there := time.Duration(rapid.IntRange(0, 60).Draw(t, "there")) * time.Millisecond
+				if rapid.IntRange(0, 9).Draw(t, "late") == 0 {
+					there = length(1200, "there")
+				}
+				back := time.Duration(rapid.IntRange(0, 60).Draw(t, "back")) * time.Millisecond
 				if rapid.IntRange(0, 5).Draw(t, "lost") == 0 {
 					continue
 				}
-				next, ok := MayVote(v.vote, v.began, clock(v, at), term, number, fmt.Sprint(who))
-				v.vote = next
-				if back := at + time.Duration(rapid.IntRange(0, 300).Draw(t, "back"))*time.Millisecond; ok {
-					yes++
-					last = max(last, back)
-				}
-			}
-			if yes > n/2 {
-				till := asked + Shorter(term) // by its own clock
-				real := time.Duration(float64(till-me.off) / me.rate)
-				if real > last {
-					reigns = append(reigns, reign{who, last, real})
-				}
+				on(now+there, func(at time.Duration) {
+					next, ok := MayVote(v.vote, v.began, clock(v, at), term, number, fmt.Sprint(who))
+					v.vote = next
+					if ok {
+						on(at+back, func(at time.Duration) {
+							if yes++; yes == n/2+1 && at < till {
+								reigns = append(reigns, reign{who, at, till})
+							}
+						})
+					}
+				})
 			}
 		}
+		for len(events) > 0 {
+			slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+			e := events[0]
+			events = events[1:]
+			e.do(e.at)
+		}
 		for i, a := range reigns {
 			for _, b := range reigns[:i] {
 				if a.who != b.who && a.from < b.till && b.from < a.till {
@@ -169,6 +198,16 @@
 	})
 }
 
+// A promise by the fastest clock outlasts the term that it was given for by the slowest one.
+func TestAPromiseOutlastsItsTerm(t *testing.T) {
+	const fast, slow = 1 + Drift/2, 1 - Drift/2
+	began := time.Duration(0)
+	v, ok := MayVote(Vote{}, began, 10*time.Second, time.Second, 1, "a")
+	if promised, term := float64(v.Until-10*time.Second)/fast, float64(Shorter(time.Second))/slow; !ok || promised < term {
+		t.Errorf("promised for %v, the term may last %v", time.Duration(promised), time.Duration(term))
+	}
+}
+
 // A floor that is lent is drawn by nobody else, however late the waiver comes to the keeper, or whether it does.
 func TestALentFloorIsDrawnOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -11,6 +11,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "woodpick/internal/standin/seeded"
+
 	"woodpick"
 	"woodpick/internal/route"
 )
--- a/internal/custody/model_test.go
+++ b/internal/custody/model_test.go
@@ -7,6 +7,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "woodpick/internal/standin/seeded"
+
 	"woodpick"
 )
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -17,6 +17,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "woodpick/internal/standin/seeded"
+
 	"woodpick/internal/admin"
 	"woodpick/internal/config"
 	"woodpick/internal/config/configtest"
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "woodpick/internal/standin/seeded"
 )
 
 // Given an operator's calls and the node's end in this order, the node says and does this.
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "woodpick/internal/standin/seeded"
 )
 
 const ms = time.Millisecond
--- a/internal/plan/machine_test.go
+++ b/internal/plan/machine_test.go
@@ -8,6 +8,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "woodpick/internal/standin/seeded"
+
 	"woodpick/internal/config"
 )
 
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -12,6 +12,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "woodpick/internal/standin/seeded"
+
 	"woodpick/internal/config"
 	"woodpick/internal/config/configtest"
 	"woodpick/internal/route"
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "woodpick/internal/standin/seeded"
 )
 
 var testNames = Names{Listeners: []string{"main", "side"}, Classes: []string{"view", "note"}, Pools: []string{"a", "b", "c"}}
