A stopped gateway's calls: doubted by time left, and asked for at another of a partner's

At a partner, the gateway that has the attempt is minded: once others of its group have lost it, the attempt ends as broken, so that the module decides anew and what became of an unsafe call is asked of another.

--- a/cmd/fleetlab/league.go
+++ b/cmd/fleetlab/league.go
@@ -92,6 +92,7 @@
 	fl.DurationVar(&o.Service, "service", 100*time.Millisecond, "that a box takes for a call")
 	fl.DurationVar(&o.Silence, "silence", time.Second, "that ends a link")
 	fl.DurationVar(&d.Patience, "patience", 3*time.Second, "of callers")
+	fl.DurationVar(&d.Doubt, "doubt", 750*time.Millisecond, "of callers, after which they ask another gateway")
 	fl.DurationVar(&d.Length, "length", 20*time.Second, "")
 	fl.Float64Var(&d.Rate, "rate", 5, "calls a second that come to each gateway")
 	fl.Float64Var(&d.Away, "away", 0.3, "share of calls for another partner")
--- a/internal/custody/bench_test.go
+++ b/internal/custody/bench_test.go
@@ -45,7 +45,8 @@
 			return out
 		}
 		var topics map[string]peering.Handler
-		o := Options{Self: Gateway{Name: name, Life: self.Life}, Group: holders, Run: run, Holders: 3, Memory: 1 << 30, Keep: time.Second,
+		o := Options{Self: Gateway{Name: name, Life: self.Life}, Group: holders, Run: run, Step: func(*Record, []Intent, time.Duration) Step { return GiveUp },
+			Beat: 250 * time.Millisecond, Silence: time.Minute, Holders: 3, Memory: 1 << 30, Keep: time.Second,
 			Forgets: func() time.Duration { return time.Second }, Fresh: time.Minute, Now: func() time.Duration { return time.Since(begin) }, Log: log}
 		links := &linksOf{}
 		o.Links = links
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -28,11 +28,14 @@
 	Links   Links
 	Group   func() []Gateway // all that live, this one among them, with the lives that links tell of
 	Run     Run
-	Holders int                  // voters of a call in a group that has as many
-	Memory  int                  // bytes held for others, about
-	Keep    time.Duration        // that an answer is kept after it was settled
-	Forgets func() time.Duration // that repeats of a key may come after its first call
-	Fresh   time.Duration        // an intent that is older when its first byte is to be written is asked for anew
+	Step    func(r *Record, intents []Intent, left time.Duration) Step // what an heir would do with a call; must not block
+	Beat    time.Duration                                              // between two heartbeats of a link, and
+	Silence time.Duration                                              // how long one stands without an answer
+	Holders int                                                        // voters of a call in a group that has as many
+	Memory  int                                                        // bytes held for others, about
+	Keep    time.Duration                                              // that an answer is kept after it was settled
+	Forgets func() time.Duration                                       // that repeats of a key may come after its first call
+	Fresh   time.Duration                                              // an intent that is older when its first byte is to be written is asked for anew
 	Now     func() time.Duration
 	Log     *slog.Logger
 }
@@ -46,7 +49,7 @@
 	pollLimit  = 2 * time.Second        // that voters are waited for, where the call's time is not over before
 	lookEvery  = 20 * time.Millisecond  // for orphans, while calls are undecided
 	restEvery  = 200 * time.Millisecond // and while none is
-	claimAgain = 250 * time.Millisecond // after a claim that failed
+	claimAgain = 250 * time.Millisecond // after a claim that failed, at most
 	findWait   = 400 * time.Millisecond // that a voter holds a question for an answer
 )
 
@@ -279,16 +282,24 @@
 	})
 }
 
-// heard says that whoever has a call in hand by a ballot is heard here.
-func (c *Custodian) heard(k Key, b Ballot) bool {
+// heard says that whoever has a call in hand is heard here, lately enough for the time that the call has left.
+func (c *Custodian) heard(e *Entry, left time.Duration) bool {
+	b := e.Promised
 	if b.By == c.o.Self.Name {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		w := c.works[k]
+		w := c.works[e.Record.Key]
 		return b.Life == c.o.Self.Life && w != nil && w.by == b && !w.isOver()
 	}
 	l := c.o.Links.To(b.By)
-	return l != nil && l.Peer.Life == b.Life
+	if l == nil || l.Peer.Life != b.Life {
+		return false
+	}
+	quiet := l.Heard()
+	if quiet < 2*c.o.Beat {
+		return true // whatever the call, it is soon enough
+	}
+	return quiet < Doubt(c.o.Beat, l.RTT(), c.o.Silence, left, Servable(c.o.Step(&e.Record, e.Intents, left)))
 }
 
 // Look has it look for calls that nobody has in hand, now rather than soon: a link has ended.
@@ -413,7 +424,7 @@
 		}
 	}
 	if len(yes) < Majority(len(r.Voters)) {
-		clock.Sleep(ctx, claimAgain)
+		clock.Sleep(ctx, ClaimAgain(r.Left))
 		return
 	}
 	c.count(func(n *Counts) { n.Claimed++ })
--- a/internal/custody/page_test.go
+++ b/internal/custody/page_test.go
@@ -126,25 +126,44 @@
 	}
 }
 
+var effects = map[string]woodpick.Effect{"safe": woodpick.Safe, "keyed": woodpick.Keyed, "unsafe": woodpick.Unsafe}
+
+// stepOf is what an heir does by a row's effect, intents and time left.
+func stepOf(t *testing.T, r pages.Row) (Step, time.Duration) {
+	t.Helper()
+	effect, ok := effects[r.At("effect")]
+	left, err := time.ParseDuration(r.At("time left"))
+	if !ok || err != nil {
+		t.Fatalf("%s:%d: effect or time: %v", page, r.Line, err)
+	}
+	var intents []Intent
+	for i, part := range strings.Split(r.At("intents"), ", ") {
+		pool, notRun := strings.CutSuffix(part, " not run")
+		if pool == "boxes" || pool == "partner" {
+			intents = append(intents, Intent{N: i, Pool: pool, NotRun: notRun})
+		} else if part != "none" {
+			t.Errorf("%s:%d: nobody plays the intent %q", page, r.Line, part)
+		}
+	}
+	return Next(effect, intents, left, func(pool string) bool { return pool == "partner" }), left
+}
+
 func TestWhatAnHeirDoes(t *testing.T) {
-	effects := map[string]woodpick.Effect{"safe": woodpick.Safe, "keyed": woodpick.Keyed, "unsafe": woodpick.Unsafe}
 	for _, r := range pages.Rows(t, page, "What an heir does") {
-		effect, ok := effects[r.At("effect")]
-		left, err := time.ParseDuration(r.At("time left"))
-		if !ok || err != nil {
-			t.Errorf("%s:%d: effect or time: %v", page, r.Line, err)
-			continue
+		if got, _ := stepOf(t, r); got.String() != r.At("outcome") {
+			t.Errorf("%s:%d: %v", page, r.Line, got)
 		}
-		var intents []Intent
-		for i, part := range strings.Split(r.At("intents"), ", ") {
-			pool, notRun := strings.CutSuffix(part, " not run")
-			if pool == "boxes" || pool == "partner" {
-				intents = append(intents, Intent{N: i, Pool: pool, NotRun: notRun})
-			} else if part != "none" {
-				t.Errorf("%s:%d: nobody plays the intent %q", page, r.Line, part)
-			}
+	}
+}
+
+func TestWhenASilentHolderIsDoubted(t *testing.T) {
+	for _, r := range pages.Rows(t, page, "When a silent holder is doubted") {
+		step, left := stepOf(t, r)
+		way, err := time.ParseDuration(r.At("way"))
+		if err != nil {
+			t.Fatalf("%s:%d: %v", page, r.Line, err)
 		}
-		if got := Next(effect, intents, left, func(pool string) bool { return pool == "partner" }); got.String() != r.At("outcome") {
+		if got := Doubt(250*time.Millisecond, way, time.Second, left, Servable(step)); got.String() != r.At("outcome") {
 			t.Errorf("%s:%d: %v", page, r.Line, got)
 		}
 	}
--- a/internal/custody/rules.go
+++ b/internal/custody/rules.go
@@ -331,6 +331,21 @@
 	return out
 }
 
+// Doubt is how long whoever has a call in hand may be silent, by the heartbeat that it answered last, until a voter takes it
+// for lost although its link stands. A link ends after silence; a call whose time is over soon, and that an heir could still
+// have served, is not made to wait for that, but for two heartbeats and the way there and back at least: a third of its time
+// goes to the doubt, the rest is for the claim and the attempt. A doubt that was wrong costs the owner the call, and a call
+// that is safe an attempt, so what an heir could only fail waits for the link.
+func Doubt(beat, rtt, silence, left time.Duration, servable bool) time.Duration {
+	if !servable {
+		return silence
+	}
+	return min(silence, max(2*beat+4*rtt, left/3))
+}
+
+// Servable says that an heir could still have a call served.
+func Servable(s Step) bool { return s == Send || s == Again }
+
 // Patience is how long a voter waits, from when it lost whoever has a call in hand, until it claims the call: those first
 // that come first among the voters, so that they do not claim against one another.
 func Patience(voters []Gateway, lost, self string) time.Duration {
@@ -346,6 +361,12 @@
 	return claimAfter + time.Duration(rank)*claimStep
 }
 
+// ClaimAgain is how long a voter waits after a claim that others refused, who heard what it did not: heartbeats come to each
+// of them at another time, and a call whose time is short has none to lose.
+func ClaimAgain(left time.Duration) time.Duration {
+	return min(claimAgain, max(claimAfter, left/8))
+}
+
 // Times of a claim. A link that broke may come back at once.
 const (
 	claimAfter = 60 * time.Millisecond
--- a/internal/custody/store.go
+++ b/internal/custody/store.go
@@ -209,7 +209,7 @@
 }
 
 // claim promises a ballot, and tells what was taken before. A voter that never had the call takes its record with the claim.
-func (s *store) claim(r Record, b Ballot, heard func(Key, Ballot) bool) (Verdict, *Entry) {
+func (s *store) claim(r Record, b Ballot, heard func(e *Entry, left time.Duration) bool) (Verdict, *Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.held[r.Key]
@@ -217,7 +217,7 @@
 		s.drop(h)
 		h = nil
 	}
-	v := MayClaim(h.entry(), b, h != nil && !h.handed && heard(h.Record.Key, h.Promised))
+	v := MayClaim(h.entry(), b, h != nil && !h.handed && heard(&h.Entry, h.until-s.now()))
 	if v != Yes {
 		return v, h.copy(s.now())
 	}
@@ -255,7 +255,7 @@
 
 // orphans are the undecided calls that this gateway should claim now, each once until release: nobody is heard who has it
 // in hand, and has not been for as long as Patience says.
-func (s *store) orphans(self string, heard func(Key, Ballot) bool) (out []Key, open bool) {
+func (s *store) orphans(self string, heard func(e *Entry, left time.Duration) bool) (out []Key, open bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -268,7 +268,7 @@
 			continue
 		}
 		open = true
-		if !h.handed && heard(h.Record.Key, h.Promised) {
+		if !h.handed && heard(&h.Entry, h.until-now) {
 			h.lost = 0
 			continue
 		}
--- a/internal/custody/store_test.go
+++ b/internal/custody/store_test.go
@@ -45,12 +45,12 @@
 		t.Errorf("held: a %v, b %v, c %v, d %v; the oldest answer goes first, the undecided stay", held("a"), held("b"), held("c"), held("d"))
 	}
 	now += 30 * time.Second
-	s.orphans("X", func(Key, Ballot) bool { return true })
+	s.orphans("X", func(*Entry, time.Duration) bool { return true })
 	if held("a") || !held("c") {
 		t.Error("an answer is kept for longer than is said, or an undecided call was let go")
 	}
 	now += 2 * time.Minute
-	s.orphans("X", func(Key, Ballot) bool { return true })
+	s.orphans("X", func(*Entry, time.Duration) bool { return true })
 	if c := s.status(); c.Held != 0 || c.Bytes != 0 {
 		t.Errorf("long after all deadlines: %+v", c)
 	}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"slices"
 	"sync"
@@ -145,13 +146,16 @@
 	// the time between the two runs from Uploaded on
 
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 }
 
+// errLost is why an attempt was called off whose server is gone.
+var errLost = errors.New("engine: the server is gone")
+
 // NewAttempt returns the n-th attempt of a call.
 func NewAttempt(c *Call, n int, to discovery.Host, sent, deadline time.Duration) *Attempt {
 	a := &Attempt{Call: c, N: n, To: to, Sent: sent, Deadline: deadline}
-	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	return a
 }
 
@@ -171,7 +175,15 @@
 func (a *Attempt) Allowed() bool { return a.Call.Allow == nil || a.Call.Allow(a) }
 
 // Cancel calls the attempt off. Its Outcome still comes.
-func (a *Attempt) Cancel() { a.cancel() }
+func (a *Attempt) Cancel() { a.cancel(nil) }
+
+// Lost ends the attempt as if its connection had broken: others know that its server is gone, whatever the connection shows.
+func (a *Attempt) Lost() { a.cancel(errLost) }
+
+// Withdrawn says that the attempt was called off because nobody waits for it any more.
+func (a *Attempt) Withdrawn() bool {
+	return errors.Is(a.ctx.Err(), context.Canceled) && !errors.Is(context.Cause(a.ctx), errLost)
+}
 
 // Outcome is how an attempt ended. Its Ending is the proof of whether it may have run: after Overloaded,
 // Unreachable and Void it has not, whatever else happens.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -308,6 +308,21 @@
 	return g.run(ctx, r, engine.Request{Method: r.Method, Target: r.Target, Key: r.Repeats, ContentType: r.Type, Body: r.Body, Length: int64(len(r.Body))}, class, earlier, w)
 }
 
+// toPartner says that a pool is a partner's gateways.
+func toPartner(pool string) bool {
+	_, partners := config.PartnerOf(pool)
+	return partners
+}
+
+// step is what an heir would do with a call, by the classes of now.
+func (g *Gateway) step(r *custody.Record, intents []custody.Intent, left time.Duration) custody.Step {
+	class, known := g.policy.Load().classes[r.Key.Class]
+	if !known {
+		return custody.GiveUp
+	}
+	return custody.Next(class.ForModule().Effect, intents, left, toPartner)
+}
+
 // run has a call carried out: by the engine of this partner's pool that routes name, or by a partner whose offer it goes by.
 // w allows its attempts, where it is in custody; earlier are those that others made. A kind of 0: ctx has ended.
 func (g *Gateway) run(ctx context.Context, r *custody.Record, req engine.Request, class config.Class, earlier []custody.Intent, w *custody.Work) custody.Outcome {
@@ -317,10 +332,7 @@
 	} else if at, ok := ctx.Deadline(); ok {
 		left = time.Until(at)
 	}
-	step := custody.Next(class.ForModule().Effect, earlier, left, func(pool string) bool {
-		_, partners := config.PartnerOf(pool)
-		return partners
-	})
+	step := custody.Next(class.ForModule().Effect, earlier, left, toPartner)
 	if step == custody.GiveUp {
 		return custody.Outcome{Kind: custody.Failed}
 	}
@@ -414,6 +426,28 @@
 	return way, pool, ""
 }
 
+// mind ends an attempt at a partner's gateway once the others of that gateway's group have lost it: a connection to one that
+// is stopped or cut off stands for as long as nobody writes, and another of the group knows what became of the call.
+func (g *Gateway) mind(partner string, a *engine.Attempt, over <-chan struct{}) {
+	tick := time.NewTicker(connectEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-over:
+			return
+		case <-a.Context().Done():
+			return
+		case <-g.ctx.Done():
+			return
+		}
+		if !g.offers.Lives(partner, a.To.Server) {
+			a.Lost()
+			return
+		}
+	}
+}
+
 // attempt gives a call to the engine of a pool and waits for its answer. ruled: a partner's rule refused it, and nothing ran.
 // unsure: it may run at a partner, which has not said what became of it.
 func (g *Gateway) attempt(ctx context.Context, r *custody.Record, req engine.Request, pool string, way offers.Chosen, left time.Duration, earlier []custody.Intent, w *custody.Work, ask bool) (out custody.Outcome, ruled, unsure bool) {
@@ -449,14 +483,22 @@
 	var mu sync.Mutex
 	rule, open := "", false
 	first := len(earlier)
-	if w != nil {
-		inner.Allow = func(a *engine.Attempt) bool {
-			n := a.N
-			if len(inner.Earlier) != first {
-				n += first // numbers go on over pools
-			}
-			return w.Intend(a.Context(), custody.Intent{N: n, Pool: pool, Server: a.To.Server, Zone: a.Zone, Cell: a.Cell})
+	number := func(a *engine.Attempt) int {
+		if len(inner.Earlier) != first {
+			return a.N + first // numbers go on over pools
+		}
+		return a.N
+	}
+	over := make(chan struct{})
+	defer close(over)
+	inner.Allow = func(a *engine.Attempt) bool {
+		if w != nil && !w.Intend(a.Context(), custody.Intent{N: number(a), Pool: pool, Server: a.To.Server, Zone: a.Zone, Cell: a.Cell}) {
+			return false
+		}
+		if to != "" {
+			g.tasks.Go(func() { g.mind(to, a, over) })
 		}
+		return true
 	}
 	inner.Ended = func(a *engine.Attempt, o *engine.Outcome) {
 		if o.Ending == woodpick.Broken || o.Ending == woodpick.TimedOut || o.Ending == woodpick.Withdrawn {
@@ -470,11 +512,7 @@
 			mu.Unlock()
 		}
 		if w != nil && o.Ending.NeverRan() {
-			n := a.N
-			if len(inner.Earlier) != first {
-				n += first
-			}
-			w.Ended(n)
+			w.Ended(number(a))
 		}
 	}
 	if err := g.o.Calls.Hand(inner, pool); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,14 +107,14 @@
 	g.table = offers.NewTable(g.offerPolicy(o.Config), time.Now)
 	g.offers = offers.NewExchange(offers.Options{Table: g.table, Group: g.group, Heard: g.listen})
 	g.custody = custody.New(custody.Options{Self: custody.Gateway{Name: g.self.Name, Zone: o.Config.Node.Zone, Life: g.life}, Links: links{g}, Group: g.holders,
-		Run: g.resume, Holders: f.Holders, Memory: int(f.Memory), Keep: time.Duration(f.Keep), Fresh: time.Duration(f.Silence) / 2, Forgets: func() time.Duration { return g.policy.Load().longest }, Now: o.Clock.Now, Log: o.Log})
+		Run: g.resume, Step: g.step, Beat: beat(f), Silence: time.Duration(f.Silence), Holders: f.Holders, Memory: int(f.Memory), Keep: time.Duration(f.Keep), Fresh: time.Duration(f.Silence) / 2, Forgets: func() time.Duration { return g.policy.Load().longest }, Now: o.Clock.Now, Log: o.Log})
 	topics := maps.Clone(g.custody.Topics())
 	maps.Copy(topics, g.offers.Topics())
 	maps.Copy(topics, quota.Topics(g.purse))
 	var err error
 	silence := time.Duration(f.Silence)
 	g.hub, err = peering.Open(peering.Options{Self: peering.Peer{Partner: g.self.Partner, Name: g.self.Name, Zone: o.Config.Node.Zone, Life: g.life, Calls: callsAt(o.Config)},
-		Listen: o.Config.Node.Peers.Listen, Key: g.key, Topics: topics, Up: g.up, Changed: g.changed, Beat: silence / 4, Silence: silence, Log: o.Log})
+		Listen: o.Config.Node.Peers.Listen, Key: g.key, Topics: topics, Up: g.up, Changed: g.changed, Beat: beat(f), Silence: silence, Log: o.Log})
 	if err != nil {
 		g.end()
 		g.offers.Close()
@@ -126,6 +126,9 @@
 	return g, nil
 }
 
+// beat is the time between two heartbeats of a link.
+func beat(f *config.Federation) time.Duration { return time.Duration(f.Silence) / 4 }
+
 // Close ends all links and tasks, and returns once they have ended.
 func (g *Gateway) Close() {
 	g.end()
--- a/internal/http1/back.go
+++ b/internal/http1/back.go
@@ -163,7 +163,7 @@
 		switch {
 		case errors.Is(err, errNoRoom):
 			return engine.Outcome{Ending: woodpick.Void}
-		case err != nil && errors.Is(a.Context().Err(), context.Canceled):
+		case err != nil && a.Withdrawn():
 			return engine.Outcome{Ending: woodpick.Withdrawn}
 		case err != nil:
 			return engine.Outcome{Ending: woodpick.Unreachable}
@@ -204,7 +204,7 @@
 	switch {
 	case got.err == nil:
 		return got.Outcome
-	case errors.Is(a.Context().Err(), context.Canceled):
+	case a.Withdrawn():
 		return engine.Outcome{Ending: woodpick.Withdrawn}
 	case sent < len(text):
 		// The server never got the last byte, so it has not begun: sending again is harmless.
--- a/internal/http1/send.go
+++ b/internal/http1/send.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -113,7 +112,7 @@
 		if out.Ending == woodpick.Success {
 			out = engine.Outcome{Ending: woodpick.Failure}
 		}
-	case errors.Is(a.Context().Err(), context.Canceled):
+	case a.Withdrawn():
 		out.Ending = woodpick.Withdrawn
 	case cut:
 		out.Ending = woodpick.Void
--- a/internal/offers/offers.go
+++ b/internal/offers/offers.go
@@ -334,6 +334,24 @@
 	}
 }
 
+// Lives says whether one of a partner's gateways lives, as far as the others of them that are linked here tell. Where none
+// tells any more it is not known, and counts as yes.
+func (x *Exchange) Lives(partner, name string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	others := false
+	for _, r := range x.links {
+		if r.source.Partner != partner || r.source.Gateway == name || r.group == nil {
+			continue
+		}
+		if slices.ContainsFunc(r.group, func(w Gateway) bool { return w.Name == name }) {
+			return true
+		}
+		others = true
+	}
+	return !others
+}
+
 // Gateways are a partner's that live, as those of them tell to whom there are links.
 func (x *Exchange) Gateways(partner string) []Gateway {
 	x.mu.Lock()
--- a/internal/rig/league/caller.go
+++ b/internal/rig/league/caller.go
@@ -20,8 +20,9 @@
 	Tenant  string
 	Size    int // of its body, in bytes; 0: a few words
 	Wait    time.Duration
-	Back    string // the id that it was refused by
-	NoRetry bool   // it does not say what it had asked for
+	Back    string        // the id that it was refused by
+	NoRetry bool          // it does not say what it had asked for
+	Doubt   time.Duration // after which, without an answer, it leaves and asks another gateway; 0: it waits
 }
 
 // Ask asks a gateway once, on a connection of its own.
@@ -43,7 +44,11 @@
 	h := Heard{Call: first, ID: c.ID, Gateway: g.Name}
 	begin := time.Now()
 	defer func() { l.Audit.hears(h) }()
-	ctx, cancel := context.WithTimeout(ctx, c.Wait+time.Second)
+	patience := c.Wait + time.Second
+	if c.Doubt > 0 {
+		patience = min(patience, c.Doubt)
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	method, body := http.MethodPost, "the work of "+c.ID+strings.Repeat(".", c.Size)
 	if c.Class == "view" {
--- a/internal/rig/league/day.go
+++ b/internal/rig/league/day.go
@@ -23,6 +23,7 @@
 	Rate     float64 // calls a second that come to each gateway
 	Away     float64 // share of calls for another partner
 	Patience time.Duration
+	Doubt    time.Duration // after which a caller without an answer asks another gateway
 	Seed     uint64
 	Bound    func(window time.Duration) float64 // of notes; nil: there is no quota
 }
@@ -85,7 +86,7 @@
 	}
 	one := func(rng *rand.Rand, g *Gateway, id string) {
 		defer all.Done()
-		c := Call{ID: id, Wait: d.Patience}
+		c := Call{ID: id, Wait: d.Patience, Doubt: d.Doubt}
 		switch x := rng.Float64(); {
 		case x < 0.4:
 			c.Class = "view"
--- a/internal/rig/league/league_test.go
+++ b/internal/rig/league/league_test.go
@@ -330,15 +330,7 @@
 		got, release := l.Audit.Hold(call.ID)
 		waits := behind(func() Heard { return l.Ask(t.Context(), l.Gateway(0, 0), call) })
 		standin.Receive(t, got, "the call at its box")
-		var has *Gateway
-		for _, g := range l.Of(1) {
-			if g.Custody(t.Context()).InHand > 0 {
-				has = g
-			}
-		}
-		if has == nil {
-			t.Fatal("no gateway of the partner has the call in hand")
-		}
+		has := l.owner(t, 1)
 		has.Kill()
 		if c.class == "view" {
 			standin.Receive(t, got, "the call at another box")
--- /dev/null
+++ b/internal/rig/league/silent_test.go
@@ -0,0 +1,96 @@
+package league
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"woodpick/internal/standin"
+)
+
+// owner is the gateway of a partner that has a call in hand.
+func (l *League) owner(t *testing.T, partner int) (has *Gateway) {
+	t.Helper()
+	for _, g := range l.Of(partner) {
+		if g.Custody(t.Context()).InHand > 0 {
+			has = g
+		}
+	}
+	if has == nil {
+		t.Fatal("no gateway of the partner has the call in hand")
+	}
+	return has
+}
+
+// A partner's gateway is stopped while it has a call of ours in hand: its connection stands and says nothing. Others of its
+// group have lost it, and tell what became of the call; nobody waits for the deadline. Awake, it begins nothing.
+func TestAPartnersGatewayIsStoppedUnderACall(t *testing.T) {
+	l := start(t, Options{Custody: "refuse", Silence: time.Second, Deadline: 10 * standin.Limit})
+	for _, c := range []struct {
+		class        string
+		status, runs int
+	}{{"log", 200, 1}, {"view", 200, 2}, {"note", 502, 1}} {
+		call := Call{ID: "stopped-" + c.class, Class: c.class, Path: "p1/x"}
+		of := call.ID
+		if c.class == "log" {
+			call.Key, of = "key-"+call.ID, "key-"+call.ID
+		}
+		got, release := l.Audit.Hold(call.ID)
+		waits := behind(func() Heard { return l.Ask(t.Context(), l.Gateway(0, 0), call) })
+		standin.Receive(t, got, "the call at its box")
+		has := l.owner(t, 1)
+		if err := has.Signal(syscall.SIGSTOP); err != nil {
+			t.Fatal(err)
+		}
+		if c.class == "view" {
+			standin.Receive(t, got, "the call at another box")
+		}
+		release()
+		h := standin.Receive(t, waits, "the answer, long before the deadline")
+		if h.Status != c.status || !h.Settled || h.Status == 200 && !strings.HasPrefix(h.Body, "p1-b") {
+			t.Errorf("%s: %+v, want %d", c.class, h, c.status)
+		}
+		if err := has.Signal(syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+		settle(t, l)
+		if ran, _ := done(l.Audit.Runs(of)); ran != c.runs {
+			t.Errorf("%s: it ran %d times, want %d", c.class, ran, c.runs)
+		}
+	}
+}
+
+// A call whose time is short does not wait until the link to the gateway that has it in hand has ended: its voters doubt that
+// one sooner, and another serves the call while the link still stands.
+func TestASilentHolderIsDoubtedBeforeItsLinkEnds(t *testing.T) {
+	const silence = 6 * time.Second
+	l := start(t, Options{Custody: "refuse", Silence: silence, Period: 10 * time.Second})
+	owner, heir := l.Gateway(0, 0), l.Gateway(0, 1)
+	n := 0
+	standin.Until(t, "a call to be served by an heir whose link to the stopped owner stands", func() bool {
+		n++
+		owner.Kill()
+		owner.With("DAMSONTRESTLE_FAULT=custody.intended:1:stop")
+		if err := owner.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		settle(t, l)
+		life := owner.Look(t.Context()).Life
+		call := Call{ID: "short" + strings.Repeat("'", n), Class: "view", Path: "p0/x", Wait: 10 * time.Second}
+		waits := behind(func() Heard { return l.Ask(t.Context(), owner, call) })
+		again := call
+		again.ID, again.Of = call.ID+"-again", call.ID
+		var h Heard
+		for begin := time.Now(); !h.Settled && time.Since(begin) < standin.Limit; { // at first nobody may hold it
+			again.ID += "'"
+			h, _ = l.Insist(t.Context(), heir, again)
+		}
+		_, links := heir.Links(t.Context())
+		if err := owner.Signal(syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+		standin.Receive(t, waits, "the answer at the gateway that was stopped")
+		return h.Status == 200 && links["p0/"+owner.Name] == life
+	})
+}
