A fleet short of processor time keeps its links: half the heartbeats, longer pauses, less told

Seen: 204 gateways of twelve partners did not come to know one another within 260 s on six cores; one of them had 3 links, 423 that had come up, 312 ended as silent, 729 turned away at hello. Looked into: processor profiles of 30 processes in that state and of settled ones (40 ms of a second each against 10). Ruled out: descriptors (8,014 of 20,000 in the rig), memory, the relays (0.7 of six cores).

Change: Redial, a rule with a table on the page; two frames a beat and link instead of four; a handshake waits its turn; orders, lists of gateways and tables are made when they change; of the group's changes one each half second is told; the time that a process had no processor counts as its own silence.

--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -295,7 +295,7 @@
 	if l == nil || l.Peer.Life != b.Life {
 		return false
 	}
-	quiet := l.Heard()
+	quiet := l.Quiet()
 	if quiet < 2*c.o.Beat {
 		return true // whatever the call, it is soon enough
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -340,7 +340,8 @@
 
 // Times of connecting.
 const (
-	connectEvery = 50 * time.Millisecond
+	connectEvery = 100 * time.Millisecond
+	gather       = 5 * time.Millisecond
 	otherAfter   = 2 // times the silence that ends a link, after which another of a partner's gateways is tried
 )
 
@@ -352,8 +353,16 @@
 	kept := map[string]string{}
 	first := map[string]int{} // of a partner's gateways, in the order of this one
 	given := map[string][]offers.Gateway{}
+	var of *policy                  // that
+	orders := map[string][]string{} // is by: each partner's gateways as this one tries them
 	for {
 		p := g.policy.Load()
+		if p != of {
+			of = p
+			for _, n := range p.cfg.Partners {
+				orders[n.Name] = g.order(n.Gateways)
+			}
+		}
 		want := map[string]string{}
 		living := g.o.Living()
 		g.table.SetShare(1 + len(living))
@@ -363,7 +372,7 @@
 			}
 		}
 		for _, n := range p.cfg.Partners {
-			order := g.order(n.Gateways)
+			order := orders[n.Name]
 			for i := range min(n.Links, len(order)) {
 				at := order[(first[n.Name]+i)%len(order)]
 				if g.hub.Down(at) > otherAfter*time.Duration(p.cfg.Federation.Silence) && len(order) > n.Links {
@@ -405,6 +414,7 @@
 			return
 		case <-tick.C:
 		case <-g.heard:
+			clock.Sleep(g.ctx, gather) // of many that change, as when a fleet starts, one look is enough
 		}
 	}
 }
--- a/internal/offers/offers.go
+++ b/internal/offers/offers.go
@@ -58,6 +58,8 @@
 	mu    sync.Mutex
 	links map[*peering.Link]*reading
 	last  map[string][]Gateway // by partner, what Gateways told last
+	fresh map[string]bool      // of them, those that still hold
+	own   []Gateway            // this partner's, as neighbours are told of them
 	kick  chan struct{}        // closed when the own group has changed
 }
 
@@ -75,7 +77,7 @@
 
 // NewExchange returns one that tells nobody yet.
 func NewExchange(o Options) *Exchange {
-	x := &Exchange{o: o, links: map[*peering.Link]*reading{}, last: map[string][]Gateway{}, kick: make(chan struct{})}
+	x := &Exchange{o: o, links: map[*peering.Link]*reading{}, last: map[string][]Gateway{}, fresh: map[string]bool{}, own: o.Group(), kick: make(chan struct{})}
 	x.ctx, x.end = context.WithCancel(context.Background())
 	x.tasks.Go(x.sweep)
 	return x
@@ -92,13 +94,19 @@
 	return map[string]peering.Handler{topicTable: x.take, topicAgain: x.again}
 }
 
-// sweepEvery is how often what is stale is looked at.
-const sweepEvery = 100 * time.Millisecond
+// sweepEvery is how often what is stale is looked at, and whether the own group has changed. Of changes of the group that come
+// one upon another only the first is told at once: each is told to every neighbour's gateway here, by every gateway of the group,
+// and a group whose links flap would have all partners busy with hearing of it.
+const (
+	sweepEvery = 100 * time.Millisecond
+	groupEvery = 500 * time.Millisecond
+)
 
 func (x *Exchange) sweep() {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
-	var group []Gateway
+	group := x.o.Group()
+	var told time.Time
 	for {
 		select {
 		case <-x.ctx.Done():
@@ -106,8 +114,11 @@
 		case <-tick.C:
 		}
 		x.o.Table.Sweep()
-		if now := x.o.Group(); !slices.Equal(now, group) {
-			group = now
+		if now := x.o.Group(); !slices.Equal(now, group) && time.Since(told) >= groupEvery {
+			group, told = now, time.Now()
+			x.mu.Lock()
+			x.own = now
+			x.mu.Unlock()
 			x.Tell()
 		}
 	}
@@ -134,6 +145,7 @@
 		x.speak(l)
 		x.mu.Lock()
 		delete(x.links, l)
+		delete(x.fresh, r.source.Partner)
 		// Another link to the same life may go on telling the same table.
 		left := false
 		for _, o := range x.links {
@@ -149,17 +161,26 @@
 
 // speak tells a neighbour's gateway one table and then each change, until the link ends.
 func (x *Exchange) speak(l *peering.Link) {
-	var serial uint64
-	var sent map[ID]uint64
-	var group []Gateway
+	var (
+		serial  uint64
+		sent    map[ID]uint64 // digests of what it has been told; nil: nothing yet
+		now     map[ID]Offer
+		changed <-chan struct{}
+		looked  time.Time
+		group   []Gateway
+	)
 	for {
 		x.mu.Lock()
-		kick, r := x.kick, x.links[l]
+		kick, r, live := x.kick, x.links[l], x.own
 		whole := sent == nil || r.again
 		r.again = false
 		x.mu.Unlock()
-		now, changed := x.o.Table.Sent(l.Peer.Partner)
-		live := x.o.Group()
+		// A table that has not changed need not be looked at for a change of the group: offers that end by the clock change it
+		// too (Table.Sweep).
+		if whole || isClosed(changed) || time.Since(looked) >= lookEvery {
+			now, changed = x.o.Table.Sent(l.Peer.Partner)
+			looked = time.Now()
+		}
 		if whole {
 			serial, sent = 0, map[ID]uint64{}
 		}
@@ -168,7 +189,7 @@
 			wait(x.ctx, l, nil, nil, 20*coalesce)
 		} else {
 			group = live
-			wait(x.ctx, l, changed, kick, time.Second)
+			wait(x.ctx, l, changed, kick, lookEvery)
 		}
 		wait(x.ctx, l, nil, nil, coalesce)
 		select {
@@ -181,6 +202,18 @@
 	}
 }
 
+// lookEvery is how often a neighbour's table is looked at though nothing says that it has changed.
+const lookEvery = 10 * time.Second
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // wait waits until one of these is closed, the link ends, or a while has passed.
 func wait(ctx context.Context, l *peering.Link, a, b <-chan struct{}, most time.Duration) {
 	t := time.NewTimer(most)
@@ -300,6 +333,9 @@
 	fits := sum(r.held) == m.Digest
 	groupChanged := !slices.Equal(r.group, m.Group)
 	r.group = m.Group
+	if groupChanged {
+		delete(x.fresh, r.source.Partner)
+	}
 	x.mu.Unlock()
 	switch {
 	case !fits:
@@ -352,10 +388,13 @@
 	return !others
 }
 
-// Gateways are a partner's that live, as those of them tell to whom there are links.
+// Gateways are a partner's that live, as those of them tell to whom there are links. The list is not to be changed.
 func (x *Exchange) Gateways(partner string) []Gateway {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.fresh[partner] {
+		return x.last[partner]
+	}
 	var out []Gateway
 	for _, r := range x.links {
 		if r.source.Partner != partner {
@@ -367,10 +406,11 @@
 			}
 		}
 	}
+	x.fresh[partner] = true
 	if len(out) == 0 { // nobody tells any more: those of before may still be there
-		return slices.Clone(x.last[partner])
+		return x.last[partner]
 	}
 	slices.SortFunc(out, func(a, b Gateway) int { return strings.Compare(a.Name, b.Name) })
 	x.last[partner] = out
-	return slices.Clone(out)
+	return out
 }
--- /dev/null
+++ b/internal/peering/page_test.go
@@ -0,0 +1,36 @@
+package peering
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"woodpick/internal/pages"
+)
+
+const page = "../../docs/design/peering.md"
+
+func TestWhenALinkIsOpenedAgain(t *testing.T) {
+	for _, r := range pages.Rows(t, page, "When a link is opened again") {
+		wait, err := time.ParseDuration(r.At("last pause"))
+		if err != nil {
+			t.Fatalf("%s:%d: %v", page, r.Line, err)
+		}
+		how, after, _ := strings.Cut(r.At("link"), " after ")
+		var stood time.Duration
+		if after != "" {
+			if stood, err = time.ParseDuration(after); err != nil {
+				t.Fatalf("%s:%d: %v", page, r.Line, err)
+			}
+		}
+		switch how {
+		case "did not come up", "broke", "silent":
+		default:
+			t.Errorf("%s:%d: nobody plays %q", page, r.Line, how)
+			continue
+		}
+		if got := Redial(wait, how != "did not come up", how == "silent", stood, time.Second); got.String() != r.At("outcome") {
+			t.Errorf("%s:%d: %v", page, r.Line, got)
+		}
+	}
+}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -9,8 +9,8 @@
 //   - What is sent over one link comes in the order in which it was sent, or the link ends and both sides are told.
 //   - Nothing is dropped in silence. A message for which the queue has no room is refused to whoever sends it (ErrFull); an
 //     answer or a heartbeat for which it has none ends the link (ErrOverflow).
-//   - A link ends when its other side has not answered a heartbeat for Options.Silence (ErrSilent), be it stopped, cut off,
-//     one way or both, or its reader stalled; or when bytes could not be written for Options.Stuck (ErrStuck). That is the
+//   - A link ends when its other side has not answered a heartbeat for Options.Silence (ErrSilent), and a beat more on the side
+//     that did not open it, be it stopped, cut off, one way or both, or its reader stalled; or when bytes could not be written for Options.Stuck (ErrStuck). That is the
 //     end of the link and of no other.
 //   - At most Options.Queue bytes wait on a link, and it takes two goroutines, one that reads it from hello to end and one
 //     that writes it. What a topic does with a message must not block its reader.
@@ -122,6 +122,9 @@
 	eachFrame  = 64      // bytes that a frame counts beside its own in a queue
 	redialFrom = 50 * time.Millisecond
 	redialMost = time.Second
+	flapMost   = 8 * time.Second // for one whose links come up and end soon
+	standing   = 5               // times the silence, after which a link has stood
+	opening    = 8               // links with which a gateway shakes hands at once
 	helloLimit = 2 * time.Second
 )
 
@@ -134,6 +137,8 @@
 	tasks sync.WaitGroup
 	began time.Time
 
+	turns chan struct{} // to shake hands
+
 	mu    sync.Mutex
 	links map[Who][]*Link // the newest last
 	kept  map[string]*kept
@@ -170,7 +175,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peering: %w", err)
 	}
-	h := &Hub{o: o, ln: ln, began: time.Now(), links: map[Who][]*Link{}, kept: map[string]*kept{}, stats: Stats{Ended: map[string]int{}}}
+	h := &Hub{o: o, ln: ln, began: time.Now(), links: map[Who][]*Link{}, kept: map[string]*kept{}, stats: Stats{Ended: map[string]int{}}, turns: make(chan struct{}, opening)}
 	h.ctx, h.end = context.WithCancel(context.Background())
 	h.tasks.Go(h.accept)
 	return h, nil
@@ -264,23 +269,48 @@
 	wait := redialFrom
 	for ctx.Err() == nil {
 		c, err := d.DialContext(ctx, "tcp", address)
+		stood, up := time.Duration(0), false
 		if err == nil {
 			stop := context.AfterFunc(ctx, func() { c.Close() })
+			done := h.turn(ctx) // one whose start has it open many links does not shake hands with all of them at once
 			begin := time.Now()
-			err = h.run(c, true, partner, func() { h.mark(address, true) })
+			err = h.run(c, true, partner, func() { up = true; done(); h.mark(address, true) })
+			done()
 			stop()
 			h.mark(address, false)
-			if time.Since(begin) > redialMost {
-				wait = redialFrom
-			}
+			stood = time.Since(begin)
 		}
 		if errors.Is(err, ErrKey) || errors.Is(err, ErrStrange) {
 			h.o.Log.Warn("no link", "to", address, "partner", partner, "error", err)
 			wait = redialMost
 		}
+		silent := up && (errors.Is(err, ErrSilent) || errors.Is(err, ErrStuck))
 		clock.Sleep(ctx, wait/2+rand.N(wait))
-		wait = min(2*wait, redialMost)
+		wait = Redial(wait, up, silent, stood, h.o.Silence)
+	}
+}
+
+// turn waits for its turn to shake hands, and returns what ends it.
+func (h *Hub) turn(ctx context.Context) (done func()) {
+	select {
+	case h.turns <- struct{}{}:
+		return sync.OnceFunc(func() { <-h.turns })
+	case <-ctx.Done():
+		return func() {}
+	}
+}
+
+// Redial is the next pause before a link is opened again, after one of wait. After a link that stood it begins anew. A link that
+// came up and soon fell silent was with somebody who is there and too slow: hellos and tables are dear, and a fleet that is short
+// of processor time must not spend it on links that it then loses again, so there the pause grows for longer.
+func Redial(wait time.Duration, up, silent bool, stood, silence time.Duration) time.Duration {
+	switch {
+	case up && silent && stood < standing*silence:
+		return min(max(2*wait, silence), flapMost)
+	case up && stood > redialMost:
+		return redialFrom
 	}
+	return max(wait, min(2*wait, redialMost))
 }
 
 // run is a link's reader from hello to end. It returns why the link ended.
@@ -295,8 +325,9 @@
 		h.mu.Unlock()
 		return err
 	}
-	l := &Link{Peer: s.peer, hub: h, conn: c, in: s.in, out: s.out, queued: make(chan struct{}, 1), waiting: map[uint64]chan frame{}, done: make(chan struct{})}
+	l := &Link{Peer: s.peer, hub: h, conn: c, dialed: dialed, in: s.in, out: s.out, queued: make(chan struct{}, 1), waiting: map[uint64]chan frame{}, done: make(chan struct{})}
 	l.heard.Store(int64(h.now()))
+	l.came.Store(int64(h.now()))
 	if !h.add(l) {
 		return ErrClosed
 	}
@@ -416,10 +447,15 @@
 	in     *opener
 	out    *sealer
 	queued chan struct{} // takes a word when the queue is no longer empty
-	heard  atomic.Int64  // ns of the hub's time when the heartbeat was sent that was answered last
+	dialed bool          // this side opened it, and beats
+	heard  atomic.Int64  // ns of the hub's time when the pulse was sent that was answered last
+	came   atomic.Int64  // ns of the hub's time when the other side's pulse came last, and
+	theirs atomic.Int64  // its At
 	rtt    atomic.Int64  // ns
 	done   chan struct{}
 
+	last, asleep time.Duration // hub's time of the last heartbeat, and of the last one that was late by more than another; the writer's
+
 	mu      sync.Mutex
 	frames  [][]byte              // that wait to be written
 	held    int                   // bytes of them
@@ -430,8 +466,8 @@
 
 // kinds of frames
 const (
-	beat   = iota + 1 // answered by echo with its body
-	echo              //
+	beat   = iota + 1 // of who opened the link, with a pulse
+	echo              // what the other answers each with
 	tell              // a message that asks nothing
 	ask               // answered by reply of its number
 	reply             //
@@ -446,6 +482,15 @@
 	Body   cbor.RawMessage
 }
 
+// pulse is what heartbeats carry. One that goes there and one that comes back prove both directions to both sides: the beat
+// brings the other side's own stamp back to it.
+type pulse struct {
+	_    struct{} `cbor:",toarray"`
+	At   int64    // ns of the sender's hub
+	Echo int64    // the At that came last from the other side; 0: none has
+	RTT  int64    // ns, as the one who opened the link measures it
+}
+
 // Done is closed once the link has ended.
 func (l *Link) Done() <-chan struct{} { return l.done }
 
@@ -459,8 +504,8 @@
 // RTT is how long heartbeats took there and back, about; 0: none has yet.
 func (l *Link) RTT() time.Duration { return time.Duration(l.rtt.Load()) }
 
-// Heard is how long ago the heartbeat was sent that was answered last: up to then the other side surely heard and was heard.
-func (l *Link) Heard() time.Duration { return l.hub.now() - time.Duration(l.heard.Load()) }
+// Quiet is how long ago the other side's last heartbeat came: more than a beat says that it is late, stopped or cut off.
+func (l *Link) Quiet() time.Duration { return l.hub.now() - time.Duration(l.came.Load()) }
 
 // fail ends the link for a reason; the first one counts.
 func (l *Link) fail(why error) {
@@ -614,23 +659,15 @@
 // take does what a frame asks for.
 func (l *Link) take(f frame) error {
 	switch f.Kind {
-	case beat:
-		if l.put(frame{Kind: echo, Body: f.Body}) != nil {
-			return ErrOverflow
-		}
-	case echo:
-		var at int64
-		if err := decoding.Unmarshal(f.Body, &at); err != nil {
-			return fmt.Errorf("%w: a heartbeat's echo: %w", ErrFrame, err)
+	case beat, echo:
+		var p pulse
+		if err := decoding.Unmarshal(f.Body, &p); err != nil {
+			return fmt.Errorf("%w: a heartbeat: %w", ErrFrame, err)
 		}
-		if at > l.heard.Load() {
-			l.heard.Store(at)
-			took, was := int64(l.hub.now())-at, l.rtt.Load()
-			if was > 0 {
-				took = was + (took-was)/8
-			}
-			l.rtt.Store(max(1, took))
+		if (f.Kind == echo) != l.dialed {
+			return fmt.Errorf("%w: a heartbeat of the wrong side", ErrFrame)
 		}
+		return l.pulsed(p)
 	case tell, ask:
 		handle := l.hub.o.Topics[f.Topic]
 		if handle == nil {
@@ -662,6 +699,34 @@
 	return nil
 }
 
+// pulsed takes the other side's heartbeat, and answers the one who beats.
+func (l *Link) pulsed(p pulse) error {
+	now := int64(l.hub.now())
+	l.came.Store(now)
+	l.theirs.Store(p.At)
+	if p.Echo > l.heard.Load() && p.Echo <= now {
+		l.heard.Store(p.Echo)
+		took, was := now-p.Echo, l.rtt.Load()
+		if !l.dialed {
+			took = p.RTT // the answer to this side's pulse has waited for the next beat
+		} else if was > 0 {
+			took = was + (took-was)/8
+		}
+		l.rtt.Store(max(1, took))
+	}
+	if l.dialed {
+		return nil
+	}
+	body, err := encoding.Marshal(pulse{At: now, Echo: p.At})
+	if err != nil {
+		return fmt.Errorf("peering: a heartbeat: %w", err)
+	}
+	if l.put(frame{Kind: echo, Body: body}) != nil {
+		return ErrOverflow
+	}
+	return nil
+}
+
 // answer queues an answer; that there is no room for it ends the link, or the other side would wait for nothing.
 func (l *Link) answer(number uint64, answer any, refused error) error {
 	f := frame{Kind: reply, Number: number}
@@ -682,6 +747,7 @@
 func (l *Link) write() {
 	tick := time.NewTicker(l.hub.o.Beat)
 	defer tick.Stop()
+	l.last = l.hub.now()
 	for {
 		text := l.next()
 		var err error
@@ -710,12 +776,25 @@
 	}
 }
 
-// beat sends a heartbeat, unless those before have been silent for too long.
+// beat sends a heartbeat, if this side opened the link, unless the other side has been silent for too long. Who did not open it
+// hears what came of its pulse by the next beat, one beat later.
 func (l *Link) beat() error {
-	if l.Heard() > l.hub.o.Silence {
+	now := l.hub.now()
+	if late := now - l.last - l.hub.o.Beat; late > l.hub.o.Beat {
+		l.asleep = now // this process was stopped, or had no processor: that time is its own silence, not the other's
+	}
+	l.last = now
+	silence := l.hub.o.Silence
+	if !l.dialed {
+		silence += l.hub.o.Beat
+	}
+	if now-max(time.Duration(l.heard.Load()), l.asleep) > silence {
 		return fmt.Errorf("%w for %v", ErrSilent, l.hub.o.Silence)
 	}
-	body, err := encoding.Marshal(int64(l.hub.now()))
+	if !l.dialed {
+		return nil
+	}
+	body, err := encoding.Marshal(pulse{At: int64(now), Echo: l.theirs.Load(), RTT: l.rtt.Load()})
 	if err != nil {
 		return fmt.Errorf("peering: a heartbeat: %w", err)
 	}
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -252,7 +252,7 @@
 	go func() {
 		defer all.Done()
 		for n := int64(1); ; n++ {
-			body, _ := Encode(n)
+			body, _ := Encode(pulse{At: int64(n)})
 			text, _ := Encode(frame{Kind: beat, Body: body})
 			if s.out.write(text) != nil {
 				return
