Two calls of one key at one gateway are two ballots: the one's record allows the other nothing

Seen: a breach after 640 kills among 60 gateways, one each 0.2 s: a keyed call came to the boxes of two cells. Its caller had asked the same gateway over a hundred times within 2 s by the same key, and each asking came to a box and was called off 15 ms later. Looked into: what a voter takes. The record of the second asking was answered 'known', but its intent came by the ballot '1 by that gateway in that life', which the voters had promised to the first asking, and was taken; the attempt began, and was fenced when the answer to the record came. Ruled out: refusals that may have run (the module refuses a keyed call of a cell only where nothing ran), time-outs (they are settled as failed). The lines at fault: custody.Ballot had no word for the call.

Change: Ballot.Call, drawn anew for each call and claim; whoever holds a key itself does not begin another call of it. The breach now prints what was heard.

--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"woodpick/internal/clock"
@@ -109,6 +110,7 @@
 	end   context.CancelFunc
 	tasks sync.WaitGroup
 	kick  chan struct{} // looks for orphans at once
+	calls atomic.Uint64 // ballots that it has made
 
 	mu      sync.Mutex
 	works   map[Key]*Work   // in this gateway's hand
@@ -382,7 +384,10 @@
 		c.count(func(n *Counts) { n.Alone++ })
 		return Outcome{}, ErrAlone
 	}
-	w, err := c.begin(ctx, r, Ballot{N: 1, By: c.o.Self.Name, Life: c.o.Self.Life}, nil)
+	if e, _ := c.store.find(r.Key); e != nil && e.Record.Gen >= r.Gen {
+		return Outcome{}, ErrKnown // whether or not it is a voter of the key now
+	}
+	w, err := c.begin(ctx, r, c.ballot(1), nil)
 	if err != nil {
 		return Outcome{}, err
 	}
@@ -405,6 +410,11 @@
 	f(&c.counts)
 }
 
+// ballot is this gateway's next one of a number.
+func (c *Custodian) ballot(n uint32) Ballot {
+	return Ballot{N: n, By: c.o.Self.Name, Life: c.o.Self.Life, Call: c.calls.Add(1)}
+}
+
 // takeOver claims a call that nobody has in hand, and goes on with it.
 func (c *Custodian) takeOver(k Key) {
 	defer c.store.release(k)
@@ -415,7 +425,7 @@
 	r := e.Record
 	ctx, cancel := context.WithTimeout(c.ctx, max(r.Left, pollLimit))
 	defer cancel()
-	by := Ballot{N: e.Promised.N + 1, By: c.o.Self.Name, Life: c.o.Self.Life}
+	by := c.ballot(e.Promised.N + 1)
 	yes, no := c.poll(ctx, r.Voters, topicClaim, func(v Gateway) any { return recordMsg{r, by, v.Life} })
 	for _, w := range no {
 		if w.Entry != nil && w.Entry.Decided {
--- a/internal/custody/model_test.go
+++ b/internal/custody/model_test.go
@@ -34,7 +34,10 @@
 		var actors []*actor
 		owners := rapid.IntRange(1, 2).Draw(t, "owners") // of one key
 		for i := range owners {
-			b := Ballot{1, string(rune('A' + i)), uint64(i + 1)}
+			b := Ballot{N: 1, By: string(rune('A' + i)), Life: uint64(i + 1)}
+			if i > 0 && rapid.Bool().Draw(t, "its next call") {
+				b = Ballot{N: 1, By: "A", Life: 1, Call: 1}
+			}
 			actors = append(actors, &actor{by: b, r: recordOf(b)})
 		}
 		begun := 0
@@ -88,7 +91,7 @@
 				if held[i] == nil || forgot[i] || held[i].Decided {
 					continue
 				}
-				by := Ballot{held[i].Promised.N + 1, string(rune('D' + i)), uint64(step + 10)}
+				by := Ballot{N: held[i].Promised.N + 1, By: string(rune('D' + i)), Life: uint64(step + 10)}
 				rec := held[i].Record
 				var entries []Entry
 				yes, answered := poll(func(k int) Verdict {
--- a/internal/custody/page_test.go
+++ b/internal/custody/page_test.go
@@ -16,10 +16,11 @@
 func ballot(words string) (Ballot, error) {
 	var b Ballot
 	if by, ok := strings.CutPrefix(words, "of "); ok {
-		b = Ballot{1, by, 0}
+		b = Ballot{N: 1, By: by}
 	} else if _, err := fmt.Sscanf(words, "%d by %s", &b.N, &b.By); err != nil {
 		return b, fmt.Errorf("%q is no ballot", words)
 	}
+	b.By, b.Call = strings.TrimSuffix(b.By, "'"), uint64(strings.Count(b.By, "'")) // A' is A's next call of the key
 	if len(b.By) != 1 {
 		return b, fmt.Errorf("%q names nobody", words)
 	}
@@ -28,7 +29,7 @@
 }
 
 func recordOf(b Ballot) Record {
-	return Record{Key: Key{"note", "k"}, ID: "call of " + b.By, Owner: Gateway{Name: b.By, Life: b.Life}}
+	return Record{Key: Key{"note", "k"}, ID: fmt.Sprint("call ", b.Call, " of ", b.By), Owner: Gateway{Name: b.By, Life: b.Life}}
 }
 
 var kinds = map[string]Kind{"served": Served, "refused": Refused, "failed": Failed}
--- a/internal/custody/rules.go
+++ b/internal/custody/rules.go
@@ -51,11 +51,12 @@
 	N    uint32 `cbor:"1,keyasint"`
 	By   string `cbor:"2,keyasint"`
 	Life uint64 `cbor:"3,keyasint"`
+	Call uint64 `cbor:"4,keyasint"` // of those that it had in hand in that life: two calls of one key are two ballots
 }
 
 // Compare orders ballots.
 func (b Ballot) Compare(o Ballot) int {
-	return cmp.Or(cmp.Compare(b.N, o.N), cmp.Compare(b.By, o.By), cmp.Compare(b.Life, o.Life))
+	return cmp.Or(cmp.Compare(b.N, o.N), cmp.Compare(b.By, o.By), cmp.Compare(b.Life, o.Life), cmp.Compare(b.Call, o.Call))
 }
 
 // Record is what is kept of a call, so that another can go on with it.
--- a/internal/custody/store_test.go
+++ b/internal/custody/store_test.go
@@ -14,7 +14,7 @@
 func TestWhatAVoterForgets(t *testing.T) {
 	now := time.Hour
 	s := newStore(func() time.Duration { return now }, 30*time.Second, 10_000)
-	b := Ballot{1, "A", 1}
+	b := Ballot{N: 1, By: "A", Life: 1}
 	take := func(id string, body int) Verdict {
 		v, _ := s.record(Record{Key: Key{"note", id}, ID: id, Body: make([]byte, body), Left: time.Minute}, b)
 		return v
@@ -102,7 +102,7 @@
 	defer c.Close()
 	ask := func(key string) Verdict {
 		r := Record{Key: Key{"log", fmt.Sprint(now, key)}, ID: "x", Repeats: key, Left: time.Second}
-		return c.record(recordMsg{Record: r, By: Ballot{1, "B", 1}, Life: 7}).Verdict
+		return c.record(recordMsg{Record: r, By: Ballot{N: 1, By: "B", Life: 1}, Life: 7}).Verdict
 	}
 	if v := ask("k"); v != Yes {
 		t.Errorf("before anybody said anything: %v", v)
--- a/internal/rig/league/audit.go
+++ b/internal/rig/league/audit.go
@@ -148,7 +148,7 @@
 			}
 		}
 		if runs[0].Class != "view" && done > 1 {
-			say("%s: the %s call was run %d times: %+v", call, runs[0].Class, done, runs)
+			say("%s: the %s call was run %d times: %s; heard: %s", call, runs[0].Class, done, some(runs), some(a.heard[call]))
 		}
 		for _, r := range runs {
 			for _, f := range a.rules {
@@ -179,6 +179,27 @@
 	return out
 }
 
+// some are the first few of a list and the last one, for people.
+func some[T any](list []T) string {
+	const first = 12
+	if len(list) <= first+1 {
+		return fmt.Sprintf("%+v", list)
+	}
+	return fmt.Sprintf("%+v ... %d more ... %+v", list[:first], len(list)-first-1, list[len(list)-1])
+}
+
+// Count is how many runs of a class began between two times.
+func (a *Audit) Count(class string, from, to time.Duration) (n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range a.all {
+		if r.Class == class && r.At >= from && r.At < to {
+			n++
+		}
+	}
+	return n
+}
+
 // Most is the most runs of a class that began within any window, and when that window began.
 func (a *Audit) Most(class string, window time.Duration) (most int, at time.Duration) {
 	a.mu.Lock()
--- a/internal/rig/league/day.go
+++ b/internal/rig/league/day.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"woodpick/internal/quota"
 	"woodpick/internal/rig/link"
 )
 
@@ -47,6 +48,8 @@
 	Over                 float64       // most notes in a window, against what the terms bound in it
 	Breaches             []string
 	Late                 time.Duration // most by which a call was sent after it was due
+	Purses               quota.Counts  // of all gateways that run at the end together
+	Notes                float64       // that began a second
 }
 
 // open is a call that a caller waits for.
@@ -194,6 +197,12 @@
 	if n := len(taken); n > 0 {
 		f.Takeover = taken[n/2]
 	}
+	for _, g := range l.Gateways {
+		c := g.Notes(ctx).Counts
+		f.Purses.Drawn, f.Purses.Refused, f.Purses.Own = f.Purses.Drawn+c.Drawn, f.Purses.Refused+c.Refused, f.Purses.Own+c.Own
+		f.Purses.Wasted, f.Purses.Given, f.Purses.Taken = f.Purses.Wasted+c.Wasted, f.Purses.Given+c.Given, f.Purses.Taken+c.Taken
+	}
+	f.Notes = float64(l.Audit.Count("note", begin.Sub(l.began), begin.Sub(l.began)+d.Length)) / d.Length.Seconds()
 	f.MostIn1s, _ = l.Audit.Most("note", time.Second)
 	f.MostIn10s, _ = l.Audit.Most("note", 10*time.Second)
 	if d.Bound != nil {
@@ -415,8 +424,8 @@
 		}
 		return fmt.Sprintf("%.3f", float64(a)/float64(b))
 	}
-	return fmt.Sprintf("served %s of %d (refused %d, failed %d %v, unanswered %d); %d faults; in hand %d, served %s, of those that may be sent again %s; takeover %v; p50 %v, p99 %v; tables agree after %v (%d times not in 2 s); notes %d in 1 s, %d in 10 s, %.2f of the bound; late %v; %d breaches",
+	return fmt.Sprintf("served %s of %d (refused %d, failed %d %v, unanswered %d); %d faults; in hand %d, served %s, of those that may be sent again %s; takeover %v; p50 %v, p99 %v; tables agree after %v (%d times not in 2 s); notes %.1f a second, %d in 1 s, %d in 10 s, %.2f of the bound, tokens drawn %d of %d given, %d wasted, %d of %d refused came when they were told; late %v; %d breaches",
 		share(f.Served, f.Calls), f.Calls, f.Refused, f.Failed, f.FailedBy, f.Unanswered, f.Struck, f.InHand, share(f.InHandServed, f.InHand), share(f.MayServed, f.MayRepeat),
 		f.Takeover.Round(time.Millisecond), f.P50.Round(100*time.Microsecond), f.P99.Round(time.Millisecond), f.Agree.Round(10*time.Millisecond), f.Disagreed,
-		f.MostIn1s, f.MostIn10s, f.Over, f.Late.Round(time.Millisecond), len(f.Breaches))
+		f.Notes, f.MostIn1s, f.MostIn10s, f.Over, f.Purses.Drawn, f.Purses.Given, f.Purses.Wasted, f.Purses.Taken, f.Purses.Refused, f.Late.Round(time.Millisecond), len(f.Breaches))
 }
