Tokens that nobody needs any more go back to the keeper at once; a draw is undone with its call

Looked into: where tokens end. A token that came after its waiter had given up lay in the purse for the 250 ms until the next question; one for a caller who did not come back was asked for again for half a second; a call that was refused with nothing begun had drawn all the same. The lines at fault: the pause in Purse.fetch, comeGrace in Purse.due, story.answer.

Change: who has more than it wants gives back within 20 ms; a token is kept 100 ms for who was told to come; Purse.Undo gives a draw back with its own time, where the one answer says that nothing ran.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -168,8 +168,16 @@
 }
 
 // answer is the call's way: quota, custody, engine.
-func (s *story) answer(ctx context.Context) engine.Answer {
+func (s *story) answer(ctx context.Context) (a engine.Answer) {
 	g := s.g
+	var drawn []func()
+	defer func() {
+		if a.Kind == engine.Refused && a.NotRun {
+			for _, undo := range drawn {
+				undo() // nothing was begun, here or at a partner's: others may have what was drawn
+			}
+		}
+	}()
 	if s.again {
 		return s.await(ctx, true)
 	}
@@ -187,8 +195,8 @@
 		if id == "" {
 			id = s.rec.ID
 		}
-		ok, retry := p.Draw(ctx, id, s.back)
-		if !ok {
+		token, retry := p.Draw(ctx, id, s.back)
+		if token == 0 {
 			a := refused(retry)
 			if len(s.rec.Path) > 0 {
 				a.Why = "quota " + name
@@ -196,6 +204,7 @@
 			return a
 		}
 		s.rec.Draws = append(s.rec.Draws, name)
+		drawn = append(drawn, func() { p.Undo(token) })
 	}
 	if !s.custody {
 		req := s.call.Request
--- a/internal/quota/keeper_test.go
+++ b/internal/quota/keeper_test.go
@@ -132,8 +132,8 @@
 	taken := 0
 	for i := 0; taken < 20; i++ {
 		id := fmt.Sprint("c", i)
-		ok, retry := p.Draw(t.Context(), id, "")
-		if ok {
+		token, retry := p.Draw(t.Context(), id, "")
+		if token != 0 {
 			continue
 		}
 		if retry <= 0 || retry > mostHint {
@@ -141,7 +141,7 @@
 		}
 		if retry < mostHint {
 			time.Sleep(retry)
-			if ok, _ = p.Draw(t.Context(), "again", id); ok {
+			if token, _ = p.Draw(t.Context(), "again", id); token != 0 {
 				taken++
 			}
 		}
@@ -151,6 +151,33 @@
 	}
 }
 
+// A draw that is taken back is another call's, for as long as its token is good and no longer, and never twice.
+func TestADrawThatIsTakenBack(t *testing.T) {
+	now := time.Second
+	p := &Purse{o: Options{Budget: Budget{Terms: terms(10, 10, budget.Partner{Name: "a", Weight: 1, Gateways: 1})}, Now: func() time.Duration { return now }}, kick: make(chan struct{}, 1)}
+	p.ctx, p.o.Budget.WhenCut, p.waived = t.Context(), budget.Closed, time.Hour
+	p.batches, p.held = []batch{{1, 2 * time.Second}, {1, 3 * time.Second}}, 2
+	draw := func() Token { token, _ := p.Draw(t.Context(), "x", ""); return token }
+	first, second := draw(), draw()
+	if first == 0 || second == 0 || draw() != 0 {
+		t.Fatal("two tokens are not two draws")
+	}
+	p.Undo(second)
+	p.Undo(first)
+	if again := draw(); again != first {
+		t.Errorf("the token that ends first is not used first: %v", again)
+	}
+	now = 3 * time.Second
+	if draw() != 0 {
+		t.Error("a token was used after its time")
+	}
+	p.Undo(first)
+	p.Undo(0)
+	if draw() != 0 || p.counts.Undone != 3 {
+		t.Errorf("a draw was taken back after its time: %+v", p.counts)
+	}
+}
+
 // BenchmarkDraw draws from a purse that has tokens.
 func BenchmarkDraw(b *testing.B) {
 	t := terms(1e6, 1e6, budget.Partner{Name: "a", Weight: 1, Gateways: 1})
@@ -161,7 +188,7 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	for range b.N {
-		if ok, _ := p.Draw(ctx, "x", ""); !ok {
+		if t, _ := p.Draw(ctx, "x", ""); t == 0 {
 			b.Fatal("refused")
 		}
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math"
@@ -125,6 +126,7 @@
 	Open    int64 `json:"uncounted"`     // taken without a bound, cut off
 	Elected int64 `json:"elected"`       // terms that this gateway was keeper for
 	Taken   int64 `json:"taken_at_time"` // calls that came back at the time that they were told
+	Undone  int64 `json:"undone"`        // draws that were taken back, for nothing of the call was begun
 }
 
 // Status is a purse's now.
@@ -147,10 +149,16 @@
 
 // waiter is a call that waits for a token.
 type waiter struct {
-	got chan bool
+	got chan Token
 	due bool
 }
 
+// Token is a draw: until when it may be used for another call, where nothing of its own was begun. 0: there is none.
+type Token time.Duration
+
+// spent is the Token of a draw that is of no use to another call: of the own floor, which flows on by itself.
+const spent Token = 1
+
 // booking is a call that was refused and told when to come back.
 type booking struct {
 	id string
@@ -161,8 +169,9 @@
 const (
 	dealEvery = 10 * time.Millisecond // of a keeper
 	askSoon   = 20 * time.Millisecond
-	forget    = 2 * time.Second // in which demand fades
-	comeGrace = 500 * time.Millisecond
+	forget    = 2 * time.Second        // in which demand fades
+	comeGrace = 500 * time.Millisecond // in which who comes late still goes before others
+	comeSoon  = 100 * time.Millisecond // in which a token is kept for it
 	mostHint  = 2 * time.Second
 	mostBatch = 100_000 // tokens that may be asked for at once
 )
@@ -249,7 +258,7 @@
 }
 
 // take takes a token, if there is one. The caller holds mu.
-func (p *Purse) take(now time.Duration) bool {
+func (p *Purse) take(now time.Duration) Token {
 	for len(p.batches) > 0 {
 		b := &p.batches[0]
 		if now >= b.until {
@@ -258,30 +267,50 @@
 			p.batches = p.batches[1:]
 			continue
 		}
+		t := Token(b.until)
 		b.n--
 		p.held--
 		if b.n == 0 {
 			p.batches = p.batches[1:]
 		}
-		return true
+		return t
 	}
 	if !p.cut(now) {
 		p.flowed, p.floor = now, 0
-		return false
+		return 0
 	}
 	switch p.o.Budget.WhenCut {
 	case budget.Open:
 		p.counts.Open++
-		return true
+		return spent
 	case budget.Floor:
 		p.flow(now)
 		if p.floor >= 1 {
 			p.floor--
 			p.counts.Own++
-			return true
+			return spent
 		}
 	}
-	return false
+	return 0
+}
+
+// Undo takes a draw back of a call of which nothing was begun: its token is another call's, for as long as it would have been
+// good. It is for whoever drew it.
+func (p *Purse) Undo(t Token) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.o.Now()
+	if t == 0 {
+		return
+	}
+	p.counts.Undone++
+	if now >= time.Duration(t) {
+		return
+	}
+	p.batches = append(p.batches, batch{1, time.Duration(t)})
+	slices.SortStableFunc(p.batches, func(a, b batch) int { return cmp.Compare(a.until, b.until) })
+	p.held++
+	p.serve(now)
 }
 
 // flow lets the own floor fill up to one call since the gateway was cut off. The caller holds mu.
@@ -295,12 +324,12 @@
 
 // Draw draws one call from the budget, and waits for that no longer than the file says. Where it may not, retry says when
 // it may: a call that comes back then by the same id goes before others. Its id is its caller's key, or what it was refused by.
-func (p *Purse) Draw(ctx context.Context, id, again string) (ok bool, retry time.Duration) {
+func (p *Purse) Draw(ctx context.Context, id, again string) (t Token, retry time.Duration) {
 	now := p.o.Now()
 	p.mu.Lock()
 	p.calls++
 	due := p.comes(id, again, now)
-	if p.take(now) {
+	if t := p.take(now); t != 0 {
 		p.counts.Drawn++
 		if due {
 			p.counts.Taken++
@@ -310,37 +339,37 @@
 		if want > 0 {
 			p.hurry()
 		}
-		return true, 0
+		return t, 0
 	}
 	wait := p.o.Budget.Wait
 	if wait <= 0 && !due {
 		retry = p.refuse(id, now)
 		p.mu.Unlock()
 		p.hurry()
-		return false, retry
+		return 0, retry
 	}
-	w := &waiter{got: make(chan bool, 1), due: due}
+	w := &waiter{got: make(chan Token, 1), due: due}
 	p.waiting = append(p.waiting, w)
 	p.mu.Unlock()
 	p.hurry()
-	t := time.NewTimer(max(wait, askSoon))
-	defer t.Stop()
+	limit := time.NewTimer(max(wait, askSoon))
+	defer limit.Stop()
 	select {
-	case <-w.got:
-		return true, 0
-	case <-t.C:
+	case t = <-w.got:
+		return t, 0
+	case <-limit.C:
 	case <-ctx.Done():
 	case <-p.ctx.Done():
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	select {
-	case <-w.got: // it came just now
-		return true, 0
+	case t = <-w.got: // it came just now
+		return t, 0
 	default:
 	}
 	p.waiting = slices.DeleteFunc(p.waiting, func(o *waiter) bool { return o == w })
-	return false, p.refuse(id, p.o.Now())
+	return 0, p.refuse(id, p.o.Now())
 }
 
 // comes notes that a call comes that may have been told to. The caller holds mu.
@@ -402,7 +431,7 @@
 // due are the calls that come back before the next answer. The caller holds mu.
 func (p *Purse) due(now time.Duration) (n int) {
 	for _, b := range p.booked {
-		if b.at <= now+p.o.Budget.Lease/4 && now <= b.at+comeGrace {
+		if b.at <= now+p.o.Budget.Lease/4 && now <= b.at+comeSoon {
 			n++
 		}
 	}
@@ -443,7 +472,8 @@
 		answer, ok := p.askOne(to, m, lease)
 		p.mu.Lock()
 		p.took(now, m, answer, ok, to)
-		hungry := len(p.waiting) > 0 || p.wanted(p.o.Now()) > 0
+		want = p.wanted(p.o.Now())
+		hungry, rich := len(p.waiting) > 0 || want > 0, want < 0
 		p.mu.Unlock()
 		pause := budget.Waiver / 4
 		switch {
@@ -454,6 +484,8 @@
 			if answer.Given > 0 {
 				pause = 0
 			}
+		case rich:
+			pause = askSoon // what came too late for whoever waited is of use to others, as long as its lease lasts
 		}
 		if pause == 0 {
 			continue
@@ -559,14 +591,18 @@
 		}
 		return 1
 	})
-	for len(p.waiting) > 0 && p.take(now) {
+	for len(p.waiting) > 0 {
+		t := p.take(now)
+		if t == 0 {
+			return
+		}
 		w := p.waiting[0]
 		p.waiting = p.waiting[1:]
 		p.counts.Drawn++
 		if w.due {
 			p.counts.Taken++
 		}
-		w.got <- true
+		w.got <- t
 	}
 }
 
