One command starts a small federation; a keeper stopped and awake, a quota raised and removed

deploy/first-federation.sh: five gateways of two partners; a call to the other partner, and one whose gateway is killed while a box has it, asked for at the next gateway. A test runs it.

--- a/cmd/damsontrestle/command_test.go
+++ b/cmd/damsontrestle/command_test.go
@@ -18,6 +18,7 @@
 	"woodpick/internal/admin"
 	"woodpick/internal/config"
 	"woodpick/internal/plan"
+	"woodpick/internal/rig/link"
 	"woodpick/internal/standin"
 )
 
@@ -333,6 +334,31 @@
 	}
 }
 
+// So does the first federation: a call goes to the other partner, and one whose gateway is killed is answered by the next.
+func TestTheFirstFederation(t *testing.T) {
+	dir, err := os.MkdirTemp("", "f")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer os.RemoveAll(dir)
+	part, err := link.TakePart()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer part.Close()
+	cmd := exec.Command("bash", "../../deploy/first-federation.sh")
+	cmd.Env = append(os.Environ(), "FIRST_FEDERATION_DIR="+dir, "FIRST_FEDERATION_NET="+strings.TrimSuffix(part.IP(1, 1), ".1"))
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for _, want := range []string{"links, 2 offers (0 of stale partners)", "karunagappally-box-", " a-1\n", "chavara-box-", " a-2\n", "X-Settled: 1"} {
+		if !strings.Contains(string(out), want) {
+			t.Errorf("%q is missing in\n%s", want, out)
+		}
+	}
+}
+
 // A node tells what it knows of others and of zones; one whose file has neither says so.
 func TestMembersAndFactsAreShown(t *testing.T) {
 	a := standin.NewServer(t, standin.Echo)
--- a/cmd/fleetlab/league.go
+++ b/cmd/fleetlab/league.go
@@ -45,7 +45,15 @@
 				d.Bound = nil
 				if quota > 0 {
 					var text string
-					d.Bound, text = leagueQuota(quota, o.Partners, o.Gateways)
+					part := quota
+					if o.Apart {
+						part /= float64(o.Partners)
+					}
+					d.Bound, text = leagueQuota(part, o.Partners, o.Gateways)
+					if o.Apart {
+						whole, _ := leagueQuota(quota, o.Partners, o.Gateways)
+						d.Bound = whole
+					}
 					o.Quota = text
 				}
 				begin := time.Now()
@@ -58,8 +66,10 @@
 					return err
 				}
 				ready := time.Since(begin)
+				_, before := l.Cost()
 				f := l.Play(cmd.Context(), d)
 				memory, cpu := l.Cost()
+				cpu -= before
 				l.Close()
 				what := "custody"
 				if baseline {
@@ -101,6 +111,8 @@
 	fl.DurationVar(&d.For, "for", time.Second, "that a fault lasts")
 	fl.IntVar(&seeds, "seeds", 1, "")
 	fl.Float64Var(&quota, "quota", 0, "notes a second that all partners may call together; 0: no quota")
+	fl.BoolVar(&o.Apart, "apart", false, "each partner has its part of the quota for itself")
+	fl.Float64Var(&d.Uneven, "uneven", 0, "by how much more calls come to every other partner, and less to the rest; 0 to 1")
 	fl.BoolVar(&baseline, "baseline", false, "without custody")
 	return cmd
 }
--- a/internal/rig/league/day.go
+++ b/internal/rig/league/day.go
@@ -23,6 +23,7 @@
 	Length   time.Duration
 	Rate     float64 // calls a second that come to each gateway
 	Away     float64 // share of calls for another partner
+	Uneven   float64 // by how much more come to the gateways of the first partner, the third and so on, and less to the others'
 	Patience time.Duration
 	Doubt    time.Duration // after which a caller without an answer asks another gateway
 	Seed     uint64
@@ -42,6 +43,7 @@
 	MayRepeat, MayServed int           // of them, such as may be sent again: safe and keyed ones
 	Takeover             time.Duration // median, from the kill to the answer elsewhere
 	P50, P99             time.Duration
+	P99Apart             time.Duration // of calls that came neither to a gateway that was stalled nor went to its partner
 	Agree                time.Duration // longest until all tables of each partner agreed, after a fault or a change
 	Disagreed            int           // times that they did not within 2 s
 	MostIn1s, MostIn10s  int           // notes
@@ -58,6 +60,7 @@
 	until time.Time
 	at    *Gateway
 	hit   time.Time // when its gateway was struck
+	near  bool      // a gateway was stalled that it needed, or might have
 }
 
 // Play plays a day on a league that has started.
@@ -67,6 +70,8 @@
 		mu    sync.Mutex
 		calls = map[string]*open{}
 		tooks []time.Duration
+		apart []time.Duration
+		slow  *Gateway // that is stalled
 		taken []time.Duration
 		all   sync.WaitGroup
 	)
@@ -104,8 +109,10 @@
 		}
 		c.Path = Name(to) + "/x"
 		o := &open{class: c.Class, until: time.Now().Add(d.Patience), at: g}
+		near := func() bool { return slow != nil && (slow == g || to != g.Partner && to == slow.Partner) }
 		mu.Lock()
 		calls[id] = o
+		o.near = near()
 		mu.Unlock()
 		sent := time.Now()
 		var h Heard
@@ -126,6 +133,9 @@
 		case intime:
 			f.Served++
 			tooks = append(tooks, time.Since(sent))
+			if !o.near && !near() {
+				apart = append(apart, time.Since(sent))
+			}
 		case h.Status == 503:
 			f.Refused++
 		case h.Status != 0:
@@ -162,9 +172,13 @@
 		go func() {
 			defer streams.Done()
 			rng := rand.New(rand.NewPCG(d.Seed, uint64(i)))
+			rate := d.Rate * (1 + d.Uneven)
+			if g.Partner%2 == 1 {
+				rate = d.Rate * (1 - d.Uneven)
+			}
 			due := begin
 			for n := 0; ; n++ {
-				due = due.Add(time.Duration(rng.ExpFloat64() / d.Rate * float64(time.Second)))
+				due = due.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 				if due.Sub(begin) > d.Length {
 					return
 				}
@@ -184,7 +198,11 @@
 	faults := make(chan struct{})
 	go func() {
 		defer close(faults)
-		l.faults(ctx, d, begin, f, strike)
+		l.faults(ctx, d, begin, f, strike, func(g *Gateway) {
+			mu.Lock()
+			defer mu.Unlock()
+			slow = g
+		})
 	}()
 	streams.Wait()
 	<-faults
@@ -194,6 +212,10 @@
 	if n := len(tooks); n > 0 {
 		f.P50, f.P99 = tooks[n/2], tooks[n*99/100]
 	}
+	slices.Sort(apart)
+	if n := len(apart); n > 0 {
+		f.P99Apart = apart[n*99/100]
+	}
 	if n := len(taken); n > 0 {
 		f.Takeover = taken[n/2]
 	}
@@ -234,7 +256,7 @@
 }
 
 // faults strikes until the day is over.
-func (l *League) faults(ctx context.Context, d Day, begin time.Time, f *Figures, strike func(*Gateway)) {
+func (l *League) faults(ctx context.Context, d Day, begin time.Time, f *Figures, strike, stalled func(*Gateway)) {
 	if d.Fault == "none" {
 		return
 	}
@@ -320,10 +342,12 @@
 			l.agree(ctx, f)
 		case "stall":
 			g := pick()
+			stalled(g)
 			for _, o := range l.But(g) {
 				l.Set(o, g, link.Shape{Bandwidth: 20})
 			}
 			pause(d.For)
+			stalled(nil)
 			for _, o := range l.But(g) {
 				l.Set(o, g, link.Shape{})
 			}
@@ -424,8 +448,8 @@
 		}
 		return fmt.Sprintf("%.3f", float64(a)/float64(b))
 	}
-	return fmt.Sprintf("served %s of %d (refused %d, failed %d %v, unanswered %d); %d faults; in hand %d, served %s, of those that may be sent again %s; takeover %v; p50 %v, p99 %v; tables agree after %v (%d times not in 2 s); notes %.1f a second, %d in 1 s, %d in 10 s, %.2f of the bound, tokens drawn %d of %d given, %d wasted, %d of %d refused came when they were told; late %v; %d breaches",
+	return fmt.Sprintf("served %s of %d (refused %d, failed %d %v, unanswered %d); %d faults; in hand %d, served %s, of those that may be sent again %s; takeover %v; p50 %v, p99 %v, apart from what was stalled %v; tables agree after %v (%d times not in 2 s); notes %.1f a second, %d in 1 s, %d in 10 s, %.2f of the bound, tokens drawn %d of %d given, %d wasted, %d of %d refused came when they were told; late %v; %d breaches",
 		share(f.Served, f.Calls), f.Calls, f.Refused, f.Failed, f.FailedBy, f.Unanswered, f.Struck, f.InHand, share(f.InHandServed, f.InHand), share(f.MayServed, f.MayRepeat),
-		f.Takeover.Round(time.Millisecond), f.P50.Round(100*time.Microsecond), f.P99.Round(time.Millisecond), f.Agree.Round(10*time.Millisecond), f.Disagreed,
+		f.Takeover.Round(time.Millisecond), f.P50.Round(100*time.Microsecond), f.P99.Round(time.Millisecond), f.P99Apart.Round(time.Millisecond), f.Agree.Round(10*time.Millisecond), f.Disagreed,
 		f.Notes, f.MostIn1s, f.MostIn10s, f.Over, f.Purses.Drawn, f.Purses.Given, f.Purses.Wasted, f.Purses.Taken, f.Purses.Refused, f.Late.Round(time.Millisecond), len(f.Breaches))
 }
--- a/internal/rig/league/league.go
+++ b/internal/rig/league/league.go
@@ -34,6 +34,7 @@
 	Period   time.Duration // of membership; 0: 300 ms
 	Custody  string        // when_alone of all classes; empty: no custody
 	Quota    string        // the body of the block quota "notes"; keepers are added
+	Apart    bool          // each partner keeps the quota by itself: Quota is one partner's part
 	Exports  func(l *League, partner int) string
 	Edit     func(g *Gateway, text string) string // changes a gateway's file; nil: nothing does
 	Stale    time.Duration                        // that offers are used whose links have all ended; 0: 30 s
@@ -326,12 +327,24 @@
 func (l *League) Keepers(n int) string {
 	var b strings.Builder
 	for i := range n {
-		g := l.Gateway(i%l.o.Partners, i/l.o.Partners)
-		fmt.Fprintf(&b, " keeper \"%s/%s\" {\n address = %q\n }\n", Name(g.Partner), g.Name, g.seen)
+		b.WriteString(l.Gateway(i%l.o.Partners, i/l.o.Partners).keeper())
 	}
 	return b.String()
 }
 
+// keepersOf are such blocks of a partner's first gateways alone.
+func (l *League) keepersOf(partner int) string {
+	var b strings.Builder
+	for i := range min(3, (l.o.Gateways-1)|1) {
+		b.WriteString(l.Gateway(partner, i).keeper())
+	}
+	return b.String()
+}
+
+func (g *Gateway) keeper() string {
+	return fmt.Sprintf(" keeper \"%s/%s\" {\n address = %q\n }\n", Name(g.Partner), g.Name, g.seen)
+}
+
 // text is a gateway's file.
 func (g *Gateway) text() string {
 	l, o := g.league, g.league.o
@@ -381,7 +394,11 @@
 	}
 	w("%s", exports(l, g.Partner))
 	if o.Quota != "" {
-		w("quota \"notes\" {\n%s\n%s}", o.Quota, l.Keepers(min(3, o.Partners)))
+		keepers := l.Keepers(min(3, o.Partners))
+		if o.Apart {
+			keepers = l.keepersOf(g.Partner)
+		}
+		w("quota \"notes\" {\n%s\n%s}", o.Quota, keepers)
 	}
 	text := b.String()
 	if o.Edit != nil {
--- a/internal/rig/league/quota_test.go
+++ b/internal/rig/league/quota_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -134,15 +135,7 @@
 	c.more(t, 100)
 	// Lowered to a tenth, with tokens out.
 	low, lowText := notes(6, 30, budget.Closed, 0)
-	for _, g := range l.Gateways {
-		err := g.Change(t.Context(), func(text string) string {
-			i := strings.Index(text, "quota \"notes\" {")
-			return text[:i] + "quota \"notes\" {\n" + lowText + "\n" + l.Keepers(3) + "}"
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-	}
+	withQuota(t, l, lowText)
 	lowered := l.now()
 	c.more(t, 20)
 	c.stop()
@@ -209,3 +202,78 @@
 		t.Errorf("the heirs drew %d times", n-all)
 	}
 }
+
+// withQuota has all gateways go by another body of the quota's block; an empty one removes it.
+func withQuota(t *testing.T, l *League, body string) {
+	t.Helper()
+	for _, g := range l.Gateways {
+		err := g.Change(t.Context(), func(text string) string {
+			i := strings.Index(text, "quota \"notes\" {")
+			if text = text[:i]; body != "" {
+				text += "quota \"notes\" {\n" + body + "\n" + l.Keepers(3) + "}"
+			}
+			return text
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A keeper that is stopped for longer than its term gives nothing out when it awakes, for another keeps the budget then: no
+// window sees more than the terms bound. It comes to draw again as any other.
+func TestAKeeperThatIsStoppedKeepsNothingWhenItAwakes(t *testing.T) {
+	terms, text := notes(60, 60, budget.Closed, 0)
+	l := start(t, Options{Quota: text, Custody: "serve", Silence: time.Second})
+	c := newCrowd(t, l, 3)
+	first := keeper(t, l)
+	c.more(t, 60)
+	if err := first.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	var second *Gateway
+	standin.Until(t, "another keeper", func() bool {
+		for _, g := range l.But(first) {
+			if g.Notes(t.Context()).Mine {
+				second = g
+			}
+		}
+		return second != nil
+	})
+	c.more(t, 60)
+	term := second.Notes(t.Context()).Term
+	if err := first.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	standin.Until(t, "the one that was stopped to draw under a later keeper", func() bool {
+		s := first.Notes(t.Context())
+		return !s.Mine && s.Term >= term && s.Drawn > 0 || s.Mine && s.Term > term
+	})
+	c.more(t, 60)
+	c.stop()
+	held(t, l, c, terms)
+}
+
+// A quota that is raised gives more from then on, and one that is removed refuses nobody.
+func TestAQuotaIsRaisedAndRemoved(t *testing.T) {
+	_, text := notes(2, 10, budget.Closed, 0)
+	l := start(t, Options{Quota: text, Custody: "serve"})
+	keeper(t, l)
+	c := newCrowd(t, l, 2)
+	standin.Until(t, "the budget to be met", func() bool { return c.refused.Load() > 50 })
+	_, text = notes(400, 400, budget.Closed, 0)
+	withQuota(t, l, text)
+	// At two a second it would take minutes.
+	c.more(t, 200)
+	withQuota(t, l, "")
+	for _, g := range l.Gateways {
+		if q := g.Look(t.Context()).Quotas; len(q) > 0 {
+			t.Errorf("%s still has a purse: %+v", g.Name, q)
+		}
+	}
+	standin.Until(t, "those that were refused before to have heard so", func() bool {
+		was, served := c.refused.Load(), c.served.Load()
+		c.more(t, 100)
+		return c.refused.Load() == was && c.served.Load() >= served+100
+	})
+}
