Who starts anew asks the others what it may have voted for, and votes for keys again

Seen: with a gateway killed each 0.2 s among 60, six in ten of the calls that failed were keyed ones (of 24,867 calls 246 of 424). Looked into: what their voters said. A voter that starts anew votes for no key until the longest deadline is over (5 s there), for it may have voted in an earlier life and forgotten; where a group is restarted by and by that holds for two of three voters of many keys at a time, and a planned roll has the same. Ruled out: calls of an end by SIGTERM (they are handed over), room.

Change: internal/custody/recall.go. The others tell which calls of keys it may have voted for, with answers that are decided; it knows them and is no voter of them, begins to ask once no attempt can lean on a vote of before, and votes again when everybody has answered of whom anybody knows that he lived lately, and none of those has himself forgotten (a table on the page). A call that only such hold of is told as failed at once, in place of at the deadline.

Result: TestAGroupThatIsRestartedGoesOnTakingKeys: six restarts within seconds, deadline 10 minutes: new keys are taken, and 24 keys asked for again run once.

--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -117,10 +117,14 @@
 	works   map[Key]*Work   // in this gateway's hand
 	ending  bool            // nothing more is taken into custody
 	lost    map[string]life // by gateway, the life to which a link ended last
-	young   time.Duration   // until when this one may have known keys in an earlier life
+	young   time.Duration   // until when this one may have known keys in an earlier life, and does not know them again
+	told    map[string]bool // gateways that told it what it may have voted for
+	born    time.Duration   // when this life began
 	group   []Gateway       // as it was last, and
 	changed time.Duration   // when that changed
 	counts  Counts
+
+	recalling bool // it asks them
 }
 
 // Counts are of what became of calls in custody, since the start.
@@ -132,6 +136,8 @@
 	Resumed int `json:"resumed"` // of them, carried on
 	Asked   int `json:"asked"`   // by callers that came back
 	Found   int `json:"found"`   // of them, that got the one answer
+	// times that it knew again what an earlier life of it may have voted for
+	Recalled int `json:"recalled"`
 }
 
 // Status is what a custodian does now.
@@ -149,7 +155,7 @@
 
 // New returns a Custodian that answers others. Run claims what is lost.
 func New(o Options) *Custodian {
-	c := &Custodian{o: o, store: newStore(o.Now, o.Keep, o.Memory), works: map[Key]*Work{}, lost: map[string]life{}, kick: make(chan struct{}, 1)}
+	c := &Custodian{o: o, store: newStore(o.Now, o.Keep, o.Memory), works: map[Key]*Work{}, lost: map[string]life{}, told: map[string]bool{}, born: o.Now(), kick: make(chan struct{}, 1)}
 	c.ctx, c.end = context.WithCancel(context.Background())
 	c.tasks.Go(c.watch)
 	return c
@@ -182,11 +188,8 @@
 			c.store.hand(m.Key, m.By)
 			c.Look()
 		}),
-		topicLives: peering.Hear(func(_ *peering.Link, m livesMsg) {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			c.young = max(c.young, c.o.Now()+c.o.Forgets()-m.Ago)
-		}),
+		topicLives:  peering.Hear(func(from *peering.Link, m livesMsg) { c.aged(from.Peer.Name, m.Ago) }),
+		topicRecall: peering.Answer(func(_ *peering.Link, m recallMsg, answer func(recalledMsg)) { answer(c.recalled(m)) }),
 	}
 }
 
@@ -358,6 +361,8 @@
 	ErrFull = errors.New("custody: the holders have no room")
 	// ErrUnknown says that nobody holds such a call.
 	ErrUnknown = errors.New("custody: nobody here knows the call")
+	// ErrForgotten says that whoever held the call has started anew since: nobody can tell what became of it.
+	ErrForgotten = errors.New("custody: those who held the call have forgotten what became of it")
 	// ErrUnsettled says that the call is under way, or that too few of its voters are to be reached to tell what became of it.
 	ErrUnsettled = errors.New("custody: the call is not settled")
 )
@@ -793,8 +798,8 @@
 		case err == nil:
 			c.count(func(n *Counts) { n.Found++ })
 			return out, gen, nil
-		case errors.Is(err, ErrUnknown):
-			return Outcome{}, 0, err
+		case errors.Is(err, ErrUnknown), errors.Is(err, ErrForgotten):
+			return Outcome{}, gen, err
 		case ctx.Err() != nil || c.ctx.Err() != nil:
 			return Outcome{}, gen, ErrUnsettled
 		}
@@ -836,6 +841,7 @@
 		gen uint32
 	}
 	votes, known := map[vote]int{}, false
+	recalled, silent := false, false
 	voters := Voters(k, c.o.Self.Name, c.o.Group(), c.o.Holders)
 	strangers := 0
 	var late <-chan time.Time
@@ -849,6 +855,7 @@
 		}
 		switch {
 		case s.word == nil:
+			silent = true
 		case s.word.Entry == nil:
 			if slices.ContainsFunc(voters, func(g Gateway) bool { return g.Name == s.by }) {
 				strangers++
@@ -860,6 +867,9 @@
 			}
 		case s.word.Entry.Decided:
 			return *s.word.Entry.Outcome, s.word.Entry.Record.Gen, nil
+		case s.word.Entry.Recalled:
+			recalled = true
+			gen = max(gen, s.word.Entry.Record.Gen)
 		default:
 			known = true
 			e := s.word.Entry
@@ -872,7 +882,10 @@
 			}
 		}
 	}
-	if !known && (len(voters) == 0 || strangers >= Majority(len(voters))) {
+	if !known && recalled && !silent {
+		return Outcome{}, gen, ErrForgotten
+	}
+	if !known && !recalled && (len(voters) == 0 || strangers >= Majority(len(voters))) {
 		return Outcome{}, 0, ErrUnknown
 	}
 	return Outcome{}, gen, ErrUnsettled
--- a/internal/custody/page_test.go
+++ b/internal/custody/page_test.go
@@ -200,3 +200,27 @@
 		}
 	}
 }
+
+func TestWhenAVoterKnowsAgain(t *testing.T) {
+	for _, r := range pages.Rows(t, page, "When one who started anew votes again") {
+		answers := map[string]Recollection{}
+		for _, part := range strings.Split(r.At("answers"), "; ") {
+			if part == "none" {
+				continue
+			}
+			by, seen, ok := strings.Cut(part, " saw ")
+			if !ok {
+				t.Errorf("%s:%d: nobody plays %q", page, r.Line, part)
+			}
+			by, young := strings.CutSuffix(by, " forgot and")
+			answers[strings.TrimSpace(by)] = Recollection{young, strings.Split(seen, " ")}
+		}
+		got := "no"
+		if Recalled("A", answers) {
+			got = "yes"
+		}
+		if got != r.At("outcome") {
+			t.Errorf("%s:%d: %s", page, r.Line, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/custody/recall.go
@@ -0,0 +1,209 @@
+package custody
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"woodpick/internal/clock"
+	"woodpick/internal/peering"
+)
+
+// A gateway that starts anew may have voted in an earlier life for calls whose keys still come, and forgot it: it votes for no key
+// until none of them can come any more. It need not wait so long where the others of its group tell it what it may have voted for:
+// a call that was taken has a majority of its voters, so that whoever of them has not forgotten it holds it too.
+
+const topicRecall = "custody.recall"
+
+type (
+	recallMsg struct {
+		Name string `cbor:"1,keyasint"` // whose votes are asked for
+		From Key    `cbor:"2,keyasint"` // of the keys behind this one
+	}
+	recalledMsg struct {
+		Entries []Entry  `cbor:"1,keyasint,omitempty"` // of keys, without what was asked for, and with answers that are decided
+		More    bool     `cbor:"2,keyasint,omitempty"`
+		Seen    []string `cbor:"3,keyasint,omitempty"` // gateways of the group that lived lately, as this one knows
+		Young   bool     `cbor:"4,keyasint,omitempty"` // this one has forgotten, too
+	}
+)
+
+// Times and sizes of a recall.
+const (
+	mostRecalled = 512 << 10 // bytes of entries in an answer, about, beyond the first
+	recallAgain  = 250 * time.Millisecond
+)
+
+// Recalled says whether one who started anew knows again all that it may have voted for: from every gateway of its group that
+// lived lately, as anybody tells who answered, an answer has come of one who has not forgotten itself.
+func Recalled(self string, answers map[string]Recollection) bool {
+	if len(answers) == 0 {
+		return false
+	}
+	for _, a := range answers {
+		if a.Young {
+			return false
+		}
+		for _, name := range a.Seen {
+			if _, told := answers[name]; name != self && !told {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Recollection is what a gateway told of who lived lately.
+type Recollection struct {
+	Young bool
+	Seen  []string
+}
+
+// compareKeys is an order of keys.
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.ID, b.ID))
+}
+
+// recalled answers one who started anew.
+func (c *Custodian) recalled(m recallMsg) recalledMsg {
+	entries, more := c.store.votes(m.Name, m.From, mostRecalled)
+	a := recalledMsg{Entries: entries, More: more, Young: c.isYoung()}
+	for _, g := range c.o.Group() {
+		a.Seen = append(a.Seen, g.Name)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.o.Now()
+	for name, l := range c.lost {
+		if now-l.ended < c.o.Forgets() && !slices.Contains(a.Seen, name) {
+			a.Seen = append(a.Seen, name)
+		}
+	}
+	return a
+}
+
+// aged notes that an earlier life of this gateway ended a while ago, as another tells that knew it.
+func (c *Custodian) aged(by string, ago time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.told[by] {
+		return // that was asked what the earlier life may have voted for
+	}
+	c.young = max(c.young, c.o.Now()+c.o.Forgets()-ago)
+	if !c.recalling && c.ctx.Err() == nil {
+		c.recalling = true
+		c.tasks.Go(c.recall)
+	}
+}
+
+// recall asks the others for what an earlier life may have voted for, until it knows, or no key of then can come any more. It
+// begins when no attempt can begin any more that an intent of then allowed: an intent that is older than Options.Fresh is asked
+// for anew, and a link is silent for no longer than Options.Silence.
+func (c *Custodian) recall() {
+	defer func() {
+		c.mu.Lock()
+		c.recalling = false
+		c.mu.Unlock()
+	}()
+	clock.Sleep(c.ctx, c.o.Silence-(c.o.Now()-c.born))
+	for c.ctx.Err() == nil && c.isYoung() {
+		answers := map[string]Recollection{}
+		whole := true
+		for _, l := range c.o.Links.All() {
+			a, ok := c.recallFrom(l)
+			whole = whole && ok
+			if ok {
+				answers[l.Peer.Name] = a
+			}
+		}
+		if whole && Recalled(c.o.Self.Name, answers) {
+			c.mu.Lock()
+			for name := range maps.Keys(answers) {
+				c.told[name] = true
+			}
+			c.young = 0
+			c.counts.Recalled++
+			c.mu.Unlock()
+			c.o.Log.Info("what an earlier life of this gateway voted for is known again", "by", len(answers))
+			return
+		}
+		clock.Sleep(c.ctx, recallAgain)
+	}
+}
+
+// recallFrom asks one gateway, page by page. false: not all of it came, or there is no room for it.
+func (c *Custodian) recallFrom(l *peering.Link) (Recollection, bool) {
+	m := recallMsg{Name: c.o.Self.Name}
+	for {
+		ctx, cancel := context.WithTimeout(c.ctx, pollLimit)
+		var a recalledMsg
+		err := l.Do(ctx, topicRecall, m, &a)
+		cancel()
+		if err != nil || a.More && len(a.Entries) == 0 {
+			return Recollection{}, false
+		}
+		for _, e := range a.Entries {
+			if !c.store.remember(e) {
+				return Recollection{}, false
+			}
+		}
+		if !a.More {
+			return Recollection{a.Young, a.Seen}, true
+		}
+		m.From = a.Entries[len(a.Entries)-1].Record.Key
+	}
+}
+
+// votes are the entries of keys that a gateway may have voted for in any life, behind a key in their order, of about most bytes.
+func (s *store) votes(name string, from Key, most int) (out []Entry, more bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []Key
+	for k, h := range s.held {
+		if h.Record.Repeats != "" && compareKeys(k, from) > 0 && slices.ContainsFunc(h.Record.Voters, func(g Gateway) bool { return g.Name == name }) {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, compareKeys)
+	now, size := s.now(), 0
+	for _, k := range keys {
+		e := s.held[k].copy(now)
+		e.Record.Body, e.Record.Headers, e.Intents = nil, nil, nil
+		size += sizeOf(&e.Record)
+		if !e.Decided {
+			e.Outcome = nil // it is this voter's word, and no other's
+		} else {
+			size += len(e.Outcome.Body)
+		}
+		if size > most && len(out) > 0 {
+			return out, true
+		}
+		out = append(out, *e)
+	}
+	return out, false
+}
+
+// remember notes a call that an earlier life may have voted for. It is known, and no vote: whoever counts votes asks lives.
+func (s *store) remember(e Entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.held[e.Record.Key]; h != nil && (!h.Recalled || h.Record.Gen >= e.Record.Gen) {
+		return true // what this life has voted for stays
+	}
+	if !s.room(sizeOf(&e.Record)) {
+		s.counts.Full++
+		return false
+	}
+	if h := s.held[e.Record.Key]; h != nil {
+		s.drop(h)
+	}
+	h := s.add(e.Record, e.Promised)
+	h.Entry, h.Recalled = e, true
+	if e.Decided {
+		h.settled = s.now()
+	}
+	s.resize(h)
+	return true
+}
--- a/internal/custody/rules.go
+++ b/internal/custody/rules.go
@@ -132,6 +132,7 @@
 	Outcome  *Outcome `cbor:"4,keyasint,omitempty"` // that was taken last, and
 	At       Ballot   `cbor:"5,keyasint"`           // by which ballot
 	Decided  bool     `cbor:"6,keyasint,omitempty"` // a majority has taken it
+	Recalled bool     `cbor:"7,keyasint,omitempty"` // an earlier life of the voter may have taken it: this one knows of it, and is no voter
 }
 
 // Verdict is a voter's word.
--- a/internal/custody/store.go
+++ b/internal/custody/store.go
@@ -264,7 +264,7 @@
 		case h.settled > 0 && now-h.settled > s.keep || h.settled == 0 && now-h.until > s.keep:
 			s.drop(h)
 			continue
-		case h.Decided || h.claiming:
+		case h.Decided || h.claiming || h.Recalled:
 			continue
 		}
 		open = true
--- a/internal/custody/store_test.go
+++ b/internal/custody/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,12 +97,13 @@
 // Who was started anew, and is told so by whoever knew its earlier life, takes no key while repeats of before may come; what
 // has no key it takes.
 func TestAVoterThatForgotVotesOnNoKey(t *testing.T) {
-	now := time.Hour
+	var at atomic.Int64
+	at.Store(int64(time.Hour))
 	c := New(Options{Self: Gateway{Name: "A", Life: 7}, Links: linksOf{&peering.Hub{}}, Group: func() []Gateway { return nil }, Memory: 1 << 20, Keep: time.Second,
-		Forgets: func() time.Duration { return 5 * time.Second }, Now: func() time.Duration { return now }})
+		Forgets: func() time.Duration { return 5 * time.Second }, Now: func() time.Duration { return time.Duration(at.Load()) }})
 	defer c.Close()
 	ask := func(key string) Verdict {
-		r := Record{Key: Key{"log", fmt.Sprint(now, key)}, ID: "x", Repeats: key, Left: time.Second}
+		r := Record{Key: Key{"log", fmt.Sprint(at.Load(), key)}, ID: "x", Repeats: key, Left: time.Second}
 		return c.record(recordMsg{Record: r, By: Ballot{N: 1, By: "B", Life: 1}, Life: 7}).Verdict
 	}
 	if v := ask("k"); v != Yes {
@@ -111,15 +113,93 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Topics()[topicLives](nil, body, nil)
+	c.Topics()[topicLives](&peering.Link{Peer: peering.Peer{Name: "B"}}, body, nil)
 	if v := ask("k"); v != NotOf {
 		t.Errorf("2 s after its earlier life: %v", v)
 	}
 	if v := ask(""); v != Yes {
 		t.Errorf("a call without a key: %v", v)
 	}
-	now += 3*time.Second + 1
+	at.Add(int64(3*time.Second + 1))
 	if v := ask("k"); v != Yes {
 		t.Errorf("once no repeat can come: %v", v)
 	}
 }
+
+// Who started anew is told of keys that it may have voted for, page by page, with answers that are decided, and knows them: it
+// takes no other call of theirs, and none that it voted for in this life is changed. It is no voter of what it was told.
+func TestWhatAnEarlierLifeVotedForIsKnownAgain(t *testing.T) {
+	now := time.Hour
+	clock := func() time.Duration { return now }
+	other, self := newStore(clock, time.Minute, 1<<20), newStore(clock, time.Minute, 1<<20)
+	b := Ballot{N: 1, By: "A", Life: 1}
+	voters := []Gateway{{Name: "A", Life: 1}, {Name: "B", Life: 2}, {Name: "C", Life: 3}}
+	rec := func(id, repeats string) Record {
+		return Record{Key: Key{"log", id}, ID: id, Repeats: repeats, Body: []byte("body"), Left: time.Second, Voters: voters}
+	}
+	for i := range 5 {
+		id := fmt.Sprint("k", i)
+		if v, _ := other.record(rec(id, id), b); v != Yes {
+			t.Fatal(v)
+		}
+	}
+	other.record(rec("no key", ""), b)
+	elsewhere := rec("elsewhere", "elsewhere")
+	elsewhere.Voters = voters[:1]
+	other.record(elsewhere, b)
+	other.settle(Key{"log", "k0"}, Outcome{Kind: Refused, NotRun: true}, b)
+	other.decide(Key{"log", "k0"}, Outcome{Kind: Refused, NotRun: true}, b)
+	other.settle(Key{"log", "k1"}, Outcome{Kind: Served, Body: []byte("answer")}, b)
+	other.decide(Key{"log", "k1"}, Outcome{Kind: Served, Body: []byte("answer")}, b)
+	now += 100 * time.Millisecond
+	own := rec("k4", "k4")
+	own.ID = "voted in this life"
+	self.record(own, b)
+	var from Key
+	told := 0
+	for more := true; more; {
+		var page []Entry
+		page, more = other.votes("B", from, 1700)
+		for _, e := range page {
+			if len(e.Record.Body) > 0 || e.Record.Left != 900*time.Millisecond {
+				t.Errorf("told %+v", e)
+			}
+			if !self.remember(e) || !self.remember(e) {
+				t.Fatal("no room")
+			}
+			from, told = e.Record.Key, told+1
+		}
+	}
+	if told != 5 {
+		t.Errorf("%d keys were told, want 5", told)
+	}
+	for _, c := range []struct {
+		id   string
+		gen  uint32
+		want Verdict
+	}{{"k0", 0, Known}, {"k1", 0, Known}, {"k2", 0, Known}, {"k0", 1, Yes}, {"k1", 1, Known}, {"k4", 1, Known}, {"elsewhere", 0, Yes}} {
+		r := rec(c.id, c.id)
+		r.ID, r.Gen = "another call", c.gen
+		if v, _ := self.record(r, Ballot{N: 1, By: "C", Life: 3}); v != c.want {
+			t.Errorf("another call of %s, generation %d: %v, want %v", c.id, c.gen, v, c.want)
+		}
+	}
+	if e, _ := self.find(Key{"log", "k4"}); e == nil || e.Record.ID != "voted in this life" {
+		t.Errorf("what this life voted for is now %+v", e)
+	}
+	if e, _ := self.find(Key{"log", "k1"}); e == nil || !e.Decided || string(e.Outcome.Body) != "answer" {
+		t.Errorf("the answer is not known: %+v", e)
+	}
+	if e, _ := self.find(Key{"log", "k2"}); e == nil || e.Decided || !e.Recalled {
+		t.Errorf("what is undecided is %+v", e)
+	}
+	now += time.Second
+	if lost, _ := self.orphans("B", func(*Entry, time.Duration) bool { return false }); len(lost) > 2 { // k4, and k0's next one
+		t.Errorf("it would claim what it is no voter of: %v", lost)
+	}
+	small := newStore(clock, time.Minute, 700)
+	page, _ := other.votes("B", Key{}, 1<<20)
+	if small.remember(page[0]) && small.remember(page[1]) && small.remember(page[2]) {
+		t.Error("more was remembered than there is room for")
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -248,7 +248,7 @@
 	switch {
 	case err == nil:
 		return settled(out)
-	case errors.Is(err, custody.ErrUnknown):
+	case errors.Is(err, custody.ErrUnknown), errors.Is(err, custody.ErrForgotten):
 		return engine.Answer{Kind: engine.Failed} // it may have run, or never have come
 	case mayRetry:
 		return refused(comeBack) // to ask again is harmless
--- a/internal/rig/league/silent_test.go
+++ b/internal/rig/league/silent_test.go
@@ -1,6 +1,7 @@
 package league
 
 import (
+	"fmt"
 	"strings"
 	"syscall"
 	"testing"
@@ -94,3 +95,40 @@
 		return h.Status == 200 && links["p0/"+owner.Name] == life
 	})
 }
+
+// Gateways of a group are restarted one after another, faster than the longest deadline: each learns again which keys its earlier
+// life may have voted for, so that new keys are taken at once and what was asked for before is told and not run again.
+func TestAGroupThatIsRestartedGoesOnTakingKeys(t *testing.T) {
+	l := start(t, Options{Partners: 1, Custody: "refuse", Silence: time.Second, Deadline: 20 * standin.Limit})
+	ask := func(at *Gateway, id, key string) Heard {
+		return l.Ask(t.Context(), at, Call{ID: id, Class: "log", Path: "p0/x", Key: key, Wait: standin.Limit})
+	}
+	var keys []string
+	for round := range 2 * len(l.Gateways) {
+		at := l.Gateways[round%len(l.Gateways)]
+		for i := range 4 {
+			key := fmt.Sprintf("key-%d-%d", round, i)
+			keys = append(keys, key)
+			standin.Until(t, "a new key to be taken", func() bool { // where two of its voters have just started anew it is refused
+				h := ask(at, "first-"+key, key)
+				if h.Status != 200 && h.Status != 503 {
+					t.Fatalf("%+v", h)
+				}
+				return h.Status == 200
+			})
+		}
+		at.Kill()
+		if err := at.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		settle(t, l)
+		standin.Until(t, "the new life to know what the old one voted for", func() bool { return at.Custody(t.Context()).Recalled > 0 })
+	}
+	for i, key := range keys {
+		h := ask(l.Gateways[i%len(l.Gateways)], "again-"+key, key)
+		ran, dropped := done(l.Audit.Runs(key))
+		if ran != 1 || h.Status == 200 && !h.Settled {
+			t.Errorf("%s: it ran %d times and %d times as a repeat; asked for again: %+v", key, ran, dropped, h)
+		}
+	}
+}
