--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -64,6 +64,7 @@
 	topicDecide = "custody.decide"
 	topicClaim  = "custody.claim"
 	topicHand   = "custody.hand"
+	topicDrop   = "custody.drop"
 	topicFind   = "custody.find"
 	topicLives  = "custody.lives"
 )
@@ -188,6 +189,7 @@
 			c.store.hand(m.Key, m.By)
 			c.Look()
 		}),
+		topicDrop:   peering.Hear(func(_ *peering.Link, m endedMsg) { c.store.withdraw(m.Key, m.By) }),
 		topicLives:  peering.Hear(func(from *peering.Link, m livesMsg) { c.aged(from.Peer.Name, m.Ago) }),
 		topicRecall: peering.Answer(func(_ *peering.Link, m recallMsg, answer func(recalledMsg)) { answer(c.recalled(m)) }),
 	}
@@ -574,6 +576,9 @@
 			return out, nil
 		}
 	}
+	if errors.Is(err, ErrFull) || errors.Is(err, ErrKnown) && w.by.N == 1 {
+		w.withdraw()
+	}
 	w.giveOut()
 	if out.Live != nil {
 		out.Live.Discard()
@@ -581,6 +586,18 @@
 	return Outcome{}, err
 }
 
+// withdraw tells voters that nothing of a call was begun and nothing will be: other voters of its key had no room for it or hold
+// another call. Who has taken its record, and no intent behind it, lets go of it, so that the key is free to be taken again.
+func (w *Work) withdraw() {
+	for _, v := range w.r.Voters {
+		if v.Name == w.c.o.Self.Name {
+			w.c.store.withdraw(w.r.Key, w.by)
+		} else if l := w.c.o.Links.To(v.Name); l != nil && l.Peer.Life == v.Life {
+			l.Tell(topicDrop, endedMsg{Key: w.r.Key, By: w.by})
+		}
+	}
+}
+
 // giveOut tells voters that this gateway has the call in hand no more, so that one of them may claim it.
 func (w *Work) giveOut() {
 	for _, v := range w.r.Voters {
--- a/internal/custody/page_test.go
+++ b/internal/custody/page_test.go
@@ -117,6 +117,10 @@
 			got = MaySettle(e, b)
 		case "claim":
 			got = MayClaim(e, b, heard)
+		case "withdrawal":
+			if got = Known; MayWithdraw(e, b) {
+				got = Yes
+			}
 		default:
 			t.Errorf("%s:%d: nobody plays %q", page, r.Line, event)
 			continue
--- a/internal/custody/recall.go
+++ b/internal/custody/recall.go
@@ -156,13 +156,14 @@
 	}
 }
 
-// votes are the entries of keys that a gateway may have voted for in any life, behind a key in their order, of about most bytes.
+// votes are the entries of keys of which a gateway may have allowed an attempt in any life, behind a key in their order, of about
+// most bytes. One without an intent here allowed none with this voter's word; where two others allowed one they tell of it.
 func (s *store) votes(name string, from Key, most int) (out []Entry, more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var keys []Key
 	for k, h := range s.held {
-		if h.Record.Repeats != "" && compareKeys(k, from) > 0 && slices.ContainsFunc(h.Record.Voters, func(g Gateway) bool { return g.Name == name }) {
+		if h.Record.Repeats != "" && (len(h.Intents) > 0 || h.Outcome != nil || h.Recalled) && compareKeys(k, from) > 0 && slices.ContainsFunc(h.Record.Voters, func(g Gateway) bool { return g.Name == name }) {
 			keys = append(keys, k)
 		}
 	}
--- a/internal/custody/rules.go
+++ b/internal/custody/rules.go
@@ -217,6 +217,12 @@
 	return Yes
 }
 
+// MayWithdraw says whether a voter lets go of a call whose owner, by its first ballot, says that nothing of it was begun. An intent
+// that was taken comes before that word, for both go over one link.
+func MayWithdraw(e *Entry, b Ballot) bool {
+	return e != nil && b.N == 1 && e.Promised == b && len(e.Intents) == 0 && e.Outcome == nil && !e.Recalled
+}
+
 // TakeIntent notes an intent that MayIntend allows. One that is asked for again takes its own place.
 func (e *Entry) TakeIntent(in Intent) {
 	e.Promised = in.By
--- a/internal/custody/store.go
+++ b/internal/custody/store.go
@@ -242,6 +242,16 @@
 	}
 }
 
+// withdraw lets go of a call whose owner says that nothing of it was begun, unless an intent of it was taken or another has it in
+// hand by now.
+func (s *store) withdraw(k Key, b Ballot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.held[k]; h != nil && MayWithdraw(&h.Entry, b) {
+		s.drop(h)
+	}
+}
+
 // find is what is held of a key, and what tells of its next change.
 func (s *store) find(k Key) (*Entry, <-chan struct{}) {
 	s.mu.Lock()
--- a/internal/custody/store_test.go
+++ b/internal/custody/store_test.go
@@ -139,10 +139,11 @@
 	}
 	for i := range 5 {
 		id := fmt.Sprint("k", i)
-		if v, _ := other.record(rec(id, id), b); v != Yes {
+		if v, _ := other.record(rec(id, id), b); v != Yes || other.intend(Key{"log", id}, Intent{By: b, ID: id}) != Yes {
 			t.Fatal(v)
 		}
 	}
+	other.record(rec("nothing allowed", "nothing allowed"), b)
 	other.record(rec("no key", ""), b)
 	elsewhere := rec("elsewhere", "elsewhere")
 	elsewhere.Voters = voters[:1]
