--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -586,27 +586,26 @@
 	return Outcome{}, err
 }
 
-// withdraw tells voters that nothing of a call was begun and nothing will be: other voters of its key had no room for it or hold
-// another call. Who has taken its record, and no intent behind it, lets go of it, so that the key is free to be taken again.
-func (w *Work) withdraw() {
+// tell says something of the call to all its voters, without waiting; own is what this gateway takes of it, if it is one of them.
+func (w *Work) tell(topic string, n int, own func(*store)) {
 	for _, v := range w.r.Voters {
 		if v.Name == w.c.o.Self.Name {
-			w.c.store.withdraw(w.r.Key, w.by)
+			own(w.c.store)
 		} else if l := w.c.o.Links.To(v.Name); l != nil && l.Peer.Life == v.Life {
-			l.Tell(topicDrop, endedMsg{Key: w.r.Key, By: w.by})
+			l.Tell(topic, endedMsg{w.r.Key, w.by, n})
 		}
 	}
 }
 
+// withdraw tells voters that nothing of a call was begun and nothing will be: other voters of its key had no room for it or hold
+// another call. Who has taken its record, and no intent behind it, lets go of it, so that the key is free to be taken again.
+func (w *Work) withdraw() {
+	w.tell(topicDrop, 0, func(s *store) { s.withdraw(w.r.Key, w.by) })
+}
+
 // giveOut tells voters that this gateway has the call in hand no more, so that one of them may claim it.
 func (w *Work) giveOut() {
-	for _, v := range w.r.Voters {
-		if v.Name == w.c.o.Self.Name {
-			w.c.store.hand(w.r.Key, w.by)
-		} else if l := w.c.o.Links.To(v.Name); l != nil && l.Peer.Life == v.Life {
-			l.Tell(topicHand, endedMsg{Key: w.r.Key, By: w.by})
-		}
-	}
+	w.tell(topicHand, 0, func(s *store) { s.hand(w.r.Key, w.by) })
 }
 
 // Left is the time until the call's deadline.
@@ -661,13 +660,7 @@
 
 // Ended tells voters that an attempt has ended and has not run. Whether they hear of it decides nothing.
 func (w *Work) Ended(n int) {
-	for _, v := range w.r.Voters {
-		if v.Name == w.c.o.Self.Name {
-			w.c.store.ended(w.r.Key, w.by, n)
-		} else if l := w.c.o.Links.To(v.Name); l != nil && l.Peer.Life == v.Life {
-			l.Tell(topicEnded, endedMsg{w.r.Key, w.by, n})
-		}
-	}
+	w.tell(topicEnded, n, func(s *store) { s.ended(w.r.Key, w.by, n) })
 }
 
 // finish has the outcome taken by a majority of the voters, and then tells all of them that it was.
--- a/internal/rig/league/league_test.go
+++ b/internal/rig/league/league_test.go
@@ -322,14 +322,7 @@
 		class        string
 		status, runs int
 	}{{"log", 200, 1}, {"view", 200, 2}, {"note", 502, 1}} { // keys first: who was started anew votes on none for a while
-		call := Call{ID: "under-" + c.class, Class: c.class, Path: "p1/x"}
-		of := call.ID
-		if c.class == "log" {
-			call.Key, of = "key-"+call.ID, "key-"+call.ID
-		}
-		got, release := l.Audit.Hold(call.ID)
-		waits := behind(func() Heard { return l.Ask(t.Context(), l.Gateway(0, 0), call) })
-		standin.Receive(t, got, "the call at its box")
+		of, got, release, waits := l.held(t, Call{ID: "under-" + c.class, Class: c.class, Path: "p1/x"})
 		has := l.owner(t, 1)
 		has.Kill()
 		if c.class == "view" {
--- a/internal/rig/league/silent_test.go
+++ b/internal/rig/league/silent_test.go
@@ -24,6 +24,20 @@
 	return has
 }
 
+// held asks p0's first gateway for a call and waits until a box has it, which keeps it until release. of is what the auditor knows
+// it by, got hears of further boxes.
+func (l *League) held(t *testing.T, c Call) (of string, got <-chan string, release func(), waits <-chan Heard) {
+	t.Helper()
+	of = c.ID
+	if c.Class == "log" {
+		c.Key, of = "key-"+c.ID, "key-"+c.ID
+	}
+	got, release = l.Audit.Hold(c.ID)
+	waits = behind(func() Heard { return l.Ask(t.Context(), l.Gateway(0, 0), c) })
+	standin.Receive(t, got, "the call at its box")
+	return of, got, release, waits
+}
+
 // A partner's gateway is stopped while it has a call of ours in hand: its connection stands and says nothing. Others of its
 // group have lost it, and tell what became of the call; nobody waits for the deadline. Awake, it begins nothing.
 func TestAPartnersGatewayIsStoppedUnderACall(t *testing.T) {
@@ -32,14 +46,7 @@
 		class        string
 		status, runs int
 	}{{"log", 200, 1}, {"view", 200, 2}, {"note", 502, 1}} {
-		call := Call{ID: "stopped-" + c.class, Class: c.class, Path: "p1/x"}
-		of := call.ID
-		if c.class == "log" {
-			call.Key, of = "key-"+call.ID, "key-"+call.ID
-		}
-		got, release := l.Audit.Hold(call.ID)
-		waits := behind(func() Heard { return l.Ask(t.Context(), l.Gateway(0, 0), call) })
-		standin.Receive(t, got, "the call at its box")
+		of, got, release, waits := l.held(t, Call{ID: "stopped-" + c.class, Class: c.class, Path: "p1/x"})
 		has := l.owner(t, 1)
 		if err := has.Signal(syscall.SIGSTOP); err != nil {
 			t.Fatal(err)
