A recall is kept only when it is whole: keys that some voters know and some do not are stuck

The lines at fault: recallFrom kept entries of recalls that did not come to their end, several times a second, and a call that had an intent at one voter alone became known at all its voters that had started anew.

Change: what is told is kept once all of it has come.

--- a/internal/custody/recall.go
+++ b/internal/custody/recall.go
@@ -110,15 +110,17 @@
 	clock.Sleep(c.ctx, c.o.Silence-(c.o.Now()-c.born))
 	for c.ctx.Err() == nil && c.isYoung() {
 		answers := map[string]Recollection{}
+		var entries []Entry
 		whole := true
 		for _, l := range c.o.Links.All() {
-			a, ok := c.recallFrom(l)
+			a, told, ok := c.recallFrom(l)
 			whole = whole && ok
 			if ok {
-				answers[l.Peer.Name] = a
+				answers[l.Peer.Name], entries = a, append(entries, told...)
 			}
 		}
-		if whole && Recalled(c.o.Self.Name, answers) {
+		// Nothing of it is kept unless it is whole: a key that is known to some of its voters and to others not is taken by nobody.
+		if whole && Recalled(c.o.Self.Name, answers) && !slices.ContainsFunc(entries, func(e Entry) bool { return !c.store.remember(e) }) {
 			c.mu.Lock()
 			for name := range maps.Keys(answers) {
 				c.told[name] = true
@@ -133,8 +135,8 @@
 	}
 }
 
-// recallFrom asks one gateway, page by page. false: not all of it came, or there is no room for it.
-func (c *Custodian) recallFrom(l *peering.Link) (Recollection, bool) {
+// recallFrom asks one gateway, page by page. false: not all of it came.
+func (c *Custodian) recallFrom(l *peering.Link) (r Recollection, entries []Entry, ok bool) {
 	m := recallMsg{Name: c.o.Self.Name}
 	for {
 		ctx, cancel := context.WithTimeout(c.ctx, pollLimit)
@@ -142,15 +144,11 @@
 		err := l.Do(ctx, topicRecall, m, &a)
 		cancel()
 		if err != nil || a.More && len(a.Entries) == 0 {
-			return Recollection{}, false
-		}
-		for _, e := range a.Entries {
-			if !c.store.remember(e) {
-				return Recollection{}, false
-			}
+			return Recollection{}, nil, false
 		}
+		entries = append(entries, a.Entries...)
 		if !a.More {
-			return Recollection{a.Young, a.Seen}, true
+			return Recollection{a.Young, a.Seen}, entries, true
 		}
 		m.From = a.Entries[len(a.Entries)-1].Record.Key
 	}
