A question for what became of a call is no attempt of it

Looked into: who may settle 'refused' for a call that ran. A gateway whose attempt at a partner broke asks the partner what became of it; a question that did not arrive was told to the voters as 'attempt 0 did not run', the number of the attempt itself, and an heir went by that. Ruled out: withdrawals (they leave what has an intent), recalls (no life ended there). The lines at fault: inner.Ended and inner.Allow in Gateway.attempt, which took a question for an attempt.

Change: questions intend nothing and end nothing.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -501,7 +501,7 @@
 	over := make(chan struct{})
 	defer close(over)
 	inner.Allow = func(a *engine.Attempt) bool {
-		if w != nil && !w.Intend(a.Context(), custody.Intent{N: number(a), Pool: pool, Server: a.To.Server, Zone: a.Zone, Cell: a.Cell}) {
+		if w != nil && !ask && !w.Intend(a.Context(), custody.Intent{N: number(a), Pool: pool, Server: a.To.Server, Zone: a.Zone, Cell: a.Cell}) {
 			return false
 		}
 		if to != "" {
@@ -520,7 +520,7 @@
 			rule = o.Why
 			mu.Unlock()
 		}
-		if w != nil && o.Ending.NeverRan() {
+		if w != nil && !ask && o.Ending.NeverRan() { // that a question did not arrive says nothing of the attempt that it is about
 			w.Ended(number(a))
 		}
 	}
