Client connections: gone is seen behind unread bytes, read requests are answered

Seen, each by a test that fails on the landed program (internal/http1/gone_test.go, callers_test.go): - A client that sent a byte or a request behind its own and closed was never seen to go: its attempt went on for as long as the server held it, and what it had sent behind was begun afterwards ("servers got [first behind]"). - A half-closed client heard "200 OK" with an empty body that no server had made. - Three requests in one write, idle connections being let go between two answers: the second was answered 200 and empty. - With each answer closing its connection, requests read behind the first were dropped. - An answer of 1 MB was reset after 195,584 bytes by a close over unread bytes. - A quiet connection let go in the moment its first bytes came was cut off and refused.

Looked into: net/http's background read takes one byte and then sees no end (server.go, backgroundRead), and answers 200 for a handler that returns without a word; a read deadline in the past, set by LetGo, is an error to that read and cancels the request. Ruled out: the engine, which drops a request at once when it is told.

At fault: callerConn.Write (begun = false though more was read), callerConn.Read, the ctx.Done branch of Front.ServeHTTP, Front.write (close though more was read), Set.LetQuietGo with letGo's CutOff, net/http's plain Close.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -27,8 +27,8 @@
 	HasBegun() bool
 	// Quiet is how long ago the last bytes were.
 	Quiet() time.Duration
-	// Close closes it at once.
-	Close() error
+	// Abort closes it at once.
+	Abort() error
 }
 
 // Graces tell how long a caller's connection is spared, when there are too many, in each of the states in
@@ -276,25 +276,30 @@
 
 // letGo lets a connection go if it may be, and counts it as leaving. The caller holds mu.
 func (s *Set) letGo(c Conn, a *activity) {
-	gone := !a.going
+	gone := true
 	switch {
 	case a.going:
 	case a.phase == Lingering:
-		c.Close()
+		c.Abort()
 	case a.phase == Reading || a.phase == Silent && c.HasBegun():
 		c.CutOff()
 	default:
 		gone = c.LetGo()
 	}
-	if gone && !a.going {
+	s.note(a, gone)
+}
+
+// note counts a connection as leaving once it goes. The caller holds mu.
+func (s *Set) note(a *activity, goes bool) {
+	if goes && !a.going {
 		a.going = true
 		s.leaving++
 		s.counts.letGo++
 	}
 }
 
-// LetQuietGo closes the idle connections of a front, and those that have sent nothing yet. It returns how
-// many of all that it has are left.
+// LetQuietGo closes the idle connections of a front, and those that have sent nothing yet. One that sends in that very
+// moment is read and answered. It returns how many of all that it has are left.
 func (s *Set) LetQuietGo(group any) (left int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -303,8 +308,8 @@
 			continue
 		}
 		left++
-		if a.phase == Idle || a.phase == Silent && !c.HasBegun() {
-			s.letGo(c, a)
+		if a.phase == Idle || a.phase == Silent {
+			s.note(a, c.LetGo())
 		}
 	}
 	return left
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -31,7 +31,7 @@
 func (f *fake) HasBegun() bool { return f.begun }
 
 func (f *fake) Quiet() time.Duration { return f.quiet }
-func (f *fake) Close() error         { *f.done = append(*f.done, f.name+" closed"); return nil }
+func (f *fake) Abort() error         { *f.done = append(*f.done, f.name+" closed"); return nil }
 
 func newSet(room int, servers int) *Set {
 	s := New(clock.New(), Share{Room: room, Least: room / 4, Spare: 100}, func() int { return servers })
@@ -167,3 +167,25 @@
 		t.Error("not full with all and the spare ones held")
 	}
 }
+
+// crossed begins a request in the moment in which it is asked whether it has.
+type crossed struct{ fake }
+
+func (c *crossed) HasBegun() bool {
+	was := c.begun
+	c.begun = true
+	return was
+}
+
+// A request whose first bytes come while quiet connections are let go is read: it is not cut off.
+func TestLettingQuietOnesGoCutsNothingOff(t *testing.T) {
+	var done []string
+	s := newSet(100, 0)
+	c := &crossed{fake{name: "crossed", done: &done}}
+	s.Add(c, nil)
+	begun := &fake{name: "begun", begun: true, done: &done}
+	s.Add(begun, nil)
+	if left := s.LetQuietGo(nil); left != 2 || c.cut || begun.cut {
+		t.Errorf("%d left, %v", left, done)
+	}
+}
--- a/internal/fastcgi/client.go
+++ b/internal/fastcgi/client.go
@@ -397,6 +397,9 @@
 	return c.leaving
 }
 
+// Abort implements callers.Conn.
+func (c *client) Abort() error { return c.Conn.Close() }
+
 // CutOff implements callers.Conn.
 func (c *client) CutOff() {
 	c.state.Lock()
--- a/internal/http1/callers_test.go
+++ b/internal/http1/callers_test.go
@@ -88,37 +88,40 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { theirs.Close() })
-		c, err := callerListener{ln, set}.Accept()
+		c, err := callerListener{ln, set, new(atomic.Int64)}.Accept()
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { c.Close() })
 		return c.(*callerConn), theirs
 	}
-	say := func(from, to net.Conn) {
+	say := func(from, to net.Conn, text string) {
 		t.Helper()
 		to.SetReadDeadline(time.Now().Add(standin.Limit))
-		if _, err := from.Write([]byte("x")); err != nil {
+		if _, err := io.WriteString(from, text); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := to.Read(make([]byte, 1)); err != nil {
+		if _, err := io.ReadFull(to, make([]byte, len(text))); err != nil {
 			t.Fatal(err)
 		}
 	}
 	a, caller := pair()
 	b, _ := pair()
-	say(caller, a) // a request
+	request := getText("a")
+	say(caller, a, request)
 	f.track(a, http.StateNew)
 	f.track(a, http.StateActive)
-	say(a, caller) // its answer
-	say(caller, a) // the next request's first byte
+	a.takeHead(false) // the front has it
+	say(a, caller, "its answer")
+	say(caller, a, request[:1]) // the next request's first byte
 	f.track(a, http.StateIdle)
 	f.track(b, http.StateNew) // one too many
 	if a.leaving || !set.Crowded() {
 		t.Fatal("a connection with a request on it was let go")
 	}
-	say(caller, a)
-	say(a, caller)
+	say(caller, a, request[1:])
+	a.takeHead(false)
+	say(a, caller, "its answer")
 	set.SetGrace(idleFor(standin.Limit))
 	f.track(a, http.StateIdle)
 	if a.leaving || !set.Crowded() {
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -41,6 +41,7 @@
 	draining atomic.Bool   // unready
 	closing  atomic.Bool   // each answer closes its connection
 	grace    time.Duration // by which a body may be behind the least rate
+	ahead    atomic.Int64  // bytes that were read ahead of requests that are served
 	server   *http.Server
 }
 
@@ -62,7 +63,9 @@
 
 // Serve accepts callers until the listener fails, is closed or has a deadline in the past, and returns its
 // error.
-func (f *Front) Serve(ln net.Listener) error { return f.server.Serve(callerListener{ln, f.callers}) }
+func (f *Front) Serve(ln net.Listener) error {
+	return f.server.Serve(callerListener{ln, f.callers, &f.ahead})
+}
 
 // SetReady has the health answer say from now on whether callers should be sent here.
 func (f *Front) SetReady(is bool) { f.draining.Store(!is) }
@@ -74,24 +77,24 @@
 func (f *Front) LetQuietGo() int { return f.callers.LetQuietGo(f) }
 
 // health tells the front whether to send callers here.
-func (f *Front) health(w http.ResponseWriter, r *http.Request) {
+func (f *Front) health(w http.ResponseWriter, r *http.Request, conn *callerConn) {
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodHead || r.ContentLength != 0:
 		http.Error(w, "only GET is served", http.StatusMethodNotAllowed)
 		return
 	case f.draining.Load():
 	case !f.calls.View().Ready():
-		f.keep(w)
+		f.keep(w, conn)
 	default:
-		f.keep(w)
+		f.keep(w, conn)
 		return
 	}
 	http.Error(w, "not ready", http.StatusServiceUnavailable)
 }
 
 // keep leaves a connection open behind its answer, as it is unless it was to be closed.
-func (f *Front) keep(w http.ResponseWriter) {
-	if !f.closing.Load() {
+func (f *Front) keep(w http.ResponseWriter, conn *callerConn) {
+	if may, _ := conn.isLast(); !may || !f.closing.Load() {
 		w.Header().Del("Connection")
 	}
 }
@@ -101,8 +104,14 @@
 	// Whatever is answered before the request has been read whole closes the connection: cheap, and
 	// net/http would otherwise wait for the rest of a body.
 	w.Header().Set("Connection", "close")
+	conn := connOf(r.Context())
+	coded := len(r.TransferEncoding) > 0
+	unframed := conn.takeHead(coded)
+	if conn.isGone() { // what a client had sent behind a request that it did not wait for
+		panic(http.ErrAbortHandler)
+	}
 	if path, _, _ := strings.Cut(r.RequestURI, "?"); path == "/health/ready" {
-		f.health(w, r)
+		f.health(w, r, conn)
 		return
 	}
 	rc := http.NewResponseController(w)
@@ -110,21 +119,21 @@
 		rc.SetReadDeadline(time.Now().Add(f.grace))
 	}
 	view := f.calls.View()
-	head := f.head(r)
+	head := f.head(r, unframed)
 	in, err := intake.Check(view, &head)
 	if err != nil {
-		f.reject(w, view, err)
+		f.reject(w, conn, view, err)
 		return
 	}
 	body, rest, err := f.readBody(rc, r)
 	if err != nil {
-		f.reject(w, view, errNotWhole)
+		f.reject(w, conn, view, errNotWhole)
 		return
 	}
 	at := f.clock.Now()
-	rc.SetReadDeadline(time.Time{})   // it was for reading the request
-	if len(r.TransferEncoding) == 0 { // what is behind such a body is read by nobody, whoever put it there
-		f.keep(w)
+	rc.SetReadDeadline(time.Time{}) // it was for reading the request
+	if !coded {                     // what is behind such a body is read by nobody, whoever put it there
+		f.keep(w, conn)
 	}
 	f.figures.Begin()
 	var (
@@ -136,14 +145,14 @@
 		more, cut = rest, rest.cut
 		defer rest.end()
 	}
-	if !f.callers.Begin(connOf(r.Context())) {
+	if !f.callers.Begin(conn) {
 		f.finish(w, r, in.Class, engine.Answer{Kind: engine.Refused, RetryAfter: view.ComeBack()}, rest)
 		return
 	}
 	c, err := intake.Take(f.calls, view, &head, in, body, more, at)
 	if err != nil {
 		w.Header().Set("Connection", "close")
-		f.reject(w, view, err)
+		f.reject(w, conn, view, err)
 		f.figures.End(in.Class, figures.Faulted)
 		if rest != nil && !rest.end() {
 			rc.Flush()
@@ -157,16 +166,28 @@
 	case <-cut:
 		f.leave(c)
 		w.Header().Set("Connection", "close")
-		f.reject(w, view, errNotWhole)
+		f.reject(w, conn, view, errNotWhole)
+	case <-conn.gone:
+		f.abandon(w, conn, c)
 	case <-r.Context().Done():
-		f.leave(c)
 		if rest != nil && !rest.end() { // net/http takes a body that comes too slowly for its caller's end
+			f.leave(c)
 			w.Header().Set("Connection", "close")
-			f.reject(w, view, errNotWhole)
+			f.reject(w, conn, view, errNotWhole)
+			return
 		}
+		f.abandon(w, conn, c)
 	}
 }
 
+// abandon ends a request whose client has closed its connection, or its sending: nothing more is begun for it. One that
+// still reads is told that it failed; net/http would tell it of an empty success.
+func (f *Front) abandon(w http.ResponseWriter, conn *callerConn, c *engine.Call) {
+	f.leave(c)
+	w.Header().Set("Connection", "close")
+	f.write(w, conn, engine.Answer{Kind: engine.Failed})
+}
+
 // leave has a call end for a caller that has gone.
 func (f *Front) leave(c *engine.Call) {
 	c.Leave(f.clock.Now())
@@ -182,10 +203,11 @@
 	if early {
 		w.Header().Set("Connection", "close")
 	}
-	if err := f.write(w, a); err != nil {
+	conn := connOf(r.Context())
+	if err := f.write(w, conn, a); err != nil {
 		f.figures.End(class, figures.Faulted)
-		if c := connOf(r.Context()); c != nil && !r.ProtoAtLeast(1, 1) {
-			c.reset() // its end alone would look like the answer's
+		if !r.ProtoAtLeast(1, 1) {
+			conn.reset() // its end alone would look like the answer's
 		}
 		panic(http.ErrAbortHandler) // so that the caller can tell that the answer is not whole
 	}
@@ -198,12 +220,7 @@
 
 // head is what a request's head says. net/http drops a Content-Length beside a transfer coding, so that the
 // connection has to tell of it.
-func (f *Front) head(r *http.Request) intake.Head {
-	coded := len(r.TransferEncoding) > 0
-	unframed := coded
-	if c := connOf(r.Context()); c != nil {
-		unframed = c.takeHead(coded)
-	}
+func (f *Front) head(r *http.Request, unframed bool) intake.Head {
 	return intake.Head{Listener: f.listener, Protocol: config.HTTP1, Method: r.Method, Target: originForm(r.RequestURI), Host: r.Host,
 		ID: r.Header["X-Request-Id"], Wait: r.Header["X-Deadline"], Key: r.Header["Idempotency-Key"],
 		Type: r.Header.Get("Content-Type"), Unframed: unframed, Length: r.ContentLength, Headers: r.Header}
@@ -228,21 +245,28 @@
 }
 
 // reject answers a request that can't be used, or whose listener has gone, with its connection's end.
-func (f *Front) reject(w http.ResponseWriter, view *dispatch.View, err error) {
+func (f *Front) reject(w http.ResponseWriter, conn *callerConn, view *dispatch.View, err error) {
 	var no *intake.Rejected
 	if !errors.As(err, &no) {
-		f.write(w, engine.Answer{Kind: engine.Refused, RetryAfter: view.ComeBack()})
+		f.write(w, conn, engine.Answer{Kind: engine.Refused, RetryAfter: view.ComeBack()})
 		return
 	}
 	http.Error(w, no.Reason, no.Status)
 }
 
+// isLast says that an answer ends its connection. What was read behind its request is answered first, or it would be
+// lost, unless that is too much.
+func (f *Front) isLast(conn *callerConn, a engine.Answer) bool {
+	may, must := conn.isLast()
+	return must || may && (f.callers.Crowded() || f.closing.Load() || a.Elsewhere)
+}
+
 // write gives the answer to the caller. With an error it was begun and is not whole.
-func (f *Front) write(w http.ResponseWriter, a engine.Answer) error {
+func (f *Front) write(w http.ResponseWriter, conn *callerConn, a engine.Answer) error {
 	rc := http.NewResponseController(w)
 	rc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
-	if f.callers.Crowded() || f.closing.Load() || a.Elsewhere {
+	if f.isLast(conn, a) {
 		h.Set("Connection", "close")
 	}
 	if a.Settled {
--- /dev/null
+++ b/internal/http1/gone_test.go
@@ -0,0 +1,221 @@
+package http1
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"woodpick/internal/callers"
+	"woodpick/internal/clock"
+	"woodpick/internal/standin"
+)
+
+// heldServer holds every request until the test ends, and tells of each one's arrival and of the end of its connection.
+type heldServer struct {
+	*standin.Server
+	got, gone chan string
+}
+
+func newHeldServer(t *testing.T) *heldServer {
+	s := &heldServer{got: make(chan string, 100), gone: make(chan string, 100)}
+	s.Server = standin.NewServer(t, func(c net.Conn, r *http.Request, _ string) bool {
+		id := r.Header.Get("X-Request-Id")
+		s.got <- id
+		io.Copy(io.Discard, c)
+		s.gone <- id
+		return false
+	})
+	return s
+}
+
+func getText(id string) string {
+	return "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\nX-Deadline: 60\r\n\r\n"
+}
+
+// A client is gone once its connection has ended, whatever it had sent behind its request: the attempt is called off, and
+// neither a further one nor what it had asked behind is begun.
+func TestAClientThatSentMoreAndWentIsGone(t *testing.T) {
+	much := strings.Repeat(getText("behind"), 300)
+	for _, c := range []struct {
+		name, with, behind string // with: in the same write as the request
+		reset              bool
+	}{
+		{"nothing more", "", "", false},
+		{"a byte", "", "G", false},
+		{"a request", "", getText("behind"), false},
+		{"a request in the same write", getText("behind"), "", false},
+		{"a request and a half, reset", getText("behind"), "GET /vi", true},
+		{"much", "", much, false},
+		{"much in the same write", much, "", false},
+		{"more than is read ahead", "", strings.Repeat(much, 40), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			one, two := newHeldServer(t), newHeldServer(t)
+			n := start(t, testConfig(standin.Whole(standin.Entry("s1", one.Address(), "in_service"), standin.Entry("s2", two.Address(), "in_service"))), nil)
+			client := standin.Dial(t, n.Addr())
+			io.WriteString(client, getText("first")+c.with)
+			var at *heldServer
+			select {
+			case <-one.got:
+				at = one
+			case <-two.got:
+				at = two
+			case <-time.After(standin.Limit):
+				t.Fatal("no attempt")
+			}
+			written := make(chan struct{})
+			go func() { // which may fill the kernel's buffers
+				defer close(written)
+				client.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+				io.WriteString(client, c.behind)
+			}()
+			<-written
+			if c.reset {
+				client.Conn.(*net.TCPConn).SetLinger(0)
+			}
+			client.Close()
+			standin.Receive(t, at.gone, "the attempt to be called off")
+			standin.Until(t, "the connection to be forgotten", func() bool { return n.callers.Held() == 0 })
+			standin.Until(t, "the engine to be rid of it", func() bool { return n.engine.Status().Open == 0 })
+			if all := append(one.Requests(), two.Requests()...); len(all) != 1 || all[0] != "first" {
+				t.Errorf("servers got %q", all)
+			}
+			if s := n.engine.Status(); s.Calls != 1 || s.Gone != 1 {
+				t.Errorf("the engine was given %d requests, %d of them left", s.Calls, s.Gone)
+			}
+		})
+	}
+}
+
+// Who has ended its own sending is gone like one that has closed. Should it still read, it hears no answer that no
+// server made.
+func TestAHalfClosedClientHearsNoMadeUpAnswer(t *testing.T) {
+	s := newHeldServer(t)
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), nil)
+	client := standin.Dial(t, n.Addr())
+	client.Get("half")
+	standin.Receive(t, s.got, "an attempt")
+	client.Conn.(*net.TCPConn).CloseWrite()
+	standin.Receive(t, s.gone, "the attempt to be called off")
+	r, _ := client.Answer(t)
+	if r.StatusCode != http.StatusBadGateway || !r.Close {
+		t.Errorf("got %d, close %v", r.StatusCode, r.Close)
+	}
+}
+
+// A client that sends its requests in one go hears all the answers in their order, and none of them is lost where idle
+// connections are let go between two of them: what was read is no idle connection.
+func TestRequestsSentInOneGoAreAllAnswered(t *testing.T) {
+	s := standin.NewServer(t, standin.Echo)
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), func(n *rig) {
+		n.callers.SetGrace(idleFor(0))
+	})
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				n.front.LetQuietGo()
+			}
+		}
+	}()
+	const post = "POST /note/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: b\r\nX-Deadline: 60\r\nContent-Length: 4\r\n\r\nbody"
+	for range 50 {
+		c, err := net.Dial("tcp", n.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(standin.Limit))
+		io.WriteString(c, getText("a")+post+getText("c"))
+		in := bufio.NewReader(c)
+		for i, want := range []string{"for a", "for b", "for c"} {
+			r, err := http.ReadResponse(in, nil)
+			if err != nil {
+				if i > 0 {
+					t.Fatalf("answer %q: %v, though the one before came", want, err)
+				}
+				break // let go before anything was read
+			}
+			body, err := io.ReadAll(r.Body)
+			if err != nil || r.StatusCode != http.StatusOK || string(body) != want {
+				t.Fatalf("got %d %q, %v; want %q", r.StatusCode, body, err, want)
+			}
+		}
+		c.Close()
+	}
+}
+
+// A connection whose other side sends on is not reset under an answer that has not arrived, whether those bytes come
+// before the close or after it has begun.
+func TestAnAnswerOutlivesACloseOverUnreadBytes(t *testing.T) {
+	answer := strings.Repeat("x", 1<<20) // more than the client's buffer takes
+	for _, early := range []bool{true, false} {
+		ours, theirs := connPair(t)
+		ours.set.Add(ours, nil)
+		if early {
+			io.WriteString(theirs, "GET /behind")
+			standin.Until(t, "the bytes to arrive", func() bool { return spokenOrClosed(ours.Conn) })
+		}
+		closed := make(chan struct{})
+		go func() {
+			io.WriteString(ours, answer)
+			ours.Close()
+			close(closed)
+		}()
+		if !early {
+			standin.Until(t, "the close to begin", func() bool { return ours.set.In(callers.Lingering) == 1 })
+			io.WriteString(theirs, strings.Repeat("GET /behind", 100))
+		}
+		theirs.SetDeadline(time.Now().Add(standin.Limit))
+		got, err := io.ReadAll(theirs)
+		if err != nil || len(got) != len(answer) {
+			t.Errorf("early %v: %d of %d bytes, %v", early, len(got), len(answer), err)
+		}
+		theirs.Close()
+		standin.Receive(t, closed, "the close")
+	}
+}
+
+// connPair is a client's connection and what the front has of it.
+func connPair(t *testing.T) (ours *callerConn, theirs net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if theirs, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	set := callers.New(clock.New(), callers.Share{Room: 10, Spare: 10}, func() int { return 0 })
+	c, err := callerListener{ln, set, new(atomic.Int64)}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { theirs.Close(); c.(*callerConn).Abort() })
+	return c.(*callerConn), theirs
+}
+
+// Requests that were read together are all answered, also where each answer would end its connection by then.
+func TestWhatWasReadTogetherIsAnsweredBeforeTheLastAnswer(t *testing.T) {
+	s := standin.NewServer(t, standin.Echo)
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), nil)
+	n.front.SetClosing(true)
+	c := standin.Dial(t, n.Addr())
+	io.WriteString(c, getText("a")+getText("b")+getText("c"))
+	for i, id := range []string{"a", "b", "c"} {
+		r, body := c.Answer(t)
+		if r.StatusCode != http.StatusOK || body != "for "+id || r.Close != (i == 2) {
+			t.Errorf("got %d %q, close %v", r.StatusCode, body, r.Close)
+		}
+	}
+	c.WantClosed(t, "the connection behind the last answer")
+}
--- a/internal/http1/upload.go
+++ b/internal/http1/upload.go
@@ -106,10 +106,7 @@
 	if r.ContentLength == 0 {
 		return nil, nil, nil
 	}
-	begun := time.Now()
-	if c := connOf(r.Context()); c != nil {
-		begun = c.Begun()
-	}
+	begun := connOf(r.Context()).Begun()
 	body := &pacedBody{body: r.Body, rc: rc, grace: f.grace, waited: time.Since(begun)}
 	most := int64(intake.MaxBody)
 	if r.ContentLength > most {
