An attempt begins only if it still may: client, window, time and list are looked at

Need: connections to servers come up late (up to 1.5 s), and what was decided before was written whenever they did. Seen, by tests that hold a connection back until the crossing has happened (internal/http1/begin_test.go), each of which fails with the mend taken out ("a byte of it was written", "2 attempts reached servers"): - a client that had left, a drain, a whole list without the server and its new start were not looked at again; - a keyed request was repeated 200 ms after its first attempt where its key is known for 200 ms; - where the settings forbid to cancel, an attempt not begun was sent for a client that had gone.

Ruled out: the module, whose decision was right when it was made (maySendAgain looks at b.now). At fault: Back.try between connect and Write; Engine.take(callerGone), which calls off by Cancel alone.

Send tells until when it may begin (lastBegin); Attempt.Begin decides once, against Cancel and CancelUnbegun; Back looks at the list again, and leaves the time that the connection took to come up as margin of the window.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"woodpick"
@@ -144,17 +146,28 @@
 	Cell           int
 	Sent, Deadline time.Duration // clock times: when it was decided on, and until when it is waited for. With a Rest
 	// the time between the two runs from Uploaded on
+	NotAfter time.Duration // clock time from which it may not begin any more
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	stage  atomic.Int32 // an attemptStage
 }
 
+// attemptStage is how far an attempt is.
+type attemptStage = int32
+
+const (
+	attemptWaiting attemptStage = iota // for its connection: nothing of it was written
+	attemptBegun
+	attemptOff // called off before it had begun: it never will
+)
+
 // errLost is why an attempt was called off whose server is gone.
 var errLost = errors.New("engine: the server is gone")
 
 // NewAttempt returns the n-th attempt of a call.
 func NewAttempt(c *Call, n int, to discovery.Host, sent, deadline time.Duration) *Attempt {
-	a := &Attempt{Call: c, N: n, To: to, Sent: sent, Deadline: deadline}
+	a := &Attempt{Call: c, N: n, To: to, Sent: sent, Deadline: deadline, NotAfter: math.MaxInt64}
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	return a
 }
@@ -174,11 +187,33 @@
 // Allowed says whether the attempt may begin now that its connection is up. It may take a while.
 func (a *Attempt) Allowed() bool { return a.Call.Allow == nil || a.Call.Allow(a) }
 
+// Begin says whether the first byte of the attempt may be written at a clock time, to arrive a way later. Once it has said
+// no it never may: an attempt that was called off while it waited for its connection does not begin when that comes up.
+func (a *Attempt) Begin(at, way time.Duration) bool {
+	if at+way >= a.NotAfter || a.Call.Request.Rest == nil && at >= a.Deadline {
+		a.stage.CompareAndSwap(attemptWaiting, attemptOff)
+	}
+	return a.stage.CompareAndSwap(attemptWaiting, attemptBegun)
+}
+
 // Cancel calls the attempt off. Its Outcome still comes.
-func (a *Attempt) Cancel() { a.cancel(nil) }
+func (a *Attempt) Cancel() {
+	a.stage.CompareAndSwap(attemptWaiting, attemptOff)
+	a.cancel(nil)
+}
+
+// CancelUnbegun calls the attempt off unless it has begun: for a server it then never was.
+func (a *Attempt) CancelUnbegun() {
+	if a.stage.CompareAndSwap(attemptWaiting, attemptOff) {
+		a.cancel(nil)
+	}
+}
 
 // Lost ends the attempt as if its connection had broken: others know that its server is gone, whatever the connection shows.
-func (a *Attempt) Lost() { a.cancel(errLost) }
+func (a *Attempt) Lost() {
+	a.stage.CompareAndSwap(attemptWaiting, attemptOff)
+	a.cancel(errLost)
+}
 
 // Withdrawn says that the attempt was called off because nobody waits for it any more.
 func (a *Attempt) Withdrawn() bool {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -307,7 +307,7 @@
 		eng.lag(e.at)
 		if p := eng.pending[e.call.ID]; p != nil && p.call == e.call && !p.answered {
 			eng.stats.Gone++
-			p.answered = true
+			p.close()
 			eng.handle(e.at, woodpick.ClientGone{ID: e.call.ID})
 			eng.forget(p)
 		}
@@ -425,10 +425,21 @@
 }
 
 func (eng *Engine) answer(p *pending, a Answer) {
-	p.answered = true
+	p.close()
 	p.call.answer <- a
 }
 
+// close notes that nobody waits for an answer any more. Attempts that have not begun by then never do, whatever the
+// settings say of those that have.
+func (p *pending) close() {
+	p.answered = true
+	for _, a := range p.attempts {
+		if a != nil {
+			a.CancelUnbegun()
+		}
+	}
+}
+
 // forget drops a call once nothing of it is left, as the module does.
 func (eng *Engine) forget(p *pending) {
 	if p.answered && p.out == 0 {
@@ -508,6 +519,7 @@
 func (eng *Engine) send(s woodpick.Send) {
 	p := eng.pending[s.ID]
 	a := NewAttempt(p.call, len(p.attempts), eng.listed[s.Server].Host(), eng.now, eng.now+s.Timeout)
+	a.NotAfter = s.NotAfter
 	a.Zone, a.Cell = eng.listed[s.Server].Zone, eng.listed[s.Server].Cell
 	p.attempts = append(p.attempts, a)
 	eng.tally.sent(a.To.Server)
--- a/internal/http1/back.go
+++ b/internal/http1/back.go
@@ -44,9 +44,10 @@
 	br     *bufio.Reader // over in; empty between answers
 	waiter chan reply    // the attempt on it takes one reply here; nil while idle. Guarded by Back.mu
 	since  time.Duration
-	stage  stage // guarded by Back.mu
-	dead   bool  // guarded by Back.mu
-	passed bool  // the rest of an answer is read by somebody else. Guarded by Back.mu
+	way    time.Duration // that it took to come up: what is written takes less to arrive
+	stage  stage         // guarded by Back.mu
+	dead   bool          // guarded by Back.mu
+	passed bool          // the rest of an answer is read by somebody else. Guarded by Back.mu
 }
 
 // stage is how far the request on a connection is.
@@ -83,6 +84,7 @@
 	clock clock.Clock
 	share *descriptors.Share // of all connections to servers, over all pools
 	count *figures.Set
+	dial  func(ctx context.Context, network, address string) (net.Conn, error) // for tests: instead of net.Dialer's
 
 	mu     sync.Mutex
 	limits Limits
@@ -179,6 +181,10 @@
 			return engine.Outcome{Ending: woodpick.Unreachable}
 		}
 	}
+	if why, begins := b.mayBegin(ctx, a, c); !begins {
+		b.giveUp(c, waiter)
+		return engine.Outcome{Ending: why}
+	}
 	// A timed-out or cancelled attempt closes its connection, which ends the wait below.
 	stop := context.AfterFunc(ctx, func() { b.giveUp(c, waiter) })
 	defer stop()
@@ -254,7 +260,12 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: b.limits.From}
 	}
 	b.mu.Unlock()
-	nc, err := dialer.DialContext(ctx, "tcp", to.Endpoint)
+	dial := dialer.DialContext
+	if b.dial != nil {
+		dial = b.dial
+	}
+	begin := b.clock.Now()
+	nc, err := dial(ctx, "tcp", to.Endpoint)
 	if err != nil {
 		b.mu.Lock()
 		b.release()
@@ -266,7 +277,9 @@
 		}
 		return nil, true, fmt.Errorf("connect: %w", err)
 	}
-	return b.watch(nc, to, waiter), true, nil
+	c = b.watch(nc, to, waiter)
+	c.way = b.clock.Now() - begin
+	return c, true, nil
 }
 
 // watch starts the reader of a connection that an attempt is about to use.
@@ -293,6 +306,29 @@
 	return false
 }
 
+// mayBegin says whether an attempt may begin on its connection, and how it ends if not. What it waited for may have taken
+// long: its caller may have gone by then, its time may be over, and its server may have been told to drain.
+func (b *Back) mayBegin(ctx context.Context, a *engine.Attempt, c *conn) (why woodpick.Ending, begins bool) {
+	b.mu.Lock()
+	serves := b.serves(c.to)
+	b.mu.Unlock()
+	switch {
+	case serves && ctx.Err() == nil && a.Begin(b.clock.Now(), c.way):
+		return 0, true
+	case a.Withdrawn():
+		return woodpick.Withdrawn, false
+	case ctx.Err() != nil:
+		return woodpick.Unreachable, false
+	}
+	return woodpick.Void, false
+}
+
+// serves says that a server is the one that a host names, and takes requests. The caller holds mu.
+func (b *Back) serves(h discovery.Host) bool {
+	t, listed := b.seen[h.Server]
+	return listed && t.State == woodpick.Ready && t.Host() == h
+}
+
 // take returns an idle connection, or nil once there is room to open one. When short, idle
 // connections to other servers are closed first.
 func (b *Back) take(to discovery.Host, waiter chan reply) (*conn, error) {
@@ -386,7 +422,7 @@
 // rest keeps a connection for the next attempt, if its server is still the one that it was made to. The
 // caller holds mu.
 func (b *Back) rest(c *conn) {
-	if t, listed := b.seen[c.to.Server]; b.closed || !listed || t.State != woodpick.Ready || t.Host() != c.to {
+	if b.closed || !b.serves(c.to) {
 		b.drop(c)
 		return
 	}
--- /dev/null
+++ b/internal/http1/begin_test.go
@@ -0,0 +1,144 @@
+package http1
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"woodpick"
+	"woodpick/internal/config"
+	"woodpick/internal/discovery"
+	"woodpick/internal/engine"
+	"woodpick/internal/standin"
+)
+
+// lateDial has connections come up only when the test lets them, whatever became of the attempt meanwhile: as one does
+// that is accepted in the moment in which it is given up.
+type lateDial struct {
+	dialing chan struct{}
+	up      chan struct{}
+}
+
+func newLateDial(b *Back) *lateDial {
+	d := &lateDial{dialing: make(chan struct{}, 10), up: make(chan struct{})}
+	b.dial = func(_ context.Context, network, address string) (net.Conn, error) {
+		d.dialing <- struct{}{}
+		<-d.up
+		return net.Dial(network, address)
+	}
+	return d
+}
+
+// An attempt whose connection comes up late does not begin if it may not by then: no byte of it is written, and its end
+// says that it never ran.
+func TestAnAttemptThatMayNoLongerBeginWritesNothing(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		cross func(*Back, *engine.Attempt)
+		want  woodpick.Ending
+	}{
+		{"called off", func(_ *Back, a *engine.Attempt) { a.Cancel() }, woodpick.Withdrawn},
+		{"its caller gone, where what has begun is not called off", func(_ *Back, a *engine.Attempt) { a.CancelUnbegun() }, woodpick.Withdrawn},
+		{"its time over", func(b *Back, a *engine.Attempt) {
+			a.Deadline = a.Sent + 1 // as it was decided on; Run has its own clock
+		}, woodpick.Void},
+		{"its keys' window over", func(b *Back, a *engine.Attempt) { a.NotAfter = b.clock.Now() }, woodpick.Void},
+		{"its server drained", func(b *Back, a *engine.Attempt) {
+			b.Servers([]discovery.Target{{Server: woodpick.Server{ID: a.To.Server, State: woodpick.Draining}, Endpoint: a.To.Endpoint}}, false)
+		}, woodpick.Void},
+		{"its server gone from the whole list", func(b *Back, a *engine.Attempt) { b.Servers(nil, true) }, woodpick.Void},
+		{"its server started anew", func(b *Back, a *engine.Attempt) {
+			b.Servers([]discovery.Target{{Server: woodpick.Server{ID: a.To.Server, State: woodpick.Ready, Boot: time.Second}, Endpoint: a.To.Endpoint}}, false)
+		}, woodpick.Void},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			closed := make(chan int, 1)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			go func() {
+				if conn, err := ln.Accept(); err == nil {
+					n, _ := conn.Read(make([]byte, 1)) // until the node closes it
+					closed <- n
+					conn.Close()
+				}
+			}()
+			b := testBackend(10)
+			dial := newLateDial(b)
+			a := testAttempt(b, ln.Addr().String())
+			end := make(chan engine.Outcome, 1)
+			go func() { end <- b.Run(a) }()
+			standin.Receive(t, dial.dialing, "the attempt to dial")
+			c.cross(b, a)
+			close(dial.up)
+			if r := standin.Receive(t, end, "the attempt's end"); r.Ending != c.want || b.Connections() != 0 {
+				t.Errorf("ending %d, %d open; want %d", r.Ending, b.Connections(), c.want)
+			}
+			if n := standin.Receive(t, closed, "the close"); n != 0 {
+				t.Error("a byte of it was written")
+			}
+		})
+	}
+}
+
+// A repeat of a keyed request is decided on inside its window, and its connection takes until after it: the request fails
+// rather than repeats.
+func TestAKeyedRepeatWhoseConnectionComesUpLateIsNotSent(t *testing.T) {
+	breaks := func(c net.Conn, _ *http.Request, _ string) bool { return false } // it may have run
+	one, two := standin.NewServer(t, breaks), standin.NewServer(t, breaks)
+	cfg := testConfig(standin.Whole(standin.Entry("s1", one.Address(), "in_service"), standin.Entry("s2", two.Address(), "in_service")))
+	for i := range cfg.Classes {
+		if cfg.Classes[i].Effect == config.Keyed {
+			cfg.Classes[i].Window = config.Duration(200 * time.Millisecond)
+		}
+	}
+	n := start(t, cfg, func(n *rig) {
+		dials := 0
+		n.back.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if dials++; dials > 1 {
+				time.Sleep(200 * time.Millisecond) // what was decided before is late by then, however fast the machine
+			}
+			return net.Dial(network, address)
+		}
+	})
+	c := standin.Dial(t, n.Addr())
+	standin.Until(t, "the repeat to be decided on", func() bool {
+		before := one.Seen() + two.Seen()
+		io.WriteString(c, "POST /keyed/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: keyed\r\nX-Deadline: 60\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nx")
+		r, _ := c.Answer(t)
+		if r.StatusCode == http.StatusOK {
+			t.Fatalf("got %d", r.StatusCode)
+		}
+		if got := one.Seen() + two.Seen() - before; got > 1 {
+			t.Fatalf("%d attempts reached servers", got)
+		}
+		return n.engine.Status().Sends > 1
+	})
+}
+
+// Whose client leaves while a connection is on its way up is sent nowhere, also where the settings forbid to call off what
+// has begun.
+func TestNothingBeginsForAClientThatLeftWhileItsConnectionCameUp(t *testing.T) {
+	for _, cancels := range []bool{true, false} {
+		s := standin.NewServer(t, standin.Echo)
+		cfg := testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service")))
+		cfg.Pools[0].Cancel = cancels
+		var dial *lateDial
+		n := start(t, cfg, func(n *rig) { dial = newLateDial(n.back) })
+		c := standin.Dial(t, n.Addr())
+		c.Get("leaving")
+		standin.Receive(t, dial.dialing, "the attempt to dial")
+		c.Close()
+		standin.Until(t, "the engine to hear of it", func() bool { return n.engine.Status().Gone == 1 })
+		close(dial.up)
+		standin.Until(t, "the attempt to end", func() bool { return n.back.Connections() == 0 && n.engine.Status().Open == 0 })
+		if s.Seen() != 0 {
+			t.Errorf("cancels %v: the server got the request", cancels)
+		}
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -422,6 +422,7 @@
 	if a.n == 0 {
 		b.shed -= memory / 4 * b.shed
 	}
+	last := b.lastBegin(r)
 	r.attempts = append(r.attempts, a)
 	r.out++
 	b.unhold(r)
@@ -435,7 +436,7 @@
 	if again && b.set.Tier > 0 && c.failing > hanging && left/2 > b.overlong(c) {
 		left /= 2
 	}
-	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(left, b.set.Tick)})
+	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(left, b.set.Tick), NotAfter: last})
 }
 
 // begin counts an attempt at its server. Before the last byte has come there it is no work, whoever sends it
@@ -453,10 +454,7 @@
 // takeUploaded has a request's time run from now on, and its attempt be counted.
 func (b *Balancer) takeUploaded(e Uploaded) {
 	r := b.requests[e.ID]
-	if r == nil || !r.partial || e.Attempt < 0 || e.Attempt >= len(r.attempts) {
-		return
-	}
-	if r.attempts[e.Attempt].ended {
+	if r == nil || !r.partial || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].ended {
 		return
 	}
 	r.partial = false
@@ -497,8 +495,8 @@
 	b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
 }
 
-// holdUntil is how long holding makes sense: until an answer may well miss the aim, for late answers take the room of
-// those in time. With no server at all a late answer is the best there can be, so then almost until the deadline.
+// holdUntil is how long holding makes sense: until an answer may well miss the aim, for late answers take room. With no
+// server at all a late answer is the best there can be, so then almost until the deadline.
 func (b *Balancer) holdUntil(r *request) time.Duration {
 	last := r.deadline - 2*b.set.Tick
 	if len(b.ready) == 0 {
@@ -713,10 +711,7 @@
 
 // inScope keeps a keyed request that may have run to the servers that discard its repeats.
 func (b *Balancer) inScope(r *request, s *server) bool {
-	if r.effect != Keyed {
-		return true
-	}
-	return !slices.ContainsFunc(r.attempts, func(a *attempt) bool {
+	return r.effect != Keyed || !slices.ContainsFunc(r.attempts, func(a *attempt) bool {
 		inCell := a.cell == s.Cell || r.scope == ScopeZone
 		return !a.unsent && r.scope != ScopeAll && (a.zone != s.Zone || !inCell)
 	})
@@ -815,8 +810,7 @@
 		b.errors = max(0.01, b.errors-memory*b.errors)
 		return
 	}
-	s.streak++
-	s.goods = 0
+	s.streak, s.goods = s.streak+1, 0
 	// Trouble that strikes everywhere comes from the tier below or from the load; ejecting on it would
 	// leave nobody. A run counts only if the peers' share of bad endings makes it unlikely.
 	if math.Pow(b.errors, float64(s.streak)) < chance && b.now >= s.until {
@@ -849,20 +843,27 @@
 
 // maySendAgain says that the class's effect and the limits allow one more attempt now.
 func (b *Balancer) maySendAgain(r *request) bool {
-	if r.answered || r.streaming || r.spent || len(r.attempts) >= max(1, b.set.MaxAttempts) {
-		return false
+	over := r.answered || r.streaming || r.spent || len(r.attempts) >= max(1, b.set.MaxAttempts)
+	return !over && b.now < b.lastBegin(r)
+}
+
+// lastBegin is until when one more attempt may begin: never once an unsafe one may have run, and behind a keyed one as
+// long as its servers still discard repeats.
+func (b *Balancer) lastBegin(r *request) time.Duration {
+	first := slices.IndexFunc(r.attempts, func(a *attempt) bool { return !a.unsent })
+	switch {
+	case first < 0 || r.effect == Safe:
+		return math.MaxInt64
+	case r.effect == Unsafe:
+		return 0
 	}
-	return !slices.ContainsFunc(r.attempts, func(a *attempt) bool {
-		last := a.sent + r.window - 2*b.set.Tick
-		return !a.unsent && (r.effect == Unsafe || r.effect == Keyed && b.now >= last)
-	})
+	return r.attempts[first].sent + r.window - 2*b.set.Tick
 }
 
 // further decides what follows when no attempt is left out: another within the budget and with
 // time for an answer, or the final answer. Without the budget, retries of every tier multiply.
 func (b *Balancer) further(r *request) {
-	left := float64(b.useless(r) - b.now)
-	cost := 1.0
+	left, cost := float64(b.useless(r)-b.now), 1.0
 	if r.attempts[len(r.attempts)-1].unsent {
 		cost = unsentCost
 	}
--- a/rules_test.go
+++ b/rules_test.go
@@ -176,6 +176,9 @@
 				if now > t.at+class.Window {
 					c.fault("rule 2: %s sent again outside its window", a.ID)
 				}
+				if a.NotAfter > t.at+class.Window {
+					c.fault("rule 2: %s may begin again outside its window", a.ID)
+				}
 				if class.Scope != ScopeAll && c.zones[t.server] != c.zones[a.Server] ||
 					class.Scope == ScopeCell && c.cells[t.server] != c.cells[a.Server] {
 					c.fault("rule 2: %s sent again outside its scope", a.ID)
@@ -219,6 +222,8 @@
 		{"rule 2: r refused", []any{list, req("pay"), Send{ID: "r", Server: "a"}, timedOut, Refuse{ID: "r"}}},
 		{"outside its window", []any{list, req("post"), Send{ID: "r", Server: "a"}, 950 * msec, timedOut,
 			Send{ID: "r", Server: "a"}}},
+		{"begin again outside its window", []any{list, req("post"), Send{ID: "r", Server: "a"}, 100 * msec, timedOut,
+			Send{ID: "r", Server: "a", NotAfter: 950 * msec}}},
 		{"outside its scope", []any{list, req("post"), Send{ID: "r", Server: "a"}, timedOut, Send{ID: "r", Server: "b"}}},
 		{"rule 3", []any{list, req("get"), Send{ID: "r", Server: "c"}}},
 		{"rule 2: unsafe", []any{list, req("get"), Send{ID: "r", Server: "a"}, Reconfigure{tightened()}, timedOut,
--- a/woodpick.go
+++ b/woodpick.go
@@ -251,6 +251,7 @@
 	Send struct {
 		ID, Server string
 		Timeout    time.Duration
+		NotAfter   time.Duration // time from which it may not begin any more: then it ends as Void, or as Unreachable
 	}
 	// Ask asks servers how much they hold, each of which a Known with this ID is to follow for, soon or not at all.
 	// Nothing of the request itself goes there.
