A connection to a server settles behind an answer; a new node asks an agent for all

Ruled out: a look before the write (begin), which sees only what has come by then. At fault: Back.take, which gives out the connection used last at once.

A connection is used again 25 ms behind its last answer; until then others are, or one more is opened. Where there is no room for one, one that has not settled will do. Node tests that count connections turn that off, and say so.

Also: a node that starts asked the agent for what is newer than the version of the list that it was told, though a registry that took over counts anew; what it gets whole is told at no cost, so it asks for all.

--- a/internal/http1/back.go
+++ b/internal/http1/back.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -100,11 +101,16 @@
 	Most           int           // open or being opened
 	ConnectTimeout time.Duration // for one to come up
 	Idle           time.Duration // a server closes one that has been idle for so long
+	Settle         time.Duration // behind an answer, before the next request may follow: see DefaultSettle
 	Busy           string        // name that X-Load has for the calls that a server holds; empty: none is read
 	AskPath        string        // where servers answer with their report alone; empty: they are not asked
 	From           net.IP        // that connections go out from; nil: any
 }
 
+// DefaultSettle is longer than a second answer comes behind the first where a server gives two, which is some
+// milliseconds: written before it has come, the next request would get it for its own.
+const DefaultSettle = 25 * time.Millisecond
+
 // keep is how long a connection may be idle: closed a little before the server does, or a request might cross
 // its close and end as a reset.
 func (l Limits) keep() time.Duration { return l.Idle - l.Idle/10 }
@@ -329,27 +335,55 @@
 	return listed && t.State == woodpick.Ready && t.Host() == h
 }
 
-// take returns an idle connection, or nil once there is room to open one. When short, idle
-// connections to other servers are closed first.
+// take returns the idle connection used last of those that have settled, or nil once there is room to open one. When
+// there is none, one that has not settled will do; else idle connections to other servers are closed first.
 func (b *Back) take(to discovery.Host, waiter chan reply) (*conn, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if free := b.idle[to]; len(free) > 0 {
-		c := free[len(free)-1]
-		b.idle[to] = free[:len(free)-1]
-		c.waiter, c.stage = waiter, resting
-		return c, nil
-	}
-	for b.open >= b.limits.Most || !b.share.Take() {
-		if !b.dropOldest() {
+	c := b.settled(to)
+	for c == nil && !b.room() {
+		if free := b.idle[to]; len(free) > 0 {
+			c = free[0]
+		} else if !b.dropOldest() {
 			return nil, errNoRoom
 		}
 	}
+	if c != nil {
+		b.unlist(c)
+		c.waiter, c.stage = waiter, resting
+		return c, nil
+	}
 	b.open++
 	b.made++
 	return nil, nil
 }
 
+// room takes a descriptor for one more connection, if there is one. The caller holds mu.
+func (b *Back) room() bool { return b.open < b.limits.Most && b.share.Take() }
+
+// settled is the idle connection to a host used last of those that have settled, or nil. The caller holds mu.
+func (b *Back) settled(to discovery.Host) *conn {
+	free := b.idle[to]
+	now := b.clock.Now()
+	for i := len(free) - 1; i >= 0; i-- {
+		if now-free[i].since >= b.limits.Settle {
+			return free[i]
+		}
+	}
+	return nil
+}
+
+// unlist takes a connection from the idle ones, if it is among them. The caller holds mu.
+func (b *Back) unlist(c *conn) {
+	free := b.idle[c.to]
+	if i := slices.Index(free, c); i >= 0 {
+		b.idle[c.to] = slices.Delete(free, i, i+1)
+	}
+	if len(b.idle[c.to]) == 0 {
+		delete(b.idle, c.to)
+	}
+}
+
 // release gives a connection's place back. The caller holds mu.
 func (b *Back) release() {
 	b.open--
@@ -378,16 +412,7 @@
 	c.dead = true
 	b.release()
 	c.Close()
-	free := b.idle[c.to]
-	for i, o := range free {
-		if o == c {
-			b.idle[c.to] = append(free[:i], free[i+1:]...)
-			break
-		}
-	}
-	if len(b.idle[c.to]) == 0 {
-		delete(b.idle, c.to)
-	}
+	b.unlist(c)
 }
 
 // giveUp closes a connection under the attempt that waits on it, unless its reply has come: then the
--- a/internal/http1/begin_test.go
+++ b/internal/http1/begin_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -142,3 +143,51 @@
 		}
 	}
 }
+
+// A second answer that comes late, when the next request is out, is nobody's: that request went over another connection.
+func TestASecondAnswerThatComesLateIsNobodys(t *testing.T) {
+	next := make(chan struct{})
+	var late sync.WaitGroup
+	s := standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		switch r.Header.Get("X-Request-Id") {
+		case "first":
+			late.Go(func() {
+				<-next // the next request is out
+				standin.Reply200(c, "again for first")
+			})
+		case "next":
+			close(next)
+			late.Wait()
+		}
+		return standin.Echo(c, r, body)
+	})
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), func(n *rig) {
+		n.back.limits.Settle = standin.Limit // however slow the machine
+	})
+	c := standin.Dial(t, n.Addr())
+	for _, id := range []string{"first", "next"} {
+		c.Get(id)
+		c.Want(t, http.StatusOK, "for "+id)
+	}
+	if s.Opened() != 2 {
+		t.Errorf("%d connections were opened, want 2", s.Opened())
+	}
+}
+
+// A connection that has settled is used again, the one used last first.
+func TestAConnectionThatHasSettledIsUsedAgain(t *testing.T) {
+	s := standin.NewServer(t, standin.Echo)
+	b := testBackend(10)
+	b.limits.Settle = 20 * time.Millisecond
+	h := testHost(b, s.Address())
+	for range 3 {
+		run(t, b, testAttempt(b, s.Address()))
+		b.mu.Lock()
+		made, free := b.made, b.idle[h][len(b.idle[h])-1]
+		b.mu.Unlock()
+		standin.Until(t, "the connection to settle", func() bool { return b.clock.Now()-free.since >= b.limits.Settle })
+		if run(t, b, testAttempt(b, s.Address())); b.made != made {
+			t.Fatalf("%d connections made, want %d", b.made, made)
+		}
+	}
+}
--- a/internal/node/change.go
+++ b/internal/node/change.go
@@ -280,7 +280,7 @@
 		n.figures.Know(class.Name)
 	}
 	for _, u := range c.updates {
-		u.pool.back.SetLimits(limitsOf(c.cfg, u.cfg))
+		u.pool.back.SetLimits(n.limitsOf(c.cfg, u.cfg))
 	}
 	c.switchListeners(&gone)
 	n.cfg = c.cfg
--- a/internal/node/change_test.go
+++ b/internal/node/change_test.go
@@ -49,6 +49,8 @@
 
 // startOwn runs a node with a configuration of our own until the test ends.
 func startOwn(t *testing.T, cfg *config.Config, o Options) *Node {
+	var atOnce time.Duration // so that connections can be counted
+	o.settle = &atOnce
 	t.Helper()
 	if err := cfg.Check().Err(); err != nil {
 		t.Fatal(err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	Line   *succession.Line                                    // of this node's processes; nil: this one is alone
 	Fault  func(point string) error                            // for tests: an error has a step of a change fail
 	ending *ending                                             // for tests: instead of what follows from the configuration
+	settle *time.Duration                                      // for tests: instead of http1.DefaultSettle
 	watch  func(*discovery.Watch)                              // for tests: changes a watch before it begins
 }
 
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -29,15 +29,20 @@
 	static   map[string]discovery.Target // the list that the configuration holds
 }
 
-func limitsOf(c *config.Config, p config.Pool) http1.Limits {
+// limitsOf are the limits on a pool's connections to servers.
+func (n *Node) limitsOf(c *config.Config, p config.Pool) http1.Limits {
+	settle := http1.DefaultSettle
+	if n.options.settle != nil {
+		settle = *n.options.settle
+	}
 	return http1.Limits{Most: p.Connections.Most, ConnectTimeout: time.Duration(p.Connections.ConnectTimeout),
-		Idle: time.Duration(p.Connections.Idle), Busy: p.LoadReports.Busy, AskPath: p.LoadReports.AskPath, From: c.LeavesFrom(p)}
+		Idle: time.Duration(p.Connections.Idle), Settle: settle, Busy: p.LoadReports.Busy, AskPath: p.LoadReports.AskPath, From: c.LeavesFrom(p)}
 }
 
 // newPool makes a pool that knows the list that is known, or the one that its configuration holds, and
 // watches its registry from then on. Nothing runs before start.
 func (n *Node) newPool(cfg *config.Config, p config.Pool, seed uint64, known discovery.List) (*pool, error) {
-	out := &pool{name: p.Name, cfg: p, settings: cfg.Settings(p), back: http1.NewBack(n.clock, n.servers, &n.figures, limitsOf(cfg, p))}
+	out := &pool{name: p.Name, cfg: p, settings: cfg.Settings(p), back: http1.NewBack(n.clock, n.servers, &n.figures, n.limitsOf(cfg, p))}
 	log := n.log
 	if n.named {
 		log = log.With("pool", p.Name)
@@ -55,8 +60,9 @@
 		out.engine.Hold(list)
 		return out, nil
 	}
+	// An agent tells its whole list at once and at no cost: what is known may be of another one's counting.
 	rev := int64(-1)
-	if known.Full {
+	if known.Full && out.settings.AskDiscovery {
 		rev = known.Rev
 	}
 	s := n.newSource(*p.Registry, rev, log)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -18,6 +18,7 @@
 	mu       sync.Mutex
 	requests []string // ids
 	conns    int
+	open     int
 }
 
 // Then answers a request that was read whole; it returns false to close the connection.
@@ -53,13 +54,19 @@
 		}
 		s.mu.Lock()
 		s.conns++
+		s.open++
 		s.mu.Unlock()
 		go s.serve(c)
 	}
 }
 
 func (s *Server) serve(c net.Conn) {
-	defer c.Close()
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.open--
+	}()
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
@@ -103,6 +110,13 @@
 	return s.conns
 }
 
+// Open is how many connections to it are open, as far as it has seen.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open
+}
+
 // Reply200 answers 200 with a body.
 func Reply200(c net.Conn, body string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
