Lists: late dials end with their calls, pieces are read to the end, failures' end is told

Now a dial ends with its call. - A list that came in pieces for longer than 1.2 s was never read: the oldest call was ended first, though it was the one that was being answered (after 2,999 doubts no list). Now the one of least promise ends. - Where discovery is asked, a list that came for longer than 2.5 s was given up (now up to 4 s while it goes on coming), and the module, which waits longer after each failure, was not told that failures are over where nothing was new. - A whole list of as many entries as are held, one of them long gone, was taken for no news (Engine.holds).

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -164,3 +165,147 @@
 		t.Errorf("%d calls were open at once, want up to %d", a.most, mostCalls)
 	}
 }
+
+// startPush follows an agent until the test ends.
+func startPush(t *testing.T, w *Watch) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { w.Push(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+// Connections to an agent that never come up are given up with their calls: however many there were, the agent is heard
+// once one does.
+func TestConnectionsThatNeverComeUpKeepNobodyFromTheAgent(t *testing.T) {
+	ag := standin.NewAgent(t)
+	ag.Tell(false, standin.Whole(standin.Entry("s1", "127.0.0.1:1", "in_service")))
+	events := make(sink, 10)
+	w := NewWatch(ag.Address(), -1, events, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	w.Hold, w.Grace = 5*time.Millisecond, 5*time.Millisecond
+	var dials atomic.Int64
+	place := w.place()
+	place.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if dials.Add(1) <= 2*mostCalls {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return new(net.Dialer).DialContext(ctx, network, addr)
+	}
+	startPush(t, w)
+	if e := standin.Receive(t, events, "the list"); len(e.list.Targets) != 1 {
+		t.Errorf("got %+v", e)
+	}
+}
+
+// piecemeal answers its first call with a list in pieces, the next of which comes when the test says so, and no other call.
+type piecemeal struct {
+	net.Listener
+	calls  chan struct{}
+	pieces chan string
+}
+
+func newPiecemeal(t *testing.T) *piecemeal {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &piecemeal{Listener: ln, calls: make(chan struct{}, 10_000), pieces: make(chan string)}
+	first := true
+	var mu sync.Mutex
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		streams := first
+		first = false
+		mu.Unlock()
+		a.calls <- struct{}{}
+		for streams {
+			select {
+			case piece, more := <-a.pieces:
+				if !more {
+					return
+				}
+				io.WriteString(w, piece)
+				w.(http.Flusher).Flush()
+			case <-r.Context().Done():
+				return
+			}
+		}
+		<-r.Context().Done()
+	})}
+	go srv.Serve(ln)
+	t.Cleanup(func() { srv.Close() })
+	return a
+}
+
+// A list that comes in pieces for longer than others are waited for is read to its end: of the calls open beside one
+// another those end that have said nothing.
+func TestAListInPiecesIsReadToItsEnd(t *testing.T) {
+	a := newPiecemeal(t)
+	events := make(sink, 10)
+	w := NewWatch(a.Addr().String(), -1, events, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	w.Hold, w.Grace = 5*time.Millisecond, 5*time.Millisecond
+	r := &round{watch: w, at: w.place(), answers: make(chan ending, mostCalls)}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.call(ctx)
+	standin.Receive(t, a.calls, "the first call")
+	a.pieces <- `{"rev":9,"all":true,`
+	standin.Until(t, "it to begin to answer", func() bool { return r.calls[0].heard.Load() > 0 })
+	doubts := 0
+	go func() {
+		for range 4 * mostCalls { // calls that say nothing
+			select {
+			case <-a.calls:
+			case <-ctx.Done():
+				return
+			}
+		}
+		a.pieces <- `"targets":[]}`
+		close(a.pieces)
+	}()
+	limited, stop := context.WithTimeout(ctx, standin.Limit)
+	defer stop()
+	if e := r.wait(limited, w.Hold+w.Grace, func() { doubts++ }); e.err != nil || e.list.Rev != 9 {
+		t.Errorf("after %d doubts: %+v", doubts, e)
+	}
+}
+
+// A service whose list comes in pieces, for longer than its silence would be borne, is heard to its end.
+func TestAServicesListInPiecesIsReadToItsEnd(t *testing.T) {
+	a := newPiecemeal(t)
+	events := make(sink, 10)
+	w := NewWatch(a.Addr().String(), -1, events, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	w.Hold, w.Grace = 50*time.Millisecond, 450*time.Millisecond
+	go func() {
+		a.pieces <- `{"rev":9,"all":true,`
+		for begin := time.Now(); time.Since(begin) < w.Hold+w.Grace; time.Sleep(20 * time.Millisecond) {
+			a.pieces <- "\n "
+		}
+		a.pieces <- `"targets":[]}`
+		close(a.pieces)
+	}()
+	if err := w.watch(t.Context(), w.place()); err != nil || len(events) != 1 {
+		t.Errorf("%v, %d events", err, len(events))
+	}
+}
+
+// After failures a call that brings nothing new is told all the same: the module waits longer after each failure, and has
+// to know that they are over.
+func TestTheEndOfFailuresIsTold(t *testing.T) {
+	ag := standin.NewAgent(t)
+	events := make(sink, 10)
+	w := NewWatch(ag.Address(), 7, events, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Ask(ctx)
+	ag.Tell(false, "{bad %d")
+	w.Subscribe()
+	if e := standin.Receive(t, events, "the failure"); !e.failed {
+		t.Fatalf("got %+v", e)
+	}
+	ag.Tell(false, `{"rev":%d,"all":false,"targets":[]}`)
+	w.Subscribe()
+	if e := standin.Receive(t, events, "their end"); e.failed || tells(e.list) {
+		t.Errorf("got %+v", e)
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,16 +1,22 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"woodpick/internal/clock"
 )
 
 // Times of a watch. An agent that is silent answers nothing, not even once it is back, so a call is doubted a little
@@ -27,6 +33,7 @@
 	backoffFirst = 50 * time.Millisecond
 	backoffMost  = 200 * time.Millisecond // of an agent that fails at once
 	maxList      = 16 << 20
+	longestList  = 2 * time.Second // that an answer of a service may take beyond its hold, while it goes on coming
 
 	// mostCalls are open at an agent at once: while it is silent each doubted call stays open beside the next ones, for
 	// a node that is short of processor time may only be late to read an answer.
@@ -46,6 +53,7 @@
 	wanted chan struct{}
 	Hold   time.Duration // how long a call may wait for news; 0: as fits how the registry is asked
 	Grace  time.Duration // and how much later it is doubted
+	failed bool          // the last call to a service. It belongs to Ask
 
 	mu sync.Mutex
 	at *place // where the list is watched now
@@ -57,16 +65,29 @@
 	leave  context.CancelFunc
 	addr   string
 	client *http.Client
+	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 	rev    int64 // the version held; -1: none, so the whole list is asked for. It belongs to Push or Ask
 }
 
 func newPlace(addr string, rev int64) *place {
-	p := &place{addr: addr, rev: rev,
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: mostCalls, DisableCompression: true}}}
+	p := &place{addr: addr, rev: rev, dial: (&net.Dialer{}).DialContext}
+	p.client = &http.Client{Transport: &http.Transport{MaxConnsPerHost: mostCalls, DisableCompression: true, DialContext: p.connect}}
 	p.ctx, p.leave = context.WithCancel(context.Background())
 	return p
 }
 
+// callKey is under which a call's context holds itself, for connect.
+type callKey struct{}
+
+// connect opens a connection for a call, and gives up with it. Left to itself http.Transport goes on for as long as the
+// system does, minutes on a network that drops what is sent, and each such connection counts among the few that it opens.
+func (p *place) connect(ctx context.Context, network, addr string) (net.Conn, error) {
+	if call, ok := ctx.Value(callKey{}).(context.Context); ok {
+		ctx = call
+	}
+	return p.dial(ctx, network, addr)
+}
+
 // NewWatch returns a Watch of the registry at addr that goes on from the version rev of its list; -1: from
 // none. It asks nothing before Push or Ask.
 func NewWatch(addr string, rev int64, sink Sink, log *slog.Logger) *Watch {
@@ -120,6 +141,68 @@
 	err  error
 }
 
+// openCall is a call that has not ended.
+type openCall struct {
+	cancel context.CancelFunc
+	begun  time.Time
+	heard  atomic.Int64 // Unix time in ns when bytes of its answer were read last; 0: none were
+}
+
+// round are the calls that are open beside one another, until one of them is answered.
+type round struct {
+	watch   *Watch
+	at      *place
+	hold    time.Duration
+	answers chan ending
+	calls   []*openCall
+}
+
+// call makes one more call. Where too many are open already one of them ends.
+func (r *round) call(ctx context.Context) {
+	if len(r.calls) == mostCalls {
+		r.endOne()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	c := &openCall{cancel: cancel, begun: time.Now()}
+	r.calls = append(r.calls, c)
+	go func(rev int64) {
+		l, err := r.watch.call(ctx, r.at, rev, r.hold, func() { c.heard.Store(time.Now().UnixNano()) })
+		if ctx.Err() == nil || err == nil {
+			select {
+			case r.answers <- ending{l, err}:
+			default: // another one's answer counts
+			}
+		}
+	}(r.at.rev)
+}
+
+// endOne ends the call of least promise: the oldest of those whose answer has not begun to come, or else the one that was
+// silent for longest. A list that comes in pieces may take longer than others are waited for.
+func (r *round) endOne() {
+	least := slices.MinFunc(r.calls, func(a, b *openCall) int {
+		return cmp.Or(cmp.Compare(a.heard.Load(), b.heard.Load()), a.begun.Compare(b.begun))
+	})
+	least.cancel()
+	r.calls = slices.DeleteFunc(r.calls, func(c *openCall) bool { return c == least })
+}
+
+// wait returns the first answer. Each time that there is none within the hold and the grace another call is made.
+func (r *round) wait(ctx context.Context, patience time.Duration, doubted func()) ending {
+	doubt := time.NewTicker(patience)
+	defer doubt.Stop()
+	for {
+		select {
+		case e := <-r.answers:
+			return e
+		case <-doubt.C:
+			doubted()
+			r.call(ctx)
+		case <-ctx.Done():
+			return ending{err: ctx.Err()}
+		}
+	}
+}
+
 // follow watches an agent at one place until the watch moves or ctx ends. A call that has said nothing by the end of
 // its hold and grace is doubted: another is made beside it, and whichever answers first counts. The others end with
 // it, so that news never comes out of order. After a failure that came at once it waits a little.
@@ -128,62 +211,31 @@
 	defer end()
 	defer context.AfterFunc(p.ctx, end)()
 	hold, grace := w.times(agentHold, agentGrace)
-	wait, silent := backoffFirst, false
-	for ctx.Err() == nil {
-		round, over := context.WithCancel(ctx)
-		answers := make(chan ending, mostCalls)
-		var calls []context.CancelFunc // that are open, the oldest first
-		call := func() {
-			if len(calls) == mostCalls {
-				calls[0]()
-				calls = calls[1:]
-			}
-			one, cancel := context.WithCancel(round)
-			calls = append(calls, cancel)
-			go func(rev int64) {
-				l, err := w.call(one, p, rev, hold)
-				if one.Err() == nil || err == nil {
-					select {
-					case answers <- ending{l, err}:
-					default: // another one's answer counts
-					}
-				}
-			}(p.rev)
+	pause, silent := backoffFirst, false
+	doubted := func() {
+		if !silent {
+			silent = true
+			w.log.Warn("discovery is silent; asking again")
 		}
-		call()
-		doubt := time.NewTicker(hold + grace)
-		var t ending
-		for waiting := true; waiting; {
-			select {
-			case t = <-answers:
-				waiting = false
-			case <-doubt.C:
-				if !silent {
-					silent = true
-					w.log.Warn("discovery is silent; asking again")
-				}
-				call()
-			case <-ctx.Done():
-				t.err, waiting = ctx.Err(), false
-			}
-		}
-		doubt.Stop()
+	}
+	for ctx.Err() == nil {
+		calls, over := context.WithCancel(ctx)
+		r := &round{watch: w, at: p, hold: hold, answers: make(chan ending, mostCalls)}
+		r.call(calls)
+		e := r.wait(calls, hold+grace, doubted)
 		over()
 		if ctx.Err() != nil {
 			return
 		}
-		if w.take(p, t.list, t.err) {
-			wait, silent = backoffFirst, false
+		if w.take(p, e.list, e.err) {
+			pause, silent = backoffFirst, false
 			continue
 		}
-		if wait == backoffFirst {
-			w.log.Warn("discovery does not answer; asking again", "error", t.err)
+		if pause == backoffFirst {
+			w.log.Warn("discovery does not answer; asking again", "error", e.err)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-		wait = min(2*wait, backoffMost)
+		clock.Sleep(ctx, pause)
+		pause = min(2*pause, backoffMost)
 	}
 }
 
@@ -212,6 +264,7 @@
 			if err := w.watch(ctx, p); err != nil && p.ctx.Err() == nil {
 				if ctx.Err() == nil {
 					w.log.Warn("the subscription failed", "error", err)
+					w.failed = true
 					w.sink.ListFailed()
 				}
 				break
@@ -220,17 +273,29 @@
 	}
 }
 
-// watch makes one call to a service, gives it up where it stays silent, and passes on what it tells.
+// watch makes one call to a service, gives it up where it stays silent, and passes on what it tells. After a failure that
+// is told also where it is no news: whoever waits longer after each failure is to know that this is over.
 func (w *Watch) watch(ctx context.Context, p *place) error {
 	hold, grace := w.times(serviceHold, serviceGrace)
-	ctx, cancel := context.WithTimeout(ctx, hold+grace)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(p.ctx, cancel)()
-	l, err := w.call(ctx, p, p.rev, hold)
-	w.take(p, l, err)
+	last := time.Now().Add(hold + longestList)
+	silence := time.AfterFunc(hold+grace, cancel)
+	defer silence.Stop()
+	l, err := w.call(ctx, p, p.rev, hold, func() { silence.Reset(min(grace, time.Until(last))) })
+	if w.take(p, l, err) && w.failed {
+		w.failed = false
+		if !tells(l) {
+			w.sink.TakeList(l)
+		}
+	}
 	return err
 }
 
+// tells says that a list is news, and not the end of a hold without any.
+func tells(l List) bool { return l.Full || len(l.Targets) > 0 }
+
 // take passes on what a call told, and goes on from there. It tells whether the call told anything that could be read.
 func (w *Watch) take(p *place, l List, err error) bool {
 	if err != nil {
@@ -240,7 +305,7 @@
 		return false
 	}
 	p.rev = l.Rev
-	if p.ctx.Err() == nil && (l.Full || len(l.Targets) > 0) { // else a hold has ended without news
+	if p.ctx.Err() == nil && tells(l) {
 		w.sink.TakeList(l)
 	}
 	return true
@@ -249,14 +314,15 @@
 // errMalformed is of an answer that came and can't be read.
 var errMalformed = errors.New("malformed")
 
-// call asks for what is newer than a version, and waits for that as long as ctx goes on.
-func (w *Watch) call(ctx context.Context, p *place, rev int64, hold time.Duration) (List, error) {
+// call asks for what is newer than a version, and waits for that as long as ctx goes on. heard is called whenever a part
+// of the answer has come.
+func (w *Watch) call(ctx context.Context, p *place, rev int64, hold time.Duration, heard func()) (List, error) {
 	u := url.URL{Scheme: "http", Host: p.addr, Path: "/registry/instances"}
 	if rev >= 0 {
 		u.RawQuery = url.Values{"from": {strconv.FormatInt(rev, 10)},
 			"hold_ms": {strconv.FormatInt(hold.Milliseconds(), 10)}}.Encode()
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	req, err := http.NewRequestWithContext(context.WithValue(ctx, callKey{}, ctx), http.MethodGet, u.String(), nil)
 	if err != nil {
 		return List{}, fmt.Errorf("watch: %w", err)
 	}
@@ -265,10 +331,11 @@
 		return List{}, fmt.Errorf("watch: %w", err)
 	}
 	defer resp.Body.Close()
+	heard()
 	if resp.StatusCode != http.StatusOK {
 		return List{}, fmt.Errorf("watch: status %d", resp.StatusCode)
 	}
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	text, err := io.ReadAll(io.LimitReader(heardReader{resp.Body, heard}, maxList))
 	if err != nil {
 		return List{}, fmt.Errorf("watch: %w", err)
 	}
@@ -281,3 +348,17 @@
 	}
 	return l, nil
 }
+
+// heardReader tells of each part that it reads.
+type heardReader struct {
+	io.Reader
+	heard func()
+}
+
+func (r heardReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.heard()
+	}
+	return n, err
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -479,12 +479,17 @@
 
 // holds says that a list tells nothing new.
 func (eng *Engine) holds(news discovery.List) bool {
+	named := 0
 	for _, t := range news.Targets {
-		if held, ok := eng.listed[t.ID]; ok && held != t || !ok && t.State != woodpick.Gone {
+		held, ok := eng.listed[t.ID]
+		if ok && held != t || !ok && t.State != woodpick.Gone {
 			return false
 		}
+		if ok {
+			named++
+		}
 	}
-	return !news.Full || len(news.Targets) == len(eng.listed)
+	return !news.Full || named == len(eng.listed)
 }
 
 // handle feeds the module and carries out what it decides.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -417,3 +417,22 @@
 		t.Errorf("answer %+v after %d sends, want a refusal after none", got, len(s.attempts))
 	}
 }
+
+// A whole list that names one server less is news, also where it names as many entries as are held, one of them long gone.
+func TestAWholeListThatLeavesAServerOutIsNews(t *testing.T) {
+	s := newScript()
+	e := newEngine(t, s, servers("s1", "s2"))
+	go e.Run(t.Context())
+	same := servers("s1", "s2")
+	less := servers("s1", "s3")
+	less.Targets[1].State = woodpick.Gone
+	for _, c := range []struct {
+		name  string
+		list  discovery.List
+		ready int
+	}{{"the same", same, 2}, {"one less, and one that is gone", less, 1}} {
+		if e.TakeList(c.list); e.Status().Ready != c.ready {
+			t.Errorf("%s: %d ready, want %d", c.name, e.Status().Ready, c.ready)
+		}
+	}
+}
