--- /dev/null
+++ b/cmd/damsontrestle/ending_test.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"woodpick/internal/standin"
+)
+
+// platformConfig is a file of the platform's for one node.
+func platformConfig(discovery string, sockets int, known, settings string) string {
+	return fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":64,"sockets":%d},"known":%s,"settings":%s}`, discovery, sockets, known, settings)
+}
+
+// caller connects to a node for as long as a test may take.
+func caller(t *testing.T, address string) *standin.Caller {
+	t.Helper()
+	c := standin.Dial(t, address)
+	c.SetDeadline(time.Now().Add(limit))
+	return c
+}
+
+// Signals that come while the node ends change nothing of its end: what was taken is answered, and it exits with 0.
+func TestSignalsDuringTheEnd(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	hold, got := make(chan struct{}), make(chan struct{}, 1)
+	server := standin.NewServer(t, standin.Held(hold, got))
+	agent := standin.NewAgent(t)
+	list := strings.Replace(standin.Whole(standin.Entry("s1", server.Address(), "in_service")), "%d", "1", 1)
+	agent.Tell(false, standin.Whole(standin.Entry("s1", server.Address(), "in_service")))
+	config := platformConfig(agent.Address(), 256, list, settings)
+	cmd, address, log := start(t, path, config)
+	c := caller(t, address)
+	c.Send("GET", "/view/k", "held", "", "40")
+	standin.Receive(t, got, "the request at the server")
+	signal := func(s syscall.Signal) {
+		t.Helper()
+		if err := cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	signal(syscall.SIGTERM)
+	await(t, log, "msg=draining")
+	signal(syscall.SIGTERM)
+	for text, says := range map[string]string{config[:40]: "the new configuration is bad", config: "the configuration is read again"} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		signal(syscall.SIGHUP)
+		await(t, log, says)
+	}
+	close(hold)
+	c.Want(t, http.StatusOK, "for held")
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
+// A node that is told to end before it has heard of any server refuses what it has taken, and exits with 0.
+func TestSIGTERMBeforeReady(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	agent := standin.NewAgent(t)
+	agent.Tell(true, "")
+	short := strings.Replace(settings, `"deadline-ms":40000`, `"deadline-ms":20000`, 1)
+	cmd, address, log := start(t, path, platformConfig(agent.Address(), 256, `{"rev":0,"all":true,"targets":[]}`, short))
+	unready := caller(t, address)
+	io.WriteString(unready, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+	unready.Want(t, http.StatusServiceUnavailable, "not ready\n")
+	c := caller(t, address)
+	c.Send("GET", "/view/k", "waiting", "", "40")
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	await(t, log, "msg=draining")
+	if r, _ := c.Answer(t); r.StatusCode != http.StatusServiceUnavailable || r.Header.Get("Retry-After") == "" || !r.Close {
+		t.Errorf("got %d, Retry-After %q, close %v", r.StatusCode, r.Header.Get("Retry-After"), r.Close)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
+// Idle clients that fill the process's descriptors while discovery is down keep the node neither from discovery once it is
+// back, nor from servers, nor from its end.
+func TestIdleClientsFillTheDescriptorsWhileDiscoveryIsDown(t *testing.T) {
+	const sockets = 128
+	path := filepath.Join(t.TempDir(), "config.json")
+	server := standin.NewServer(t, standin.Echo)
+	discovery := standin.ClosedPort(t)
+	cmd, address, log := startBy(t, fmt.Sprintf("ulimit -n %d; %s", sockets, build(t).run), path,
+		platformConfig(discovery, sockets, `{"rev":0,"all":true,"targets":[]}`, settings))
+	for i := range 3 * sockets {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 { // half of them idle behind an answer, the others silent
+			io.WriteString(c, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+			c.SetReadDeadline(time.Now().Add(limit))
+			http.ReadResponse(bufio.NewReader(c), nil) // or it was turned away
+		}
+	}
+	ln, err := net.Listen("tcp", discovery)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := strings.Replace(standin.Whole(standin.Entry("s1", server.Address(), "in_service")), "%d", "1", 1)
+	registry := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done() // nothing new
+			return
+		}
+		io.WriteString(w, list)
+	})}
+	go registry.Serve(ln)
+	defer registry.Close()
+	standin.Until(t, "a request to be served", func() bool {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(limit))
+		fmt.Fprint(c, "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nX-Deadline: 1\r\n\r\n")
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		return err == nil && r.StatusCode == http.StatusOK
+	})
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	await(t, log, "msg=draining")
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
--- a/cmd/damsontrestle/main_test.go
+++ b/cmd/damsontrestle/main_test.go
@@ -104,11 +104,17 @@
 // start runs the node with a configuration, written to a path, and more in its environment, until it serves. It returns its log from then
 // on.
 func start(t *testing.T, path, config string, env ...string) (cmd *exec.Cmd, address string, log <-chan string) {
+	t.Helper()
+	return startBy(t, build(t).run, path, config, env...)
+}
+
+// startBy does so by a shell's command.
+func startBy(t *testing.T, command, path, config string, env ...string) (cmd *exec.Cmd, address string, log <-chan string) {
 	t.Helper()
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd = exec.Command("/bin/sh", "-c", build(t).run)
+	cmd = exec.Command("/bin/sh", "-c", command)
 	cmd.Dir, cmd.Env = build(t).dir, append(append(os.Environ(), "BALANCER_CONFIG="+path), env...)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
--- a/internal/http1/back.go
+++ b/internal/http1/back.go
@@ -46,6 +46,8 @@
 	waiter chan reply    // the attempt on it takes one reply here; nil while idle. Guarded by Back.mu
 	since  time.Duration
 	way    time.Duration // that it took to come up: what is written takes less to arrive
+	begun  time.Duration // when the request on it was begun
+	took   time.Duration // from then to the end of its answer, the last time
 	stage  stage         // guarded by Back.mu
 	dead   bool          // guarded by Back.mu
 	passed bool          // the rest of an answer is read by somebody else. Guarded by Back.mu
@@ -109,7 +111,11 @@
 
 // DefaultSettle is longer than a second answer comes behind the first where a server gives two, which is some
 // milliseconds: written before it has come, the next request would get it for its own.
-const DefaultSettle = 25 * time.Millisecond
+const DefaultSettle = 10 * time.Millisecond
+
+// settleShare is the part of an exchange's time that the next one may wait for its connection to settle, rather than have
+// one more opened: a handshake costs the server work, and may take longer than expected.
+const settleShare = 0.25
 
 // keep is how long a connection may be idle: closed a little before the server does, or a request might cross
 // its close and end as a reset.
@@ -256,8 +262,9 @@
 
 // connect takes the idle connection used last, or opens a fresh one.
 func (b *Back) connect(ctx context.Context, to discovery.Host, waiter chan reply) (c *conn, fresh bool, err error) {
-	c, err = b.take(to, waiter)
+	c, settles, err := b.take(to, waiter)
 	if c != nil || err != nil {
+		clock.Sleep(ctx, settles)
 		return c, false, err
 	}
 	b.mu.Lock()
@@ -302,7 +309,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c.waiter == waiter && !spokenOrClosed(c.Conn) {
-		c.stage = writing
+		c.stage, c.begun = writing, b.clock.Now()
 		return true
 	}
 	if c.waiter == waiter {
@@ -335,42 +342,58 @@
 	return listed && t.State == woodpick.Ready && t.Host() == h
 }
 
-// take returns the idle connection used last of those that have settled, or nil once there is room to open one. When
-// there is none, one that has not settled will do; else idle connections to other servers are closed first.
-func (b *Back) take(to discovery.Host, waiter chan reply) (*conn, error) {
+// take returns an idle connection and how long it has yet to settle, or nil once there is room to open one: one that soon
+// will have settled, or any where no other can be opened. When short, idle connections to other servers are closed.
+func (b *Back) take(to discovery.Host, waiter chan reply) (c *conn, settles time.Duration, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := b.settled(to)
-	for c == nil && !b.room() {
-		if free := b.idle[to]; len(free) > 0 {
-			c = free[0]
-		} else if !b.dropOldest() {
-			return nil, errNoRoom
-		}
+	c, settles = b.soonest(to)
+	if (c == nil || settles > c.patience()) && b.reserve() {
+		return nil, 0, nil
 	}
 	if c != nil {
 		b.unlist(c)
 		c.waiter, c.stage = waiter, resting
-		return c, nil
+		return c, settles, nil
+	}
+	for b.dropOldest() {
+		if b.reserve() {
+			return nil, 0, nil
+		}
+	}
+	return nil, 0, errNoRoom
+}
+
+// reserve takes a place for one more connection, if there is one. The caller holds mu.
+func (b *Back) reserve() bool {
+	if b.open >= b.limits.Most || !b.share.Take() {
+		return false
 	}
 	b.open++
 	b.made++
-	return nil, nil
+	return true
 }
 
-// room takes a descriptor for one more connection, if there is one. The caller holds mu.
-func (b *Back) room() bool { return b.open < b.limits.Most && b.share.Take() }
-
-// settled is the idle connection to a host used last of those that have settled, or nil. The caller holds mu.
-func (b *Back) settled(to discovery.Host) *conn {
-	free := b.idle[to]
+// soonest is the idle connection to a host that is of use first, and how long it has yet to settle; nil: there is none. It
+// is the one used last, unless that would have to be waited for too long: one that has been idle for longer is likelier
+// to be closed by its server just then. The caller holds mu.
+func (b *Back) soonest(to discovery.Host) (c *conn, settles time.Duration) {
 	now := b.clock.Now()
-	for i := len(free) - 1; i >= 0; i-- {
-		if now-free[i].since >= b.limits.Settle {
-			return free[i]
+	for _, free := range slices.Backward(b.idle[to]) {
+		left := max(0, free.since+b.limits.Settle-now)
+		if left <= free.patience() {
+			return free, left
+		}
+		if c == nil || left < settles {
+			c, settles = free, left
 		}
 	}
-	return nil
+	return c, settles
+}
+
+// patience is how long a connection is waited for rather than another opened.
+func (c *conn) patience() time.Duration {
+	return max(c.way, time.Duration(settleShare*float64(c.took)))
 }
 
 // unlist takes a connection from the idle ones, if it is among them. The caller holds mu.
@@ -475,7 +498,7 @@
 		if waiter != nil && r.Reply.Rest != nil {
 			c.passed, keep = true, false // whoever reads the rest has the connection from now on
 		} else if waiter != nil && keep {
-			c.since = r.At
+			c.since, c.took = r.At, r.At-c.begun
 			if c.stage == written { // an answer that came early must not let another request into this one
 				b.rest(c)
 			}
--- a/internal/http1/back_test.go
+++ b/internal/http1/back_test.go
@@ -66,6 +66,9 @@
 		{"cut body", "200 OK\r\nContent-Length: 9\r\n\r\nok", woodpick.Broken, false},
 		{"cut chunks", "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", woodpick.Broken, false},
 		{"no length, but an end", "200 OK\r\n\r\nok", woodpick.Success, false},
+		{"no length, and a reset", "200 OK\r\n\r\nok", woodpick.Broken, false},
+		{"half a status line", "200", woodpick.Broken, false},
+		{"a 1xx, and an end", "102 Processing\r\n\r\n", woodpick.Broken, false},
 		{"said to be too long", "200 OK\r\nContent-Length: 3000000000\r\n\r\nand so on", woodpick.Broken, false},
 		{"an error said to be too long", "500 Internal Server Error\r\nContent-Length: 3000000000\r\n\r\nand so on", woodpick.Failure, false},
 		{"a head too long", "200 OK\r\n" + strings.Repeat("X-Pad: pppp\r\n", maxAnswer/10), woodpick.Broken, false},
@@ -89,6 +92,13 @@
 					return false
 				}
 				io.WriteString(conn, "HTTP/1.1 "+c.answer)
+				if strings.Contains(c.name, "a reset") {
+					conn.(*net.TCPConn).SetLinger(0)
+					return false
+				}
+				if strings.Contains(c.name, "half a status") || strings.Contains(c.name, "and an end") {
+					return false
+				}
 				if !c.keeps && !strings.Contains(c.name, "cut") && !strings.Contains(c.name, "but an end") {
 					io.Copy(io.Discard, conn) // it stays open until the node closes it
 				}
--- a/internal/http1/begin_test.go
+++ b/internal/http1/begin_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -174,20 +176,57 @@
 	}
 }
 
-// A connection that has settled is used again, the one used last first.
-func TestAConnectionThatHasSettledIsUsedAgain(t *testing.T) {
+// A connection that has settled is used again; one that soon will have is waited for rather than another opened.
+func TestAConnectionThatSettlesIsUsedAgain(t *testing.T) {
 	s := standin.NewServer(t, standin.Echo)
 	b := testBackend(10)
-	b.limits.Settle = 20 * time.Millisecond
 	h := testHost(b, s.Address())
-	for range 3 {
-		run(t, b, testAttempt(b, s.Address()))
+	idle := func() *conn {
 		b.mu.Lock()
-		made, free := b.made, b.idle[h][len(b.idle[h])-1]
-		b.mu.Unlock()
-		standin.Until(t, "the connection to settle", func() bool { return b.clock.Now()-free.since >= b.limits.Settle })
-		if run(t, b, testAttempt(b, s.Address())); b.made != made {
-			t.Fatalf("%d connections made, want %d", b.made, made)
+		defer b.mu.Unlock()
+		return b.idle[h][0]
+	}
+	run(t, b, testAttempt(b, s.Address()))
+	b.limits.Settle = 20 * time.Millisecond
+	standin.Until(t, "the connection to settle", func() bool { return b.clock.Now()-idle().since >= b.limits.Settle })
+	run(t, b, testAttempt(b, s.Address()))
+	if b.made != 1 {
+		t.Fatalf("%d connections made, want 1", b.made)
+	}
+	b.limits.Settle = 100 * time.Millisecond
+	b.mu.Lock()
+	b.idle[h][0].took = standin.Limit // as if the exchange had been long against that
+	rested := b.idle[h][0].since
+	b.mu.Unlock()
+	run(t, b, testAttempt(b, s.Address()))
+	if c := idle(); b.made != 1 || c.begun-rested < b.limits.Settle {
+		t.Errorf("%d connections made, begun %v behind the answer before; want 1, %v", b.made, c.begun-rested, b.limits.Settle)
+	}
+}
+
+// A further attempt tells its server what is left to the client, not what was at first.
+func TestAFurtherAttemptTellsWhatIsLeft(t *testing.T) {
+	const wait = 20 * time.Second
+	var attempts atomic.Int64
+	var spent atomic.Int64
+	told := make(chan time.Duration, 1)
+	answer := func(c net.Conn, r *http.Request, body string) bool {
+		if attempts.Add(1) == 1 {
+			begin := time.Now()
+			time.Sleep(50 * time.Millisecond) // of the client's time
+			spent.Store(int64(time.Since(begin)))
+			return false
 		}
+		left, _ := strconv.ParseFloat(r.Header.Get("X-Deadline"), 64)
+		told <- time.Duration(left * float64(time.Second))
+		return standin.Echo(c, r, body)
+	}
+	one, two := standin.NewServer(t, answer), standin.NewServer(t, answer)
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", one.Address(), "in_service"), standin.Entry("s2", two.Address(), "in_service"))), nil)
+	c := standin.Dial(t, n.Addr())
+	c.Send("GET", "/view/k", "again", "", "20")
+	c.Want(t, http.StatusOK, "for again")
+	if left, most := standin.Receive(t, told, "the second attempt"), wait-time.Duration(spent.Load()); left <= 0 || left > most {
+		t.Errorf("told %v, at most %v are left", left, most)
 	}
 }
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -140,9 +140,10 @@
 		more io.Reader
 		cut  chan struct{}
 	)
+	gone := conn.gone
 	if rest != nil {
-		rc.EnableFullDuplex() // the answer may come while the body still does
-		more, cut = rest, rest.cut
+		rc.EnableFullDuplex()                 // the answer may come while the body still does
+		more, cut, gone = rest, rest.cut, nil // whose reader meets the connection's end
 		defer rest.end()
 	}
 	if !f.callers.Begin(conn) {
@@ -167,7 +168,7 @@
 		f.leave(c)
 		w.Header().Set("Connection", "close")
 		f.reject(w, conn, view, errNotWhole)
-	case <-conn.gone:
+	case <-gone:
 		f.abandon(w, conn, c)
 	case <-r.Context().Done():
 		if rest != nil && !rest.end() { // net/http takes a body that comes too slowly for its caller's end
--- a/internal/node/ending.go
+++ b/internal/node/ending.go
@@ -85,8 +85,8 @@
 	}
 	clock.Sleep(ctx, e.accept)
 	for _, s := range sockets {
-		if err := s.shut(); err != nil {
-			return err
+		if err := s.shut(); err != nil { // what was taken is owed an answer all the same
+			n.log.Warn("a listener was not closed", "address", s.Addr(), "error", err)
 		}
 	}
 	for serve := max(e.serve, e.accept+quietGrace); since() < serve && n.callers.Held() > 0; {
@@ -97,6 +97,9 @@
 	}
 	for told := false; letGo(fronts, n.callers) > 0; clock.Sleep(ctx, drainStep) {
 		if ctx.Err() != nil {
+			if n.callers.In(callers.Lingering) == n.callers.Held() {
+				return nil // all are answered, and some have not closed yet
+			}
 			return fmt.Errorf("callers are left: %w", ctx.Err())
 		}
 		if n.gateway != nil && since() >= e.last-handOver {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -217,6 +217,30 @@
 	}
 }
 
+// A client that has its last answer and does not close holds no end up: nothing is owed to it.
+func TestAClientThatNeverClosesHoldsNoEndUp(t *testing.T) {
+	hold, got := make(chan struct{}), make(chan struct{}, 1)
+	defer close(hold)
+	s := standin.NewServer(t, standin.Held(hold, got))
+	ag := standin.NewAgent(t)
+	ag.Tell(false, standin.Whole(standin.Entry("s1", s.Address(), "in_service")))
+	cfg := testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service")))
+	*cfg.registry() = ag.Address()
+	cfg.Options.ending = &ending{accept: time.Millisecond, serve: time.Millisecond, last: 500 * time.Millisecond, most: 800 * time.Millisecond}
+	n, stop := startNode(t, cfg, nil)
+	c := standin.Dial(t, n.Addr("main"))
+	c.Get("held")
+	standin.Receive(t, got, "the attempt")
+	end := make(chan error, 1)
+	go func() { end <- stop() }()
+	if r, _ := c.Answer(t); r.StatusCode != 502 || !r.Close {
+		t.Errorf("got %d, close %v", r.StatusCode, r.Close)
+	}
+	if err := standin.Receive(t, end, "the node's end"); err != nil {
+		t.Error(err)
+	}
+}
+
 // A malformed list is dropped whole, and the whole list asked for anew.
 func TestMalformedListLeavesTheOldOne(t *testing.T) {
 	s := standin.NewServer(t, standin.Echo)
