Changes of a list that is not held are no list

At fault: Watch.call, which compared versions only. It is malformed now, and asked for again. TestTheEndOfFailuresIsTold made its failure by a malformed list, behind which changes are no list any more: silence fails it.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -340,7 +340,11 @@
 		return List{}, fmt.Errorf("watch: %w", err)
 	}
 	l, err := Parse(text)
-	if err == nil && !l.Full && l.Rev < rev {
+	switch {
+	case err != nil || l.Full:
+	case rev < 0:
+		err = errors.New("list: changes without the whole list that was asked for")
+	case l.Rev < rev:
 		err = fmt.Errorf("list: rev %d comes after %d", l.Rev, rev)
 	}
 	if err != nil {
--- a/internal/http1/back.go
+++ b/internal/http1/back.go
@@ -264,7 +264,9 @@
 func (b *Back) connect(ctx context.Context, to discovery.Host, waiter chan reply) (c *conn, fresh bool, err error) {
 	c, settles, err := b.take(to, waiter)
 	if c != nil || err != nil {
-		clock.Sleep(ctx, settles)
+		if settles > 0 {
+			clock.Sleep(ctx, settles)
+		}
 		return c, false, err
 	}
 	b.mu.Lock()
