--- a/internal/http1/callers_test.go
+++ b/internal/http1/callers_test.go
@@ -82,18 +82,18 @@
 	defer ln.Close()
 	set := callers.New(clock.New(), callers.Share{Room: 2, Spare: 10}, func() int { return 1 })
 	f := &Front{callers: set}
-	pair := func() (ours *callerConn, theirs net.Conn) {
+	pair := func() (ours *clientConn, theirs net.Conn) {
 		theirs, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { theirs.Close() })
-		c, err := callerListener{ln, set, new(atomic.Int64)}.Accept()
+		c, err := clientListener{ln, set, new(atomic.Int64)}.Accept()
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { c.Close() })
-		return c.(*callerConn), theirs
+		return c.(*clientConn), theirs
 	}
 	say := func(from, to net.Conn, text string) {
 		t.Helper()
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -64,7 +64,7 @@
 // Serve accepts callers until the listener fails, is closed or has a deadline in the past, and returns its
 // error.
 func (f *Front) Serve(ln net.Listener) error {
-	return f.server.Serve(callerListener{ln, f.callers, &f.ahead})
+	return f.server.Serve(clientListener{ln, f.callers, &f.ahead})
 }
 
 // SetReady has the health answer say from now on whether callers should be sent here.
@@ -77,7 +77,7 @@
 func (f *Front) LetQuietGo() int { return f.callers.LetQuietGo(f) }
 
 // health tells the front whether to send callers here.
-func (f *Front) health(w http.ResponseWriter, r *http.Request, conn *callerConn) {
+func (f *Front) health(w http.ResponseWriter, r *http.Request, conn *clientConn) {
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodHead || r.ContentLength != 0:
 		http.Error(w, "only GET is served", http.StatusMethodNotAllowed)
@@ -93,7 +93,7 @@
 }
 
 // keep leaves a connection open behind its answer, as it is unless it was to be closed.
-func (f *Front) keep(w http.ResponseWriter, conn *callerConn) {
+func (f *Front) keep(w http.ResponseWriter, conn *clientConn) {
 	if may, _ := conn.isLast(); !may || !f.closing.Load() {
 		w.Header().Del("Connection")
 	}
@@ -183,7 +183,7 @@
 
 // abandon ends a request whose client has closed its connection, or its sending: nothing more is begun for it. One that
 // still reads is told that it failed; net/http would tell it of an empty success.
-func (f *Front) abandon(w http.ResponseWriter, conn *callerConn, c *engine.Call) {
+func (f *Front) abandon(w http.ResponseWriter, conn *clientConn, c *engine.Call) {
 	f.leave(c)
 	w.Header().Set("Connection", "close")
 	f.write(w, conn, engine.Answer{Kind: engine.Failed})
@@ -246,7 +246,7 @@
 }
 
 // reject answers a request that can't be used, or whose listener has gone, with its connection's end.
-func (f *Front) reject(w http.ResponseWriter, conn *callerConn, view *dispatch.View, err error) {
+func (f *Front) reject(w http.ResponseWriter, conn *clientConn, view *dispatch.View, err error) {
 	var no *intake.Rejected
 	if !errors.As(err, &no) {
 		f.write(w, conn, engine.Answer{Kind: engine.Refused, RetryAfter: view.ComeBack()})
@@ -257,13 +257,13 @@
 
 // isLast says that an answer ends its connection. What was read behind its request is answered first, or it would be
 // lost, unless that is too much.
-func (f *Front) isLast(conn *callerConn, a engine.Answer) bool {
+func (f *Front) isLast(conn *clientConn, a engine.Answer) bool {
 	may, must := conn.isLast()
 	return must || may && (f.callers.Crowded() || f.closing.Load() || a.Elsewhere)
 }
 
 // write gives the answer to the caller. With an error it was begun and is not whole.
-func (f *Front) write(w http.ResponseWriter, conn *callerConn, a engine.Answer) error {
+func (f *Front) write(w http.ResponseWriter, conn *clientConn, a engine.Answer) error {
 	rc := http.NewResponseController(w)
 	rc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
--- a/internal/http1/gone_test.go
+++ b/internal/http1/gone_test.go
@@ -185,7 +185,7 @@
 }
 
 // connPair is a client's connection and what the front has of it.
-func connPair(t *testing.T) (ours *callerConn, theirs net.Conn) {
+func connPair(t *testing.T) (ours *clientConn, theirs net.Conn) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -196,12 +196,12 @@
 		t.Fatal(err)
 	}
 	set := callers.New(clock.New(), callers.Share{Room: 10, Spare: 10}, func() int { return 0 })
-	c, err := callerListener{ln, set, new(atomic.Int64)}.Accept()
+	c, err := clientListener{ln, set, new(atomic.Int64)}.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { theirs.Close(); c.(*callerConn).Abort() })
-	return c.(*callerConn), theirs
+	t.Cleanup(func() { theirs.Close(); c.(*clientConn).Abort() })
+	return c.(*clientConn), theirs
 }
 
 // Requests that were read together are all answered, also where each answer would end its connection by then.
