What comes while a request is served is answered at the end; half ones hold nothing up

Seen, by tests: with each answer closing its connection, a request that was read while another was served was dropped ("got 200 for held, close true", then an end); a node whose last client had sent half a request ended with an error ("callers are left"). At fault: Front.keep, which decided on the close before the request was served, beside Front.write; Node.drain, which did not ask whether anything was owed. Ruled out: the connection, which had the request. Now write alone decides, and the end is in order where no request is open.

--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -92,7 +92,7 @@
 	http.Error(w, "not ready", http.StatusServiceUnavailable)
 }
 
-// keep leaves a connection open behind its answer, as it is unless it was to be closed.
+// keep leaves a connection open behind an answer on health, unless it was to be closed.
 func (f *Front) keep(w http.ResponseWriter, conn *clientConn) {
 	if may, _ := conn.isLast(); !may || !f.closing.Load() {
 		w.Header().Del("Connection")
@@ -133,7 +133,7 @@
 	at := f.clock.Now()
 	rc.SetReadDeadline(time.Time{}) // it was for reading the request
 	if !coded {                     // what is behind such a body is read by nobody, whoever put it there
-		f.keep(w, conn)
+		w.Header().Del("Connection") // write tells whether the answer is the last
 	}
 	f.figures.Begin()
 	var (
--- a/internal/http1/gone_test.go
+++ b/internal/http1/gone_test.go
@@ -219,3 +219,28 @@
 	}
 	c.WantClosed(t, "the connection behind the last answer")
 }
+
+// What a client sends while its request is served is answered as well, though each answer ends its connection by then.
+func TestWhatComesWhileARequestIsServedIsAnsweredBeforeTheEnd(t *testing.T) {
+	hold, got := make(chan struct{}), make(chan struct{}, 1)
+	s := standin.NewServer(t, standin.Held(hold, got))
+	n := start(t, testConfig(standin.Whole(standin.Entry("s1", s.Address(), "in_service"))), nil)
+	n.front.SetClosing(true)
+	c := standin.Dial(t, n.Addr())
+	c.Get("held")
+	standin.Receive(t, got, "the attempt")
+	c.Get("behind")
+	standin.Until(t, "the next request to be read", func() bool { return behind(n) })
+	close(hold)
+	for i, id := range []string{"held", "behind"} {
+		r, body := c.Answer(t)
+		if r.StatusCode != http.StatusOK || body != "for "+id || r.Close != (i == 1) {
+			t.Errorf("got %d %q, close %v", r.StatusCode, body, r.Close)
+		}
+	}
+}
+
+// behind says that a request was read behind the one that is served on the rig's only connection.
+func behind(n *rig) bool {
+	return n.front.ahead.Load() > 0
+}
--- a/internal/node/ending.go
+++ b/internal/node/ending.go
@@ -97,8 +97,8 @@
 	}
 	for told := false; letGo(fronts, n.callers) > 0; clock.Sleep(ctx, drainStep) {
 		if ctx.Err() != nil {
-			if n.callers.In(callers.Lingering) == n.callers.Held() {
-				return nil // all are answered, and some have not closed yet
+			if n.callers.In(callers.Open) == 0 {
+				return nil // all that was taken is answered: who is left has not closed, or has not sent a request whole
 			}
 			return fmt.Errorf("callers are left: %w", ctx.Err())
 		}
