Custody: a call that another claimed is asked for, not refused for want of room

At fault: Work.why, which went by what voters had said of the record and not by why the work was fenced. The owner itself votes on no key yet (NotOf counts as no room), so that a later fence by a higher ballot came out as ErrFull, 503. Ruled out: the claim and its outcome, which were right; unkeyed classes, of which no voter says NotOf. Now the first reason of a fence stands. Beside it: work ends as soon as its call is told to be decided (an owner waited for its own attempt up to the deadline), and a decision that comes late is not taken for the key's next call, which it would have ended: decisions tell the generation.

--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -90,6 +90,7 @@
 		Outcome Outcome `cbor:"2,keyasint"`
 		By      Ballot  `cbor:"3,keyasint"`
 		Life    uint64  `cbor:"4,keyasint"`
+		Gen     uint32  `cbor:"5,keyasint,omitempty"` // of the record that it is the outcome of
 	}
 	findMsg struct {
 		Key  Key           `cbor:"1,keyasint"`
@@ -184,7 +185,7 @@
 		topicClaim:  voted(c.claim),
 		topicFind:   peering.Answer(func(_ *peering.Link, m findMsg, answer func(word)) { c.find(m, answer) }),
 		topicEnded:  peering.Hear(func(_ *peering.Link, m endedMsg) { c.store.ended(m.Key, m.By, m.N) }),
-		topicDecide: peering.Hear(func(_ *peering.Link, m settleMsg) { c.store.decide(m.Key, m.Outcome, m.By) }),
+		topicDecide: peering.Hear(func(_ *peering.Link, m settleMsg) { c.decided(m) }),
 		topicHand: peering.Hear(func(_ *peering.Link, m endedMsg) {
 			c.store.hand(m.Key, m.By)
 			c.Look()
@@ -231,6 +232,18 @@
 	return word{v, e}
 }
 
+// decided notes an outcome that a majority has taken. Work that is still under way here for the same call is over: its caller
+// hears that outcome, and need not wait for an attempt that may take until the deadline.
+func (c *Custodian) decided(m settleMsg) {
+	c.store.decide(m.Key, m.Gen, m.Outcome, m.By)
+	c.mu.Lock()
+	w := c.works[m.Key]
+	c.mu.Unlock()
+	if w != nil && w.r.Gen == m.Gen && w.by.Compare(m.By) < 0 {
+		w.fence(ErrKnown)
+	}
+}
+
 // isYoung says that this gateway may have taken a key in an earlier life, whose repeats may still come.
 func (c *Custodian) isYoung() bool {
 	c.mu.Lock()
@@ -437,7 +450,7 @@
 	yes, no := c.poll(ctx, r.Voters, topicClaim, func(v Gateway) any { return recordMsg{r, by, v.Life} })
 	for _, w := range no {
 		if w.Entry != nil && w.Entry.Decided {
-			c.store.decide(k, *w.Entry.Outcome, w.Entry.At)
+			c.store.decide(k, r.Gen, *w.Entry.Outcome, w.Entry.At) // a later call of the key says what became of it, too
 			return
 		}
 	}
@@ -482,10 +495,10 @@
 	fenced  chan struct{} // closed once another has it in hand, or had its key before
 
 	mu    sync.Mutex
-	over  bool // fenced is closed
-	yes   int  // voters that have taken its record
-	taken int  // voters that have another call of its key in hand, and
-	full  int  // such as have no room
+	lost  error // why this gateway has the call in hand no more; nil: it has
+	yes   int   // voters that have taken its record
+	taken int   // voters that have another call of its key in hand, and
+	full  int   // such as have no room
 }
 
 // begin notes that a call is in this gateway's hand.
@@ -511,12 +524,12 @@
 	}
 }
 
-// fence says that this gateway has the call in hand no more.
-func (w *Work) fence() {
+// fence says that this gateway has the call in hand no more, and why: the first reason stands.
+func (w *Work) fence(why error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.over {
-		w.over = true
+	if w.lost == nil {
+		w.lost = why
 		close(w.fenced)
 	}
 }
@@ -535,9 +548,13 @@
 		w.full++
 	}
 	lost := w.taken+w.full > len(w.r.Voters)-Majority(len(w.r.Voters))
+	why := ErrFull
+	if w.taken > 0 {
+		why = ErrKnown
+	}
 	w.mu.Unlock()
 	if lost {
-		w.fence()
+		w.fence(why)
 	}
 }
 
@@ -545,10 +562,7 @@
 func (w *Work) why() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.full > 0 && w.taken == 0 {
-		return ErrFull
-	}
-	return ErrKnown
+	return w.lost
 }
 
 // carry is the call's story from here on, the same for whoever has it in hand: it is run, settled and told.
@@ -626,7 +640,7 @@
 		if len(yes) < Majority(len(w.r.Voters)) {
 			for _, said := range no {
 				if said.Verdict == Higher || said.Verdict == Known {
-					w.fence()
+					w.fence(ErrKnown)
 				}
 			}
 			return false
@@ -668,11 +682,13 @@
 	out.Live = nil
 	limit, cancel := context.WithTimeout(ctx, max(min(pollLimit, w.Left()), claimAgain))
 	defer cancel()
-	yes, no := w.c.poll(limit, w.r.Voters, topicSettle, func(v Gateway) any { return settleMsg{w.r.Key, out, w.by, v.Life} })
+	yes, no := w.c.poll(limit, w.r.Voters, topicSettle, func(v Gateway) any {
+		return settleMsg{Key: w.r.Key, Gen: w.r.Gen, Outcome: out, By: w.by, Life: v.Life}
+	})
 	if len(yes) < Majority(len(w.r.Voters)) {
 		for _, said := range no {
 			if said.Verdict == Higher || said.Verdict == Known {
-				w.fence()
+				w.fence(ErrKnown)
 				w.c.count(func(n *Counts) { n.Fenced++ })
 				return ErrKnown
 			}
@@ -683,10 +699,10 @@
 		return ErrUnsettled
 	}
 	fault.Point("custody.settled")
-	w.c.store.decide(w.r.Key, out, w.by)
+	w.c.store.decide(w.r.Key, w.r.Gen, out, w.by)
 	for _, v := range w.r.Voters {
 		if l := w.c.o.Links.To(v.Name); l != nil && l.Peer.Life == v.Life {
-			l.Tell(topicDecide, settleMsg{Key: w.r.Key, Outcome: out, By: w.by})
+			l.Tell(topicDecide, settleMsg{Key: w.r.Key, Gen: w.r.Gen, Outcome: out, By: w.by})
 		}
 	}
 	return nil
@@ -702,7 +718,7 @@
 	}
 	c.mu.Unlock()
 	for _, w := range all {
-		w.fence()
+		w.fence(ErrKnown)
 		w.giveOut()
 	}
 }
--- a/internal/custody/store.go
+++ b/internal/custody/store.go
@@ -193,12 +193,13 @@
 	s.bytes += h.size
 }
 
-// decide notes that a majority has taken an outcome.
-func (s *store) decide(k Key, o Outcome, b Ballot) {
+// decide notes that a majority has taken an outcome of a key's call of that generation. One that comes late, when the next call
+// of the key is held, says nothing of that.
+func (s *store) decide(k Key, gen uint32, o Outcome, b Ballot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.held[k]
-	if h == nil || h.Decided || h.Record.Key != k {
+	if h == nil || h.Decided || h.Record.Gen != gen {
 		return
 	}
 	h.TakeOutcome(o, b)
--- a/internal/custody/store_test.go
+++ b/internal/custody/store_test.go
@@ -22,7 +22,7 @@
 	}
 	settle := func(id string) {
 		s.settle(Key{"note", id}, Outcome{Kind: Served}, b)
-		s.decide(Key{"note", id}, Outcome{Kind: Served}, b)
+		s.decide(Key{"note", id}, 0, Outcome{Kind: Served}, b)
 		now += time.Second
 	}
 	for _, id := range []string{"a", "b", "c"} {
@@ -149,9 +149,9 @@
 	elsewhere.Voters = voters[:1]
 	other.record(elsewhere, b)
 	other.settle(Key{"log", "k0"}, Outcome{Kind: Refused, NotRun: true}, b)
-	other.decide(Key{"log", "k0"}, Outcome{Kind: Refused, NotRun: true}, b)
+	other.decide(Key{"log", "k0"}, 0, Outcome{Kind: Refused, NotRun: true}, b)
 	other.settle(Key{"log", "k1"}, Outcome{Kind: Served, Body: []byte("answer")}, b)
-	other.decide(Key{"log", "k1"}, Outcome{Kind: Served, Body: []byte("answer")}, b)
+	other.decide(Key{"log", "k1"}, 0, Outcome{Kind: Served, Body: []byte("answer")}, b)
 	now += 100 * time.Millisecond
 	own := rec("k4", "k4")
 	own.ID = "voted in this life"
@@ -204,3 +204,26 @@
 		t.Error("more was remembered than there is room for")
 	}
 }
+
+// What became of a key's first call may be told late, when the next call of the key is held: it decides nothing of that one.
+func TestALateDecisionIsNotTheNextCalls(t *testing.T) {
+	s := newStore(func() time.Duration { return time.Hour }, time.Minute, 1<<20)
+	key := Key{"log", "k"}
+	first := Ballot{N: 1, By: "A", Life: 1, Call: 1}
+	heir := Ballot{N: 2, By: "B", Life: 2, Call: 1}
+	next := Ballot{N: 1, By: "A", Life: 1, Call: 2}
+	refused := Outcome{Kind: Refused, NotRun: true}
+	s.record(Record{Key: key, ID: "first", Repeats: "k", Left: time.Minute}, first)
+	s.settle(key, refused, first)
+	if v, _ := s.record(Record{Key: key, Gen: 1, ID: "next", Repeats: "k", Left: time.Minute}, next); v != Yes {
+		t.Fatalf("what was refused is asked for anew: %v", v)
+	}
+	s.decide(key, 0, refused, heir)
+	if v := s.intend(key, Intent{By: next, ID: "next"}); v != Yes {
+		t.Errorf("an attempt of the next call, once the first is told to be refused: %v", v)
+	}
+	s.decide(key, 1, Outcome{Kind: Served}, next)
+	if e, _ := s.find(key); !e.Decided || e.Outcome.Kind != Served {
+		t.Errorf("the next call's own decision: %+v", e)
+	}
+}
