Gateways: a question to a partner that is refused is no refusal of the call

By a test of the rule alone: an heir whose question met a refusal, or nobody, settled the call as refused and not run, though it may run at the partner: a caller that tries again runs it twice. At fault: Gateway.run, which took the outcome of a question for the call's; askPartner, which asked on after a refusal that the partner had settled. Ruled out: the partner's custody, which had decided the refusal rightly. Now a question is only ever put by askPartner; of refusals only one that is marked as settled (X-Settled) is an answer, and at once. Questions go each 20 ms rather than 10.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -229,6 +229,9 @@
 	Load   *woodpick.Load // that came with an answer; nil: none
 	Spent  bool           // some of the call's Rest was read: it can't be sent again
 	Why    string         // what the answer said of the rule that it was refused by
+
+	// Settled says of Overloaded that the answer is the one that all hear who ask about the call: it never ran, and never will.
+	Settled bool
 }
 
 // Backend carries attempts out.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -25,11 +25,11 @@
 
 // Times of a call.
 const (
-	comeBack  = 250 * time.Millisecond // where nothing better is known
-	lastWord  = 10 * time.Millisecond  // of a call's time that is left for its answer
-	settling  = 20 * time.Millisecond  // of a call's time in custody that is left to have its outcome taken
-	mostWays  = 4                      // ways that a call tries, of which all but the last refused it by their rules
-	askWithin = time.Second            // for what became of a call at a partner, at least
+	comeBack = 250 * time.Millisecond // where nothing better is known
+	lastWord = 10 * time.Millisecond  // of a call's time that is left for its answer
+	settling = 20 * time.Millisecond  // of a call's time in custody that is left to have its outcome taken
+	mostWays = 4                      // ways that a call tries, of which all but the last refused it by their rules
+	askAgain = 20 * time.Millisecond  // after a question for what became of a call, which a partner did not answer
 )
 
 // Take implements dispatch.Guard: it takes calls of partners, and such of this partner's callers as draw from a budget, are in
@@ -342,49 +342,61 @@
 		left = time.Until(at)
 	}
 	step := custody.Next(class.ForModule().Effect, earlier, left, toPartner)
-	if step == custody.GiveUp {
-		return custody.Outcome{Kind: custody.Failed}
-	}
 	// What may have run goes back to where it may have: servers and partners elsewhere know nothing of it.
 	forced := ""
-	if step == custody.Again || step == custody.Ask {
-		for _, in := range earlier {
-			if !in.NotRun {
-				forced = in.Pool
-			}
-		}
+	switch step {
+	case custody.GiveUp:
+		return custody.Outcome{Kind: custody.Failed}
+	case custody.Again:
+		forced = mayRunIn(earlier)
+	case custody.Ask:
+		return g.askPartner(ctx, r, req, mayRunIn(earlier), earlier, w) // to ask needs no offer
 	}
-	var last custody.Outcome
+	var last tried
 	for range mostWays {
 		way, pool, why := g.way(r, class, forced)
-		switch {
-		case step == custody.Ask:
-			way, pool, why = offers.Chosen{}, forced, "" // to ask needs no offer
-		case why != "" && forced != "":
+		if why != "" && forced != "" {
 			return custody.Outcome{Kind: custody.Failed}
 		}
 		if why != "" {
-			if last.Kind != 0 {
-				return last
+			if last.out.Kind != 0 {
+				return last.out
 			}
 			return custody.Outcome{Kind: custody.Refused, NotRun: true, Why: why, Retry: comeBack}
 		}
-		var ruled bool
-		var unsure bool
-		last, ruled, unsure = g.attempt(ctx, r, req, pool, way, left, earlier, w, step == custody.Ask)
-		if unsure && way.Way != nil && way.Custody {
+		last = g.attempt(ctx, r, req, pool, way, left, earlier, w, false)
+		if last.unsure && way.Way != nil && way.Custody {
 			// Whoever has it in hand there now tells what became of it.
 			return g.askPartner(ctx, r, req, pool, earlier, w)
 		}
-		if !ruled {
-			return last
+		if !last.ruled {
+			return last.out
 		}
 		g.table.Drop(way.Way) // its owner's rule has changed: whoever comes next goes another way at once
 	}
-	return last
+	return last.out
+}
+
+// mayRunIn is the pool of the last attempt that may have run.
+func mayRunIn(earlier []custody.Intent) (pool string) {
+	for _, in := range earlier {
+		if !in.NotRun {
+			pool = in.Pool
+		}
+	}
+	return pool
+}
+
+// tried is what an attempt at a pool came to.
+type tried struct {
+	out     custody.Outcome
+	ruled   bool // a partner's rule refused it, and nothing ran
+	unsure  bool // it may run at a partner, which has not said what became of it
+	settled bool // the partner's refusal is the one answer to the call there: it never ran, and never will
 }
 
-// askPartner asks a partner what became of a call that may run there, until it says or the call's time is over.
+// askPartner asks a partner what became of a call that may run there, until it says or the call's time is over. That a
+// question was refused, or came to nobody, says nothing of the call: only a refusal that is settled there is its answer.
 func (g *Gateway) askPartner(ctx context.Context, r *custody.Record, req engine.Request, pool string, earlier []custody.Intent, w *custody.Work) custody.Outcome {
 	for ctx.Err() == nil {
 		at, _ := ctx.Deadline()
@@ -395,11 +407,11 @@
 		if left <= 0 {
 			break
 		}
-		out, _, unsure := g.attempt(ctx, r, req, pool, offers.Chosen{}, left, earlier, w, true)
-		if out.Kind == custody.Served || out.Kind == custody.Failed && !unsure {
-			return out
+		got := g.attempt(ctx, r, req, pool, offers.Chosen{}, left, earlier, w, true)
+		if got.out.Kind == custody.Served || got.out.Kind == custody.Failed && !got.unsure || got.settled {
+			return got.out
 		}
-		clock.Sleep(ctx, lastWord) // nobody there could tell yet
+		clock.Sleep(ctx, askAgain)
 	}
 	return custody.Outcome{Kind: custody.Failed}
 }
@@ -457,9 +469,8 @@
 	}
 }
 
-// attempt gives a call to the engine of a pool and waits for its answer. ruled: a partner's rule refused it, and nothing ran.
-// unsure: it may run at a partner, which has not said what became of it.
-func (g *Gateway) attempt(ctx context.Context, r *custody.Record, req engine.Request, pool string, way offers.Chosen, left time.Duration, earlier []custody.Intent, w *custody.Work, ask bool) (out custody.Outcome, ruled, unsure bool) {
+// attempt gives a call, or the question what became of it, to the engine of a pool and waits for its answer.
+func (g *Gateway) attempt(ctx context.Context, r *custody.Record, req engine.Request, pool string, way offers.Chosen, left time.Duration, earlier []custody.Intent, w *custody.Work, ask bool) tried {
 	now := g.o.Clock.Now()
 	inner := engine.NewCall(r.ID, req)
 	inner.Class, inner.At, inner.Deadline = r.Key.Class, now, now+left
@@ -473,7 +484,7 @@
 		}
 		text, err := m.seal(g.key(to))
 		if err != nil {
-			return custody.Outcome{Kind: custody.Failed}, false, false
+			return tried{out: custody.Outcome{Kind: custody.Failed}}
 		}
 		inner.Request.Beside = []engine.Field{{Name: Header, Value: text}}
 		if way.Way != nil {
@@ -490,7 +501,7 @@
 		inner.Earlier = nil
 	}
 	var mu sync.Mutex
-	rule, open := "", false
+	rule, open, settled := "", false, false
 	first := len(earlier)
 	number := func(a *engine.Attempt) int {
 		if len(inner.Earlier) != first {
@@ -510,22 +521,19 @@
 		return true
 	}
 	inner.Ended = func(a *engine.Attempt, o *engine.Outcome) {
-		if o.Ending == woodpick.Broken || o.Ending == woodpick.TimedOut || o.Ending == woodpick.Withdrawn {
-			mu.Lock()
-			open = true
-			mu.Unlock()
-		}
+		mu.Lock()
+		open = open || o.Ending == woodpick.Broken || o.Ending == woodpick.TimedOut || o.Ending == woodpick.Withdrawn
+		settled = settled || o.Ending == woodpick.Overloaded && o.Settled
 		if o.Why != "" && o.Why != busy {
-			mu.Lock()
 			rule = o.Why
-			mu.Unlock()
 		}
+		mu.Unlock()
 		if w != nil && !ask && o.Ending.NeverRan() { // that a question did not arrive says nothing of the attempt that it is about
 			w.Ended(number(a))
 		}
 	}
 	if err := g.o.Calls.Hand(inner, pool); err != nil {
-		return custody.Outcome{Kind: custody.Refused, NotRun: true, Retry: comeBack, Why: "no pool takes this call now"}, false, false
+		return tried{out: custody.Outcome{Kind: custody.Refused, NotRun: true, Retry: comeBack, Why: "no pool takes this call now"}}
 	}
 	select {
 	case a := <-inner.Answer():
@@ -537,10 +545,14 @@
 		if a.Kind == engine.Refused && to != "" {
 			a.Why = ""
 		}
-		out := outcomeOf(a)
-		return out, a.Kind == engine.Refused && rule != "" && to != "", a.Kind == engine.Failed && open && to != ""
+		return tried{
+			out:     outcomeOf(a),
+			ruled:   a.Kind == engine.Refused && rule != "" && to != "",
+			unsure:  a.Kind == engine.Failed && open && to != "",
+			settled: a.Kind == engine.Refused && settled && to != "",
+		}
 	case <-ctx.Done():
 		inner.Leave(g.o.Clock.Now())
-		return custody.Outcome{}, false, false
+		return tried{}
 	}
 }
--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -128,6 +128,7 @@
 	if (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Run") == "1" {
 		r.Ending, r.Why = woodpick.Overloaded, resp.Header.Get(RefusedBy)
+		r.Settled = resp.Header.Get(settledHeader) == "1"
 	}
 	return r, err == nil && reusable && resp.ContentLength <= maxBody && len(body) <= maxBody && c.br.Buffered() == 0
 }
--- a/internal/http1/back.go
+++ b/internal/http1/back.go
@@ -20,8 +20,11 @@
 	"woodpick/internal/figures"
 )
 
-// RefusedBy is the header by which a partner's gateway tells which of its rules a call was refused by.
-const RefusedBy = "X-Refused-By"
+// Headers of answers that gateways give to one another.
+const (
+	RefusedBy     = "X-Refused-By" // the rule that a call was refused by
+	settledHeader = "X-Settled"    // "1": all who ask about the call hear this answer
+)
 
 // Back runs attempts over pools of kept connections, the last used first. http.Transport would
 // send some requests again by itself, and does not tell whether the last byte was written.
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -271,7 +271,7 @@
 		h.Set("Connection", "close")
 	}
 	if a.Settled {
-		h.Set("X-Settled", "1")
+		h.Set(settledHeader, "1")
 	}
 	if a.Kind == engine.Served {
 		if a.Reply.ContentType == "" {
