--- a/internal/rig/league/caller.go
+++ b/internal/rig/league/caller.go
@@ -127,7 +127,7 @@
 			return h, tries
 		case h.Status == 503 && (c.Of == "" || h.Settled):
 			c.Of, c.Back = "", last
-		case h.Status == 0 && !h.Unsent && c.Of == "":
+		case c.Of == "" && (h.Status == 502 || h.Status == 0 && !h.Unsent): // it may have run
 			c.Of = last
 		}
 		if h.Status != 503 || c.Back == "" { // who was told when to come comes to the same gateway
--- a/internal/rig/league/league_test.go
+++ b/internal/rig/league/league_test.go
@@ -241,6 +241,10 @@
 			call.Key, of = "key-"+call.ID, "key-"+call.ID
 		}
 		waits := behind(func() Heard { return l.Ask(t.Context(), owner, call) })
+		// Whoever asks before anybody else holds the call is told that nobody knows it, and comes to the stopped gateway in the end.
+		standin.Until(t, "the call to be held by another", func() bool {
+			return l.Gateway(0, 1).Custody(t.Context()).Voter.Open+l.Gateway(0, 2).Custody(t.Context()).Voter.Open > 0
+		})
 		again := call
 		again.ID, again.Of = call.ID+"-again", call.ID
 		var h Heard
