Late connections: an attempt goes over another that is free sooner

An attempt for which a connection was being opened waited for just that one, while others to the same server became idle beside it. At fault: Back.connect, which dialled for its attempt alone. Now an attempt whose connection is not up after 10 ms also takes one whose exchange ends meanwhile; the late one is kept for another attempt. It ends with its attempt where nothing took its place, and counts among the descriptors until then.

--- a/internal/http1/back.go
+++ b/internal/http1/back.go
@@ -34,18 +34,20 @@
 	count *figures.Set
 	dial  func(ctx context.Context, network, address string) (net.Conn, error) // for tests: instead of net.Dialer's
 
-	mu     sync.Mutex
-	limits Limits
-	idle   map[discovery.Host][]*conn // the oldest first
-	open   int
-	made   int
-	seen   map[string]discovery.Target // the listed servers by uid
-	closed bool
+	mu        sync.Mutex
+	limits    Limits
+	idle      map[discovery.Host][]*conn     // the oldest first
+	borrowers map[discovery.Host][]*borrower // attempts whose own connections are late, the longest waiting first
+	open      int
+	made      int
+	seen      map[string]discovery.Target // the listed servers by uid
+	closed    bool
 }
 
 // NewBack returns a Back that knows no servers yet.
 func NewBack(c clock.Clock, share *descriptors.Share, count *figures.Set, l Limits) *Back {
-	return &Back{clock: c, share: share, count: count, limits: l, idle: map[discovery.Host][]*conn{}, seen: map[string]discovery.Target{}}
+	return &Back{clock: c, share: share, count: count, limits: l, idle: map[discovery.Host][]*conn{},
+		borrowers: map[discovery.Host][]*borrower{}, seen: map[string]discovery.Target{}}
 }
 
 // Run makes an attempt and tells how it ended. Its connection is closed by then, or idle again.
--- a/internal/http1/connections.go
+++ b/internal/http1/connections.go
@@ -4,10 +4,8 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"slices"
-	"syscall"
 	"time"
 
 	"woodpick"
@@ -89,38 +87,13 @@
 // connect takes the idle connection used last, or opens a fresh one.
 func (b *Back) connect(ctx context.Context, to discovery.Host, waiter chan reply) (c *conn, fresh bool, err error) {
 	c, settles, err := b.take(to, waiter)
-	if c != nil || err != nil {
-		if settles > 0 {
-			clock.Sleep(ctx, settles)
-		}
-		return c, false, err
-	}
-	b.mu.Lock()
-	dialer := net.Dialer{Timeout: b.limits.ConnectTimeout, KeepAlive: -1}
-	if b.limits.From != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: b.limits.From}
+	if c == nil && err == nil {
+		return b.openOrBorrow(ctx, to, waiter)
 	}
-	b.mu.Unlock()
-	dial := dialer.DialContext
-	if b.dial != nil {
-		dial = b.dial
-	}
-	begin := b.clock.Now()
-	nc, err := dial(ctx, "tcp", to.Endpoint)
-	if err != nil {
-		b.mu.Lock()
-		b.release()
-		b.mu.Unlock()
-		for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL} {
-			if errors.Is(err, own) {
-				err = errors.Join(errNoRoom, err)
-			}
-		}
-		return nil, true, fmt.Errorf("connect: %w", err)
+	if settles > 0 {
+		clock.Sleep(ctx, settles)
 	}
-	c = b.watch(nc, to, waiter)
-	c.way = b.clock.Now() - begin
-	return c, true, nil
+	return c, false, err
 }
 
 // watch starts the reader of a connection that an attempt is about to use.
@@ -269,6 +242,9 @@
 		b.drop(c)
 		return
 	}
+	if b.lend(c) {
+		return
+	}
 	b.idle[c.to] = append(b.idle[c.to], c)
 }
 
--- /dev/null
+++ b/internal/http1/opening_test.go
@@ -0,0 +1,190 @@
+package http1
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"woodpick"
+	"woodpick/internal/engine"
+	"woodpick/internal/standin"
+)
+
+// lateAfterFirst has all connections but the first come up only when the test lets them, or when their attempt ends.
+func lateAfterFirst(b *Back) (dialing <-chan struct{}, let func()) {
+	begun, up := make(chan struct{}, 10), make(chan struct{})
+	first := true
+	b.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if first {
+			first = false
+			return net.Dial(network, address)
+		}
+		begun <- struct{}{}
+		select {
+		case <-up:
+			return net.Dial(network, address)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return begun, func() { close(up) }
+}
+
+// held is a server that keeps its first request until it is released. behind is run once its answer is written.
+func held(t *testing.T, behind func(net.Conn) bool) (s *standin.Server, got <-chan struct{}, release func()) {
+	came, let := make(chan struct{}, 1), make(chan struct{})
+	first := true
+	s = standin.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		if !first {
+			return standin.Echo(c, r, body)
+		}
+		first = false
+		came <- struct{}{}
+		<-let
+		return standin.Echo(c, r, body) && behind(c)
+	})
+	return s, came, func() { close(let) }
+}
+
+// borrowing counts the attempts that would take another connection than their own.
+func (b *Back) borrowing() (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, all := range b.borrowers {
+		n += len(all)
+	}
+	return n
+}
+
+// resting counts the idle connections.
+func (b *Back) resting() (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, free := range b.idle {
+		n += len(free)
+	}
+	return n
+}
+
+// An attempt whose connection is late goes over another to the same server once that is free. The late one serves the next.
+func TestALateConnectionIsNotWaitedFor(t *testing.T) {
+	s, got, release := held(t, func(net.Conn) bool { return true })
+	b := testBackend(10)
+	dialing, let := lateAfterFirst(b)
+	ends := make(chan engine.Outcome, 2)
+	attempt := func() { ends <- b.Run(testAttempt(b, s.Address())) }
+	go attempt()
+	standin.Receive(t, got, "the first request at its server")
+	go attempt()
+	standin.Receive(t, dialing, "the second attempt to dial")
+	standin.Until(t, "the second attempt's connection to be late", func() bool { return b.borrowing() == 1 })
+	release()
+	for range 2 {
+		if r := standin.Receive(t, ends, "an answer, with the second connection still on its way"); r.Ending != woodpick.Success {
+			t.Errorf("ending %d", r.Ending)
+		}
+	}
+	if s.Opened() != 1 {
+		t.Errorf("%d connections were opened, want 1", s.Opened())
+	}
+	let()
+	standin.Until(t, "the late connection to be kept", func() bool { return b.resting() == 2 })
+	if r := run(t, b, testAttempt(b, s.Address())); r.Ending != woodpick.Success || b.Connections() != 2 || b.made != 2 {
+		t.Errorf("ending %d over %d connections, %d made; want two", r.Ending, b.Connections(), b.made)
+	}
+}
+
+// An attempt that ends while its connection is on its way gives the connection's place back, and takes no other one.
+func TestAnAttemptThatEndsOpensNothing(t *testing.T) {
+	s, got, release := held(t, func(net.Conn) bool { return true })
+	b := testBackend(10)
+	dialing, _ := lateAfterFirst(b)
+	first, second := make(chan engine.Outcome, 1), make(chan engine.Outcome, 1)
+	go func() { first <- b.Run(testAttempt(b, s.Address())) }()
+	standin.Receive(t, got, "the first request at its server")
+	a := testAttempt(b, s.Address())
+	go func() { second <- b.Run(a) }()
+	standin.Receive(t, dialing, "the second attempt to dial")
+	standin.Until(t, "its connection to be late", func() bool { return b.borrowing() == 1 })
+	a.Cancel()
+	if r := standin.Receive(t, second, "the second attempt's end"); r.Ending != woodpick.Withdrawn {
+		t.Errorf("ending %d", r.Ending)
+	}
+	if b.borrowing() != 0 || b.Connections() != 1 {
+		t.Errorf("%d would borrow, %d connections; want none, 1", b.borrowing(), b.Connections())
+	}
+	release()
+	if r := standin.Receive(t, first, "the first answer"); r.Ending != woodpick.Success || s.Seen() != 1 {
+		t.Errorf("ending %d, %d requests at the server", r.Ending, s.Seen())
+	}
+}
+
+// A connection that is lent in the moment in which the attempt's own comes up goes back, and serves another.
+func TestALentConnectionThatIsNotNeededIsFreeAgain(t *testing.T) {
+	s := standin.NewServer(t, standin.Echo)
+	b := testBackend(10)
+	run(t, b, testAttempt(b, s.Address()))
+	standin.Until(t, "the connection to rest", func() bool { return b.resting() == 1 })
+	to := testHost(b, s.Address())
+	w := &borrower{waiter: make(chan reply, 1), lent: make(chan *conn, 1)}
+	b.borrow(to, w)
+	if b.resting() != 0 || len(w.lent) != 1 {
+		t.Fatal("the idle connection was not lent")
+	}
+	b.giveBack(to, w)
+	if b.resting() != 1 || b.borrowing() != 0 {
+		t.Errorf("%d rest, %d borrow; want 1, 0", b.resting(), b.borrowing())
+	}
+	if r := run(t, b, testAttempt(b, s.Address())); r.Ending != woodpick.Success || b.made != 1 {
+		t.Errorf("ending %d, %d connections made", r.Ending, b.made)
+	}
+}
+
+// A connection that its server closes right behind the answer, when it is lent already, carries no other request.
+func TestALentConnectionThatBreaksIsNotUsed(t *testing.T) {
+	s, got, release := held(t, func(net.Conn) bool { return false })
+	b := testBackend(10)
+	dialing, _ := lateAfterFirst(b)
+	first := make(chan engine.Outcome, 1)
+	go func() { first <- b.Run(testAttempt(b, s.Address())) }()
+	standin.Receive(t, got, "the first request at its server")
+	waiter, lent := make(chan reply, 1), make(chan *conn, 1)
+	if c, _, err := b.take(testHost(b, s.Address()), waiter); c != nil || err != nil {
+		t.Fatalf("%v, %v; want room for another connection", c, err)
+	}
+	go func() {
+		c, _, _ := b.openOrBorrow(t.Context(), testHost(b, s.Address()), waiter)
+		lent <- c
+	}()
+	standin.Receive(t, dialing, "the second attempt to dial")
+	standin.Until(t, "its connection to be late", func() bool { return b.borrowing() == 1 })
+	release()
+	c := standin.Receive(t, lent, "the first attempt's connection")
+	standin.Until(t, "the connection's end to be seen", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return c.dead
+	})
+	if b.begin(c, waiter) {
+		t.Error("a request was to be written to a connection that its server had closed")
+	}
+	if r := standin.Receive(t, first, "the first answer"); r.Ending != woodpick.Success {
+		t.Errorf("ending %d", r.Ending)
+	}
+}
+
+// A gateway's refusal that is the one answer to a call is told apart from one that says nothing of it.
+func TestASettledRefusalIsTold(t *testing.T) {
+	for header, settled := range map[string]bool{"": false, "X-Settled: 1\r\n": true, "X-Settled: 0\r\n": false} {
+		s := standin.NewServer(t, func(c net.Conn, _ *http.Request, _ string) bool {
+			io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"+header+"Content-Length: 0\r\n\r\n")
+			return true
+		})
+		b := testBackend(10)
+		if r := run(t, b, testAttempt(b, s.Address())); r.Ending != woodpick.Overloaded || r.Settled != settled {
+			t.Errorf("%q: ending %d, settled %v", header, r.Ending, r.Settled)
+		}
+	}
+}
