--- /dev/null
+++ b/internal/custody/takeover.go
@@ -0,0 +1,89 @@
+package custody
+
+import (
+	"context"
+	"time"
+
+	"woodpick/internal/clock"
+	"woodpick/internal/fault"
+)
+
+// Look has it look for calls that nobody has in hand, now rather than soon: a link has ended.
+func (c *Custodian) Look() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// watch looks for calls that nobody has in hand, and claims them, each in a task of its own.
+func (c *Custodian) watch() {
+	t := time.NewTimer(restEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-c.kick:
+		case <-t.C:
+		}
+		c.look()
+		lost, open := c.store.orphans(c.o.Self.Name, c.heard)
+		for _, k := range lost {
+			c.tasks.Go(func() { c.takeOver(k) })
+		}
+		if open {
+			t.Reset(lookEvery)
+		} else {
+			t.Reset(restEvery)
+		}
+	}
+}
+
+// takeOver claims a call that nobody has in hand, and goes on with it.
+func (c *Custodian) takeOver(k Key) {
+	defer c.store.release(k)
+	e, _ := c.store.find(k)
+	if e == nil || e.Decided {
+		return
+	}
+	r := e.Record
+	ctx, cancel := context.WithTimeout(c.ctx, max(r.Left, pollLimit))
+	defer cancel()
+	by := c.ballot(e.Promised.N + 1)
+	yes, no := c.poll(ctx, r.Voters, topicClaim, func(v Gateway) any { return recordMsg{r, by, v.Life} })
+	for _, w := range no {
+		if w.Entry != nil && w.Entry.Decided {
+			c.store.decide(k, r.Gen, *w.Entry.Outcome, w.Entry.At) // a later call of the key says what became of it, too
+			return
+		}
+	}
+	if len(yes) < Majority(len(r.Voters)) {
+		clock.Sleep(ctx, ClaimAgain(r.Left))
+		return
+	}
+	c.count(func(n *Counts) { n.Claimed++ })
+	fault.Point("custody.claimed")
+	var entries []Entry
+	for _, w := range yes {
+		entries = append(entries, *w.Entry)
+	}
+	voters := r.Voters
+	r, intents, outcome := Merge(entries)
+	r.Voters = voters
+	w, err := c.begin(ctx, r, by, intents)
+	if err != nil {
+		return
+	}
+	c.o.Log.Info("a call is taken over", "class", r.Key.Class, "id", r.ID, "from", e.Promised.By, "intents", len(intents), "answered", outcome != nil)
+	if outcome != nil {
+		err := w.finish(ctx, *outcome)
+		w.done()
+		if err != nil {
+			clock.Sleep(ctx, claimAgain)
+		}
+		return
+	}
+	c.count(func(n *Counts) { n.Resumed++ })
+	w.carry(ctx)
+}
