--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"woodpick/internal/clock"
+	"woodpick/internal/config"
+	"woodpick/internal/custody"
+	"woodpick/internal/engine"
+	"woodpick/internal/offers"
+	"woodpick/internal/route"
+)
+
+// resume implements custody.Run, for calls that have just come and for such as are taken over.
+func (g *Gateway) resume(ctx context.Context, r *custody.Record, earlier []custody.Intent, w *custody.Work) custody.Outcome {
+	class, known := g.policy.Load().classes[r.Key.Class]
+	if !known {
+		return custody.Outcome{Kind: custody.Failed}
+	}
+	return g.run(ctx, r, engine.Request{Method: r.Method, Target: r.Target, Key: r.Repeats, ContentType: r.Type, Body: r.Body, Length: int64(len(r.Body))}, class, earlier, w)
+}
+
+// toPartner says that a pool is a partner's gateways.
+func toPartner(pool string) bool {
+	_, partners := config.PartnerOf(pool)
+	return partners
+}
+
+// step is what an heir would do with a call, by the classes of now.
+func (g *Gateway) step(r *custody.Record, intents []custody.Intent, left time.Duration) custody.Step {
+	class, known := g.policy.Load().classes[r.Key.Class]
+	if !known {
+		return custody.GiveUp
+	}
+	return custody.Next(class.ForModule().Effect, intents, left, toPartner)
+}
+
+// run has a call carried out: by the engine of this partner's pool that routes name, or by a partner whose offer it goes by.
+// w allows its attempts, where it is in custody; earlier are those that others made. A kind of 0: ctx has ended.
+func (g *Gateway) run(ctx context.Context, r *custody.Record, req engine.Request, class config.Class, earlier []custody.Intent, w *custody.Work) custody.Outcome {
+	left := r.Left
+	if w != nil {
+		left = w.Left() - settling
+	} else if at, ok := ctx.Deadline(); ok {
+		left = time.Until(at)
+	}
+	step := custody.Next(class.ForModule().Effect, earlier, left, toPartner)
+	// What may have run goes back to where it may have: servers and partners elsewhere know nothing of it.
+	forced := ""
+	switch step {
+	case custody.GiveUp:
+		return custody.Outcome{Kind: custody.Failed}
+	case custody.Again:
+		forced = mayRunIn(earlier)
+	case custody.Ask:
+		return g.askPartner(ctx, r, req, mayRunIn(earlier), earlier, w) // to ask needs no offer
+	}
+	var last tried
+	for range mostWays {
+		way, pool, why := g.way(r, class, forced)
+		if why != "" && forced != "" {
+			return custody.Outcome{Kind: custody.Failed}
+		}
+		if why != "" {
+			if last.out.Kind != 0 {
+				return last.out
+			}
+			return custody.Outcome{Kind: custody.Refused, NotRun: true, Why: why, Retry: comeBack}
+		}
+		last = g.attempt(ctx, r, req, pool, way, left, earlier, w, false)
+		if last.unsure && way.Way != nil && way.Custody {
+			// Whoever has it in hand there now tells what became of it.
+			return g.askPartner(ctx, r, req, pool, earlier, w)
+		}
+		if !last.ruled {
+			return last.out
+		}
+		g.table.Drop(way.Way) // its owner's rule has changed: whoever comes next goes another way at once
+	}
+	return last.out
+}
+
+// mayRunIn is the pool of the last attempt that may have run.
+func mayRunIn(earlier []custody.Intent) (pool string) {
+	for _, in := range earlier {
+		if !in.NotRun {
+			pool = in.Pool
+		}
+	}
+	return pool
+}
+
+// way is where a call goes now, by the rules of now, or why it goes nowhere.
+func (g *Gateway) way(r *custody.Record, class config.Class, forced string) (way offers.Chosen, pool, why string) {
+	call := callOf(r, class)
+	ok := false
+	if len(r.Path) > 0 {
+		if way, why = g.table.Come(offers.ID{Origin: r.Offer[0], Name: r.Offer[1]}, call); why != "" {
+			return way, "", why
+		}
+		ok = true
+	} else {
+		way, ok = g.table.Choose(call)
+	}
+	if ok && !way.Own {
+		pool = config.PartnerPool(way.Path[0])
+		if forced == "" || forced == pool {
+			return way, pool, ""
+		}
+	}
+	if forced != "" {
+		if _, partners := config.PartnerOf(forced); partners {
+			return offers.Chosen{}, "", "the partner that may have run it has no offer for it now"
+		}
+		return offers.Chosen{}, forced, ""
+	}
+	pool, routed := g.o.Calls.Pool(&route.Call{Listener: r.Route.Listener, Class: class.Name, Host: r.Route.Host, Path: r.Route.Path, Headers: kept(r.Headers), Draw: r.Route.Draw})
+	if !routed {
+		return way, "", "no route takes this call"
+	}
+	return way, pool, ""
+}
+
+// askPartner asks a partner what became of a call that may run there, until it says or the call's time is over. That a
+// question was refused, or came to nobody, says nothing of the call: only a refusal that is settled there is its answer.
+func (g *Gateway) askPartner(ctx context.Context, r *custody.Record, req engine.Request, pool string, earlier []custody.Intent, w *custody.Work) custody.Outcome {
+	for ctx.Err() == nil {
+		at, _ := ctx.Deadline()
+		left := time.Until(at)
+		if w != nil {
+			left = w.Left() - settling
+		}
+		if left <= 0 {
+			break
+		}
+		got := g.attempt(ctx, r, req, pool, offers.Chosen{}, left, earlier, w, true)
+		if got.out.Kind == custody.Served || got.out.Kind == custody.Failed && !got.unsure || got.settled {
+			return got.out
+		}
+		clock.Sleep(ctx, askAgain)
+	}
+	return custody.Outcome{Kind: custody.Failed}
+}
