Gateways: a change's rules hold from the same call on as its classes and routes

Seen by reading: Change.Commit put the new view in place, and the gateway's rules (classes, quotas, who needs a partner's pass) only after listeners had been switched. A call of a class that was new in between was left to an engine: without a pass on the partners' listener, and without the draw and custody that the new configuration asks for. At fault: Node.Commit's order, and Gateway.Take, which let a class that it does not know pass by.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,8 +35,9 @@
 func (g *Gateway) Take(v *dispatch.View, c *engine.Call, r *route.Call) bool {
 	p := g.policy.Load()
 	class, known := p.classes[c.Class]
-	if !known {
-		return false
+	if !known { // nobody would check a partner's pass, or draw for it
+		c.Finish(engine.Answer{Kind: engine.Refused, NotRun: true, Why: "this class is not known here", RetryAfter: comeBack})
+		return true
 	}
 	rec := custody.Record{ID: c.ID, Method: c.Request.Method, Target: c.Request.Target, Repeats: c.Request.Key, Type: c.Request.ContentType, Body: c.Request.Body,
 		Tenant: value(r.Headers, tenantHeader), Route: custody.Route{Listener: r.Listener, Host: r.Host, Path: r.Path, Draw: r.Draw}, Headers: g.headers(p, r)}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -205,17 +205,22 @@
 	}
 }
 
-// SetConfig goes by another configuration from now on.
-func (g *Gateway) SetConfig(c *config.Config) {
+// Adopt has calls go by another configuration from now on. It does not block: it is called while no call is handed over, so that
+// no call of a class, a quota or a partner of the one configuration goes by the rules of the other.
+func (g *Gateway) Adopt(c *config.Config) {
 	if c.Federation == nil {
 		return // that takes a restart
 	}
 	p := newPolicy(c)
+	g.setBudgets(p.budgets)
 	g.policy.Store(p)
 	g.table.SetPolicy(g.offerPolicy(c))
+}
+
+// Announce tells partners what the configuration that was adopted has changed.
+func (g *Gateway) Announce() {
 	g.offers.Tell()
 	g.offers.Ask()
-	g.setBudgets(p.budgets)
 	g.listen()
 }
 
--- a/internal/node/change.go
+++ b/internal/node/change.go
@@ -285,7 +285,7 @@
 	c.switchListeners(&gone)
 	n.cfg = c.cfg
 	if n.gateway != nil {
-		n.gateway.SetConfig(c.cfg)
+		n.gateway.Announce()
 	}
 	n.retire(gone)
 	return nil
@@ -319,6 +319,9 @@
 	}
 	now := n.clock.Now()
 	n.calls.Swap(c.view, func() {
+		if n.gateway != nil {
+			n.gateway.Adopt(c.cfg)
+		}
 		for _, u := range c.updates {
 			if old := u.commit(now); old != nil {
 				gone.sources = append(gone.sources, old)
