--- a/internal/rig/audit/figures.go
+++ b/internal/rig/audit/figures.go
@@ -110,6 +110,68 @@
 	return c
 }
 
+// tries are all that one caller asked for one thing.
+type tries struct {
+	first *Call
+	calls []*Call
+}
+
+// tries are the calls by the first of each caller's. The caller holds mu.
+func (a *Audit) tries() map[string]*tries {
+	all := map[string]*tries{}
+	for _, c := range a.calls {
+		first := cmp.Or(c.First, c.ID)
+		if all[first] == nil {
+			all[first] = &tries{first: a.calls[first]}
+		}
+		all[first].calls = append(all[first].calls, c)
+	}
+	return all
+}
+
+// last is the try that was served, or the last one that was made.
+func (t *tries) last() *Call {
+	last := t.calls[0]
+	for _, c := range t.calls {
+		if c.Heard == Served || last.Heard != Served && c.At > last.At {
+			last = c
+		}
+	}
+	return last
+}
+
+// ClassFigures are what became of the calls of a class over a stretch.
+type ClassFigures struct {
+	Calls      int
+	InAim      float64 // share that was served within the aim
+	Unanswered float64 // share that heard nothing until the time was up
+}
+
+// ByClass works them out for each class, in the order of the experiment.
+func (a *Audit) ByClass(from, to time.Duration, classes int) []ClassFigures {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make([]ClassFigures, classes)
+	for _, t := range a.tries() {
+		if t.first.At < from || t.first.At >= to {
+			continue
+		}
+		f, last := &out[t.first.Class], t.last()
+		f.Calls++
+		if last.Heard == Served && last.HeardAt-t.first.At <= t.first.Aim {
+			f.InAim++
+		}
+		if last.Heard == Nothing {
+			f.Unanswered++
+		}
+	}
+	for i := range out {
+		n := float64(max(1, out[i].Calls))
+		out[i].InAim, out[i].Unanswered = out[i].InAim/n, out[i].Unanswered/n
+	}
+	return out
+}
+
 // Figures works them out over a stretch, of calls that were made in it.
 func (a *Audit) Figures(from, to time.Duration, capacity []Capacity) Figures {
 	a.mu.Lock()
@@ -119,18 +181,8 @@
 	var seconds []Second
 	var attempts, crossings int
 	var worth, asked float64
-	tries := map[string][]*Call{}
-	for _, c := range a.calls {
-		first := cmp.Or(c.First, c.ID)
-		tries[first] = append(tries[first], c)
-	}
-	for first, all := range tries {
-		c, last := a.calls[first], all[0]
-		for _, t := range all {
-			if t.Heard == Served || last.Heard != Served && t.At > last.At {
-				last = t
-			}
-		}
+	for _, all := range a.tries() {
+		c, last := all.first, all.last()
 		sec := int(c.At / time.Second)
 		for len(seconds) <= sec {
 			seconds = append(seconds, Second{})
@@ -152,7 +204,7 @@
 		if inAim {
 			worth += c.Worth
 		}
-		for _, t := range all {
+		for _, t := range all.calls {
 			attempts += len(t.attempts)
 			for _, one := range t.attempts {
 				if one.Cross {
