Gateways: a pool of this partner's own servers is no partner's

At fault there: config.PartnerOf returns the pool's own name beside false, and the name was taken for a partner's, so that earlier attempts were not handed on.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,9 +41,11 @@
 
 // attempt gives a call, or the question what became of it, to the engine of a pool and waits for its answer.
 func (g *Gateway) attempt(ctx context.Context, r *custody.Record, req engine.Request, pool string, way offers.Chosen, left time.Duration, earlier []custody.Intent, w *custody.Work, ask bool) tried {
-	partner, _ := config.PartnerOf(pool)
-	t := &trial{gateway: g, record: r, pool: pool, partner: partner, earlier: earlier, work: w, ask: ask, over: make(chan struct{})}
+	t := &trial{gateway: g, record: r, pool: pool, earlier: earlier, work: w, ask: ask, over: make(chan struct{})}
 	defer close(t.over)
+	if partner, is := config.PartnerOf(pool); is {
+		t.partner = partner
+	}
 	if err := t.prepare(req, way, left); err != nil {
 		return tried{out: custody.Outcome{Kind: custody.Failed}}
 	}
