Custody: a key of which too few can tell is refused, not failed

At fault: Custodian.Take, which took "too few have answered" for "somebody has it", and waited for an answer that nobody has. Now that is an error of its own (ErrUntold), and the call is refused with a time to come back, also where its class is served alone: an earlier call of the key may have run. Measured: the new test fails without the mend (ErrKnown).

--- a/internal/custody/await.go
+++ b/internal/custody/await.go
@@ -148,6 +148,8 @@
 		return ErrForgotten
 	case !t.recalled && (len(t.voters) == 0 || t.isUnknown()):
 		return ErrUnknown
+	case !t.recalled:
+		return ErrUntold
 	}
 	return ErrUnsettled
 }
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -168,18 +169,24 @@
 	ErrForgotten = errors.New("custody: those who held the call have forgotten what became of it")
 	// ErrUnsettled says that the call is under way, or that too few of its voters are to be reached to tell what became of it.
 	ErrUnsettled = errors.New("custody: the call is not settled")
+	// ErrUntold says that too few could be asked whether the call's key was taken before: nothing was recorded anywhere.
+	ErrUntold = fmt.Errorf("custody: too few tell whether the key was taken before: %w", ErrUnsettled)
 )
 
 // Take has a call recorded and carried out, and returns its outcome once a majority of its voters has taken that. serve
 // says that where voters are lost on the way the outcome is told all the same. window is how long others could have taken the
-// same key before the group changed. With ErrAlone nothing was begun; ErrKnown says to Await the answer.
+// same key before the group changed. With ErrAlone, ErrFull and ErrUntold nothing was begun; ErrKnown says to Await the answer.
 func (c *Custodian) Take(ctx context.Context, r Record, serve bool, window time.Duration) (Outcome, error) {
 	group := c.look()
 	r.Owner = c.o.Self
 	r.Voters = Voters(r.Key, c.o.Self.Name, group, c.o.Holders)
 	if r.Repeats != "" && c.o.Now()-c.changedAt() < window {
 		// The voters of a key may be others than those that took it: all are asked once.
-		if _, gen, err := c.ask(ctx, r.Key, 0); !errors.Is(err, ErrUnknown) && gen >= r.Gen {
+		_, gen, err := c.ask(ctx, r.Key, 0)
+		if errors.Is(err, ErrUntold) {
+			return Outcome{}, err
+		}
+		if !errors.Is(err, ErrUnknown) && gen >= r.Gen {
 			return Outcome{}, ErrKnown
 		}
 	}
--- a/internal/custody/fence_test.go
+++ b/internal/custody/fence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -79,3 +80,23 @@
 		t.Errorf("the owner was told %v, want %v", err, ErrKnown)
 	}
 }
+
+// Where too few can be asked whether a key was taken before, its call is taken by nobody: its caller may come again, and is not
+// told that it may have run.
+func TestAKeyOfWhichTooFewTellIsNotBegun(t *testing.T) {
+	others := []Gateway{{Name: "g0", Life: 1}, {Name: "g1", Life: 2}, {Name: "g2", Life: 3}}
+	run := func(context.Context, *Record, []Intent, *Work) Outcome {
+		t.Error("the call was begun")
+		return Outcome{Kind: Served}
+	}
+	c := New(Options{Self: others[0], Links: linksOf{&peering.Hub{}}, Group: func() []Gateway { return others }, Run: run, Holders: 3,
+		Memory: 1 << 20, Keep: time.Second, Forgets: func() time.Duration { return time.Minute }, Now: func() time.Duration { return time.Hour }})
+	defer c.Close()
+	call := Record{Key: Key{"log", "k:key"}, ID: "call", Repeats: "key", Left: time.Minute}
+	if _, err := c.Take(t.Context(), call, true, 2*time.Hour); !errors.Is(err, ErrUntold) {
+		t.Errorf("it was told %v, want %v", err, ErrUntold)
+	}
+	if held := c.Status().Voter.Held; held != 0 {
+		t.Errorf("%d calls are held", held)
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -213,7 +213,7 @@
 			return settled(out)
 		case errors.Is(err, custody.ErrAlone) && serve:
 			return s.own(ctx, s.call.Request)
-		case errors.Is(err, custody.ErrAlone), errors.Is(err, custody.ErrFull):
+		case errors.Is(err, custody.ErrAlone), errors.Is(err, custody.ErrFull), errors.Is(err, custody.ErrUntold):
 			return refused(comeBack)
 		}
 		// Others have it in hand, or will soon: whatever they settle is this caller's answer too.
