Module: a server that starts anew keeps what is out to its earlier life, as before

So a server that comes back cold is better left alone until the calls of its earlier life have ended.

--- a/policy.go
+++ b/policy.go
@@ -310,9 +310,11 @@
 	}
 	for _, n := range e.Servers {
 		s := b.servers[n.ID]
-		if s == nil || s.Boot != n.Boot { // what is out to an earlier life of it ends there
+		if s == nil {
 			s = &server{failing: map[*class]fading{}}
 			b.servers[n.ID] = s
+		} else if s.Boot != n.Boot {
+			*s = server{calls: s.calls, coming: s.coming, open: s.open, failing: map[*class]fading{}}
 		}
 		s.Server, s.in = n, b.zoneOf(n.Zone)
 		s.listed = n.State != Gone
