Custody's test waits until a voter has the intent before that is claimed

Seen: 1 of 200 plays of TestWorkEndsOnceItsCallIsDecided under -race failed, "g1 promises nothing: heard": the intent, which a majority without g1 had taken, came to g1 after the test had said that the call was out of hand, and took that word back. The fault was the test's order; what it asserts is unchanged.

--- a/internal/custody/fence_test.go
+++ b/internal/custody/fence_test.go
@@ -16,6 +16,10 @@
 	higher := Ballot{N: 2, By: names[0], Life: voters[names[0]].c.o.Self.Life, Call: 1}
 	for _, name := range names {
 		voter := voters[name].c
+		standin.Until(t, name+" to have the intent, which a majority without it may have taken", func() bool {
+			e, _ := voter.store.find(of.r.Key)
+			return e != nil && len(e.Intents) > 0
+		})
 		voter.store.hand(of.r.Key, of.by)
 		said := voter.claim(recordMsg{Record: of.r, By: higher, Life: voter.o.Self.Life})
 		if said.Verdict != Yes {
