--- a/internal/http1/opening_test.go
+++ b/internal/http1/opening_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"woodpick"
+	"woodpick/internal/discovery"
 	"woodpick/internal/engine"
 	"woodpick/internal/standin"
 )
@@ -49,21 +50,23 @@
 }
 
 // borrowing counts the attempts that would take another connection than their own.
-func (b *Back) borrowing() (n int) {
+func (b *Back) borrowing() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, all := range b.borrowers {
-		n += len(all)
-	}
-	return n
+	return total(b.borrowers)
 }
 
 // resting counts the idle connections.
-func (b *Back) resting() (n int) {
+func (b *Back) resting() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, free := range b.idle {
-		n += len(free)
+	return total(b.idle)
+}
+
+// total counts the entries of all hosts.
+func total[T any](byHost map[discovery.Host][]T) (n int) {
+	for _, list := range byHost {
+		n += len(list)
 	}
 	return n
 }
