Fault bench: servers that spoil replies, nodes held up or ended in series, crowds of clients

New faults of servers: a reply sent a second time or noise behind it after a drawn gap, replies cut in half, long replies. Of nodes: held up again and again, SIGHUP in series, SIGTERM with SIGKILL at the earliest time that the platform's protocol allows while clients use open connections to the end, idle clients that fill the descriptors. The auditor names the request that a wrong body was made for, and reports attempts that begin after the client left. Connections to servers are counted.

--- a/internal/faultbench/audit/audit.go
+++ b/internal/faultbench/audit/audit.go
@@ -40,6 +40,10 @@
 	DrainGrace  = 1050 * time.Millisecond
 )
 
+// DisconnectGrace is how long after its client has left an attempt may still begin: 0.1 s, and 0.15 s for which a node may be held
+// up.
+const DisconnectGrace = 250 * time.Millisecond
+
 // ReorderTolerance is the tolerance for the order of two events of a node, which arrive on separate connections.
 const ReorderTolerance = 20 * time.Millisecond
 
@@ -224,6 +228,11 @@
 		case req.Outcome == WrongResponse:
 			addBreach("answer", req, req.OutcomeAt, "%s received a wrong response: %s", req.ID, req.Detail)
 		case req.Outcome == ClientLeft: // no response is required
+			for _, attempt := range req.attempts {
+				if attempt.SentAt > req.OutcomeAt+DisconnectGrace+late {
+					addBreach("answer", req, attempt.SentAt, "an attempt of %s began %v after its client had left", req.ID, (attempt.SentAt - req.OutcomeAt).Round(time.Millisecond))
+				}
+			}
 		case a.hadOutage(req.Node, req.At-time.Second, deadline):
 		case req.OutcomeAt == 0 || req.Outcome == NoResponse:
 			addBreach("answer", req, deadline, "%s received no response", req.ID)
--- a/internal/faultbench/clients.go
+++ b/internal/faultbench/clients.go
@@ -78,6 +78,9 @@
 	for {
 		conn, reused := n.takeIdle(addr)
 		if !reused {
+			if !n.acceptsNewConnections() {
+				return audit.NotAccepted, "the node is ending", 0
+			}
 			var err error
 			if conn, err = net.DialTimeout("tcp4", addr, min(remaining, time.Second)); err != nil {
 				return audit.NotAccepted, err.Error(), 0
@@ -93,6 +96,9 @@
 		if outcome == audit.Disconnected && reused {
 			continue
 		}
+		if outcome == audit.Disconnected && n.isShortOfDescriptors() {
+			outcome = audit.NotAccepted // new connections may be closed unread then
+		}
 		if n.fleet.options.Policy != experiment.Program && outcome == audit.Refused {
 			outcome = audit.Failed // the only picked server rejected it
 		}
@@ -100,6 +106,20 @@
 	}
 }
 
+// acceptsNewConnections reports whether the platform's front end sends new connections to the node: not from frontEndDelay after
+// SIGTERM on. Open connections are used until the end of the process.
+func (n *node) acceptsNewConnections() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.terminatedAt.IsZero() || time.Since(n.terminatedAt) < frontEndDelay
+}
+
+func (n *node) isShortOfDescriptors() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.shortOfDescriptors
+}
+
 // roundTrip sends a request on a connection and reads the response. reusable reports whether the connection can be reused.
 func (n *node) roundTrip(conn net.Conn, id string, class experiment.Class, remaining time.Duration) (outcome audit.Outcome, detail string, wait time.Duration, reusable bool) {
 	timeout := n.fleet.experiment.Clients.Patience
@@ -131,7 +151,7 @@
 	if err != nil {
 		return audit.Disconnected, err.Error(), 0, false
 	}
-	text, err := io.ReadAll(io.LimitReader(resp.Body, 1<<16))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 2*longReplyBytes))
 	resp.Body.Close()
 	reusable = err == nil && !resp.Close && in.Buffered() == 0
 	retryAfter := resp.Header.Get("Retry-After")
@@ -141,7 +161,7 @@
 	case resp.StatusCode == http.StatusOK && strings.HasSuffix(string(text), " "+id):
 		return audit.Served, "", 0, reusable
 	case resp.StatusCode == http.StatusOK:
-		return audit.WrongResponse, fmt.Sprintf("%.60q", text), 0, false
+		return audit.WrongResponse, describeBody(string(text)), 0, false
 	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
 		var seconds float64
 		fmt.Sscan(retryAfter, &seconds)
@@ -152,6 +172,15 @@
 	return audit.WrongResponse, resp.Status, 0, false
 }
 
+// describeBody names the server and the request that a body was made for, which are its last two words.
+func describeBody(body string) string {
+	words := strings.Fields(body)
+	if len(words) < 2 {
+		return fmt.Sprintf("%.60q", body)
+	}
+	return fmt.Sprintf("the reply that %s made for %s", words[len(words)-2], words[len(words)-1])
+}
+
 // takeIdle returns an idle connection, if there is one.
 func (n *node) takeIdle(to string) (conn net.Conn, found bool) {
 	n.mu.Lock()
--- a/internal/faultbench/experiment/convert.go
+++ b/internal/faultbench/experiment/convert.go
@@ -155,7 +155,7 @@
 		b := block{r, decl.Body, "fault." + decl.Name}
 		fault := Fault{Name: decl.Name, Kind: Kind(decl.Kind), From: b.duration("from", decl.From, 0, maxDuration), To: b.duration("to", decl.To, 0, maxDuration),
 			OnsetSpread: b.duration("over", decl.Over, 0, maxDuration), NodeZones: b.zoneNames("near", decl.Near, zones), ServerZones: zones,
-			BothDirections: decl.Both, Fraction: 1, Group: decl.Group, Count: decl.Count, Factor: decl.Factor, Offset: b.duration("offset", decl.Offset, -24*time.Hour, 24*time.Hour),
+			BothDirections: decl.Both, Fraction: 1, Group: decl.Group, Count: decl.Count, Share: decl.Share, Factor: decl.Factor, Offset: b.duration("offset", decl.Offset, -24*time.Hour, 24*time.Hour),
 			Delay: b.duration("delay", decl.Delay, 0, 10*time.Second), Jitter: b.duration("jitter", decl.Jitter, 0, 10*time.Second),
 			Loss: decl.Loss, Duplicate: decl.Double, Reorder: decl.Reorder, Bandwidth: decl.Bandwidth}
 		if len(decl.Far) > 0 {
@@ -193,6 +193,15 @@
 		if fault.Kind == ChangeNodeCount && fault.Count == 0 {
 			b.errorf("count", "missing; allowed: the node count to configure")
 		}
+		if fault.Kind == IdleClients && fault.Count == 0 {
+			b.errorf("count", "missing; allowed: the number of idle connections at each node")
+		}
+		if (fault.Share > 0) != fault.Kind.SpoilsReplies() || fault.Share < 0 || fault.Share > 1 {
+			b.errorf("share", "found %v; allowed: above 0 and at most 1, only for repeat, noise, truncate and long", fault.Share)
+		}
+		if fault.Kind == Hold && (fault.Delay <= 0 || fault.Delay > time.Second) {
+			b.errorf("delay", "found %v; allowed: above 0 and at most 1s, the longest hold", fault.Delay)
+		}
 		if slices.ContainsFunc(f.Faults[:i], func(o faultBlock) bool { return o.Name == decl.Name }) {
 			b.errorf("", "duplicate name")
 		}
--- a/internal/faultbench/experiment/model.go
+++ b/internal/faultbench/experiment/model.go
@@ -132,18 +132,26 @@
 	Refuse     Kind = "refuse"    // refuses new connections
 	Slow       Kind = "slow"      // adds Delay, Jitter, Loss, Duplicate, Reorder and Bandwidth
 
-	Kill            Kind = "kill"    // SIGKILL; restarted at the end
-	Stop            Kind = "stop"    // SIGSTOP, and SIGCONT at the end
-	Restart         Kind = "restart" // SIGTERM, then restarted
-	ChangeNodeCount Kind = "recount" // reload with another configured node count
-	ClockSkew       Kind = "skew"    // SIGKILL, then restarted with a clock offset
-
-	Crash       Kind = "crash"   // the server process dies: connections are reset, new ones refused; slow start at the end
-	MachineLoss Kind = "lose"    // the machine is lost: no traffic at all; slow start at the end
-	Hang        Kind = "hang"    // accepts requests and never replies
-	Errors      Kind = "errors"  // replies with status 500 immediately
-	Slowdown    Kind = "drag"    // multiplies service times by Factor
-	Replace     Kind = "replace" // drained, then replaced by a server with a new id
+	Kill            Kind = "kill"         // SIGKILL; restarted at the end
+	Stop            Kind = "stop"         // SIGSTOP, and SIGCONT at the end
+	Restart         Kind = "restart"      // SIGTERM, then restarted
+	ChangeNodeCount Kind = "recount"      // reload with another configured node count
+	ClockSkew       Kind = "skew"         // SIGKILL, then restarted with a clock offset
+	Terminate       Kind = "term"         // SIGTERM twice with SIGHUP between, SIGKILL at the earliest time the platform allows, then restarted
+	Reload          Kind = "reload"       // SIGHUP every 0.5 s
+	Hold            Kind = "hold"         // SIGSTOP for up to Delay, again and again, with SIGCONT between
+	IdleClients     Kind = "idle_clients" // Count idle client connections at each node
+
+	Crash       Kind = "crash"    // the server process dies: connections are reset, new ones refused; slow start at the end
+	MachineLoss Kind = "lose"     // the machine is lost: no traffic at all; slow start at the end
+	Hang        Kind = "hang"     // accepts requests and never replies
+	Errors      Kind = "errors"   // replies with status 500 immediately
+	Slowdown    Kind = "drag"     // multiplies service times by Factor
+	Replace     Kind = "replace"  // drained, then replaced by a server with a new id
+	Repeat      Kind = "repeat"   // sends a Share of replies a second time, after Delay and up to Jitter more
+	Noise       Kind = "noise"    // sends bytes that are no HTTP behind a Share of replies, after Delay and up to Jitter more
+	Truncate    Kind = "truncate" // ends the connection halfway through a Share of replies
+	LongReplies Kind = "long"     // pads a Share of replies so that nodes stream them
 
 	RegistryOutage Kind = "mute" // the registry does not reply
 )
@@ -162,11 +170,19 @@
 // targets maps each kind of fault to its target.
 var targets = map[Kind]Target{Cut: TargetLinks, CutForward: TargetLinks, CutReturn: TargetLinks, Reset: TargetLinks, Refuse: TargetLinks, Slow: TargetLinks,
 	Kill: TargetNodes, Stop: TargetNodes, Restart: TargetNodes, ChangeNodeCount: TargetNodes, ClockSkew: TargetNodes,
-	Crash: TargetServers, MachineLoss: TargetServers, Hang: TargetServers, Errors: TargetServers, Slowdown: TargetServers, Replace: TargetServers, RegistryOutage: TargetRegistry}
+	Terminate: TargetNodes, Reload: TargetNodes, Hold: TargetNodes, IdleClients: TargetNodes,
+	Crash: TargetServers, MachineLoss: TargetServers, Hang: TargetServers, Errors: TargetServers, Slowdown: TargetServers, Replace: TargetServers,
+	Repeat: TargetServers, Noise: TargetServers, Truncate: TargetServers, LongReplies: TargetServers,
+	RegistryOutage: TargetRegistry}
 
 // Target returns the type of component that faults of the kind affect.
 func (k Kind) Target() Target { return targets[k] }
 
+// SpoilsReplies reports whether servers with a fault of the kind run requests as usual and spoil a Share of the replies.
+func (k Kind) SpoilsReplies() bool {
+	return k == Repeat || k == Noise || k == Truncate || k == LongReplies
+}
+
 // RegistryZone is the name in Fault.ServerZones that selects the links between nodes and the registry.
 const RegistryZone = "registry"
 
@@ -181,11 +197,12 @@
 	BothDirections         bool     // for Cut: also affects links from nodes in ServerZones to servers in NodeZones
 	Fraction               float64  // fraction of the links, nodes or servers that is affected
 	Group                  string   // of nodes or servers; empty: all groups
-	Count                  int      // affected targets, overrides Fraction; for ChangeNodeCount: the configured node count
+	Count                  int      // affected targets, overrides Fraction; for ChangeNodeCount: the configured node count; for IdleClients: connections
+	Share                  float64  // fraction of the replies, for kinds that SpoilsReplies
 
 	Factor        float64       // for Slowdown
 	Offset        time.Duration // for ClockSkew
-	Delay, Jitter time.Duration // for Slow
+	Delay, Jitter time.Duration // for Slow, Repeat and Noise; for Hold only Delay
 	Loss          float64       // for Slow: fraction of segments delayed by a retransmission and of datagrams dropped
 	Duplicate     float64       // for Slow: fraction of datagrams delivered twice
 	Reorder       float64       // for Slow: fraction of datagrams delayed so that later ones overtake them
@@ -200,7 +217,7 @@
 // Select returns the sorted indices of the targets among n candidates. The selection is deterministic for a seed.
 func (f Fault) Select(seed uint64, n int) []int {
 	count := int(f.Fraction*float64(n) + 0.5)
-	if f.Count > 0 && f.Kind != ChangeNodeCount {
+	if f.Count > 0 && f.Kind != ChangeNodeCount && f.Kind != IdleClients {
 		count = min(f.Count, n)
 	}
 	h := uint64(14695981039346656037)
--- a/internal/faultbench/experiment/schema.go
+++ b/internal/faultbench/experiment/schema.go
@@ -100,6 +100,7 @@
 		Part      *float64 `hcl:"part,optional"`
 		Group     string   `hcl:"group,optional"`
 		Count     int      `hcl:"count,optional"`
+		Share     float64  `hcl:"share,optional"`
 		Factor    float64  `hcl:"factor,optional"`
 		Offset    string   `hcl:"offset,optional"`
 		Delay     string   `hcl:"delay,optional"`
--- a/internal/faultbench/fleet.go
+++ b/internal/faultbench/fleet.go
@@ -94,6 +94,8 @@
 	NodesCrashed int
 	Asks         int // load polls from nodes to servers
 
+	ServerConnections int `json:",omitempty"` // established from nodes to servers
+
 	// Datagrams between nodes, over the whole run.
 	Datagrams     float64 `json:",omitempty"` // sent per node and second
 	DatagramBytes float64 `json:",omitempty"` // payload per node and second, without UDP and IP headers
@@ -285,6 +287,11 @@
 	r.Cost.RigCPU -= before.RigCPU
 	r.Cost.NodesCPU -= before.NodesCPU
 	r.Cost.Asks = polls
+	for _, h := range f.hosts {
+		for _, relay := range h.relays {
+			r.Cost.ServerConnections += relay.Accepted()
+		}
+	}
 	requests := 0
 	for _, s := range r.Figures.BySecond {
 		requests += s.Calls
--- a/internal/faultbench/host.go
+++ b/internal/faultbench/host.go
@@ -29,6 +29,7 @@
 	down        experiment.Kind // Crash or MachineLoss; empty while it is up
 	incarnation int
 	loadPolls   int
+	spoiling    map[string]experiment.Fault // active faults that spoil replies, by name
 }
 
 // pendingRequest is a request at a server, from its arrival to its response.
@@ -39,7 +40,7 @@
 }
 
 func (f *fleet) newHost(place int, s *world.Server) (*host, error) {
-	h := &host{fleet: f, place: place, server: s, pending: map[*world.Job]*pendingRequest{}}
+	h := &host{fleet: f, place: place, server: s, pending: map[*world.Job]*pendingRequest{}, spoiling: map[string]experiment.Fault{}}
 	for z, zone := range f.zones {
 		r, err := link.Listen(f.subnet.Address(1+z, 1+place/250, 10000+place%250), f.random, func(c *link.Conn) { h.serve(c, zone) })
 		if err != nil {
@@ -71,6 +72,8 @@
 
 // serve handles requests one after another on a connection from a zone.
 func (h *host) serve(conn *link.Conn, zone string) {
+	var lateInput sync.WaitGroup // must not be sent once serve has returned
+	defer lateInput.Wait()
 	in := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(in)
@@ -86,14 +89,14 @@
 			}
 			continue
 		}
-		if !h.handle(conn, request, zone) {
+		if !h.handle(conn, request, zone, &lateInput) {
 			return
 		}
 	}
 }
 
 // handle runs a request and sends its response. It reports whether the connection can be reused.
-func (h *host) handle(conn *link.Conn, request *http.Request, zone string) bool {
+func (h *host) handle(conn *link.Conn, request *http.Request, zone string, lateInput *sync.WaitGroup) bool {
 	f, id := h.fleet, request.Header.Get("X-Request-Id")
 	h.mu.Lock()
 	server, incarnation := h.server, h.incarnation
@@ -145,7 +148,7 @@
 		f.audit.RecordEnd(attempt, f.runTime(conn.NearClosedAt()), "server was down")
 		return false
 	}
-	return h.respond(conn, attempt, "200 OK", load, server.ID+" "+id, "served")
+	return h.respondSpoiled(conn, attempt, load, server.ID+" "+id, lateInput)
 }
 
 // reportLoad answers a node's load poll.
@@ -175,8 +178,12 @@
 
 // respond sends a response. It returns once the last byte has been written to the node's socket or the node has closed it.
 func (h *host) respond(conn *link.Conn, attempt *audit.Attempt, status, headers, body, outcome string) bool {
+	return h.deliver(conn, attempt, replyText(status, headers, body), outcome, func() {})
+}
+
+// deliver is respond with the text of the response. It calls sent once the text has entered the link.
+func (h *host) deliver(conn *link.Conn, attempt *audit.Attempt, text, outcome string, sent func()) bool {
 	f := h.fleet
-	text := fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
 	done := make(chan struct{})
 	err := conn.Send([]byte(text), func(at time.Time) {
 		f.audit.RecordEnd(attempt, f.runTime(at), outcome)
@@ -185,6 +192,7 @@
 	if err != nil {
 		return false
 	}
+	sent()
 	select {
 	case <-done:
 		return true
@@ -226,6 +234,8 @@
 		h.server.Fault = ft.Kind
 	case experiment.Slowdown:
 		h.server.Factor = ft.Factor
+	case experiment.Repeat, experiment.Noise, experiment.Truncate, experiment.LongReplies:
+		h.spoiling[ft.Name] = ft
 	case experiment.Replace:
 		h.state = balancer.Draining
 		h.mu.Unlock()
@@ -254,6 +264,10 @@
 		h.mu.Lock()
 		h.server.Factor = 1
 		h.mu.Unlock()
+	case experiment.Repeat, experiment.Noise, experiment.Truncate, experiment.LongReplies:
+		h.mu.Lock()
+		delete(h.spoiling, ft.Name)
+		h.mu.Unlock()
 	}
 }
 
--- a/internal/faultbench/link/mesh.go
+++ b/internal/faultbench/link/mesh.go
@@ -113,7 +113,7 @@
 	m.Stats.Sent++
 	m.Stats.Bytes += len(data)
 	from.bytesSent += len(data)
-	if s.CutForward || m.random.occurs(s.Loss) {
+	if s.CutForward || m.random.Occurs(s.Loss) {
 		m.Stats.Lost++
 		return
 	}
@@ -121,7 +121,7 @@
 	if m.lanes[pair] == nil {
 		m.lanes[pair] = &delayLine{}
 	}
-	deliverAt := now.Add(s.Delay + m.random.durationUpTo(s.Jitter))
+	deliverAt := now.Add(s.Delay + m.random.DurationUpTo(s.Jitter))
 	if s.Bandwidth > 0 {
 		l := m.lanes[pair]
 		if l.freeAt.Before(now) {
@@ -134,11 +134,11 @@
 		l.freeAt = l.freeAt.Add(time.Duration(float64(len(data)) / float64(s.Bandwidth) * float64(time.Second)))
 		deliverAt = deliverAt.Add(l.freeAt.Sub(now))
 	}
-	if m.random.occurs(s.Reorder) {
-		deliverAt = deliverAt.Add(m.random.durationUpTo(s.Delay + s.Jitter + 10*time.Millisecond))
+	if m.random.Occurs(s.Reorder) {
+		deliverAt = deliverAt.Add(m.random.DurationUpTo(s.Delay + s.Jitter + 10*time.Millisecond))
 	}
 	copies := 1
-	if m.random.occurs(s.Duplicate) {
+	if m.random.Occurs(s.Duplicate) {
 		copies, m.Stats.Doubled = 2, m.Stats.Doubled+1
 	}
 	for range copies {
--- a/internal/faultbench/link/relay.go
+++ b/internal/faultbench/link/relay.go
@@ -24,6 +24,7 @@
 	ln            *net.TCPListener
 	backlogFiller net.Conn // fills the accept queue while the link is cut
 	conns         map[*Conn]bool
+	accepted      int
 	closed        bool
 	work          sync.WaitGroup
 }
@@ -126,6 +127,7 @@
 	}
 	conn := &Conn{relay: r, source: source, tcp: c, closeDelivered: make(chan struct{}), wake: make(chan struct{}, 1), outgoing: make(chan piece, 64)}
 	r.conns[conn] = true
+	r.accepted++
 	r.work.Add(3)
 	go conn.read()
 	go conn.write()
@@ -143,6 +145,13 @@
 	return len(r.conns)
 }
 
+// Accepted returns the number of connections that were established over the link so far.
+func (r *Relay) Accepted() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.accepted
+}
+
 // Set changes the shape of the link. Data in transit during a cut is held and delivered once the cut ends, as TCP would
 // retransmit it.
 func (r *Relay) Set(s Shape) error {
--- a/internal/faultbench/link/shape.go
+++ b/internal/faultbench/link/shape.go
@@ -50,8 +50,8 @@
 // NewRandom returns a Random with the given seed.
 func NewRandom(seed uint64) *Random { return &Random{rng: rand.New(rand.NewPCG(seed, 0xd1ce))} }
 
-// occurs returns true with the given probability.
-func (d *Random) occurs(probability float64) bool {
+// Occurs returns true with the given probability.
+func (d *Random) Occurs(probability float64) bool {
 	if probability <= 0 {
 		return false
 	}
@@ -60,8 +60,8 @@
 	return d.rng.Float64() < probability
 }
 
-// durationUpTo returns a random duration between 0 and most.
-func (d *Random) durationUpTo(most time.Duration) time.Duration {
+// DurationUpTo returns a random duration between 0 and most.
+func (d *Random) DurationUpTo(most time.Duration) time.Duration {
 	if most <= 0 {
 		return 0
 	}
@@ -83,8 +83,8 @@
 		start = start.Add(time.Duration(float64(n) / float64(s.Bandwidth) * float64(time.Second)))
 		l.freeAt = start
 	}
-	deliverAt := start.Add(s.Delay + d.durationUpTo(s.Jitter))
-	if d.occurs(s.Loss) {
+	deliverAt := start.Add(s.Delay + d.DurationUpTo(s.Jitter))
+	if d.Occurs(s.Loss) {
 		deliverAt = deliverAt.Add(RetransmitDelay)
 	}
 	if deliverAt.Before(l.lastDelivery) {
--- a/internal/faultbench/node.go
+++ b/internal/faultbench/node.go
@@ -14,7 +14,6 @@
 	"syscall"
 	"time"
 
-	"damsontrestle/internal/faultbench/audit"
 	"damsontrestle/internal/faultbench/child"
 	"damsontrestle/internal/faultbench/experiment"
 	"damsontrestle/internal/faultbench/link"
@@ -35,12 +34,14 @@
 	peerListen    string         // address where it listens for peers
 	peerAdvertise string         // address that peers use
 
-	mu              sync.Mutex
-	process         *child.Process // nil while it is down
-	previousCPU     time.Duration
-	unexpectedExits []string
-	rng             *rand.Rand
-	idle            map[string][]net.Conn
+	mu                 sync.Mutex
+	process            *child.Process // nil while it is down
+	previousCPU        time.Duration
+	unexpectedExits    []string
+	rng                *rand.Rand
+	idle               map[string][]net.Conn
+	terminatedAt       time.Time // of the last SIGTERM to the running process; zero: none
+	shortOfDescriptors bool      // idle clients fill its descriptors
 }
 
 // startTimeout limits the time until a node is ready.
@@ -149,6 +150,7 @@
 	}
 	n.mu.Lock()
 	n.process = p
+	n.terminatedAt = time.Time{}
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
@@ -231,54 +233,3 @@
 		}
 	}
 }
-
-// applyFault applies a node fault and returns once the node runs without interruption again.
-func (n *node) applyFault(ctx context.Context, ft experiment.Fault) {
-	f := n.fleet
-	from := f.now()
-	n.mu.Lock()
-	p := n.process
-	n.mu.Unlock()
-	if p == nil {
-		return
-	}
-	restart := func(skew time.Duration) {
-		f.fail(n.start(ctx, skew))
-		f.audit.RecordOutage(audit.Outage{Node: n.index, From: from, To: f.now()})
-	}
-	switch ft.Kind {
-	case experiment.Kill, experiment.ClockSkew:
-		f.audit.RecordOutage(audit.Outage{Node: n.index, From: from, To: ft.To})
-		f.recordStrike(Strike{ft.Name, n.index, from, ft.To})
-		n.stop(syscall.SIGKILL, 0)
-		if ft.Kind == experiment.ClockSkew {
-			restart(ft.Offset)
-			return
-		}
-		f.waitUntil(ctx, ft.To)
-		if ctx.Err() == nil {
-			restart(0)
-		}
-	case experiment.Stop:
-		f.audit.RecordOutage(audit.Outage{Node: n.index, From: from, To: ft.To + 100*time.Millisecond})
-		f.recordStrike(Strike{ft.Name, n.index, from, ft.To})
-		f.fail(p.Signal(syscall.SIGSTOP))
-		f.waitUntil(ctx, ft.To)
-		f.fail(p.Signal(syscall.SIGCONT))
-	case experiment.Restart:
-		n.stop(syscall.SIGTERM, 15*time.Second)
-		f.audit.RecordOutage(audit.Outage{Node: n.index, From: f.now() - 100*time.Millisecond, To: f.now()})
-		from = f.now()
-		restart(0)
-	case experiment.ChangeNodeCount:
-		n.copies = ft.Count
-		text, err := n.configText()
-		if err == nil {
-			err = n.file.Rewrite(text)
-		}
-		if err == nil {
-			err = p.Signal(syscall.SIGHUP)
-		}
-		f.fail(err)
-	}
-}
--- a/internal/faultbench/virtual/faults.go
+++ b/internal/faultbench/virtual/faults.go
@@ -22,7 +22,8 @@
 			p.linkFaults = slices.DeleteFunc(p.linkFaults, func(o experiment.Fault) bool { return o.Name == f.Name })
 		})
 	case experiment.TargetNodes:
-		if f.Kind == experiment.Stop || f.Kind == experiment.ClockSkew {
+		switch f.Kind {
+		case experiment.Stop, experiment.ClockSkew, experiment.Terminate, experiment.Reload, experiment.Hold, experiment.IdleClients:
 			return fmt.Errorf("fault %q: kind %s is not supported in virtual time", f.Name, f.Kind)
 		}
 		struck := p.experiment.Targets(f)
@@ -30,6 +31,9 @@
 			p.atOnset(f, k, len(struck), func() { p.applyNodeFault(f, p.nodes[i]) })
 		}
 	case experiment.TargetServers:
+		if f.Kind.SpoilsReplies() {
+			return fmt.Errorf("fault %q: kind %s is not supported in virtual time", f.Name, f.Kind)
+		}
 		struck := p.experiment.Targets(f)
 		for k, i := range struck {
 			p.atOnset(f, k, len(struck), func() { p.applyServerFault(f, i) })
