Count input of servers that belongs to no request, and closes of connections by reason

Counted now, by server and kind, in counters and show: bytes directly behind a reply and bytes while a connection is idle, with a log line (server, connection, its uses, last request, gap). Closes of connections to servers are counted by reason and logged at debug. inputState tells bytes from an end; TestFailedPeekIsNoInput asks for that now, which is stricter. No decision is changed.

--- a/cmd/damsontrestle/show.go
+++ b/cmd/damsontrestle/show.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -93,9 +94,15 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(response.Status.Pools)) {
 		pool := response.Status.Pools[name]
-		counts := pool.Requests
+		requests := pool.Requests
 		printLine("pool         %s: %d servers ready, %d draining, %d connections; requests: %d open, %d accepted, %d served, %d rejected, %d failed, %d abandoned by their clients",
-			name, counts.Ready, counts.Draining, pool.Connections, counts.Open, counts.Requests, counts.Served, counts.Rejected, counts.Failed, counts.Disconnected)
+			name, requests.Ready, requests.Draining, pool.Connections, requests.Open, requests.Requests, requests.Served, requests.Rejected, requests.Failed, requests.Disconnected)
+	}
+	for _, server := range slices.Sorted(maps.Keys(response.Status.UnattributedInput)) {
+		printLine("unattributed input of %s: %s", server, counts(response.Status.UnattributedInput[server]))
+	}
+	if len(response.Status.ServerConnectionsClosed) > 0 {
+		printLine("closed       connections to servers: %s", counts(response.Status.ServerConnectionsClosed))
 	}
 	if response.Status.Gateway != nil {
 		writeGateway(printLine, *response.Status.Gateway)
@@ -105,6 +112,15 @@
 	}
 }
 
+// counts returns counts as "name number", in the order of their names.
+func counts(byName map[string]int64) string {
+	var texts []string
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		texts = append(texts, fmt.Sprintf("%s %d", name, byName[name]))
+	}
+	return strings.Join(texts, ", ")
+}
+
 // writeGateway writes a gateway's status through printLine.
 func writeGateway(printLine func(format string, args ...any), status gateway.Status) {
 	printLine("gateway      of %s: %d links, %d offers (%d of stale partners), %d active requests, %d stored for others", status.Partner, len(status.Links), status.Routes.Advertisements, len(status.Routes.Stale), status.Replication.Active, status.Replication.Replica.Entries)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -3,7 +3,10 @@
 // the process ends.
 package metrics
 
-import "sync"
+import (
+	"maps"
+	"sync"
+)
 
 // Result is how a request ended for its client.
 type Result int
@@ -29,6 +32,41 @@
 	classes map[string]Counts
 	relayed int64
 	open    int64
+
+	unattributed map[string]map[string]int64 // by server and kind
+	closed       map[string]int64            // by reason
+}
+
+// maxServers is the maximum number of servers with counters of their own; further ones are counted together as otherServers.
+const maxServers = 1000
+
+// otherServers stands for all servers beyond maxServers.
+const otherServers = "other"
+
+// UnattributedInput records input of a server that belongs to no request.
+func (s *Recorder) UnattributedInput(server, kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unattributed == nil {
+		s.unattributed = map[string]map[string]int64{}
+	}
+	if s.unattributed[server] == nil && len(s.unattributed) >= maxServers {
+		server = otherServers
+	}
+	if s.unattributed[server] == nil {
+		s.unattributed[server] = map[string]int64{}
+	}
+	s.unattributed[server][kind]++
+}
+
+// ServerConnectionClosed records that a connection to a server was closed.
+func (s *Recorder) ServerConnectionClosed(reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed == nil {
+		s.closed = map[string]int64{}
+	}
+	s.closed[reason]++
 }
 
 // RegisterClasses includes classes in the metrics, with counts of 0, before their first request ends.
@@ -90,6 +128,9 @@
 	RegistryEntries int `json:"registry_entries"`
 	OutOfRotation   int `json:"out_of_rotation"` // listed servers that get no new requests
 
+	UnattributedInput       map[string]map[string]int64 `json:"unattributed_input,omitempty"`        // input that belongs to no request, by server and kind
+	ServerConnectionsClosed map[string]int64            `json:"server_connections_closed,omitempty"` // by reason
+
 	Peers *Peers `json:"peers,omitempty"` // nil: the node has no peers
 }
 
@@ -112,6 +153,13 @@
 		Relayed:      s.relayed,
 		OpenRequests: s.open,
 	}
+	report.ServerConnectionsClosed = maps.Clone(s.closed)
+	if len(s.unattributed) > 0 {
+		report.UnattributedInput = map[string]map[string]int64{}
+	}
+	for server, kinds := range s.unattributed {
+		report.UnattributedInput[server] = maps.Clone(kinds)
+	}
 	for class, c := range s.classes {
 		report.Fulfilled[class] = c[Fulfilled]
 		report.Throttled[class] = c[Throttled]
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"sync"
 	"testing"
 )
@@ -33,3 +34,22 @@
 		t.Errorf("got  %s\nwant %s", got, want)
 	}
 }
+
+// Servers beyond the maximum are counted together, so that servers that come and go don't use up memory.
+func TestUnattributedInputIsBounded(t *testing.T) {
+	var recorder Recorder
+	for i := range maxServers + 5 {
+		recorder.UnattributedInput(fmt.Sprint("s", i), "while_idle")
+	}
+	recorder.UnattributedInput("s1", "while_idle")
+	report := recorder.Report()
+	if n := len(report.UnattributedInput); n != maxServers+1 {
+		t.Errorf("%d servers are reported, want %d", n, maxServers+1)
+	}
+	if got := report.UnattributedInput[otherServers]["while_idle"]; got != 5 {
+		t.Errorf("%d for other servers, want 5", got)
+	}
+	if got := report.UnattributedInput["s1"]["while_idle"]; got != 2 {
+		t.Errorf("%d for s1, want 2", got)
+	}
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -57,6 +57,7 @@
 	if n.logPoolNames {
 		log = log.With("pool", p.Name)
 	}
+	created.backend.SetLogger(log)
 	var err error
 	created.engine, err = engine.New(engine.Options{
 		Settings:     created.settings,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -15,6 +15,9 @@
 	Ready     bool                      `json:"ready"`
 	Peers     *gossip.Status            `json:"peers,omitempty"` // nil: the node has no peers
 	Gateway   *gateway.Status           `json:"gateway,omitempty"`
+
+	UnattributedInput       map[string]map[string]int64 `json:"unattributed_input,omitempty"`        // as in metrics.Report
+	ServerConnectionsClosed map[string]int64            `json:"server_connections_closed,omitempty"` // as in metrics.Report
 }
 
 // ListenerStatus is the state of a listener.
@@ -51,6 +54,8 @@
 		st := n.gateway.Status()
 		s.Gateway = &st
 	}
+	report := n.metrics.Report()
+	s.UnattributedInput, s.ServerConnectionsClosed = report.UnattributedInput, report.ServerConnectionsClosed
 	for name, p := range pools {
 		s.Pools[name] = PoolStatus{p.engine.Status(), p.backend.Connections()}
 	}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -35,11 +35,11 @@
 		return engine.Outcome{Result: result}
 	}
 	if result, ok := p.tryStart(ctx, attempt, c); !ok {
-		p.abandon(c, waiter)
+		p.abandon(c, waiter, closeAttemptEnded)
 		return engine.Outcome{Result: result}
 	}
 	// A timed-out or cancelled attempt closes its connection, which ends the wait for the reply.
-	stop := context.AfterFunc(ctx, func() { p.abandon(c, waiter) })
+	stop := context.AfterFunc(ctx, func() { p.abandon(c, waiter, closeAttemptEnded) })
 	defer stop()
 	if attempt.Request.Message.Rest != nil {
 		return p.upload(attempt, c, waiter)
@@ -62,10 +62,10 @@
 			return nil, nil, balancer.Unreachable
 		}
 		if !attempt.Allowed() {
-			p.abandon(c, waiter)
+			p.abandon(c, waiter, closeAttemptEnded)
 			return nil, nil, balancer.NotStarted
 		}
-		err = p.beginExchange(c, waiter)
+		err = p.beginExchange(c, waiter, attempt.Request.ID)
 		switch {
 		case err == nil:
 			return c, waiter, 0
@@ -99,12 +99,12 @@
 func (p *Pool) exchange(ctx context.Context, attempt *engine.Attempt, c *conn, waiter chan reply) engine.Outcome {
 	text, result := p.requestText(attempt)
 	if text == nil {
-		p.abandon(c, waiter)
+		p.abandon(c, waiter, closeAttemptEnded)
 		return engine.Outcome{Result: result}
 	}
 	sent, err := c.Write(text)
 	if err != nil {
-		p.abandon(c, waiter)
+		p.abandon(c, waiter, closeWriteFailed)
 	} else {
 		p.markWritten(c)
 		p.counters.AttemptSent()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -17,6 +17,7 @@
 type conn struct {
 	net.Conn
 	host         discovery.Host
+	number       int64 // identifies the connection in the log
 	limited      *limitedReader
 	reader       *bufio.Reader // reads from limited; empty between replies
 	dialTime     time.Duration // duration of the connect, an upper bound of the time that a write takes to arrive
@@ -28,7 +29,9 @@
 	waiter    chan reply // receives the reply for the current attempt; nil while idle
 	stage     stage
 	discarded bool
-	streaming bool // a replyStream reads the rest of a reply
+	streaming bool   // a replyStream reads the rest of a reply
+	uses      int    // requests and polls that began to be written
+	requestID string // of the request that was written last; empty for a poll
 }
 
 // Read retries transient failures.
@@ -68,7 +71,7 @@
 // newConn starts the reader of a new connection. waiter belongs to the attempt that waits for the connection, and is nil if there
 // is none yet.
 func (p *Pool) newConn(nc net.Conn, host discovery.Host, waiter chan reply) *conn {
-	c := &conn{Conn: nc, host: host, waiter: waiter}
+	c := &conn{Conn: nc, host: host, waiter: waiter, number: p.connNumbers.Add(1)}
 	c.limited = &limitedReader{Reader: c}
 	c.reader = bufio.NewReader(c.limited)
 	go p.watchReplies(c)
@@ -83,24 +86,40 @@
 // beginExchange prepares a connection for the request that its attempt writes next. If the server has closed it or sent bytes
 // meanwhile, which cannot be a reply to a request not yet written, the connection is closed instead and the attempt needs another
 // one. The error is errUnsolicited, or errNoCapacity if the state of the connection could not be read.
-func (p *Pool) beginExchange(c *conn, waiter chan reply) error {
+func (p *Pool) beginExchange(c *conn, waiter chan reply, requestID string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.waiter != waiter {
 		return errUnsolicited
 	}
-	err := errUnsolicited
-	switch inputStateOf(c.Conn, p.recvfrom) {
-	case inputNone:
+	state := inputStateOf(c.Conn, p.recvfrom)
+	if state == inputNone {
 		c.stage = stageWriting
 		c.startedAt = p.clock.Now()
+		c.uses++
+		c.requestID = requestID
 		return nil
-	case inputUnknown:
-		err = errNoCapacity
 	}
 	c.waiter = nil
-	p.discard(c)
-	return err
+	if state == inputUnknown {
+		p.discard(c, closeInputUnknown)
+		return errNoCapacity
+	}
+	p.discardUnsolicited(c, state)
+	return errUnsolicited
+}
+
+// discardUnsolicited closes a connection that the server has closed or sent bytes on while no request was written. The caller
+// holds mu.
+func (p *Pool) discardUnsolicited(c *conn, state inputState) {
+	if state == inputEnded {
+		p.discard(c, closedByServer)
+		return
+	}
+	if !c.discarded {
+		p.recordUnattributed(c, inputWhileIdle)
+	}
+	p.discard(c, closeUnattributed)
 }
 
 // markWritten records that a request is written completely, and makes the connection idle if its reply was read already.
@@ -115,22 +134,24 @@
 
 // abandon closes the connection of an attempt that waits for a reply, unless the reply has arrived: then the connection may
 // serve another attempt already.
-func (p *Pool) abandon(c *conn, waiter chan reply) {
+func (p *Pool) abandon(c *conn, waiter chan reply, reason closeReason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.waiter == waiter {
 		c.waiter = nil
-		p.discard(c)
+		p.discard(c, reason)
 		waiter <- reply{err: context.Canceled}
 	}
 }
 
 // discard closes a connection and removes it from the pool. The caller holds mu.
-func (p *Pool) discard(c *conn) {
+func (p *Pool) discard(c *conn, reason closeReason) {
 	if c.discarded {
 		return
 	}
 	c.discarded = true
+	p.counters.ServerConnectionClosed(string(reason))
+	p.log.Debug("connection to a server closed", "server", c.host.Server, "connection", c.number, "uses", c.uses, "reason", reason)
 	p.release()
 	c.Close()
 	p.removeIdle(c)
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -116,6 +116,7 @@
 	}
 	c := p.newConn(result.conn, host, waiter)
 	c.dialTime = result.duration
+	c.idleSince = p.clock.Now()
 	return c, nil
 }
 
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -55,5 +55,6 @@
 
 // hasInput reports whether a connection has unread input or was closed.
 func hasInput(nc net.Conn) bool {
-	return inputStateOf(nc, syscall.Recvfrom) == inputPending
+	state := inputStateOf(nc, syscall.Recvfrom)
+	return state == inputPending || state == inputEnded
 }
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -38,7 +38,7 @@
 		c.stage = stageIdle
 		return c, settleDelay, nil
 	}
-	for p.discardOldestIdle() {
+	for p.discardOldestIdle(closeForCapacity) {
 		if p.reserve() {
 			return nil, 0, nil
 		}
@@ -91,8 +91,12 @@
 // putIdle delivers a connection to an attempt that waits for one, or keeps it idle for the next. It closes the connection if the
 // pool is closed or the server is no longer ready as the incarnation that it was opened to. The caller holds mu.
 func (p *Pool) putIdle(c *conn) {
-	if p.closed || !p.isReady(c.host) {
-		p.discard(c)
+	if p.closed {
+		p.discard(c, closePoolClosed)
+		return
+	}
+	if !p.isReady(c.host) {
+		p.discard(c, closeServerNotReady)
 		return
 	}
 	if p.deliverIdleConn(c) {
@@ -114,7 +118,7 @@
 
 // discardOldestIdle closes the connection that has been idle for longest, and reports whether there was one. The caller holds
 // mu.
-func (p *Pool) discardOldestIdle() bool {
+func (p *Pool) discardOldestIdle(reason closeReason) bool {
 	var oldest *conn
 	for _, idle := range p.idle {
 		if len(idle) > 0 && (oldest == nil || idle[0].idleSince < oldest.idleSince) {
@@ -124,13 +128,13 @@
 	if oldest == nil {
 		return false
 	}
-	p.discard(oldest)
+	p.discard(oldest, reason)
 	return true
 }
 
 // discardIdle closes the idle connections to a host. The caller holds mu.
-func (p *Pool) discardIdle(h discovery.Host) {
+func (p *Pool) discardIdle(h discovery.Host, reason closeReason) {
 	for idle := p.idle[h]; len(idle) > 0; idle = p.idle[h] {
-		p.discard(idle[len(idle)-1])
+		p.discard(idle[len(idle)-1], reason)
 	}
 }
--- a/internal/upstream/loadreport.go
+++ b/internal/upstream/loadreport.go
@@ -83,7 +83,7 @@
 		if err != nil {
 			return reply{err: err}
 		}
-		err = p.beginExchange(c, waiter)
+		err = p.beginExchange(c, waiter, "")
 		if err == nil {
 			return p.pollOn(ctx, c, waiter, path)
 		}
@@ -95,10 +95,10 @@
 
 // pollOn writes a poll to a connection and waits for its reply. Of the body only the buffered part is read.
 func (p *Pool) pollOn(ctx context.Context, c *conn, waiter chan reply, path string) reply {
-	stop := context.AfterFunc(ctx, func() { p.abandon(c, waiter) })
+	stop := context.AfterFunc(ctx, func() { p.abandon(c, waiter, closeAttemptEnded) })
 	defer stop()
 	if _, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: "+backendHost+"\r\n\r\n"); err != nil {
-		p.abandon(c, waiter)
+		p.abandon(c, waiter, closeWriteFailed)
 	} else {
 		p.markWritten(c)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,8 +6,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +29,9 @@
 	counters *metrics.Recorder
 	dial     dialFunc // nil for a net.Dialer's
 	recvfrom recvfromFunc
+	log      *slog.Logger
+
+	connNumbers atomic.Int64 // of the connection opened last
 
 	mu        sync.Mutex
 	limits    Limits
@@ -48,6 +53,7 @@
 		share:     share,
 		counters:  counters,
 		recvfrom:  syscall.Recvfrom,
+		log:       slog.New(slog.DiscardHandler),
 		limits:    limits,
 		idle:      map[discovery.Host][]*conn{},
 		wantConns: map[discovery.Host][]*wantConn{},
@@ -60,13 +66,16 @@
 	p.dial = dial
 }
 
+// SetLogger sets the destination of log records; by default they are discarded. It must be called before the first attempt.
+func (p *Pool) SetLogger(log *slog.Logger) { p.log = log }
+
 // SetLimits changes the limits. Connects in progress keep the old ones; idle connections beyond the new ones are closed, the
 // oldest first.
 func (p *Pool) SetLimits(limits Limits) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limits = limits
-	for p.open > limits.MaxConnections && p.discardOldestIdle() {
+	for p.open > limits.MaxConnections && p.discardOldestIdle(closeForCapacity) {
 	}
 }
 
@@ -75,7 +84,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	for p.discardOldestIdle() {
+	for p.discardOldestIdle(closePoolClosed) {
 	}
 }
 
@@ -101,7 +110,7 @@
 	}
 	for id, t := range p.listed {
 		if !present[id] {
-			p.discardIdle(t.Host())
+			p.discardIdle(t.Host(), closeServerNotReady)
 			delete(p.listed, id)
 		}
 	}
@@ -112,7 +121,7 @@
 	old, known := p.listed[t.ID]
 	p.listed[t.ID] = t
 	if known && (t.State != balancer.Ready || t.Host() != old.Host()) {
-		p.discardIdle(old.Host())
+		p.discardIdle(old.Host(), closeServerNotReady)
 	}
 	if t.State == balancer.Removed {
 		delete(p.listed, t.ID)
@@ -129,7 +138,7 @@
 func (p *Pool) CloseIdle(h discovery.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.discardIdle(h)
+	p.discardIdle(h, closeBalancerDecision)
 }
 
 // Sweep closes connections that have been idle for longer than maxIdle, until ctx ends.
@@ -150,7 +159,7 @@
 	maxIdle = p.limits.maxIdle()
 	for host := range p.idle {
 		for len(p.idle[host]) > 0 && p.clock.Now()-p.idle[host][0].idleSince >= maxIdle {
-			p.discard(p.idle[host][0])
+			p.discard(p.idle[host][0], closeIdleTimeout)
 		}
 	}
 	return maxIdle
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -55,22 +55,31 @@
 func (p *Pool) watchReplies(c *conn) {
 	for {
 		awaitInput(c.Conn, p.recvfrom)
-		r, reusable := p.nextReply(c)
+		if !p.expectsReply(c) {
+			return
+		}
+		r, reusable := p.readReply(c)
 		if !p.deliverReply(c, r, reusable) {
 			return
 		}
 	}
 }
 
-// nextReply reads the next reply on a connection, and reports whether the connection is reusable afterwards.
-func (p *Pool) nextReply(c *conn) (r reply, reusable bool) {
+// expectsReply reports whether input on a connection can be the reply to a request. Otherwise it closes the connection, and the
+// attempt that waits for it takes another one.
+func (p *Pool) expectsReply(c *conn) bool {
 	p.mu.Lock()
-	expected := c.waiter != nil && c.stage != stageIdle
-	p.mu.Unlock()
-	if !expected {
-		return reply{err: errUnsolicited}, false
+	defer p.mu.Unlock()
+	if c.waiter != nil && c.stage != stageIdle {
+		return true
+	}
+	waiter := c.waiter
+	c.waiter = nil
+	p.discardUnsolicited(c, inputStateOf(c.Conn, p.recvfrom))
+	if waiter != nil {
+		waiter <- reply{err: errUnsolicited}
 	}
-	return p.readReply(c)
+	return false
 }
 
 // deliverReply delivers a reply to the waiting attempt, and reports whether the connection's reader continues.
@@ -89,7 +98,7 @@
 			p.putIdle(c)
 		}
 	default:
-		p.discard(c)
+		p.discardAfterReply(c, r)
 	}
 	p.mu.Unlock()
 	if waiter != nil {
@@ -98,6 +107,19 @@
 	return keepReading
 }
 
+// discardAfterReply closes a connection that can't be reused after a reply, or after the failure to read one. The caller holds mu.
+func (p *Pool) discardAfterReply(c *conn, r reply) {
+	switch {
+	case r.err != nil:
+		p.discard(c, closeExchangeFailed)
+	case c.reader.Buffered() > 0 && !c.discarded:
+		p.recordUnattributed(c, inputBehindReply)
+		p.discard(c, closeUnattributed)
+	default:
+		p.discard(c, closeNotReusable)
+	}
+}
+
 // readReply reads one reply, and reports whether the connection is reusable. Only a complete 200 is a success; if a reply can't
 // be read, the request may have run. A reply is valid even if unsolicited bytes follow it, but then the connection is not
 // reusable: they could not be told from the next reply.
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -14,7 +14,8 @@
 
 const (
 	inputNone    inputState = iota // open, and all input was read
-	inputPending                   // unread bytes, an error, or a close by the peer
+	inputPending                   // unread bytes
+	inputEnded                     // a close by the peer, or an error
 	inputUnknown                   // the system call failed for lack of memory
 )
 
@@ -25,6 +26,8 @@
 		return "none"
 	case inputPending:
 		return "pending"
+	case inputEnded:
+		return "ended"
 	case inputUnknown:
 		return "unknown"
 	}
@@ -51,15 +54,20 @@
 func peekInput(fd uintptr, receive recvfromFunc) inputState {
 	var buf [1]byte
 	for {
-		_, _, err := receive(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := receive(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch err {
+		case nil:
+			if n > 0 {
+				return inputPending
+			}
+			return inputEnded
 		case syscall.EINTR:
 		case syscall.EAGAIN:
 			return inputNone
 		case syscall.ENOMEM, syscall.ENOBUFS:
 			return inputUnknown
 		default:
-			return inputPending
+			return inputEnded
 		}
 	}
 }
@@ -83,7 +91,7 @@
 	}
 }
 
-// inputStateOf returns the current state of a connection's input. If the descriptor is not accessible it returns inputPending,
+// inputStateOf returns the current state of a connection's input. If the descriptor is not accessible it returns inputEnded,
 // and inputNone for a connection without a socket.
 func inputStateOf(nc net.Conn, receive recvfromFunc) inputState {
 	raw := rawConn(nc)
@@ -93,7 +101,7 @@
 	state := inputNone
 	// Control and not Read: the connection's reader holds the lock that Read takes.
 	if err := raw.Control(func(fd uintptr) { state = peekInput(fd, receive) }); err != nil {
-		return inputPending
+		return inputEnded
 	}
 	return state
 }
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -56,8 +56,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s.conn.streaming = false
-	if !complete || !s.reusable || s.conn.reader.Buffered() > 0 || s.conn.discarded {
-		p.discard(s.conn)
+	switch {
+	case !complete:
+		p.discard(s.conn, closeExchangeFailed)
+		return
+	case !s.reusable || s.conn.reader.Buffered() > 0 || s.conn.discarded:
+		p.discardAfterReply(s.conn, reply{})
 		return
 	}
 	s.conn.SetReadDeadline(time.Time{})
--- a/internal/upstream/syscall_test.go
+++ b/internal/upstream/syscall_test.go
@@ -115,8 +115,8 @@
 		}
 	}
 	for _, errno := range []syscall.Errno{syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.EPIPE} {
-		if got := peek(errno); got != inputPending {
-			t.Errorf("%v: input state %v, want pending", errno, got)
+		if got := peek(errno); got != inputEnded {
+			t.Errorf("%v: input state %v, want ended", errno, got)
 		}
 	}
 }
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -113,7 +113,7 @@
 		writeDone:  make(chan error, 1),
 	}
 	if attempt.Request.IsDisconnected(p.clock.Now) {
-		p.abandon(c, waiter)
+		p.abandon(c, waiter, closeAttemptEnded)
 		return engine.Outcome{Result: balancer.Cancelled}
 	}
 	body := io.MultiReader(bytes.NewReader(message.Body), u.clientBody)
@@ -132,7 +132,7 @@
 	select {
 	case err := <-u.writeDone:
 		if err != nil {
-			u.pool.abandon(u.conn, u.waiter)
+			u.pool.abandon(u.conn, u.waiter, closeWriteFailed)
 		} else {
 			u.markComplete()
 		}
@@ -169,7 +169,7 @@
 	deadline := u.Uploaded(p.clock.Now())
 	timer := time.AfterFunc(p.clock.Until(deadline), func() {
 		u.timedOut.Store(true)
-		p.abandon(u.conn, u.waiter)
+		p.abandon(u.conn, u.waiter, closeAttemptEnded)
 	})
 	context.AfterFunc(u.Context(), func() { timer.Stop() })
 }
@@ -199,7 +199,7 @@
 // reply is never a success.
 func (u *uploadAttempt) earlyReply(got reply) engine.Outcome {
 	u.pool.mu.Lock()
-	u.pool.discard(u.conn)
+	u.pool.discard(u.conn, closeNotReusable)
 	u.pool.mu.Unlock()
 	got.Reply.Discard()
 	if got.Result == balancer.Success {
