Soak: experiments with overlapping faults, generated from a seed

faultbench soak -seed N plays the experiment of one seed again: second replies, noise, cut and long replies, hangs, errors, crashes, drains with slow start, a silent registry, resets, cuts, SIGSTOP for up to 150 ms, SIGHUP, SIGTERM in series with SIGKILL at the earliest, clients that leave, idle clients at the descriptor limit.

--- a/cmd/faultbench/main.go
+++ b/cmd/faultbench/main.go
@@ -17,7 +17,7 @@
 	defer stop()
 	root := &cobra.Command{Use: "faultbench", Short: "Run experiments with hundreds of nodes and injected faults",
 		SilenceErrors: true, SilenceUsage: true}
-	root.AddCommand(newRun(), newWeigh(), newCompare(), newExplore(), newCrowd(), newLeague(), newValidate())
+	root.AddCommand(newRun(), newWeigh(), newCompare(), newExplore(), newCrowd(), newLeague(), newSoak(), newValidate())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintf(os.Stderr, "Error: %v\n", err)
 		os.Exit(1)
