Settle connections by what servers have shown, so that no late second reply is served

Cause: HTTP/1.1 replies carry no id, so a reused connection attributes by order, and only the settle delay kept a late second reply from the next request. It was 10 ms, whatever the link and the server did; a second one seen changed nothing (limits.go DefaultSettleDelay, idle.go remainingSettleDelay). Evidence: docs/incidents/89e2f0.md; wrong bodies only with second replies, of the request before.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -69,6 +69,10 @@
 		switch {
 		case err == nil:
 			return c, waiter, 0
+		case errors.Is(err, errUnsettled) && attempt.Cancelled():
+			return nil, nil, balancer.Cancelled
+		case errors.Is(err, errUnsettled) && ctx.Err() != nil:
+			return nil, nil, balancer.NotStarted
 		case fresh && errors.Is(err, errNoCapacity):
 			return nil, nil, balancer.NotStarted
 		case fresh:
--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -12,8 +12,14 @@
 	inputWhileIdle   inputKind = "while_idle"   // after a reply, before the next request
 )
 
-// recordUnattributed counts input of a server that belongs to no request. The caller holds mu.
+// recordUnattributed counts input of a server that belongs to no request, and makes connections to the server settle longer. The
+// caller holds mu.
 func (p *Pool) recordUnattributed(c *conn, kind inputKind) {
+	gap := time.Duration(0)
+	if kind == inputWhileIdle {
+		gap = p.sinceReply(c)
+	}
+	p.recordGap(c, gap)
 	p.counters.UnattributedInput(c.host.Server, string(kind))
 	p.log.Info("input of a server belongs to no request",
 		"server", c.host.Server,
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -66,6 +66,7 @@
 var (
 	errNoCapacity  = errors.New("the node has no resources for a connection") // not caused by a server
 	errUnsolicited = errors.New("the server sent bytes or closed before a request was written")
+	errUnsettled   = errors.New("the connection has not settled since its last reply")
 )
 
 // newConn starts the reader of a new connection. waiter belongs to the attempt that waits for the connection, and is nil if there
@@ -78,14 +79,10 @@
 	return c
 }
 
-// maxSettleWait is the longest time to wait for the connection to settle; beyond it, another connection is opened instead.
-func (c *conn) maxSettleWait() time.Duration {
-	return max(c.dialTime, time.Duration(maxSettleFraction*float64(c.exchangeTime)))
-}
-
 // beginExchange prepares a connection for the request that its attempt writes next. If the server has closed it or sent bytes
 // meanwhile, which cannot be a reply to a request not yet written, the connection is closed instead and the attempt needs another
-// one. The error is errUnsolicited, or errNoCapacity if the state of the connection could not be read.
+// one. The error is errUnsolicited, errNoCapacity if the state of the connection could not be read, or errUnsettled if its settle
+// delay was extended meanwhile.
 func (p *Pool) beginExchange(c *conn, waiter chan reply, requestID string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -93,6 +90,11 @@
 		return errUnsolicited
 	}
 	state := inputStateOf(c.Conn, p.recvfrom)
+	if state == inputNone && p.remainingSettleDelay(c, p.clock.Now()) > 0 {
+		c.waiter = nil
+		p.putIdle(c)
+		return errUnsettled
+	}
 	if state == inputNone {
 		c.stage = stageWriting
 		c.startedAt = p.clock.Now()
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -116,10 +116,21 @@
 	}
 	c := p.newConn(result.conn, host, waiter)
 	c.dialTime = result.duration
-	c.idleSince = p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recordConnect(c)
 	return c, nil
 }
 
+// recordConnect records the end of a connection's connect. The caller holds mu.
+func (p *Pool) recordConnect(c *conn) {
+	c.idleSince = p.clock.Now()
+	record := p.record(c.host)
+	if record.minConnect == 0 || c.dialTime < record.minConnect {
+		record.minConnect = c.dialTime
+	}
+}
+
 // keepLateConn adds a connection to the idle ones whose connect completes after its attempt has taken another connection.
 func (p *Pool) keepLateConn(dialed <-chan dialResult, host discovery.Host) {
 	result := <-dialed
@@ -133,6 +144,6 @@
 		return
 	}
 	c.dialTime = result.duration
-	c.idleSince = p.clock.Now()
+	p.recordConnect(c)
 	p.putIdle(c)
 }
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -29,7 +29,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, settleDelay = p.earliestUsable(host)
-	if (c == nil || settleDelay > c.maxSettleWait()) && p.reserve() {
+	if (c == nil || settleDelay > p.maxSettleWait(c)) && p.reserve() {
 		return nil, 0, nil
 	}
 	if c != nil {
@@ -58,7 +58,7 @@
 		if remaining <= 0 {
 			return candidate, 0
 		}
-		short := remaining <= candidate.maxSettleWait()
+		short := remaining <= p.maxSettleWait(candidate)
 		if c == nil || short && !shortWait || short == shortWait && remaining < settleDelay {
 			c, settleDelay, shortWait = candidate, remaining, short
 		}
@@ -66,12 +66,6 @@
 	return c, settleDelay
 }
 
-// remainingSettleDelay returns how long a connection still has to settle at a clock time; it is not positive once the connection
-// has settled. The caller holds mu.
-func (p *Pool) remainingSettleDelay(c *conn, now time.Duration) time.Duration {
-	return c.idleSince + p.limits.SettleDelay - now
-}
-
 // reserve reserves a place for one more connection, and reports whether there was one. The caller holds mu.
 func (p *Pool) reserve() bool {
 	if p.open >= p.limits.MaxConnections || !p.share.TryAcquire() {
--- a/internal/upstream/loadreport.go
+++ b/internal/upstream/loadreport.go
@@ -87,7 +87,7 @@
 		if err == nil {
 			return p.pollOn(ctx, c, waiter, path)
 		}
-		if fresh {
+		if fresh || ctx.Err() != nil {
 			return reply{err: err}
 		}
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -35,11 +35,13 @@
 
 	mu        sync.Mutex
 	limits    Limits
-	idle      map[discovery.Host][]*conn     // oldest first
-	wantConns map[discovery.Host][]*wantConn // attempts whose connects are late, longest waiting first
-	open      int                            // connections that are open or being opened
-	dialed    int                            // connects ever started
-	listed    map[string]discovery.Target    // listed servers by id
+	idle      map[discovery.Host][]*conn       // oldest first
+	wantConns map[discovery.Host][]*wantConn   // attempts whose connects are late, longest waiting first
+	open      int                              // connections that are open or being opened
+	dialed    int                              // connects ever started
+	listed    map[string]discovery.Target      // listed servers by id
+	records   map[discovery.Host]*serverRecord // of listed servers
+	gaps      gapRecord                        // of all servers
 	closed    bool
 }
 
@@ -58,6 +60,7 @@
 		idle:      map[discovery.Host][]*conn{},
 		wantConns: map[discovery.Host][]*wantConn{},
 		listed:    map[string]discovery.Target{},
+		records:   map[discovery.Host]*serverRecord{},
 	}
 }
 
@@ -112,6 +115,7 @@
 		if !present[id] {
 			p.discardIdle(t.Host(), closeServerNotReady)
 			delete(p.listed, id)
+			delete(p.records, t.Host())
 		}
 	}
 }
@@ -123,8 +127,12 @@
 	if known && (t.State != balancer.Ready || t.Host() != old.Host()) {
 		p.discardIdle(old.Host(), closeServerNotReady)
 	}
+	if known && t.Host() != old.Host() {
+		p.moveRecord(old.Host(), t.Host())
+	}
 	if t.State == balancer.Removed {
 		delete(p.listed, t.ID)
+		delete(p.records, t.Host())
 	}
 }
 
