Replace an unsettled connection when there is no place for another

With longer settle delays a node at its limit of connections waited for one to settle: requests to a server were limited to one per settle delay and connection (idle.go take; 64,000 requests over 100 connections to a server under suspicion did not end within 9 minutes). The unsettled connection is closed now and its place used for a new one, which needs not settle.

--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -23,8 +23,8 @@
 }
 
 // take returns an idle connection and its remaining settle delay, or nil once a place for a new connection is reserved. A
-// connection that has not settled is taken if it will soon, or if no other can be opened. If there is no place, idle connections
-// to other servers are closed.
+// connection that has not settled is taken if it will soon. If there is no place for another, it is replaced by a new one: waiting
+// would let connections that settle limit the requests to a server. Without one, idle connections to other servers are closed.
 func (p *Pool) take(host discovery.Host, waiter chan reply) (c *conn, settleDelay time.Duration, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -32,6 +32,13 @@
 	if (c == nil || settleDelay > p.maxSettleWait(c)) && p.reserve() {
 		return nil, 0, nil
 	}
+	if c != nil && settleDelay > p.maxSettleWait(c) {
+		p.discard(c, closeForCapacity)
+		if p.reserve() {
+			return nil, 0, nil
+		}
+		c = nil
+	}
 	if c != nil {
 		p.removeIdle(c)
 		c.waiter = waiter
