Refuse a reply that was there before its request was written completely

Callers could be served a second reply to an earlier request that arrived after the settle delay, while the process was held up between its look at the connection and the write (the look stood before the start's checks and the text), or while an upload was being written: a reply read in stageWriting was taken as soon as the write ended within 200 ms, also a rejection that says that the request never ran. Replies are read only once the request is written. An early reply to an upload that was written after all is ConnectionLost, never a rejection or success. Refusals are logged with request, server, connection, uses and times, and counted.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -106,11 +106,8 @@
 		p.abandon(c, waiter, closeAttemptEnded)
 		return engine.Outcome{Result: result}
 	}
-	sent, err := c.Write(text)
-	if err != nil {
-		p.abandon(c, waiter, closeWriteFailed)
-	} else {
-		p.markWritten(c)
+	sent, err := p.writeRequest(c, waiter, text)
+	if err == nil {
 		p.counters.AttemptSent()
 	}
 	got := <-waiter
@@ -119,6 +116,8 @@
 		return got.Outcome
 	case attempt.Cancelled():
 		return engine.Outcome{Result: balancer.Cancelled}
+	case errors.Is(err, errUnsolicited):
+		return engine.Outcome{Result: balancer.NotStarted}
 	case sent < len(text) && isLocalShortage(err):
 		return engine.Outcome{Result: balancer.NotStarted}
 	case sent < len(text):
--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -10,16 +10,19 @@
 const (
 	inputBehindReply inputKind = "behind_reply" // directly behind a reply
 	inputWhileIdle   inputKind = "while_idle"   // after a reply, before the next request
+	inputBeforeWrite inputKind = "before_write" // as the next request is about to be written
+	inputDuringWrite inputKind = "during_write" // before the next request was written completely
 )
 
 // recordUnattributed counts input of a server that belongs to no request, and makes connections to the server settle longer. The
 // caller holds mu.
 func (p *Pool) recordUnattributed(c *conn, kind inputKind) {
-	gap := time.Duration(0)
-	if kind == inputWhileIdle {
-		gap = p.sinceReply(c)
+	switch kind {
+	case inputBehindReply:
+		p.recordGap(c, 0)
+	case inputWhileIdle, inputBeforeWrite:
+		p.recordGap(c, p.sinceReply(c))
 	}
-	p.recordGap(c, gap)
 	p.counters.UnattributedInput(c.host.Server, string(kind))
 	p.log.Info("input of a server belongs to no request",
 		"server", c.host.Server,
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -23,12 +23,16 @@
 	dialTime     time.Duration // duration of the connect, an upper bound of the time that a write takes to arrive
 	idleSince    time.Duration // clock time at which its last reply ended
 	startedAt    time.Duration // clock time at which the current request started
+	writtenAt    time.Duration // clock time at which it was written completely
 	exchangeTime time.Duration // from the start of the last request to the end of its reply
 
 	// Guarded by Pool.mu.
 	waiter    chan reply // receives the reply for the current attempt; nil while idle
 	stage     stage
+	written   chan struct{} // closed once the current request is written completely, or the connection is closed
+	early     bool          // there was input before the current request was written completely
 	discarded bool
+	uploading bool   // the body of the current request is still being received from its client
 	streaming bool   // a replyStream reads the rest of a reply
 	uses      int    // requests and polls that began to be written
 	requestID string // of the request that was written last; empty for a poll
@@ -64,9 +68,10 @@
 
 // Errors of connections that carry no request.
 var (
-	errNoCapacity  = errors.New("the node has no resources for a connection") // not caused by a server
-	errUnsolicited = errors.New("the server sent bytes or closed before a request was written")
-	errUnsettled   = errors.New("the connection has not settled since its last reply")
+	errNoCapacity   = errors.New("the node has no resources for a connection") // not caused by a server
+	errUnsolicited  = errors.New("the server sent bytes or closed before a request was written")
+	errUnattributed = errors.New("the input of the connection belongs to no request, or to an earlier one")
+	errUnsettled    = errors.New("the connection has not settled since its last reply")
 )
 
 // newConn starts the reader of a new connection. waiter belongs to the attempt that waits for the connection, and is nil if there
@@ -97,6 +102,10 @@
 	}
 	if state == inputNone {
 		c.stage = stageWriting
+		c.written = make(chan struct{})
+		c.early = false
+		c.writtenAt = 0
+		c.uploading = false
 		c.startedAt = p.clock.Now()
 		c.uses++
 		c.requestID = requestID
@@ -124,14 +133,87 @@
 	p.discard(c, closeUnattributed)
 }
 
-// markWritten records that a request is written completely, and makes the connection idle if its reply was read already.
+// write writes a part of the current request. Right before and after, it records whether the connection has input: a reply that
+// arrives before the last byte of a request is written does not belong to it.
+func (p *Pool) write(c *conn, text []byte) (int, error) {
+	lookedAt := p.clock.Now()
+	before := inputStateOf(c.Conn, p.recvfrom)
+	n, err := c.Write(text)
+	if before == inputPending || hasEarlyInput(c.Conn, p.recvfrom, p.clock.Now()-lookedAt) {
+		p.recordEarlyInput(c)
+	}
+	return n, err
+}
+
+// recordEarlyInput records that a connection has input before its request is written completely.
+func (p *Pool) recordEarlyInput(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.early = true
+}
+
+// writeRequest writes a request whose text is complete, and closes the connection if that fails. If the connection has input or was
+// closed, it writes nothing and returns errUnsolicited.
+func (p *Pool) writeRequest(c *conn, waiter chan reply, text []byte) (sent int, err error) {
+	lookedAt := p.clock.Now()
+	switch inputStateOf(c.Conn, p.recvfrom) {
+	case inputPending:
+		p.refuseInput(c, waiter, inputBeforeWrite)
+		return 0, errUnsolicited
+	case inputEnded:
+		p.abandon(c, waiter, closedByServer)
+		return 0, errUnsolicited
+	}
+	sent, err = c.Write(text)
+	if hasEarlyInput(c.Conn, p.recvfrom, p.clock.Now()-lookedAt) {
+		p.recordEarlyInput(c)
+	}
+	if err != nil {
+		p.abandon(c, waiter, closeWriteFailed)
+		return sent, err
+	}
+	p.markWritten(c)
+	return sent, nil
+}
+
+// refuseInput closes a connection whose input does not belong to the request of the attempt that waits for a reply.
+func (p *Pool) refuseInput(c *conn, waiter chan reply, kind inputKind) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.waiter == waiter {
+		p.refuseInputLocked(c, waiter, kind)
+	}
+}
+
+// refuseInputLocked is refuseInput for a caller that holds mu and has checked that the attempt still waits.
+func (p *Pool) refuseInputLocked(c *conn, waiter chan reply, kind inputKind) {
+	c.waiter = nil
+	p.recordUnattributed(c, kind)
+	p.log.Warn("reply refused: it does not belong to the request",
+		"request", c.requestID,
+		"server", c.host.Server,
+		"connection", c.number,
+		"uses", c.uses,
+		"kind", kind,
+		"quiet", c.startedAt-c.idleSince,
+		"settle_delay", p.settleDelay(c.host, p.clock.Now()),
+		"started_at", c.startedAt,
+		"written_after", c.writtenAt-c.startedAt,
+		"input_after", p.clock.Now()-c.startedAt)
+	p.discard(c, closeUnattributed)
+	waiter <- reply{err: errUnattributed}
+}
+
+// markWritten records that a request is written completely, so that its reply is read.
 func (p *Pool) markWritten(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.stage = stageWritten
-	if c.waiter == nil && !c.discarded && !c.streaming {
-		p.putIdle(c)
+	if c.discarded {
+		return
 	}
+	c.stage = stageWritten
+	c.writtenAt = p.clock.Now()
+	close(c.written)
 }
 
 // abandon closes the connection of an attempt that waits for a reply, unless the reply has arrived: then the connection may
@@ -152,6 +234,9 @@
 		return
 	}
 	c.discarded = true
+	if c.stage == stageWriting {
+		close(c.written)
+	}
 	p.counters.ServerConnectionClosed(string(reason))
 	p.log.Debug("connection to a server closed", "server", c.host.Server, "connection", c.number, "uses", c.uses, "reason", reason)
 	p.release()
--- a/internal/upstream/loadreport.go
+++ b/internal/upstream/loadreport.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -97,11 +96,7 @@
 func (p *Pool) pollOn(ctx context.Context, c *conn, waiter chan reply, path string) reply {
 	stop := context.AfterFunc(ctx, func() { p.abandon(c, waiter, closeAttemptEnded) })
 	defer stop()
-	if _, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: "+backendHost+"\r\n\r\n"); err != nil {
-		p.abandon(c, waiter, closeWriteFailed)
-	} else {
-		p.markWritten(c)
-	}
+	p.writeRequest(c, waiter, []byte("GET "+path+" HTTP/1.1\r\nHost: "+backendHost+"\r\n\r\n")) // its failure ends the wait, too
 	r := <-waiter
 	r.Reply.Discard()
 	return r
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"damsontrestle/internal/balancer"
 	"damsontrestle/internal/engine"
@@ -29,7 +30,8 @@
 // reply is the result of reading a connection: a complete reply, or the error.
 type reply struct {
 	engine.Outcome
-	err error
+	err   error
+	early bool // it was read before the request was written completely
 }
 
 // limitedReader limits the bytes of each reply. Neither http.ReadResponse nor io.ReadAll has a limit of its own: an endless head
@@ -66,20 +68,65 @@
 }
 
 // expectsReply reports whether input on a connection can be the reply to a request. Otherwise it closes the connection, and the
-// attempt that waits for it takes another one.
+// attempt that waits for it takes another one or, if its request was written, ends.
 func (p *Pool) expectsReply(c *conn) bool {
+	p.awaitWritten(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.waiter != nil && c.stage != stageIdle {
+	waiter := c.waiter
+	if waiter == nil || c.stage == stageIdle {
+		c.waiter = nil
+		p.discardUnsolicited(c, inputStateOf(c.Conn, p.recvfrom))
+		if waiter != nil {
+			waiter <- reply{err: errUnsolicited}
+		}
+		return false
+	}
+	if c.stage == stageWriting { // an early reply to an upload
+		c.early = true
 		return true
 	}
-	waiter := c.waiter
-	c.waiter = nil
-	p.discardUnsolicited(c, inputStateOf(c.Conn, p.recvfrom))
-	if waiter != nil {
-		waiter <- reply{err: errUnsolicited}
+	if kind, refused := p.whyNotReply(c); refused {
+		p.refuseInputLocked(c, waiter, kind)
+		return false
+	}
+	return true
+}
+
+// whyNotReply returns why input on a connection whose request is written does not belong to it, if it can be told.
+// The caller holds mu.
+func (p *Pool) whyNotReply(c *conn) (kind inputKind, refused bool) {
+	switch {
+	case c.early:
+		return inputDuringWrite, true
+	}
+	return "", false
+}
+
+// awaitWritten waits until the current request of a connection with input is written completely: only then can it be told whether
+// the input came before. A reply that precedes the end of an upload for longer than earlyReplyGrace is not waited for.
+func (p *Pool) awaitWritten(c *conn) {
+	p.mu.Lock()
+	stage := c.stage
+	written := c.written
+	uploading := c.uploading
+	p.mu.Unlock()
+	if stage != stageWriting {
+		return
+	}
+	if !uploading {
+		<-written
+		return
+	}
+	if inputStateOf(c.Conn, p.recvfrom) != inputPending {
+		return
+	}
+	timer := time.NewTimer(earlyReplyGrace)
+	defer timer.Stop()
+	select {
+	case <-written:
+	case <-timer.C:
 	}
-	return false
 }
 
 // deliverReply delivers a reply to the waiting attempt, and reports whether the connection's reader continues.
@@ -87,6 +134,7 @@
 	p.mu.Lock()
 	waiter := c.waiter
 	c.waiter = nil
+	r.early = c.early
 	switch {
 	case waiter != nil && r.Reply.Rest != nil:
 		c.streaming = true // the replyStream owns the connection from now on
@@ -94,7 +142,7 @@
 		keepReading = true
 		c.idleSince = r.At
 		c.exchangeTime = r.At - c.startedAt
-		if c.stage == stageWritten { // with an early reply, another request must not be written into this one
+		if !r.early { // otherwise another request would be written into this one
 			p.putIdle(c)
 		}
 	default:
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"damsontrestle/internal/netio"
 )
 
@@ -105,3 +107,40 @@
 	}
 	return state
 }
+
+// tickLength is the longest period of the clock by which the kernel dates the traffic of a connection.
+const tickLength = 4 * time.Millisecond
+
+// hasEarlyInput reports whether a connection has input that came before the last byte of a write. It is called right after the
+// write; elapsed is the time since the last look at the input before it. A process that is held up between the write and this call
+// may find the reply itself, so the dates that the kernel keeps decide. They are exact to a tick: input of the tick of the write
+// passes. Without dates, input is early if the process was held up.
+func hasEarlyInput(nc net.Conn, receive recvfromFunc, elapsed time.Duration) (early bool) {
+	raw := rawConn(nc)
+	if raw == nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		if peekInput(fd, receive) != inputPending {
+			return
+		}
+		if unacknowledged(fd) {
+			early = true
+			return
+		}
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			early = elapsed > tickLength
+			return
+		}
+		early = info.Last_data_recv > info.Last_data_sent
+	})
+	return early
+}
+
+// unacknowledged reports whether the peer's system has not acknowledged all that was written (SIOCOUTQ, tcp(7)). A reply
+// acknowledges the request that it belongs to.
+func unacknowledged(fd uintptr) bool {
+	n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	return err == nil && n > 0
+}
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -16,7 +16,8 @@
 // Limits of an upload.
 const (
 	maxWriteStall    = 5 * time.Second        // longest time in which the server accepts nothing
-	writeResultGrace = 200 * time.Millisecond // how long a reply may precede the result of writing its request
+	writeResultGrace = 200 * time.Millisecond // how long the end of a connection may precede the result of writing its request
+	earlyReplyGrace  = 200 * time.Millisecond // how long a reply that precedes the end of its request may wait for that
 )
 
 // errAttemptEnded is returned by reads of the request's body after the attempt has ended.
@@ -80,12 +81,15 @@
 }
 
 // stallLimited is a connection whose writes fail if the server accepts nothing for maxWriteStall.
-type stallLimited struct{ *conn }
+type stallLimited struct {
+	*conn
+	pool *Pool
+}
 
 // Write implements io.Writer.
 func (s stallLimited) Write(p []byte) (int, error) {
 	s.SetWriteDeadline(time.Now().Add(maxWriteStall))
-	return s.conn.Write(p)
+	return s.pool.write(s.conn, p)
 }
 
 // uploadAttempt is an attempt of a request whose body is still being received from the client.
@@ -116,9 +120,12 @@
 		p.abandon(c, waiter, closeAttemptEnded)
 		return engine.Outcome{Result: balancer.Cancelled}
 	}
+	p.mu.Lock()
+	c.uploading = true
+	p.mu.Unlock()
 	body := io.MultiReader(bytes.NewReader(message.Body), u.clientBody)
 	go func() {
-		u.writeDone <- newRequest(attempt, attempt.Deadline-attempt.SentAt, body).Write(stallLimited{c})
+		u.writeDone <- newRequest(attempt, attempt.Deadline-attempt.SentAt, body).Write(stallLimited{c, p})
 	}()
 	got := u.await()
 	consumed, failed := u.clientBody.end()
@@ -143,9 +150,14 @@
 	}
 }
 
-// awaitWriter waits for the writer after the reply or the end of the connection, and records whether the request was written
+// awaitWriter waits for the writer after an early reply or the end of the connection, and records whether the request was written
 // completely.
 func (u *uploadAttempt) awaitWriter(got reply) {
+	if got.err == nil { // the writer is no longer waited for, and its result must not count as sent in time
+		u.pool.mu.Lock()
+		u.pool.discard(u.conn, closeNotReusable)
+		u.pool.mu.Unlock()
+	}
 	select {
 	case err := <-u.writeDone:
 		if err == nil {
@@ -153,7 +165,7 @@
 		}
 	case <-time.After(writeResultGrace):
 		// Only the writer knows whether the last byte was sent. The connection is closed by now, which ends the write.
-		if got.err != nil && u.clientBody.isFullyRead() && <-u.writeDone == nil {
+		if u.clientBody.isFullyRead() && <-u.writeDone == nil {
 			u.markComplete()
 		}
 	}
@@ -178,7 +190,7 @@
 func (u *uploadAttempt) outcome(got reply, failed bool) engine.Outcome {
 	outcome := got.Outcome
 	switch {
-	case got.err == nil && u.complete:
+	case got.err == nil && !got.early:
 	case got.err == nil:
 		return u.earlyReply(got)
 	case u.Cancelled():
@@ -196,13 +208,16 @@
 }
 
 // earlyReply ends an attempt whose reply arrived before its request was written completely, and closes its connection. Such a
-// reply is never a success.
+// reply is never a success, and never a rejection if the request was written completely after all: it may belong to an earlier one.
 func (u *uploadAttempt) earlyReply(got reply) engine.Outcome {
 	u.pool.mu.Lock()
 	u.pool.discard(u.conn, closeNotReusable)
 	u.pool.mu.Unlock()
 	got.Reply.Discard()
-	if got.Result == balancer.Success {
+	switch {
+	case u.complete:
+		return engine.Outcome{Result: balancer.ConnectionLost}
+	case got.Result == balancer.Success:
 		return engine.Outcome{Result: balancer.Failure}
 	}
 	return got.Outcome
