Refuse a reply sooner than the server can have received the request

A reply on a reused connection is refused, and the connection closed, if the server's system has not acknowledged the request (SIOCOUTQ), or within half of the server's shortest connect of three or more, from 1 ms on. Both tests served the second reply before.

--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -8,10 +8,12 @@
 
 // Values of inputKind.
 const (
-	inputBehindReply inputKind = "behind_reply" // directly behind a reply
-	inputWhileIdle   inputKind = "while_idle"   // after a reply, before the next request
-	inputBeforeWrite inputKind = "before_write" // as the next request is about to be written
-	inputDuringWrite inputKind = "during_write" // before the next request was written completely
+	inputBehindReply    inputKind = "behind_reply"   // directly behind a reply
+	inputWhileIdle      inputKind = "while_idle"     // after a reply, before the next request
+	inputBeforeWrite    inputKind = "before_write"   // as the next request is about to be written
+	inputDuringWrite    inputKind = "during_write"   // before the next request was written completely
+	inputUnacknowledged inputKind = "unacknowledged" // before the server's system had received the next request
+	inputTooEarly       inputKind = "too_early"      // sooner after the next request than the server can reply
 )
 
 // recordUnattributed counts input of a server that belongs to no request, and makes connections to the server settle longer. The
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -126,6 +126,7 @@
 func (p *Pool) recordConnect(c *conn) {
 	c.idleSince = p.clock.Now()
 	record := p.record(c.host)
+	record.connects++
 	if record.minConnect == 0 || c.dialTime < record.minConnect {
 		record.minConnect = c.dialTime
 	}
--- a/internal/upstream/early_test.go
+++ b/internal/upstream/early_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -90,6 +91,65 @@
 	}
 }
 
+// Guards against serving a second reply that arrives before the server's system has received the next request.
+func TestReplyBeforeRequestIsAcknowledgedIsRefused(t *testing.T) {
+	proceed := make(chan struct{})
+	server := testpeer.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		testpeer.Echo(c, r, body)
+		<-proceed
+		io.WriteString(c, secondReply)
+		<-proceed // reads nothing
+		return false
+	})
+	defer close(proceed)
+	pool := newTestPool(10)
+	pool.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, address)
+		if err == nil {
+			c.(*net.TCPConn).SetWriteBuffer(1 << 20)
+		}
+		return c, err
+	}
+	reuseConnection(t, pool, server)
+	attempt := newTestAttempt(pool, server.Address())
+	attempt.Request.Message.Body = make([]byte, 160<<10) // more than the server's system takes, less than this one buffers
+	outcome := make(chan engine.Outcome, 1)
+	go func() { outcome <- pool.Run(attempt) }()
+	testpeer.Until(t, "the request to be written", func() bool { return pool.counters.Report().Relayed == 2 })
+	proceed <- struct{}{}
+	if r := testpeer.Receive(t, outcome, "the outcome"); r.Result != balancer.ConnectionLost {
+		t.Errorf("result %d, body %q; want ConnectionLost", r.Result, r.Reply.Body)
+	}
+	if got := unattributedInput(pool, server.Address(), inputUnacknowledged); got != 1 {
+		t.Errorf("counted %d times, want 1", got)
+	}
+}
+
+// Guards against serving a second reply that comes sooner after the request than any reply of that server can.
+func TestReplyWithinHalfTheShortestConnectIsRefused(t *testing.T) {
+	server := testpeer.NewServer(t, testpeer.Echo)
+	pool := newTestPool(10)
+	host := listServer(pool, server.Address())
+	pool.mu.Lock()
+	*pool.record(host) = serverRecord{minConnect: testpeer.Limit, connects: minConnects}
+	pool.mu.Unlock()
+	beforeDial := pool.dialed
+	pool.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		return net.Dial(network, address)
+	}
+	reuseConnection(t, pool, server)
+	pool.mu.Lock()
+	pool.record(host).minConnect = testpeer.Limit
+	pool.mu.Unlock()
+	if r := runAttempt(t, pool, newTestAttempt(pool, server.Address())); r.Result != balancer.ConnectionLost || pool.dialed != beforeDial+1 {
+		t.Errorf("result %d after %d dials; want ConnectionLost on the reused connection", r.Result, pool.dialed)
+	}
+	if got := unattributedInput(pool, server.Address(), inputTooEarly); got != 1 {
+		t.Errorf("counted %d times, want 1", got)
+	}
+}
+
 // Guards against taking a second reply to an earlier request for the reply to an upload during which it came: neither its body nor
 // its statement that the request never ran belongs to the upload.
 func TestSecondReplyDuringUploadIsRefused(t *testing.T) {
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -71,6 +71,7 @@
 // attempt that waits for it takes another one or, if its request was written, ends.
 func (p *Pool) expectsReply(c *conn) bool {
 	p.awaitWritten(c)
+	unacknowledged := isUnacknowledged(c.Conn)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	waiter := c.waiter
@@ -86,19 +87,25 @@
 		c.early = true
 		return true
 	}
-	if kind, refused := p.whyNotReply(c); refused {
+	if kind, refused := p.whyNotReply(c, unacknowledged); refused {
 		p.refuseInputLocked(c, waiter, kind)
 		return false
 	}
 	return true
 }
 
-// whyNotReply returns why input on a connection whose request is written does not belong to it, if it can be told.
-// The caller holds mu.
-func (p *Pool) whyNotReply(c *conn) (kind inputKind, refused bool) {
+// whyNotReply returns why input on a connection whose request is written does not belong to it, if it can be told. The first reply on
+// a connection can belong to no earlier request. The caller holds mu.
+func (p *Pool) whyNotReply(c *conn, unacknowledged bool) (kind inputKind, refused bool) {
 	switch {
 	case c.early:
 		return inputDuringWrite, true
+	case c.uses == 1:
+		return "", false
+	case unacknowledged:
+		return inputUnacknowledged, true
+	case p.clock.Now()-c.writtenAt < p.record(c.host).minReplyTime():
+		return inputTooEarly, true
 	}
 	return "", false
 }
--- a/internal/upstream/settle.go
+++ b/internal/upstream/settle.go
@@ -50,6 +50,23 @@
 type serverRecord struct {
 	gaps       gapRecord
 	minConnect time.Duration // shortest connect; 0: none yet
+	connects   int
+}
+
+// Bounds of minReplyTime.
+const (
+	minConnects      = 3                // connects may be late
+	minReplyFraction = 0.5              // of the shortest connect, as links have jitter
+	minUsefulConnect = time.Millisecond // a shorter one tells more of the machine's load than of the link
+)
+
+// minReplyTime returns a time after a request in which no reply to it can arrive: a connect takes a round trip, unless something
+// accepts between the node and the server. It returns 0 if the time is not known.
+func (r *serverRecord) minReplyTime() time.Duration {
+	if r.connects < minConnects || r.minConnect < minUsefulConnect {
+		return 0
+	}
+	return time.Duration(minReplyFraction * float64(r.minConnect))
 }
 
 // record returns the record of a listed server. The caller holds mu.
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -144,3 +144,11 @@
 	n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
 	return err == nil && n > 0
 }
+
+// isUnacknowledged is unacknowledged for a connection.
+func isUnacknowledged(nc net.Conn) (is bool) {
+	if raw := rawConn(nc); raw != nil {
+		raw.Control(func(fd uintptr) { is = unacknowledged(fd) })
+	}
+	return is
+}
