Use an attempt's own connect before a delivered connection has settled

Found beside it: a delivered connection that closed before it was returned left its error in the attempt's channel, so that the attempt on the new connection ended at once as lost while its request ran; the error is dropped now. Both tests fail without their part (waits for the settle delay of an hour; one entry left). A test shows that the second reply to a load poll is not served.

--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -28,8 +28,8 @@
 }
 
 // dialOrReuse opens a connection to a server for which take has reserved a place. If the connect is late, a connection to the same
-// server that becomes idle first is returned instead, with its remaining settle delay, and the late one is kept for another
-// attempt: on a network that loses a handshake packet, a connect takes a second longer, by which time other replies have come.
+// server that becomes idle and settles first is returned instead, with its remaining settle delay, and the late one is kept for
+// another attempt: on a network that loses a handshake packet, a connect takes a second longer, by which time other replies have come.
 func (p *Pool) dialOrReuse(ctx context.Context, host discovery.Host, waiter chan reply) (c *conn, fresh bool, settleDelay time.Duration, err error) {
 	dialCtx, cancel := context.WithCancel(context.Background())
 	detach := context.AfterFunc(ctx, cancel) // the dial ends with the attempt, unless the attempt takes another connection
@@ -57,11 +57,29 @@
 		return c, true, 0, err
 	case c = <-want.delivered:
 	}
+	settled := time.NewTimer(p.timeToSettle(c))
+	defer settled.Stop()
+	select {
+	case result := <-dialed:
+		detach()
+		if result.err != nil {
+			return c, false, p.timeToSettle(c), nil
+		}
+		p.returnDelivered(c, waiter)
+		c, err = p.dialDone(result, host, waiter)
+		return c, true, 0, err
+	case <-settled.C:
+	}
 	detach()
 	go p.keepLateConn(dialed, host)
+	return c, false, p.timeToSettle(c), nil
+}
+
+// timeToSettle returns how long a connection still has to settle.
+func (p *Pool) timeToSettle(c *conn) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return c, false, p.remainingSettleDelay(c, p.clock.Now()), nil
+	return p.remainingSettleDelay(c, p.clock.Now())
 }
 
 // dialWithRetries opens a connection for which reserve has taken a place, and releases the place if it fails. A lack of local
--- a/internal/upstream/dial_test.go
+++ b/internal/upstream/dial_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"damsontrestle/internal/balancer"
 	"damsontrestle/internal/discovery"
@@ -177,3 +178,47 @@
 		t.Errorf("result %d", r.Result)
 	}
 }
+
+// Guards against an attempt that waits for a delivered connection to settle although its own connect is done.
+func TestOwnConnectPrecedesSettlingOfDeliveredConnection(t *testing.T) {
+	server, received, release := holdFirstRequest(t, func(net.Conn) bool { return true })
+	pool := newTestPool(10)
+	pool.limits.SettleDelay = time.Hour
+	dialing, releaseDials := delayLaterDials(pool)
+	outcomes := make(chan engine.Outcome, 2)
+	attempt := func() { outcomes <- pool.Run(newTestAttempt(pool, server.Address())) }
+	go attempt()
+	testpeer.Receive(t, received, "the first request at the server")
+	go attempt()
+	testpeer.Receive(t, dialing, "the second attempt to dial")
+	testpeer.Until(t, "the second connect to be late", func() bool { return pool.wantConnCount() == 1 })
+	release()
+	testpeer.Receive(t, outcomes, "the first outcome")
+	testpeer.Until(t, "the idle connection to be delivered", func() bool { return pool.wantConnCount() == 0 })
+	releaseDials()
+	if r := testpeer.Receive(t, outcomes, "the second outcome"); r.Result != balancer.Success {
+		t.Errorf("result %d", r.Result)
+	}
+	if pool.idleCount() != 2 {
+		t.Errorf("%d idle connections, want 2", pool.idleCount())
+	}
+}
+
+// Guards against an attempt that ends because a connection that was delivered to it and not used was closed: the end would be taken
+// for that of the connection which the attempt has opened itself.
+func TestCloseOfUnusedDeliveredConnectionDoesNotEndAttempt(t *testing.T) {
+	server := testpeer.NewServer(t, testpeer.Echo)
+	pool := newTestPool(10)
+	reuseConnection(t, pool, server)
+	host := listServer(pool, server.Address())
+	want := &wantConn{waiter: make(chan reply, 1), delivered: make(chan *conn, 1)}
+	pool.queueForIdleConn(host, want)
+	c := <-want.delivered
+	want.delivered <- c
+	c.Close()
+	testpeer.Until(t, "the close to be noticed", func() bool { return pool.Connections() == 0 })
+	pool.cancelWantConn(host, want)
+	if len(want.waiter) != 0 {
+		t.Error("the attempt was told of the close")
+	}
+}
--- a/internal/upstream/loadreport_test.go
+++ b/internal/upstream/loadreport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -151,3 +152,36 @@
 		}
 	}
 }
+
+// Guards against serving the second reply to a load poll to the next request on its connection.
+func TestSecondReplyToPollIsNotServed(t *testing.T) {
+	const report = "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nTEXT inflight=3"
+	proceed := make(chan struct{}, 1)
+	server := testpeer.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		if r.URL.Path != "/stats" {
+			return testpeer.Echo(c, r, body)
+		}
+		io.WriteString(c, report)
+		<-proceed
+		_, err := io.WriteString(c, report)
+		return err == nil
+	})
+	pool := newTestPool(10)
+	pool.limits.LoadField, pool.limits.PollPath = "inflight", "/stats"
+	host := listServer(pool, server.Address())
+	if busy, ok := pool.Poll(host, testpeer.Limit); !ok || busy != 3 {
+		t.Fatalf("polled %v, %v", busy, ok)
+	}
+	testpeer.Until(t, "the connection to be idle", func() bool { return pool.idleCount() == 1 })
+	pool.mu.Lock()
+	c := pool.idle[host][0]
+	pool.mu.Unlock()
+	proceed <- struct{}{}
+	testpeer.Until(t, "the second reply to arrive", func() bool { return hasInput(c.Conn) || pool.Connections() == 0 })
+	if r := runAttempt(t, pool, newTestAttempt(pool, server.Address())); r.Result != balancer.Success || string(r.Reply.Body) != "for id" {
+		t.Errorf("result %d, body %q", r.Result, r.Reply.Body)
+	}
+	if got := unattributedInput(pool, server.Address(), inputWhileIdle); got != 1 {
+		t.Errorf("counted %d times, want 1", got)
+	}
+}
--- a/internal/upstream/wantconn.go
+++ b/internal/upstream/wantconn.go
@@ -45,10 +45,28 @@
 	p.removeWantConn(host, w)
 	select {
 	case c := <-w.delivered:
-		if c.waiter == w.waiter {
-			c.waiter = nil
-			p.putIdle(c)
-		}
+		p.returnDeliveredLocked(c, w.waiter)
+	default:
+	}
+}
+
+// returnDelivered makes a delivered connection idle again, because the attempt uses the one that it has opened itself.
+func (p *Pool) returnDelivered(c *conn, waiter chan reply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.returnDeliveredLocked(c, waiter)
+}
+
+// returnDeliveredLocked is returnDelivered for a caller that holds mu. What a connection that was closed meanwhile has sent to the
+// waiter is dropped: it would end the attempt.
+func (p *Pool) returnDeliveredLocked(c *conn, waiter chan reply) {
+	if c.waiter == waiter {
+		c.waiter = nil
+		p.putIdle(c)
+		return
+	}
+	select {
+	case <-waiter:
 	default:
 	}
 }
