--- a/internal/faultbench/nodefaults.go
+++ b/internal/faultbench/nodefaults.go
@@ -60,7 +60,9 @@
 		restart(0)
 	case experiment.Terminate:
 		n.terminate(ctx, ft)
-		f.fail(n.start(ctx, 0))
+		if err := n.start(ctx, 0); ctx.Err() == nil { // otherwise the run has ended
+			f.fail(err)
+		}
 	case experiment.Reload:
 		for f.now() < ft.To && ctx.Err() == nil {
 			f.fail(p.Signal(syscall.SIGHUP))
@@ -69,7 +71,7 @@
 	case experiment.Hold:
 		n.hold(ctx, ft, p)
 	case experiment.IdleClients:
-		f.fail(n.holdIdleClients(ctx, ft))
+		n.holdIdleClients(ctx, ft)
 	case experiment.ChangeNodeCount:
 		n.copies = ft.Count
 		text, err := n.configText()
@@ -116,7 +118,7 @@
 }
 
 // holdIdleClients holds ft.Count idle client connections to the node open until ft.To. Connections that the node closes are opened again.
-func (n *node) holdIdleClients(ctx context.Context, ft experiment.Fault) error {
+func (n *node) holdIdleClients(ctx context.Context, ft experiment.Fault) {
 	n.setShortOfDescriptors(true)
 	defer n.setShortOfDescriptors(false)
 	var wg sync.WaitGroup
@@ -124,7 +126,6 @@
 		wg.Go(func() { n.holdIdleConnection(ctx, ft.To) })
 	}
 	wg.Wait()
-	return ctx.Err()
 }
 
 func (n *node) setShortOfDescriptors(shortOfDescriptors bool) {
