--- a/internal/discovery/agent.go
+++ b/internal/discovery/agent.go
@@ -21,6 +21,7 @@
 	a.client = &http.Client{Transport: &http.Transport{
 		MaxConnsPerHost:    maxPolls,
 		DisableCompression: true,
+		DisableKeepAlives:  true, // answers carry no id: a second answer on a reused connection would be taken for that of the next poll
 		DialContext:        a.connect,
 	}}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -233,3 +235,34 @@
 		t.Errorf("%v, %d updates, rev %d", err, len(events), watch.agent().revision)
 	}
 }
+
+// Guards against taking an agent's second answer, sent behind the first, for the answer to the next poll: the list would go back to
+// an earlier one.
+func TestSecondAnswerOfAgentIsIgnored(t *testing.T) {
+	answer := func(rev int, state string) string {
+		body := strings.Replace(testpeer.FullSnapshot(testpeer.Entry("s1", "127.0.0.1:1", state)), "%d", strconv.Itoa(rev), 1)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	requests := 0
+	agent := testpeer.NewServer(t, func(c net.Conn, r *http.Request, _ string) bool {
+		requests++
+		if requests == 1 {
+			io.WriteString(c, answer(1, "in_service"))
+			time.AfterFunc(20*time.Millisecond, func() { io.WriteString(c, answer(1, "in_service")) })
+			return true
+		}
+		time.Sleep(100 * time.Millisecond)
+		_, err := io.WriteString(c, answer(2, "terminating"))
+		return err == nil
+	})
+	events := make(sink, 10)
+	watch := NewWatch(agent.Address(), noRevision, events, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for rev := range int64(2) {
+		if err := watch.pollOnce(t.Context(), watch.agent()); err != nil {
+			t.Fatal(err)
+		}
+		if got := watch.agent().revision; got != rev+1 {
+			t.Errorf("poll %d: rev %d, want %d", rev+1, got, rev+1)
+		}
+	}
+}
