--- a/internal/faultbench/audit/audit_test.go
+++ b/internal/faultbench/audit/audit_test.go
@@ -122,3 +122,29 @@
 		t.Errorf("found breaches %v; want z, which ran twice, and y, which received no response", got)
 	}
 }
+
+// Guards against an auditor that misses an attempt that begins after its client has left, or reports one that a cut has held.
+func TestAttemptAfterClientLeft(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		after   time.Duration
+		undated bool
+		want    int
+	}{
+		{name: "within the grace", after: DisconnectGrace},
+		{name: "later", after: DisconnectGrace + time.Millisecond, want: 1},
+		{name: "held by a cut", after: time.Second, undated: true},
+	} {
+		a := New()
+		a.RecordRequest(Request{ID: "r", At: time.Second, Deadline: 3 * time.Second})
+		left := 2 * time.Second
+		a.RecordOutcome("r", ClientLeft, left, "")
+		attempt := a.RecordAttempt("r", "s", 0, false, left+c.after)
+		if c.undated {
+			a.RecordUndated(attempt)
+		}
+		if got := a.Breaches(0); len(got) != c.want {
+			t.Errorf("%s: breaches %v, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/faultbench/host.go
+++ b/internal/faultbench/host.go
@@ -101,6 +101,9 @@
 	h.mu.Lock()
 	server, incarnation := h.server, h.incarnation
 	attempt := f.audit.RecordAttempt(id, server.ID, h.place, zone != server.Zone, f.runTime(conn.LastArrival()))
+	if conn.HeldByCut() {
+		f.audit.RecordUndated(attempt)
+	}
 	if h.down != "" { // the process or machine is gone: requests in transit are lost
 		h.mu.Unlock()
 		<-conn.CloseDelivered()
--- a/internal/faultbench/link/conn.go
+++ b/internal/faultbench/link/conn.go
@@ -21,6 +21,8 @@
 	source string // IP address of the near side
 	tcp    *net.TCPConn
 
+	heldByCut bool // it may have been established before a cut and accepted after it
+
 	mu             sync.Mutex
 	pieces         []piece // received from the near side
 	buffered       int     // bytes in pieces
@@ -42,6 +44,10 @@
 // CloseDelivered returns a channel that is closed once the close of the near side reaches the far side.
 func (c *Conn) CloseDelivered() <-chan struct{} { return c.closeDelivered }
 
+// HeldByCut reports whether the connection may have been established before a cut and accepted after it. The near side may have
+// sent its first bytes at any time in between; LastArrival is the time of the accept then.
+func (c *Conn) HeldByCut() bool { return c.heldByCut }
+
 // LastArrival returns when the bytes read last entered the link.
 func (c *Conn) LastArrival() time.Time {
 	c.mu.Lock()
--- a/internal/faultbench/link/relay.go
+++ b/internal/faultbench/link/relay.go
@@ -25,10 +25,14 @@
 	backlogFiller net.Conn // fills the accept queue while the link is cut
 	conns         map[*Conn]bool
 	accepted      int
+	cutEndedAt    time.Time // end of the last cut
 	closed        bool
 	work          sync.WaitGroup
 }
 
+// acceptDelay is longer than it takes to accept the connections that were established before or during a cut once that ends.
+const acceptDelay = 100 * time.Millisecond
+
 // backlog of a listener that accepts connections.
 const backlog = 1024
 
@@ -125,7 +129,7 @@
 		c.Close()
 		return
 	}
-	conn := &Conn{relay: r, source: source, tcp: c, closeDelivered: make(chan struct{}), wake: make(chan struct{}, 1), outgoing: make(chan piece, 64)}
+	conn := &Conn{relay: r, source: source, tcp: c, closeDelivered: make(chan struct{}), wake: make(chan struct{}, 1), outgoing: make(chan piece, 64), heldByCut: time.Since(r.cutEndedAt) < acceptDelay}
 	r.conns[conn] = true
 	r.accepted++
 	r.work.Add(3)
@@ -183,6 +187,7 @@
 	case s.hasCut() && !old.hasCut():
 		return r.fillBacklog()
 	case !s.hasCut() && old.hasCut():
+		r.cutEndedAt = time.Now()
 		r.ln.SetDeadline(time.Time{})
 		if err := r.setBacklog(backlog); err != nil {
 			return err
