--- a/cmd/faultbench/soak.go
+++ b/cmd/faultbench/soak.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -58,14 +60,41 @@
 	flags.IntVar(&seeds, "seeds", 1, "number of runs, with consecutive seeds")
 	flags.IntVar(&parallel, "parallel", 1, "number of runs at the same time")
 	flags.StringVar(&program, "program", "bin/damsontrestle", "path of the program")
-	flags.BoolVar(&verbose, "verbose", false, "print the faults of each run")
+	flags.BoolVar(&verbose, "verbose", false, "print the faults of each run and the warnings of its nodes")
 	return cmd
 }
 
+// warningLog collects the warnings that nodes log.
+type warningLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (w *warningLog) add(at time.Duration, node int, line string) {
+	if !strings.Contains(line, "level=WARN") {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fmt.Fprintf(&w.text, "  %v n%d: %s\n", at.Round(time.Millisecond), node, line)
+}
+
+// String implements fmt.Stringer.
+func (w *warningLog) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.String()
+}
+
 // runSoak runs the experiment of a seed and returns a report of one line, and one more for each breach.
 func runSoak(ctx context.Context, seed uint64, program string, verbose bool) (report string, err error) {
 	e := soak.Generate(seed)
-	result, err := faultbench.Run(ctx, e, faultbench.Options{Policy: experiment.Program, Binary: program})
+	options := faultbench.Options{Policy: experiment.Program, Binary: program}
+	var warnings warningLog
+	if verbose {
+		options.OnLogLine = warnings.add
+	}
+	result, err := faultbench.Run(ctx, e, options)
 	if err != nil {
 		return fmt.Sprintf("seed %d: not judged: %v\n", seed, err), err
 	}
@@ -83,6 +112,7 @@
 		for _, fault := range e.Faults {
 			report += fmt.Sprintf("  %s from %v to %v\n", fault.Name, fault.From, fault.To)
 		}
+		report += warnings.String()
 	}
 	if result.Slow != "" {
 		report += "  " + result.Slow + "\n"
--- a/internal/faultbench/fleet.go
+++ b/internal/faultbench/fleet.go
@@ -29,6 +29,8 @@
 	Log            func(format string, args ...any)
 	ParallelStarts int // processes started in parallel; 0: 16
 	LogBytes       int // bytes kept of each node's log; 0: 16 KiB
+
+	OnLogLine func(at time.Duration, node int, line string) // called for each line of a node's log; nil: not called
 }
 
 // fleet is one run in progress.
--- a/internal/faultbench/host.go
+++ b/internal/faultbench/host.go
@@ -189,6 +189,9 @@
 	f := h.fleet
 	done := make(chan struct{})
 	err := conn.Send([]byte(text), func(at time.Time) {
+		if closedAt := conn.NearClosedAt(); !closedAt.IsZero() { // the write succeeds on a socket that the node has just closed
+			at, outcome = closedAt, "canceled by the node"
+		}
 		f.audit.RecordEnd(attempt, f.runTime(at), outcome)
 		close(done)
 	})
--- a/internal/faultbench/node.go
+++ b/internal/faultbench/node.go
@@ -144,6 +144,9 @@
 	p, err := f.spawner.Launch(f.options.Binary, n.file, n.key, logBytes, env, func(line string) {
 		f.recordStatusChange(n, line)
 		f.recordZoneStateChange(n, line)
+		if f.options.OnLogLine != nil {
+			f.options.OnLogLine(f.now(), n.index, line)
+		}
 	})
 	if err != nil {
 		return fmt.Errorf("node %d: %w", n.index, err)
--- a/internal/upstream/settle.go
+++ b/internal/upstream/settle.go
@@ -14,9 +14,10 @@
 // jitter.
 const DefaultSettleDelay = 50 * time.Millisecond
 
-// Settle delays once a server has sent input that belongs to no request.
+// Settle delays once a server has sent input that belongs to no request. The other servers of the pool are under suspicion, too:
+// they often run the same software, and the first second reply of a server may be one that is retransmitted.
 const (
-	suspectSettleDelay = 500 * time.Millisecond // of that server: longer than TCP takes to retransmit a lost segment
+	suspectSettleDelay = 300 * time.Millisecond // longer than TCP takes to retransmit a lost segment
 	suspectGapFactor   = 4                      // of that server, in gaps that it has shown
 	pooledGapFactor    = 2                      // of the pool's other servers, in gaps that any server has shown
 	suspectPeriod      = 5 * time.Minute        // since the last such input
@@ -85,10 +86,10 @@
 func (p *Pool) settleDelay(h discovery.Host, now time.Duration) time.Duration {
 	delay := p.limits.SettleDelay
 	if p.gaps.isRecent(now) {
-		delay = max(delay, pooledGapFactor*p.gaps.longest)
+		delay = max(delay, suspectSettleDelay, pooledGapFactor*p.gaps.longest)
 	}
 	if r := p.records[h]; r != nil && r.gaps.isRecent(now) {
-		delay = max(delay, suspectSettleDelay, suspectGapFactor*r.gaps.longest)
+		delay = max(delay, suspectGapFactor*r.gaps.longest)
 	}
 	return delay
 }
