--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -27,22 +27,33 @@
 	err      error
 }
 
-// dialOrReuse opens a connection to a server for which take has reserved a place. If the connect is late, a connection to the same
-// server that becomes idle and settles first is returned instead, with its remaining settle delay, and the late one is kept for
-// another attempt: on a network that loses a handshake packet, a connect takes a second longer, by which time other replies have come.
-func (p *Pool) dialOrReuse(ctx context.Context, host discovery.Host, waiter chan reply) (c *conn, fresh bool, settleDelay time.Duration, err error) {
+// pendingDial is a connect in progress that ends with its attempt until it is detached from it.
+type pendingDial struct {
+	results chan dialResult
+	detach  func() bool
+}
+
+// startDial opens a connection to a server for which take has reserved a place.
+func (p *Pool) startDial(ctx context.Context, host discovery.Host) pendingDial {
 	dialCtx, cancel := context.WithCancel(context.Background())
-	detach := context.AfterFunc(ctx, cancel) // the dial ends with the attempt, unless the attempt takes another connection
-	dialed := make(chan dialResult, 1)
+	dial := pendingDial{results: make(chan dialResult, 1), detach: context.AfterFunc(ctx, cancel)}
 	go func() {
 		defer cancel()
-		dialed <- p.dialWithRetries(dialCtx, ctx, host)
+		dial.results <- p.dialWithRetries(dialCtx, ctx, host)
 	}()
+	return dial
+}
+
+// dialOrReuse opens a connection to a server for which take has reserved a place. If the connect is late, a connection to the same
+// server that becomes idle and settles first is returned instead, with its remaining settle delay, and the late one is kept for
+// another attempt: on a network that loses a handshake packet, a connect takes a second longer, by which time other replies have come.
+func (p *Pool) dialOrReuse(ctx context.Context, host discovery.Host, waiter chan reply) (c *conn, fresh bool, settleDelay time.Duration, err error) {
+	dial := p.startDial(ctx, host)
 	lateTimer := time.NewTimer(lateDialThreshold)
 	defer lateTimer.Stop()
 	select {
-	case result := <-dialed:
-		detach()
+	case result := <-dial.results:
+		dial.detach()
 		c, err = p.dialDone(result, host, waiter)
 		return c, true, 0, err
 	case <-lateTimer.C:
@@ -50,29 +61,34 @@
 	want := &wantConn{waiter: waiter, delivered: make(chan *conn, 1)}
 	p.queueForIdleConn(host, want)
 	select {
-	case result := <-dialed:
-		detach()
+	case result := <-dial.results:
+		dial.detach()
 		p.cancelWantConn(host, want)
 		c, err = p.dialDone(result, host, waiter)
 		return c, true, 0, err
 	case c = <-want.delivered:
+		return p.dialOrSettle(dial, c, host, waiter)
 	}
-	settled := time.NewTimer(p.timeToSettle(c))
+}
+
+// dialOrSettle returns the connection of a late connect or one that was delivered meanwhile, whichever is usable first.
+func (p *Pool) dialOrSettle(dial pendingDial, delivered *conn, host discovery.Host, waiter chan reply) (c *conn, fresh bool, settleDelay time.Duration, err error) {
+	settled := time.NewTimer(p.timeToSettle(delivered))
 	defer settled.Stop()
 	select {
-	case result := <-dialed:
-		detach()
+	case result := <-dial.results:
+		dial.detach()
 		if result.err != nil {
-			return c, false, p.timeToSettle(c), nil
+			return delivered, false, p.timeToSettle(delivered), nil
 		}
-		p.returnDelivered(c, waiter)
+		p.returnDelivered(delivered, waiter)
 		c, err = p.dialDone(result, host, waiter)
 		return c, true, 0, err
 	case <-settled.C:
+		dial.detach()
+		go p.keepLateConn(dial.results, host)
+		return delivered, false, p.timeToSettle(delivered), nil
 	}
-	detach()
-	go p.keepLateConn(dialed, host)
-	return c, false, p.timeToSettle(c), nil
 }
 
 // timeToSettle returns how long a connection still has to settle.
