Fault bench: a client does not retry after its own deadline

The client checked the time before its wait and not after it, and the bench was late. The check stands; the client sends no retry with under 1 ms left.

--- a/internal/faultbench/clients.go
+++ b/internal/faultbench/clients.go
@@ -43,6 +43,9 @@
 	}
 }
 
+// minDeadline is the shortest remaining time with which a client retries. Nodes reject a deadline that is not positive.
+const minDeadline = time.Millisecond
+
 // sendWithRetries sends a request and the client's retries, as long as the deadline and the number of retries allow.
 func (n *node) sendWithRetries(ctx context.Context, request world.Request) {
 	f := n.fleet
@@ -55,6 +58,9 @@
 		}
 		now := f.now()
 		remaining := start + class.Deadline - now
+		if attempt > 0 && remaining < minDeadline { // the fault bench was late
+			return
+		}
 		f.audit.RecordRequest(audit.Request{ID: id, FirstID: request.ID, Node: n.index, Class: request.Class, Unsafe: class.Effect == "unsafe", At: now, LatencyObjective: start + class.LatencyObjective - now, Deadline: remaining, PriorityWeight: class.PriorityWeight})
 		outcome, detail, wait := n.send(id, class, remaining)
 		f.audit.RecordOutcome(id, outcome, f.now(), detail)
