--- /dev/null
+++ b/review/rig/server.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// arrival is a request that has come whole to a server.
+type arrival struct {
+	server, id string
+	at         time.Time
+	deadline   time.Duration // that the node told
+	bytes      int
+}
+
+// arrivals holds what came to all servers.
+var arrivals struct {
+	sync.Mutex
+	all []arrival
+}
+
+func recordArrivals() {
+	arrivals.Lock()
+	defer arrivals.Unlock()
+	for _, a := range arrivals.all {
+		record("server %s got %s at %.3f with %d bytes; told to answer within %v", a.server, a.id, a.at.Sub(begun).Seconds(), a.bytes, a.deadline)
+	}
+}
+
+// server is a stand-in for a sound server of the first tier: it begins a request when its last byte has come, works
+// on it for a time, and answers 200 with the request's id.
+type server struct {
+	target
+	work func(r *http.Request) time.Duration
+}
+
+func newServer(uid, zone string, pod int, work func(r *http.Request) time.Duration) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	s := &server{work: work}
+	s.target = target{UID: uid, Endpoint: l.Addr().String(), Zone: zone, Model: "front-std", Pod: pod, State: "in_service", Capacity: 1}
+	srv := &http.Server{Handler: s, IdleTimeout: time.Minute}
+	go srv.Serve(l)
+	return s
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	id := r.Header.Get("X-Request-Id")
+	if err != nil || id == "" {
+		http.NotFound(w, r)
+		return
+	}
+	seconds, _ := strconv.ParseFloat(r.Header.Get("X-Deadline"), 64)
+	arrivals.Lock()
+	arrivals.all = append(arrivals.all, arrival{s.UID, id, time.Now(), time.Duration(seconds * 1e9), len(body)})
+	arrivals.Unlock()
+	select {
+	case <-time.After(s.work(r)):
+		io.WriteString(w, answerOf(id))
+	case <-r.Context().Done(): // a cancel drops the work
+	}
+}
+
+// answerOf is the answer made for a request.
+func answerOf(id string) string { return "done " + id + "\n" }
+
+// deploy starts a small deployment: servers in two zones, the agent of discovery, and nodes that know the list.
+func deploy(nodeCount, serverCount int, classes []class, work func(r *http.Request) time.Duration) (*agent, []*server) {
+	var servers []*server
+	var targets []target
+	for i := range serverCount {
+		s := newServer(fmt.Sprintf("s-%08x", 0x5be2a07c+i*7919), []string{"chavara", "karunagappally"}[i%2], i/4, work)
+		servers = append(servers, s)
+		targets = append(targets, s.target)
+		record("server %s at %s", s.UID, s.Endpoint)
+	}
+	a := newAgent(targets)
+	for i := range nodeCount {
+		n := newNode(i, nodeCount, a.addr, classes, list{Rev: 41, All: true, Targets: targets})
+		nodes = append(nodes, n)
+		n.start()
+	}
+	return a, servers
+}
