--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -27,7 +27,9 @@
 type request struct {
 	id, method, class string
 	body              int
+	want              string // the answer that a server makes for it
 	deadline          time.Duration
+	slow              bool      // its client writes slowly
 	firstTaken        time.Time // its last byte was written for the first time; zero: once only
 	taken             time.Time // its last byte was written; zero: it was not
 	answered          time.Time // the last byte of its answer came; zero: it did not
@@ -39,7 +41,8 @@
 }
 
 func newRequest(method, class string, body int, deadline time.Duration) *request {
-	return &request{id: newID(), method: method, class: class, body: body, deadline: deadline}
+	id := newID()
+	return &request{id: id, method: method, class: class, body: body, want: answerOf(id), deadline: deadline}
 }
 
 // String returns the request's text.
@@ -48,9 +51,12 @@
 	if r.method == "POST" {
 		text += fmt.Sprintf("Content-Length: %d\r\n", r.body)
 	}
-	return text + "\r\n" + strings.Repeat("n", r.body)
+	return text + "\r\n" + bodyOf(r.id, r.body)
 }
 
+// bodyOf returns the body of a request: its id, again and again.
+func bodyOf(id string, length int) string { return strings.Repeat(id, length/len(id)+1)[:length] }
+
 // begin returns when the request's time began.
 func (r *request) begin() time.Time {
 	if !r.firstTaken.IsZero() {
@@ -74,7 +80,7 @@
 	switch {
 	case r.taken.IsZero():
 		return "" // not taken
-	case !r.answered.IsZero() && r.status == 200 && r.text != answerOf(r.id):
+	case !r.answered.IsZero() && r.status == 200 && r.text != r.want:
 		return "served with what no server made for it: " + r.outcome()
 	case !r.answered.IsZero() && !r.answered.After(limit):
 		return ""
@@ -82,6 +88,26 @@
 	return "lost: " + r.outcome()
 }
 
+// Pace of a client that writes slowly: 160 KB/s.
+const (
+	piece = 8000
+	pause = 50 * time.Millisecond
+)
+
+// write writes the request: at once, or in pieces if its client writes slowly.
+func (r *request) write(c net.Conn) error {
+	text := r.String()
+	for r.slow && len(text) > piece {
+		if _, err := io.WriteString(c, text[:piece]); err != nil {
+			return err
+		}
+		text = text[piece:]
+		time.Sleep(pause)
+	}
+	_, err := io.WriteString(c, text)
+	return err
+}
+
 // exchange sends requests at once on a new connection and reads their answers, in order.
 func exchange(addr string, patience time.Duration, rs ...*request) {
 	c, err := net.Dial("tcp", addr)
@@ -100,7 +126,7 @@
 	var writing sync.WaitGroup
 	writing.Go(func() {
 		for _, r := range rs {
-			if _, err := io.WriteString(c, r.String()); err != nil {
+			if r.write(c) != nil {
 				return
 			}
 			r.taken = time.Now()
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"strconv"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 	at         time.Time
 	deadline   time.Duration // that the node told
 	bytes      int
+	wrong      string // how its body differs from the one that was sent; empty: not at all
 }
 
 // arrivals holds what came to all servers.
@@ -28,10 +30,24 @@
 	arrivals.Lock()
 	defer arrivals.Unlock()
 	for _, a := range arrivals.all {
-		record("server %s got %s at %.3f with %d bytes; told to answer within %v", a.server, a.id, a.at.Sub(begun).Seconds(), a.bytes, a.deadline)
+		record("server %s got %s at %.3f with %d bytes%s; told to answer within %v", a.server, a.id, a.at.Sub(begun).Seconds(), a.bytes, a.wrong, a.deadline)
 	}
 }
 
+// idText finds the ids in a body.
+var idText = regexp.MustCompile(`1b1f03aa[0-9a-f]{8}`)
+
+// difference tells where a body is not the one that belongs to its request, and whose bytes stand there.
+func difference(id string, body string) string {
+	own := bodyOf(id, len(body))
+	for i := range own {
+		if own[i] != body[i] {
+			return fmt.Sprintf(", from byte %d on not its own but those of %s", i, idText.FindString(body[i:]))
+		}
+	}
+	return ""
+}
+
 // server is a stand-in for a sound server of the first tier: it begins a request when its last byte has come, works
 // on it for a time, and answers 200 with the request's id.
 type server struct {
@@ -58,10 +74,14 @@
 	}
 	seconds, _ := strconv.ParseFloat(r.Header.Get("X-Deadline"), 64)
 	arrivals.Lock()
-	arrivals.all = append(arrivals.all, arrival{s.UID, id, time.Now(), time.Duration(seconds * 1e9), len(body)})
+	arrivals.all = append(arrivals.all, arrival{s.UID, id, time.Now(), time.Duration(seconds * 1e9), len(body), difference(id, string(body))})
 	arrivals.Unlock()
 	select {
 	case <-time.After(s.work(r)):
+		if longViews && r.Method == http.MethodGet {
+			writeLong(w, id)
+			return
+		}
 		io.WriteString(w, answerOf(id))
 	case <-r.Context().Done(): // a cancel drops the work
 	}
@@ -70,6 +90,27 @@
 // answerOf is the answer made for a request.
 func answerOf(id string) string { return "done " + id + "\n" }
 
+// longViews is set where views have long answers.
+var longViews bool
+
+// longAnswer is the long answer made for a request.
+func longAnswer(id string) string { return bodyOf(id, 150000) }
+
+// writeLong writes a long answer, 5,000 bytes each 20 ms.
+func writeLong(w http.ResponseWriter, id string) {
+	text := longAnswer(id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	for len(text) > 0 {
+		n := min(5000, len(text))
+		if _, err := io.WriteString(w, text[:n]); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		text = text[n:]
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // deploy starts a small deployment: servers in two zones, the agent of discovery, and nodes that know the list.
 func deploy(nodeCount, serverCount int, classes []class, work func(r *http.Request) time.Duration) (*agent, []*server) {
 	var servers []*server
