--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -32,6 +32,7 @@
 	slow              bool      // its client writes slowly
 	firstTaken        time.Time // its last byte was written for the first time; zero: once only
 	taken             time.Time // its last byte was written; zero: it was not
+	begun             time.Time // the first byte of its answer came; zero: none did
 	answered          time.Time // the last byte of its answer came; zero: it did not
 	status            int
 	text              string
@@ -57,8 +58,8 @@
 // bodyOf returns the body of a request: its id, again and again.
 func bodyOf(id string, length int) string { return strings.Repeat(id, length/len(id)+1)[:length] }
 
-// begin returns when the request's time began.
-func (r *request) begin() time.Time {
+// start returns when the request's time began.
+func (r *request) start() time.Time {
 	if !r.firstTaken.IsZero() {
 		return r.firstTaken
 	}
@@ -67,16 +68,19 @@
 
 // outcome tells what became of the request.
 func (r *request) outcome() string {
-	text := fmt.Sprintf("%s %s, body of %d, waits %v, written at %.3f", r.id, r.class, r.body, r.deadline, r.begin().Sub(begun).Seconds())
+	text := fmt.Sprintf("%s %s, body of %d, waits %v, written at %.3f", r.id, r.class, r.body, r.deadline, r.start().Sub(begun).Seconds())
 	if r.answered.IsZero() {
-		return text + fmt.Sprintf(": no answer, connection ended after %v: %v", r.ended.Sub(r.begin()), r.err)
+		if !r.begun.IsZero() {
+			text += fmt.Sprintf(": answer begun after %v", r.begun.Sub(r.start()))
+		}
+		return text + fmt.Sprintf(": no whole answer, connection ended after %v: %v", r.ended.Sub(r.start()), r.err)
 	}
-	return text + fmt.Sprintf(": %d after %v", r.status, r.answered.Sub(r.begin()))
+	return text + fmt.Sprintf(": %d after %v", r.status, r.answered.Sub(r.start()))
 }
 
 // broken says how the rule on lost requests was broken for the request, or "".
 func (r *request) broken() string {
-	limit := r.begin().Add(r.deadline + slack)
+	limit := r.start().Add(r.deadline + slack)
 	switch {
 	case r.taken.IsZero():
 		return "" // not taken
@@ -135,6 +139,9 @@
 	reader := bufio.NewReader(c)
 	c.SetDeadline(time.Now().Add(rs[len(rs)-1].deadline + patience))
 	for i, r := range rs {
+		if _, err := reader.Peek(1); err == nil {
+			r.begun = time.Now()
+		}
 		resp, err := http.ReadResponse(reader, nil)
 		if err == nil {
 			var body []byte
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -53,18 +53,43 @@
 type server struct {
 	target
 	work func(r *http.Request) time.Duration
+	stop stop
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	ln    net.Listener
 }
 
 func newServer(uid, zone string, pod int, work func(r *http.Request) time.Duration) *server {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	s := &server{work: work}
+	s := &server{work: work, conns: map[net.Conn]bool{}, ln: l}
 	s.target = target{UID: uid, Endpoint: l.Addr().String(), Zone: zone, Model: "front-std", Pod: pod, State: "in_service", Capacity: 1}
-	srv := &http.Server{Handler: s, IdleTimeout: time.Minute}
+	srv := &http.Server{Handler: s, IdleTimeout: time.Minute, ConnState: s.track}
 	go srv.Serve(l)
 	return s
 }
 
+// track notes which connections are open.
+func (s *server) track(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns[c] = true; state == http.StateClosed {
+		delete(s.conns, c)
+	}
+}
+
+// reset closes the listener and resets all connections.
+func (s *server) reset() {
+	s.ln.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	id := r.Header.Get("X-Request-Id")
@@ -76,6 +101,10 @@
 	arrivals.Lock()
 	arrivals.all = append(arrivals.all, arrival{s.UID, id, time.Now(), time.Duration(seconds * 1e9), len(body), difference(id, string(body))})
 	arrivals.Unlock()
+	if inPieces && r.Method == http.MethodGet {
+		s.writeInPieces(w, r, id)
+		return
+	}
 	select {
 	case <-time.After(s.work(r)):
 		if longViews && r.Method == http.MethodGet {
