review/1: two bad clients that send empty lines take a node over its memory limit

A view and about a million empty lines behind it, from two clients, took a node from 4 MB over its 96 MB in 0.1 s; the platform's stand-in killed it.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # disruption. It needs the build of the deploy file and review/build.sh.
 here=$(cd "$(dirname "$0")" && pwd) && cd "$here/../.." || exit 2
 [ -x review/bin/rig ] && [ -x bin/damsontrestle ] || { echo "build first: the deploy file's build, then review/build.sh" >&2; exit 2; }
-exec review/bin/rig gap "$here"
+exec review/bin/rig flood "$here"
