--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"regexp"
@@ -111,6 +112,10 @@
 			writeLong(w, id)
 			return
 		}
+		if spoil && rand.IntN(20) == 0 {
+			writeSpoilt(w, id)
+			return
+		}
 		io.WriteString(w, answerOf(id))
 	case <-r.Context().Done(): // a cancel drops the work
 	}
