--- a/review/rig/flood.go
+++ b/review/rig/flood.go
@@ -84,7 +84,12 @@
 
 // flood has two bad clients at one of two nodes, beside usual ones at both.
 func flood() {
-	const usual, bad, length = 16, 2, 5 * time.Second
+	badDay(2, floodingClient)
+}
+
+// badDay has bad clients at one of two nodes, beside usual ones at both, and watches the nodes' memory.
+func badDay(bad int, badClient func(addr string, until time.Time)) {
+	const usual, length = 16, 5 * time.Second
 	memoryMB = 96
 	deploy(2, 6, siteClasses(), work)
 	stop := make(chan struct{})
@@ -110,7 +115,7 @@
 		})
 	}
 	for range bad {
-		wg.Go(func() { floodingClient(nodes[0].addr, until) })
+		wg.Go(func() { badClient(nodes[0].addr, until) })
 	}
 	wg.Wait()
 	close(stop)
