--- a/cmd/damsontrestle/show.go
+++ b/cmd/damsontrestle/show.go
@@ -13,6 +13,7 @@
 
 	"damsontrestle/internal/admin"
 	"damsontrestle/internal/gateway"
+	"damsontrestle/internal/metrics"
 	"damsontrestle/internal/plan"
 )
 
@@ -88,6 +89,7 @@
 		}
 		printLine("last change  %s at %s, %s", response.LastChange.By, response.LastChange.At.Format(time.RFC3339), outcome)
 	}
+	printLine("memory       %s", memoryText(response.Status.Memory))
 	printLine("clients      %d connections", response.Status.Clients)
 	for _, name := range slices.Sorted(maps.Keys(response.Status.Listeners)) {
 		printLine("listener     %s at %s", name, response.Status.Listeners[name].Address)
@@ -112,6 +114,13 @@
 	}
 }
 
+// memoryText returns the parts of a process's memory, in MiB.
+func memoryText(memory metrics.Memory) string {
+	mebibytes := func(bytes uint64) float64 { return float64(bytes) / (1 << 20) }
+	return fmt.Sprintf("%.1f MiB anonymous; runtime %.1f, live heap %.1f, objects %.1f, stacks %.1f; %d goroutines",
+		mebibytes(uint64(memory.Anonymous)), mebibytes(memory.Runtime), mebibytes(memory.Live), mebibytes(memory.Objects), mebibytes(memory.Stacks), memory.Goroutines)
+}
+
 // counts returns counts as "name number", in the order of their names.
 func counts(byName map[string]int64) string {
 	var texts []string
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -131,6 +131,8 @@
 	UnattributedInput       map[string]map[string]int64 `json:"unattributed_input,omitempty"`        // input that belongs to no request, by server and kind
 	ServerConnectionsClosed map[string]int64            `json:"server_connections_closed,omitempty"` // by reason
 
+	Memory *Memory `json:"memory,omitempty"` // of the process; filled in by its owner
+
 	Peers *Peers `json:"peers,omitempty"` // nil: the node has no peers
 }
 
--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -62,6 +62,8 @@
 		report.RegistryEntries += status.Ready + status.Draining
 		report.OutOfRotation += status.Avoided
 	}
+	memory := n.memory()
+	report.Memory = &memory
 	report.Peers = n.peerMetrics()
 	return report
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -4,6 +4,7 @@
 	"damsontrestle/internal/engine"
 	"damsontrestle/internal/gateway"
 	"damsontrestle/internal/gossip"
+	"damsontrestle/internal/metrics"
 )
 
 // Status is a snapshot of what a node serves and holds. Its JSON keys are part of the admin API.
@@ -18,6 +19,7 @@
 
 	UnattributedInput       map[string]map[string]int64 `json:"unattributed_input,omitempty"`        // as in metrics.Report
 	ServerConnectionsClosed map[string]int64            `json:"server_connections_closed,omitempty"` // as in metrics.Report
+	Memory                  metrics.Memory              `json:"memory"`                              // as in metrics.Report
 }
 
 // ListenerStatus is the state of a listener.
@@ -31,6 +33,13 @@
 	Connections int           `json:"connections"` // open connections to servers
 }
 
+// memory returns the memory of the process and its limit.
+func (n *Node) memory() metrics.Memory {
+	memory := metrics.ReadMemory()
+	memory.Limit = int64(n.Config().Node.Limits.Memory)
+	return memory
+}
+
 // Status returns the current state of the node.
 func (n *Node) Status() Status {
 	n.mu.Lock()
@@ -56,6 +65,7 @@
 	}
 	report := n.metrics.Report()
 	s.UnattributedInput, s.ServerConnectionsClosed = report.UnattributedInput, report.ServerConnectionsClosed
+	s.Memory = n.memory()
 	for name, p := range pools {
 		s.Pools[name] = PoolStatus{p.engine.Status(), p.backend.Connections()}
 	}
