--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -23,8 +23,7 @@
 const (
 	scanStart scanState = iota // before the first byte of the head
 	scanInHead
-	scanComplete // the head is complete and was not consumed yet
-	scanConsumed // the request of the head has consumed it
+	scanComplete
 )
 
 // maxScannedLine is the number of bytes kept of a line: more than the length of the field names that are searched for.
@@ -49,17 +48,20 @@
 // endLine processes a complete line.
 func (s *headScanner) endLine() {
 	line := bytes.TrimSuffix(s.line, []byte{'\r'})
+	s.line = s.line[:0]
+	if len(line) == 0 && s.lines == 0 {
+		return // empty lines in front of the request line belong to no head (RFC 9112 section 2.2)
+	}
 	switch name, value, _ := bytes.Cut(line, []byte{':'}); {
 	case len(line) == 0:
 		s.state = scanComplete
 	case s.lines > 0 && bytes.EqualFold(name, []byte("Content-Length")):
 		s.hasContentLength = true
-		s.contentLength = parseContentLength(value, len(s.line) == maxScannedLine)
+		s.contentLength = parseContentLength(value, len(line) == maxScannedLine)
 	case s.lines > 0 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		s.hasTransferCoding = true
 	}
 	s.lines++
-	s.line = s.line[:0]
 }
 
 // parseContentLength parses the value of a Content-Length. It returns a negative value if that is invalid or truncated.
@@ -71,22 +73,34 @@
 	return n
 }
 
-// consume reports, once for each complete head, whether the end of its body can be determined in two ways. A request with a
-// transfer coding whose head was not scanned, such as one that directly follows another, counts as ambiguous.
-func (s *headScanner) consume(hasTransferCoding bool) (ambiguousLength bool) {
-	ambiguousLength = hasTransferCoding && (s.state != scanComplete || s.hasContentLength || !s.hasTransferCoding)
-	s.state = scanConsumed
-	return ambiguousLength
+// bodyLengthFields tells which fields that determine the length of a body a complete head has. One is kept for each request that
+// was read ahead, which may have only a few bytes.
+type bodyLengthFields uint8
+
+const (
+	fieldContentLength bodyLengthFields = 1 << iota
+	fieldTransferEncoding
+)
+
+// lengthFields returns the fields of a complete head.
+func (s *headScanner) lengthFields() (fields bodyLengthFields) {
+	if s.hasContentLength {
+		fields |= fieldContentLength
+	}
+	if s.hasTransferCoding {
+		fields |= fieldTransferEncoding
+	}
+	return fields
 }
 
 // requestScanner tracks the requests received on a connection, by their heads and lengths: net/http reads beyond the request
 // that it serves and does not report it.
 type requestScanner struct {
-	head            headScanner   // of the request being received
-	bodyRemaining   int64         // bytes still to be received of the body of the last complete head
-	requestsStarted int           // number of requests of which at least one byte was read
-	completeHeads   []headScanner // not consumed yet, oldest first
-	unknownEnd      bool          // the end of the last body is unknown: the connection is closed after it
+	head            headScanner        // of the request being received
+	bodyRemaining   int64              // bytes still to be received of the body of the last complete head
+	requestsStarted int                // number of requests of which at least one byte was read
+	completeHeads   []bodyLengthFields // of heads that are complete and not consumed yet, oldest first
+	unknownEnd      bool               // the end of the last body is unknown: the connection is closed after it
 }
 
 // feed scans the next bytes read.
@@ -113,16 +127,17 @@
 func (s *requestScanner) endHead() {
 	s.bodyRemaining = max(s.head.contentLength, 0)
 	s.unknownEnd = s.head.hasTransferCoding || s.head.contentLength < 0
-	s.completeHeads = append(s.completeHeads, headScanner{state: scanComplete, hasContentLength: s.head.hasContentLength, hasTransferCoding: s.head.hasTransferCoding})
+	s.completeHeads = append(s.completeHeads, s.head.lengthFields())
 	s.head = headScanner{line: s.head.line[:0]}
 }
 
-// consumeHead consumes the oldest complete head; see headScanner.consume.
+// consumeHead consumes the oldest complete head, and reports whether the end of its request's body can be determined in two ways. A
+// request with a transfer coding whose head was not scanned, such as one that directly follows another, counts as ambiguous.
 func (s *requestScanner) consumeHead(hasTransferCoding bool) (ambiguousLength bool) {
 	if len(s.completeHeads) == 0 {
 		return hasTransferCoding
 	}
-	ambiguousLength = s.completeHeads[0].consume(hasTransferCoding)
+	fields := s.completeHeads[0]
 	s.completeHeads = slices.Delete(s.completeHeads, 0, 1) // keeps the capacity
-	return ambiguousLength
+	return hasTransferCoding && fields != fieldTransferEncoding
 }
--- a/internal/http1/readahead.go
+++ b/internal/http1/readahead.go
@@ -29,17 +29,19 @@
 	return n, nil
 }
 
-// appendReadAhead buffers bytes read ahead, within the limits.
-func (c *clientConn) appendReadAhead(p []byte) {
+// appendReadAhead buffers bytes read ahead and returns them or, beyond the limits, nil: what is dropped must not be scanned.
+func (c *clientConn) appendReadAhead(p []byte) (kept []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.readAheadBuffer)+len(p) > maxConnReadAhead || c.totalReadAhead.Load()+int64(len(p)) > maxTotalReadAhead {
 		c.readAheadOverflow = true
 	}
-	if !c.readAheadOverflow {
-		c.readAheadBuffer = append(c.readAheadBuffer, p...)
-		c.totalReadAhead.Add(int64(len(p)))
+	if c.readAheadOverflow {
+		return nil
 	}
+	c.readAheadBuffer = append(c.readAheadBuffer, p...)
+	c.totalReadAhead.Add(int64(len(p)))
+	return p
 }
 
 // discardReadAhead discards the bytes read ahead.
@@ -88,8 +90,7 @@
 	buf := make([]byte, readAheadChunk)
 	for {
 		n, err := netio.Read(c.Conn, buf)
-		c.recordRead(buf[:n], err)
-		c.appendReadAhead(buf[:n])
+		c.recordRead(c.appendReadAhead(buf[:n]), err)
 		if err != nil {
 			return
 		}
--- a/internal/http1/streaming_test.go
+++ b/internal/http1/streaming_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -401,24 +402,26 @@
 		{"incomplete head", get + coding, true, true},
 		{"bare newlines", "POST / HTTP/1.1\n" + coding + "Content-Length: 1\n\n", true, true},
 		{"a field name in a value", get + "X: Content-Length: 5\r\n" + coding + "\r\n", true, false},
+		{"empty lines before", "\r\n\n" + get + "Content-Length: 5\r\n" + coding + "\r\n", true, true},
+		{"empty lines before only a coding", "\r\n\n" + get + coding + "\r\n", true, false},
 		{"a long line before", get + "X: " + strings.Repeat("x", 9999) + "\r\nContent-Length: 5\r\n" + coding + "\r\n", true, true},
 	} {
 		for size := 1; size <= len(c.text); size = size*3 + 1 {
-			var s headScanner
+			var s requestScanner
 			for rest := []byte(c.text); len(rest) > 0; rest = rest[min(size, len(rest)):] {
 				s.feed(rest[:min(size, len(rest))])
 			}
-			if got := s.consume(c.coded); got != c.unframed {
+			if got := s.consumeHead(c.coded); got != c.unframed {
 				t.Errorf("%s, in pieces of %d bytes: ambiguous length %v", c.name, size, got)
 			}
-			if s.feed([]byte("5\r\nbody")); s.state != scanConsumed {
+			if s.feed([]byte("5\r\nbody")); len(s.completeHeads) > 0 {
 				t.Errorf("%s: the body was scanned as a head", c.name)
 			}
 		}
 	}
-	var s headScanner
+	var s requestScanner
 	s.feed([]byte(get + coding + "\r\n" + get))
-	if s.consume(true); !s.consume(true) {
+	if s.consumeHead(true); !s.consumeHead(true) {
 		t.Error("a head that directly follows another was not reported as ambiguous")
 	}
 }
@@ -430,12 +433,12 @@
 	f.Add([]byte("POST / HTTP/1.1\nHost: h\nContent-Length:5\ntransfer-encoding:chunked\n\n0\r\n\r\n"), uint8(7))
 	f.Add([]byte("\r\n\r\nGET / HTTP/1.1\r\n folded: x\r\n\r\n"), uint8(2))
 	f.Fuzz(func(t *testing.T, text []byte, size uint8) {
-		var complete, pieces headScanner
+		var complete, pieces requestScanner
 		complete.feed(text)
 		for rest, n := text, int(size)+1; len(rest) > 0; rest = rest[min(n, len(rest)):] {
 			pieces.feed(rest[:min(n, len(rest))])
 		}
-		if complete.state != pieces.state || complete.hasContentLength != pieces.hasContentLength || complete.hasTransferCoding != pieces.hasTransferCoding {
+		if complete.head.state != pieces.head.state || complete.head.lengthFields() != pieces.head.lengthFields() || complete.requestsStarted != pieces.requestsStarted || !slices.Equal(complete.completeHeads, pieces.completeHeads) {
 			t.Fatalf("%q: %+v in one piece, %+v in pieces of %d bytes", text, complete, pieces, int(size)+1)
 		}
 		r, err := http.ReadRequest(testpeer.NewClientConn(&readOnlyConn{Reader: bytes.NewReader(text)}).Reader)
@@ -443,7 +446,7 @@
 			return
 		}
 		head, _, _ := bytes.Cut(bytes.ReplaceAll(text, []byte("\r\n"), []byte("\n")), []byte("\n\n"))
-		if !complete.consume(true) && bytes.Contains(bytes.ToLower(head), []byte("\ncontent-length:")) {
+		if !complete.consumeHead(true) && bytes.Contains(bytes.ToLower(head), []byte("\ncontent-length:")) {
 			t.Fatalf("%q: a Content-Length beside a transfer coding was not reported", text)
 		}
 	})
