--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -50,7 +50,7 @@
 type Reply struct {
 	Body        []byte
 	ContentType string        // empty: not given
-	Rest        io.ReadCloser // remaining body after Body, streamed from the server; nil: none. The receiver must close it
+	Rest        io.ReadCloser // remaining body after Body, which is not empty then, streamed from the server; nil: none. The receiver must close it
 	Length      int64         // of Body and Rest; negative: unknown until the end
 }
 
--- /dev/null
+++ b/internal/http1/handover_test.go
@@ -0,0 +1,169 @@
+package http1
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"damsontrestle/internal/testpeer"
+)
+
+// Times of requests whose server stops within its reply.
+const (
+	handoverDeadline = time.Second            // X-Deadline of the clients
+	responseSlack    = 500 * time.Millisecond // by which a final response may be later
+)
+
+// longReplyHead is the head of a reply that is streamed to its client.
+const longReplyHead = "HTTP/1.1 200 OK\r\nContent-Length: 150000\r\n\r\n"
+
+// hang holds a connection until its peer closes it.
+func hang(conn net.Conn) { io.Copy(io.Discard, conn) }
+
+// reset closes a connection with a reset.
+func reset(conn net.Conn) { conn.(*net.TCPConn).SetLinger(0) }
+
+// stoppedReplies are servers that stop within a reply before any byte of its body was handed over to the client.
+var stoppedReplies = map[string]func(conn net.Conn){
+	"hang behind the head": func(conn net.Conn) { io.WriteString(conn, longReplyHead); hang(conn) },
+	"reset behind the head": func(conn net.Conn) {
+		io.WriteString(conn, longReplyHead)
+		time.Sleep(50 * time.Millisecond)
+		reset(conn)
+	},
+	"close behind the head": func(conn net.Conn) { io.WriteString(conn, longReplyHead) },
+	"hang behind a 1xx":     func(conn net.Conn) { io.WriteString(conn, "HTTP/1.1 103 E\r\n\r\n"+longReplyHead); hang(conn) },
+	"hang in the head":      func(conn net.Conn) { io.WriteString(conn, longReplyHead[:30]); hang(conn) },
+	"hang within few bytes": func(conn net.Conn) { io.WriteString(conn, longReplyHead+"some bytes"); hang(conn) },
+	"reset within few bytes": func(conn net.Conn) {
+		io.WriteString(conn, longReplyHead+"x")
+		time.Sleep(50 * time.Millisecond)
+		reset(conn)
+	},
+	"hang behind a chunked head": func(conn net.Conn) {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n")
+		hang(conn)
+	},
+	"hang behind a head without a length": func(conn net.Conn) { io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nx"); hang(conn) },
+	"late head, then hang": func(conn net.Conn) {
+		time.Sleep(handoverDeadline - 150*time.Millisecond)
+		io.WriteString(conn, longReplyHead)
+		hang(conn)
+	},
+	"head byte by byte, then hang": func(conn net.Conn) {
+		for i := range longReplyHead {
+			io.WriteString(conn, longReplyHead[i:i+1])
+			time.Sleep(5 * time.Millisecond)
+		}
+		hang(conn)
+	},
+	"body byte by byte": func(conn net.Conn) {
+		io.WriteString(conn, longReplyHead)
+		for {
+			if _, err := io.WriteString(conn, "x"); err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	},
+}
+
+// Guards against a request without a final response: its server hangs, dies or closes behind the head of a long reply, when the
+// attempt's deadline no longer applied.
+func TestServerThatStopsBehindReplyHeadIsAnsweredInTime(t *testing.T) {
+	for name, stop := range stoppedReplies {
+		for _, method := range []string{"POST", "GET"} {
+			t.Run(name+" "+method, func(t *testing.T) {
+				t.Parallel()
+				var requests atomic.Int64
+				ln := startRawServer(t, func(conn net.Conn, r *http.Request) {
+					requests.Add(1)
+					io.Copy(io.Discard, r.Body)
+					stop(conn)
+				})
+				node := startNode(t, testConfig(testpeer.FullSnapshot(entry("s1", ln))), nil)
+				client := testpeer.Dial(t, node.Addr())
+				begin := time.Now()
+				target, body := "/view/k", ""
+				if method == "POST" {
+					target, body = "/note/k", "x"
+				}
+				client.Send(method, target, "id", body, fmt.Sprint(handoverDeadline.Seconds()))
+				r, text := client.ReadResponse(t)
+				if took := time.Since(begin); r.StatusCode == 200 || took > handoverDeadline+responseSlack {
+					t.Errorf("status %d after %v, body %.20q; want a failure within %v", r.StatusCode, took, text, handoverDeadline+responseSlack)
+				}
+				if method == "POST" && (r.StatusCode != 502 || requests.Load() != 1) {
+					t.Errorf("status %d, %d requests at the server; want 502 and 1: the request may have run", r.StatusCode, requests.Load())
+				}
+				if status := node.engine.Status(); status.Served != 0 || status.Open != 0 {
+					t.Errorf("%+v: the request counts as served, or as open", status)
+				}
+			})
+		}
+	}
+}
+
+// A safe request whose server resets the connection behind the head of a long reply is served by another server, without two
+// attempts at once.
+func TestSafeRequestIsRetriedAfterResetBehindReplyHead(t *testing.T) {
+	var open, overlaps, resets atomic.Int64
+	count := func(reply func()) {
+		if open.Add(1) > 1 {
+			overlaps.Add(1)
+		}
+		reply()
+		open.Add(-1)
+	}
+	body := strings.Repeat("x", 150000)
+	resetting := startRawServer(t, func(conn net.Conn, r *http.Request) {
+		count(func() {
+			resets.Add(1)
+			io.WriteString(conn, longReplyHead)
+			time.Sleep(50 * time.Millisecond)
+		})
+		reset(conn)
+	})
+	sound := startRawServer(t, func(conn net.Conn, r *http.Request) {
+		count(func() { io.WriteString(conn, longReplyHead+body) })
+	})
+	node := startNode(t, testConfig(testpeer.FullSnapshot(entry("s1", resetting), entry("s2", sound))), nil)
+	const maxRequests = 50 // until one of them meets the server that resets
+	for i := 0; i < maxRequests && resets.Load() == 0; i++ {
+		client := testpeer.Dial(t, node.Addr())
+		client.Send("GET", "/view/k", fmt.Sprint("id-", i), "", "60")
+		if r, text := client.ReadResponse(t); r.StatusCode != 200 || text != body {
+			t.Errorf("request %d: status %d, %d bytes; want the reply of the other server", i, r.StatusCode, len(text))
+		}
+	}
+	if resets.Load() != 1 || overlaps.Load() > 0 {
+		t.Errorf("%d resets, %d overlapping attempts; want 1 and none", resets.Load(), overlaps.Load())
+	}
+}
+
+// A reply that stops once a part of it was passed on is cut at its client's deadline, so that the client can tell.
+func TestStoppedLongReplyIsCutAtClientDeadline(t *testing.T) {
+	ln := startRawServer(t, func(conn net.Conn, r *http.Request) {
+		io.WriteString(conn, longReplyHead+strings.Repeat("x", 100000))
+		hang(conn)
+	})
+	node := startNode(t, testConfig(testpeer.FullSnapshot(entry("s1", ln))), nil)
+	client := testpeer.Dial(t, node.Addr())
+	begin := time.Now()
+	const deadline = 1500 * time.Millisecond
+	client.Send("GET", "/view/k", "id", "", fmt.Sprint(deadline.Seconds()))
+	r, err := http.ReadResponse(client.Reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(r.Body)
+	if took := time.Since(begin); err == nil || took < deadline || took > deadline+responseSlack {
+		t.Errorf("%d bytes, %v after %v; want a cut response after %v", len(got), err, took, deadline)
+	}
+	testpeer.Until(t, "the request to be counted as faulted", func() bool { return node.front.counters.Report().Faulted["view"] == 1 })
+}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -126,7 +127,7 @@
 			return err
 		}
 	}
-	buf := make([]byte, streamBufferSize)
+	buf := slices.Grow(reply.Body[:0], streamBufferSize)[:streamBufferSize] // what was in it is written
 	for {
 		n, err := reply.Rest.Read(buf)
 		if n > 0 {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -65,7 +65,7 @@
 			p.abandon(c, waiter, closeAttemptEnded)
 			return nil, nil, balancer.NotStarted
 		}
-		err = p.beginExchange(c, waiter, attempt.Request.ID)
+		err = p.beginExchange(c, waiter, attempt.Request)
 		switch {
 		case err == nil:
 			return c, waiter, 0
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"damsontrestle/internal/discovery"
+	"damsontrestle/internal/engine"
 	"damsontrestle/internal/netio"
 )
 
@@ -36,6 +37,8 @@
 	streaming bool   // a replyStream reads the rest of a reply
 	uses      int    // requests and polls that began to be written
 	requestID string // of the request that was written last; empty for a poll
+
+	clientDeadline time.Duration // clock time until which the client of the current request waits
 }
 
 // Read retries transient failures.
@@ -86,9 +89,9 @@
 
 // beginExchange prepares a connection for the request that its attempt writes next. If the server has closed it or sent bytes
 // meanwhile, which cannot be a reply to a request not yet written, the connection is closed instead and the attempt needs another
-// one. The error is errUnsolicited, errNoCapacity if the state of the connection could not be read, or errUnsettled if its settle
+// one. A poll has no request. The error is errUnsolicited, errNoCapacity if the state of the connection could not be read, or errUnsettled if its settle
 // delay was extended meanwhile.
-func (p *Pool) beginExchange(c *conn, waiter chan reply, requestID string) error {
+func (p *Pool) beginExchange(c *conn, waiter chan reply, request *engine.Request) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.waiter != waiter {
@@ -108,7 +111,12 @@
 		c.uploading = false
 		c.startedAt = p.clock.Now()
 		c.uses++
-		c.requestID = requestID
+		c.requestID = ""
+		c.clientDeadline = 0
+		if request != nil {
+			c.requestID = request.ID
+			c.clientDeadline = request.Deadline
+		}
 		return nil
 	}
 	c.waiter = nil
@@ -204,6 +212,13 @@
 	waiter <- reply{err: errUnattributed}
 }
 
+// setClientDeadline sets the clock time until which the client of the current request waits.
+func (p *Pool) setClientDeadline(c *conn, deadline time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.clientDeadline = deadline
+}
+
 // markWritten records that a request is written completely, so that its reply is read.
 func (p *Pool) markWritten(c *conn) {
 	p.mu.Lock()
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -105,7 +105,7 @@
 	pool.open = 1
 	pool.share.TryAcquire()
 	c := pool.newConn(nc, listServer(pool, "127.0.0.1:1"), waiter)
-	if pool.beginExchange(c, waiter, "id") == nil || pool.open != 0 {
+	if pool.beginExchange(c, waiter, nil) == nil || pool.open != 0 {
 		t.Errorf("beginExchange accepted a closed connection, or it is still counted: %d connections open", pool.open)
 	}
 }
--- a/internal/upstream/dial_test.go
+++ b/internal/upstream/dial_test.go
@@ -171,7 +171,7 @@
 		defer pool.mu.Unlock()
 		return c.discarded
 	})
-	if pool.beginExchange(c, waiter, "id") == nil {
+	if pool.beginExchange(c, waiter, nil) == nil {
 		t.Error("beginExchange accepted a connection that the server had closed")
 	}
 	if r := testpeer.Receive(t, first, "the first reply"); r.Result != balancer.Success {
--- a/internal/upstream/loadreport.go
+++ b/internal/upstream/loadreport.go
@@ -82,7 +82,7 @@
 		if err != nil {
 			return reply{err: err}
 		}
-		err = p.beginExchange(c, waiter, "")
+		err = p.beginExchange(c, waiter, nil)
 		if err == nil {
 			return p.pollOn(ctx, c, waiter, path)
 		}
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -18,6 +18,7 @@
 	maxReplyOverhead = 16 << 10                   // everything but the body: heads, 1xx replies, chunk sizes
 	maxPreallocated  = 16 << 10                   // allocated for a body by its Content-Length, before any of it has arrived
 	maxStreamed      = validation.MaxStreamedBody // a body that is streamed to the client
+	firstPartLength  = 16 << 10                   // of a streamed body of known length, read before the reply is handed over
 	chunkOverhead    = 8                          // per byte of a chunked body, for chunks of any size
 )
 
@@ -206,29 +207,33 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-// readSuccess reads the body of a 200 up to the buffered length; the rest is read as the client takes it.
+// readSuccess reads the body of a 200 up to the buffered length, or the first part of a longer one; the rest is read as the client
+// takes it.
 func (p *Pool) readSuccess(c *conn, resp *http.Response) (r reply, reusable bool) {
 	if resp.ContentLength > maxStreamed {
 		return reply{err: errIncomplete}, false
 	}
 	reusable = isFramed(resp) && !resp.Close
-	r.At = p.clock.Now()
 	r.Load = p.loadReport(resp.Header)
 	r.Result = balancer.Success
 	r.Reply.ContentType = resp.Header.Get("Content-Type")
 	r.Reply.Length = resp.ContentLength
-	if resp.ContentLength > validation.MaxBufferedBody {
-		r.Reply.Rest = p.streamRest(c, resp.Body, reusable)
-		return r, false
+	streamed := resp.ContentLength > validation.MaxBufferedBody
+	readBody := replyBody
+	if streamed {
+		readBody = firstPart
 	}
-	body, err := replyBody(c, resp)
+	body, err := readBody(c, resp)
 	if err != nil {
 		return reply{err: fmt.Errorf("%w: %w", errIncomplete, err)}, false
 	}
 	r.At = p.clock.Now()
 	r.Reply.Body = body
 	if len(body) > validation.MaxBufferedBody {
+		streamed = true
 		r.Reply.Length = -1
+	}
+	if streamed {
 		r.Reply.Rest = p.streamRest(c, resp.Body, reusable)
 		return r, false
 	}
@@ -273,8 +278,19 @@
 	return body.Bytes(), err
 }
 
+// firstPart reads the first part of a body that is streamed. Until it has come, the attempt's deadline applies and a failure can
+// still be answered, since no byte of the reply was passed on.
+func firstPart(c *conn, resp *http.Response) ([]byte, error) {
+	c.limited.remaining += firstPartLength
+	part := make([]byte, firstPartLength)
+	_, err := io.ReadFull(resp.Body, part)
+	return part, err
+}
+
 // streamRest returns a reader of the rest of a streamed reply.
 func (p *Pool) streamRest(c *conn, body io.Reader, reusable bool) io.ReadCloser {
 	c.limited.remaining = chunkOverhead * maxStreamed
-	return &replyStream{pool: p, conn: c, body: body, remaining: maxStreamed, reusable: reusable}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &replyStream{pool: p, conn: c, body: body, remaining: maxStreamed, reusable: reusable, clientDeadline: c.clientDeadline}
 }
--- a/internal/upstream/settle_test.go
+++ b/internal/upstream/settle_test.go
@@ -115,7 +115,7 @@
 	pool.mu.Lock()
 	pool.recordGap(c, 0)
 	pool.mu.Unlock()
-	if err := pool.beginExchange(c, waiter, "id"); err != errUnsettled || pool.idleCount() != 1 {
+	if err := pool.beginExchange(c, waiter, nil); err != errUnsettled || pool.idleCount() != 1 {
 		t.Errorf("beginExchange: %v, %d idle connections; want errUnsettled and the connection idle again", err, pool.idleCount())
 	}
 	if r := runAttempt(t, pool, newTestAttempt(pool, server.Address())); r.Result != balancer.Success || pool.dialed != 2 {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -6,8 +6,11 @@
 	"time"
 )
 
-// maxReadStall is the longest time without input while a reply is streamed.
-const maxReadStall = 10 * time.Second
+// Bounds of the time without input while a reply is streamed. Between them, input is awaited until the client's deadline.
+const (
+	minReadStall = time.Second
+	maxReadStall = 10 * time.Second
+)
 
 // replyStream is the rest of a streamed reply, read from the server's connection as the client takes it. The connection is
 // available to other attempts once all of it was read.
@@ -18,6 +21,8 @@
 	remaining int64 // bytes until the maximum length
 	reusable  bool  // the connection may serve another request after the end
 	ended     bool
+
+	clientDeadline time.Duration // clock time
 }
 
 // Read implements io.Reader. Every error other than io.EOF wraps errIncomplete.
@@ -25,7 +30,7 @@
 	if s.ended {
 		return 0, errIncomplete
 	}
-	s.conn.SetReadDeadline(time.Now().Add(maxReadStall))
+	s.conn.SetReadDeadline(time.Now().Add(s.maxStall()))
 	n, err := s.body.Read(p)
 	s.remaining -= int64(n)
 	switch {
@@ -40,6 +45,12 @@
 	return n, err
 }
 
+// maxStall returns how long to wait for further input: a client whose deadline has passed must not wait for a server that has
+// stopped.
+func (s *replyStream) maxStall() time.Duration {
+	return min(max(s.pool.clock.Until(s.clientDeadline), minReadStall), maxReadStall)
+}
+
 // Close implements io.Closer. It closes the connection unless the reply was read completely.
 func (s *replyStream) Close() error {
 	s.end(false)
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -176,6 +176,7 @@
 	p := u.pool
 	u.complete = true
 	u.conn.SetWriteDeadline(time.Time{})
+	p.setClientDeadline(u.conn, p.clock.Now()+u.Request.Deadline-u.Request.At)
 	p.markWritten(u.conn)
 	p.counters.AttemptSent()
 	deadline := u.Uploaded(p.clock.Now())
