--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -42,7 +42,7 @@
 	readAheadBuffer   []byte        // bytes read ahead that Read has not returned yet
 	readAheadDone     chan struct{} // closed when the read-ahead goroutine has ended; nil: none is running
 	stoppingReadAhead bool          // the read-ahead goroutine is being stopped
-	readAheadOverflow bool          // bytes were dropped since the read-ahead limits were exceeded
+	inputDropped      bool          // bytes were dropped since the read-ahead limits were exceeded
 	readErr           error         // the error that ended reading
 	readEnded         chan struct{} // closed when readErr is set
 	disconnected      chan struct{} // closed when hasDisconnected has reported true
@@ -56,6 +56,9 @@
 func (c *clientConn) Read(p []byte) (int, error) {
 	c.stopReadAhead()
 	n, err := c.consumeReadAhead(p)
+	if n == 0 && err == nil && c.hasDroppedInput() {
+		return c.readBehindDropped(p)
+	}
 	if n == 0 && err == nil {
 		n, err = netio.Read(c.Conn, p)
 		c.recordRead(p[:n], err)
@@ -186,12 +189,12 @@
 	c.lastWrite = time.Time{}
 }
 
-// isLastResponse reports whether the current response may be the last on the connection, since no further request was read,
-// and whether it must be, since bytes beyond the read-ahead limits were dropped.
-func (c *clientConn) isLastResponse() (mayClose, mustClose bool) {
+// mayCloseAfterResponse reports whether the current response may be the last on the connection, since no further request was
+// read.
+func (c *clientConn) mayCloseAfterResponse() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.scanner.requestsStarted <= c.requestsReceived, c.readAheadOverflow
+	return c.scanner.requestsStarted <= c.requestsReceived
 }
 
 // CloseIdle implements downstream.Conn.
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -62,7 +62,7 @@
 // keepAlive keeps the connection open after a health response, unless the front end closes connections after each response and
 // no further request was read.
 func (x *exchange) keepAlive() {
-	if mayClose, _ := x.conn.isLastResponse(); !mayClose || !x.front.closeAfterResponse.Load() {
+	if !x.conn.mayCloseAfterResponse() || !x.front.closeAfterResponse.Load() {
 		x.writer.Header().Del("Connection")
 	}
 }
--- a/internal/http1/readahead.go
+++ b/internal/http1/readahead.go
@@ -1,13 +1,15 @@
 package http1
 
 import (
+	"errors"
 	"time"
 
 	"damsontrestle/internal/netio"
 	"damsontrestle/internal/validation"
 )
 
-// Limits of reading ahead, in bytes. Bytes beyond them are dropped, and the current response is the last on its connection.
+// Limits of reading ahead, in bytes. Bytes beyond them are dropped: reading goes on, since the end of a connection can't be
+// detected behind unread bytes. Requests that were read completely are answered; the connection ends with the one that was not.
 const (
 	maxConnReadAhead  = validation.MaxBufferedBody + maxHeaderBytes // of one connection: enough for one complete request
 	maxTotalReadAhead = 4 << 20                                     // of all connections of a front end
@@ -29,14 +31,17 @@
 	return n, nil
 }
 
+// errInputDropped is returned by reads behind bytes that were dropped: what follows is the end of another request.
+var errInputDropped = errors.New("read from client: bytes beyond the read-ahead limits were dropped")
+
 // appendReadAhead buffers bytes read ahead and returns them or, beyond the limits, nil: what is dropped must not be scanned.
 func (c *clientConn) appendReadAhead(p []byte) (kept []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.readAheadBuffer)+len(p) > maxConnReadAhead || c.totalReadAhead.Load()+int64(len(p)) > maxTotalReadAhead {
-		c.readAheadOverflow = true
+		c.inputDropped = true
 	}
-	if c.readAheadOverflow {
+	if c.inputDropped {
 		return nil
 	}
 	c.readAheadBuffer = append(c.readAheadBuffer, p...)
@@ -44,6 +49,28 @@
 	return p
 }
 
+// hasDroppedInput reports whether bytes were dropped, so that nothing more may be read from the connection.
+func (c *clientConn) hasDroppedInput() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inputDropped
+}
+
+// readBehindDropped is Read behind bytes that were dropped. net/http's one-byte read, which detects the end of the connection while
+// a request is served, drops bytes until then.
+func (c *clientConn) readBehindDropped(p []byte) (int, error) {
+	if len(p) != 1 {
+		return 0, errInputDropped
+	}
+	buf := make([]byte, readAheadChunk)
+	for {
+		if _, err := netio.Read(c.Conn, buf); err != nil {
+			c.recordRead(nil, err)
+			return 0, err
+		}
+	}
+}
+
 // discardReadAhead discards the bytes read ahead.
 func (c *clientConn) discardReadAhead() {
 	c.mu.Lock()
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -65,11 +65,10 @@
 }
 
 // isLastResponse reports whether a response closes its connection. Requests that were already read behind its own are answered
-// first, or they would be lost, unless the read-ahead limits were exceeded.
+// first, or they would be lost.
 func (x *exchange) isLastResponse(response engine.Response) bool {
-	mayClose, mustClose := x.conn.isLastResponse()
-	if mustClose || !mayClose {
-		return mustClose
+	if !x.conn.mayCloseAfterResponse() {
+		return false
 	}
 	return x.front.clients.OverLimit() || x.front.closeAfterResponse.Load() || response.TryOtherNode
 }
