--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -42,7 +42,7 @@
 	readAheadBuffer   []byte        // bytes read ahead that Read has not returned yet
 	readAheadDone     chan struct{} // closed when the read-ahead goroutine has ended; nil: none is running
 	stoppingReadAhead bool          // the read-ahead goroutine is being stopped
-	inputDropped      bool          // bytes were dropped since the read-ahead limits were exceeded
+	inputDropped      bool          // bytes were dropped: beyond the read-ahead limits, or behind a head that was refused
 	readErr           error         // the error that ended reading
 	readEnded         chan struct{} // closed when readErr is set
 	disconnected      chan struct{} // closed when hasDisconnected has reported true
@@ -61,7 +61,7 @@
 	}
 	if n == 0 && err == nil {
 		n, err = netio.Read(c.Conn, p)
-		c.recordRead(p[:n], err)
+		n = c.recordRead(p[:n], err)
 	}
 	if n == 1 && len(p) == 1 { // net/http's one-byte read behind a request: it no longer detects the end of the connection
 		c.startReadAhead()
@@ -69,8 +69,9 @@
 	return n, err
 }
 
-// recordRead passes the bytes of a read to the request scanner and updates the times and the read error.
-func (c *clientConn) recordRead(p []byte, err error) {
+// recordRead passes the bytes of a read to the request scanner and updates the times and the read error. It returns how many of them
+// may be passed on; the others count as dropped.
+func (c *clientConn) recordRead(p []byte, err error) (accepted int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(p) > 0 {
@@ -78,7 +79,8 @@
 		if !c.hasUnansweredRequest() {
 			c.requestStart = c.lastRead
 		}
-		c.scanner.feed(p)
+		accepted = c.scanner.feed(p)
+		c.inputDropped = c.inputDropped || accepted < len(p)
 		if c.closing && !c.cutOff {
 			c.closing = false
 			c.Conn.SetReadDeadline(c.deadline)
@@ -87,6 +89,7 @@
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.setReadErr(err)
 	}
+	return accepted
 }
 
 // setReadErr records the error that ended reading. The caller holds mu.
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -24,8 +24,13 @@
 	scanStart scanState = iota // before the first byte of the head
 	scanInHead
 	scanComplete
+	scanRefused // there are too many fields
 )
 
+// maxHeadFields is the largest number of header fields of a request. What net/http keeps of a field is many times the length of a short
+// one, so a limit on the bytes of a head does not bound its memory.
+const maxHeadFields = 100
+
 // maxScannedLine is the number of bytes kept of a line: more than the length of the field names that are searched for.
 const maxScannedLine = 32
 
@@ -55,6 +60,8 @@
 	switch name, value, _ := bytes.Cut(line, []byte{':'}); {
 	case len(line) == 0:
 		s.state = scanComplete
+	case s.lines > maxHeadFields:
+		s.state = scanRefused
 	case s.lines > 0 && bytes.EqualFold(name, []byte("Content-Length")):
 		s.hasContentLength = true
 		s.contentLength = parseContentLength(value, len(line) == maxScannedLine)
@@ -103,9 +110,11 @@
 	unknownEnd      bool               // the end of the last body is unknown: the connection is closed after it
 }
 
-// feed scans the next bytes read.
-func (s *requestScanner) feed(p []byte) {
-	for len(p) > 0 && !s.unknownEnd {
+// feed scans the next bytes read and returns how many of them may be passed on: those behind the line at which a head was refused
+// may not. From then on it returns 0.
+func (s *requestScanner) feed(p []byte) (accepted int) {
+	total := len(p)
+	for len(p) > 0 && !s.unknownEnd && s.head.state != scanRefused {
 		if s.bodyRemaining > 0 {
 			n := min(s.bodyRemaining, int64(len(p)))
 			s.bodyRemaining -= n
@@ -121,6 +130,10 @@
 			s.endHead()
 		}
 	}
+	if s.head.state == scanRefused {
+		return total - len(p)
+	}
+	return total
 }
 
 // endHead records a complete head.
--- a/internal/http1/memory_test.go
+++ b/internal/http1/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"runtime"
 	"strings"
@@ -62,3 +63,64 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapAlloc)
 }
+
+// Guards against clients that take the node over its memory limit with heads of thousands of short fields, each of which net/http
+// keeps in a map: such a head is refused at the field beyond the limit, and what was read in front of it is answered.
+func TestHeadOfManyShortFieldsIsRefused(t *testing.T) {
+	const head = "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: last\r\nX-Deadline: 60\r\n"
+	fields := func(count int) string {
+		var text strings.Builder
+		for i := range count - 3 { // head has three
+			fmt.Fprintf(&text, "%x:\r\n", i)
+		}
+		return text.String()
+	}
+	for _, c := range []struct {
+		name, first, text string
+		status            int
+	}{
+		{"as many as allowed", "", head + fields(maxHeadFields) + "\r\n", 200},
+		{"one more", "", head + fields(maxHeadFields+1) + "\r\n", 400},
+		{"a head without an end", "", head + fields(2700), 400},
+		{"continued lines", "", head + strings.Repeat("a:\r\n b\r\n", maxHeadFields) + "\r\n", 400},
+		{"behind a request in the same write", getRequest("first"), head + fields(maxHeadFields+1) + "\r\n", 400},
+		{"as many as allowed behind a request", getRequest("first"), head + fields(maxHeadFields) + "\r\n", 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server := testpeer.NewServer(t, testpeer.Echo)
+			node := startNode(t, testConfig(testpeer.FullSnapshot(testpeer.Entry("s1", server.Address(), "in_service"))), nil)
+			client := testpeer.Dial(t, node.Addr())
+			io.WriteString(client, c.first+c.text)
+			if c.first != "" {
+				client.Want(t, 200, "for first")
+			}
+			r, _ := client.ReadResponse(t)
+			if r.StatusCode != c.status {
+				t.Errorf("status %d, want %d", r.StatusCode, c.status)
+			}
+			if c.status != 200 {
+				client.WantClosed(t, "a connection behind a head with too many fields")
+			}
+		})
+	}
+}
+
+// What is read ahead is refused at the same limit, while the request in front is served.
+func TestHeadOfManyShortFieldsBehindRequestIsRefused(t *testing.T) {
+	server, hold, got := startHoldingServer(t)
+	node := startNode(t, testConfig(testpeer.FullSnapshot(testpeer.Entry("s1", server.Address(), "in_service"))), nil)
+	client := testpeer.Dial(t, node.Addr())
+	client.Get("held")
+	testpeer.Receive(t, got, "the attempt")
+	io.WriteString(client, "GET /view/k HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 5000))
+	testpeer.Until(t, "the head to be read ahead", func() bool { return hasReadAhead(node) })
+	if kept := node.front.totalReadAhead.Load(); kept > readAheadChunk {
+		t.Errorf("%d bytes of a refused head are kept", kept)
+	}
+	close(hold)
+	client.Want(t, 200, "for held")
+	if r, _ := client.ReadResponse(t); r.StatusCode != 400 {
+		t.Errorf("status %d, want 400", r.StatusCode)
+	}
+	client.WantClosed(t, "a connection behind a head with too many fields")
+}
--- a/internal/http1/readahead.go
+++ b/internal/http1/readahead.go
@@ -32,10 +32,10 @@
 }
 
 // errInputDropped is returned by reads behind bytes that were dropped: what follows is the end of another request.
-var errInputDropped = errors.New("read from client: bytes beyond the read-ahead limits were dropped")
+var errInputDropped = errors.New("read from client: bytes were dropped, beyond a limit on what is read ahead or on a head")
 
-// appendReadAhead buffers bytes read ahead and returns them or, beyond the limits, nil: what is dropped must not be scanned.
-func (c *clientConn) appendReadAhead(p []byte) (kept []byte) {
+// withinReadAheadLimits returns bytes read ahead or, once the limits were exceeded, nil: what is dropped must not be scanned.
+func (c *clientConn) withinReadAheadLimits(p []byte) (kept []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.readAheadBuffer)+len(p) > maxConnReadAhead || c.totalReadAhead.Load()+int64(len(p)) > maxTotalReadAhead {
@@ -44,9 +44,15 @@
 	if c.inputDropped {
 		return nil
 	}
+	return p
+}
+
+// appendReadAhead buffers bytes read ahead.
+func (c *clientConn) appendReadAhead(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.readAheadBuffer = append(c.readAheadBuffer, p...)
 	c.totalReadAhead.Add(int64(len(p)))
-	return p
 }
 
 // hasDroppedInput reports whether bytes were dropped, so that nothing more may be read from the connection.
@@ -117,7 +123,8 @@
 	buf := make([]byte, readAheadChunk)
 	for {
 		n, err := netio.Read(c.Conn, buf)
-		c.recordRead(c.appendReadAhead(buf[:n]), err)
+		kept := c.withinReadAheadLimits(buf[:n])
+		c.appendReadAhead(kept[:c.recordRead(kept, err)])
 		if err != nil {
 			return
 		}
