--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -63,6 +63,7 @@
 type Set struct {
 	clock       clock.Clock
 	serverConns func() int // descriptors that server connections use
+	input       *InputBudget
 
 	mu           sync.Mutex
 	limits       Limits
@@ -107,18 +108,25 @@
 	}
 }
 
-// Limits divide the node's descriptors between clients and servers.
+// Limits divide the node's descriptors between clients and servers, and bound what clients may make it buffer.
 type Limits struct {
 	Capacity      int // for client and server connections together
 	ServerMinimum int // of these reserved for server connections
 	Reserve       int // beyond Capacity, for clients whose requests are read only to be rejected
+
+	InputBytes int64 // that heads and buffered bodies of requests may occupy; 0: any number
 }
 
 // New returns an empty Set. serverConns returns the number of descriptors that server connections use.
 func New(c clock.Clock, limits Limits, serverConns func() int) *Set {
-	return &Set{clock: c, limits: limits, serverConns: serverConns, conns: map[Conn]*connInfo{}, gracePeriods: DefaultGracePeriods()}
+	s := &Set{clock: c, limits: limits, serverConns: serverConns, conns: map[Conn]*connInfo{}, gracePeriods: DefaultGracePeriods(), input: newInputBudget()}
+	s.input.resize(limits.InputBytes)
+	return s
 }
 
+// Input returns the budget of the heads and bodies of requests that are buffered.
+func (s *Set) Input() *InputBudget { return s.input }
+
 func (s *Set) SetGracePeriods(periods GracePeriods) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -366,6 +374,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limits = limits
+	s.input.resize(limits.InputBytes)
 	s.evictExcess()
 }
 
@@ -375,6 +384,7 @@
 	defer s.mu.Unlock()
 	c := s.counts
 	s.counts = counts{}
+	inputBytes, evictedInputs := s.input.Used()
 	return []any{"callers", len(s.conns), "accepted", c.accepted, "let_go", c.evicted, "crowded", c.refused,
-		"turned_away", c.rejected}
+		"turned_away", c.rejected, "input_bytes", inputBytes, "evicted_inputs", evictedInputs}
 }
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -39,13 +39,15 @@
 	wroteAfterCut    bool      // the last write came after AbortRead
 	deadline         time.Time // the read deadline that net/http has set
 
-	readAheadBuffer   []byte        // bytes read ahead that Read has not returned yet
-	readAheadDone     chan struct{} // closed when the read-ahead goroutine has ended; nil: none is running
-	stoppingReadAhead bool          // the read-ahead goroutine is being stopped
-	inputDropped      bool          // bytes were dropped: beyond the read-ahead limits, or behind a head that was refused
-	readErr           error         // the error that ended reading
-	readEnded         chan struct{} // closed when readErr is set
-	disconnected      chan struct{} // closed when hasDisconnected has reported true
+	readAheadBuffer   []byte                       // bytes read ahead that Read has not returned yet
+	readAheadDone     chan struct{}                // closed when the read-ahead goroutine has ended; nil: none is running
+	stoppingReadAhead bool                         // the read-ahead goroutine is being stopped
+	inputDropped      bool                         // bytes were dropped: beyond the read-ahead limits, or behind a head that was refused
+	headMemory        *downstream.InputReservation // of an incomplete head; nil: none
+	headReserved      int                          // bytes of headMemory
+	readErr           error                        // the error that ended reading
+	readEnded         chan struct{}                // closed when readErr is set
+	disconnected      chan struct{}                // closed when hasDisconnected has reported true
 }
 
 func newClientConn(conn net.Conn, set *downstream.Set, totalReadAhead *atomic.Int64) *clientConn {
@@ -62,6 +64,7 @@
 	if n == 0 && err == nil {
 		n, err = netio.Read(c.Conn, p)
 		n = c.recordRead(p[:n], err)
+		c.reserveHead()
 	}
 	if n == 1 && len(p) == 1 { // net/http's one-byte read behind a request: it no longer detects the end of the connection
 		c.startReadAhead()
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -1,12 +1,14 @@
 package http1
 
 import (
+	"errors"
 	"net/http"
 	"strings"
 	"time"
 
 	"damsontrestle/internal/config"
 	"damsontrestle/internal/dispatch"
+	"damsontrestle/internal/downstream"
 	"damsontrestle/internal/engine"
 	"damsontrestle/internal/validation"
 )
@@ -80,7 +82,17 @@
 		x.reject(err)
 		return
 	}
-	body, rest, err := front.readBody(x.control, x.request)
+	var reservation *downstream.InputReservation
+	if x.request.ContentLength != 0 {
+		reservation = front.clients.Input().Begin(x.conn.AbortRead)
+		defer reservation.Release()
+	}
+	body, rest, err := front.readBody(x.control, x.request, reservation)
+	x.request.Trailer = nil // not forwarded, and many short fields would occupy far more memory than their bytes
+	if errors.Is(err, errNoInputMemory) {
+		x.write(engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter()})
+		return
+	}
 	if err != nil {
 		x.reject(errBodyIncomplete)
 		return
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -13,6 +13,7 @@
 	state             scanState
 	line              []byte // the beginning of the current line
 	lines             int    // number of complete lines, including the request line
+	length            int    // bytes received so far
 	hasContentLength  bool   // there is a Content-Length field
 	contentLength     int64  // value of Content-Length; negative: invalid
 	hasTransferCoding bool   // there is a Transfer-Encoding field
@@ -47,6 +48,7 @@
 			s.endLine()
 		}
 	}
+	s.length += total - len(p)
 	return total - len(p)
 }
 
@@ -144,6 +146,14 @@
 	s.head = headScanner{line: s.head.line[:0]}
 }
 
+// incompleteHeadLength returns the length of the head that is being received, in bytes.
+func (s *requestScanner) incompleteHeadLength() int {
+	if s.head.state != scanInHead {
+		return 0
+	}
+	return s.head.length
+}
+
 // consumeHead consumes the oldest complete head, and reports whether the end of its request's body can be determined in two ways. A
 // request with a transfer coding whose head was not scanned, such as one that directly follows another, counts as ambiguous.
 func (s *requestScanner) consumeHead(hasTransferCoding bool) (ambiguousLength bool) {
--- a/internal/http1/linger.go
+++ b/internal/http1/linger.go
@@ -24,6 +24,7 @@
 func (c *clientConn) Close() error {
 	c.stopReadAhead()
 	c.discardReadAhead()
+	c.releaseHead()
 	c.mu.Lock()
 	linger := c.mayLoseResponse()
 	c.mu.Unlock()
--- a/internal/http1/memory_test.go
+++ b/internal/http1/memory_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"testing"
 
+	"damsontrestle/internal/downstream"
 	"damsontrestle/internal/testpeer"
 )
 
@@ -124,3 +125,88 @@
 	}
 	client.WantClosed(t, "a connection behind a head with too many fields")
 }
+
+// Guards against clients that take the node over its memory limit with bodies that stop before their end: the bodies that are buffered
+// have a budget, and those that began first give way. A client whose body is complete gets its answer.
+func TestIncompleteBodiesGiveWayToOthers(t *testing.T) {
+	const bodyLength, connections, budget = 60000, 40, 600000
+	server, hold, got := startHoldingServer(t)
+	node := startNode(t, testConfig(testpeer.FullSnapshot(testpeer.Entry("s1", server.Address(), "in_service"))), func(node *testNode) {
+		node.clients.Resize(downstream.Limits{Capacity: 976, ServerMinimum: 244, Reserve: 24, InputBytes: budget})
+	})
+	body := strings.Repeat("x", bodyLength)
+	complete := testpeer.Dial(t, node.Addr())
+	complete.Send("POST", "/note/k", "held", body, "60")
+	testpeer.Receive(t, got, "the attempt")
+	var incomplete []*testpeer.ClientConn
+	for i := range connections {
+		c := testpeer.Dial(t, node.Addr())
+		fmt.Fprintf(c, "POST /note/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: half-%d\r\nX-Deadline: 60\r\nContent-Length: %d\r\n\r\n%s", i, bodyLength, body[:bodyLength-1])
+		incomplete = append(incomplete, c)
+		if used, _ := node.clients.Input().Used(); used > budget {
+			t.Fatalf("%d bytes of bodies are kept, more than %d", used, budget)
+		}
+	}
+	if r, _ := incomplete[0].ReadResponse(t); r.StatusCode != 400 {
+		t.Errorf("status %d of the body that gave way, want 400", r.StatusCode)
+	}
+	last := testpeer.Dial(t, node.Addr())
+	last.Send("POST", "/note/k", "last", body, "60")
+	last.Want(t, 200, "for last")
+	close(hold)
+	complete.Want(t, 200, "for held")
+	for _, c := range incomplete {
+		c.Close()
+	}
+	testpeer.Until(t, "the memory of all bodies to be free", func() bool { used, _ := node.clients.Input().Used(); return used == 0 })
+}
+
+// A body for which there is no memory, since all of it is occupied by requests that are being served, is rejected as one that never ran.
+func TestBodyWithoutMemoryIsRejected(t *testing.T) {
+	const bodyLength, budget = 60000, 100000
+	server, hold, got := startHoldingServer(t)
+	node := startNode(t, testConfig(testpeer.FullSnapshot(testpeer.Entry("s1", server.Address(), "in_service"))), func(node *testNode) {
+		node.clients.Resize(downstream.Limits{Capacity: 976, ServerMinimum: 244, Reserve: 24, InputBytes: budget})
+	})
+	body := strings.Repeat("x", bodyLength)
+	first, second := testpeer.Dial(t, node.Addr()), testpeer.Dial(t, node.Addr())
+	first.Send("POST", "/note/k", "held", body, "60")
+	testpeer.Receive(t, got, "the attempt")
+	second.Send("POST", "/note/k", "second", body, "60")
+	if r, _ := second.ReadResponse(t); r.StatusCode != 503 || r.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q; want 503 with Retry-After", r.StatusCode, r.Header.Get("Retry-After"))
+	}
+	close(hold)
+	first.Want(t, 200, "for held")
+	if server.RequestCount() != 1 {
+		t.Errorf("%d requests reached the server, want 1", server.RequestCount())
+	}
+}
+
+// Guards against clients that take the node over its memory limit with heads that don't end, on all connections at once: they count in the
+// budget, and those that began first give way.
+func TestIncompleteHeadsGiveWayToOthers(t *testing.T) {
+	const headLength, connections, budget = 14000, 40, 300000
+	server := testpeer.NewServer(t, testpeer.Echo)
+	node := startNode(t, testConfig(testpeer.FullSnapshot(testpeer.Entry("s1", server.Address(), "in_service"))), func(node *testNode) {
+		node.clients.Resize(downstream.Limits{Capacity: 976, ServerMinimum: 244, Reserve: 24, InputBytes: budget})
+	})
+	var incomplete []*testpeer.ClientConn
+	for range connections {
+		c := testpeer.Dial(t, node.Addr())
+		io.WriteString(c, "GET /view/k HTTP/1.1\r\nX: "+strings.Repeat("x", headLength))
+		incomplete = append(incomplete, c)
+		if used, _ := node.clients.Input().Used(); used > budget {
+			t.Fatalf("%d bytes of heads are kept, more than %d", used, budget)
+		}
+	}
+	testpeer.Until(t, "heads to give way", func() bool { _, evictions := node.clients.Input().Used(); return evictions > 0 })
+	incomplete[0].WantClosed(t, "the connection whose head began first")
+	last := testpeer.Dial(t, node.Addr())
+	last.Get("last")
+	last.Want(t, 200, "for last")
+	for _, c := range incomplete {
+		c.Close()
+	}
+	testpeer.Until(t, "the memory of all heads to be free", func() bool { used, _ := node.clients.Input().Used(); return used == 0 })
+}
--- a/internal/http1/readahead.go
+++ b/internal/http1/readahead.go
@@ -12,7 +12,7 @@
 // detected behind unread bytes. Requests that were read completely are answered; the connection ends with the one that was not.
 const (
 	maxConnReadAhead  = validation.MaxBufferedBody + maxHeaderBytes // of one connection: enough for one complete request
-	maxTotalReadAhead = 4 << 20                                     // of all connections of a front end
+	maxTotalReadAhead = 4 << 20                                     // of all connections of a front end, or less; see InputBudget.ReadAheadLimit
 	readAheadChunk    = 4 << 10
 )
 
@@ -36,9 +36,10 @@
 
 // withinReadAheadLimits returns bytes read ahead or, once the limits were exceeded, nil: what is dropped must not be scanned.
 func (c *clientConn) withinReadAheadLimits(p []byte) (kept []byte) {
+	totalLimit := c.set.Input().ReadAheadLimit(maxTotalReadAhead)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.readAheadBuffer)+len(p) > maxConnReadAhead || c.totalReadAhead.Load()+int64(len(p)) > maxTotalReadAhead {
+	if len(c.readAheadBuffer)+len(p) > maxConnReadAhead || c.totalReadAhead.Load()+int64(len(p)) > totalLimit {
 		c.inputDropped = true
 	}
 	if c.inputDropped {
--- a/internal/http1/upload.go
+++ b/internal/http1/upload.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"damsontrestle/internal/downstream"
 	"damsontrestle/internal/validation"
 )
 
@@ -17,6 +18,8 @@
 	minBodyRate    = 32 << 10 // bytes per second
 	firstPartSize  = 16 << 10 // bytes of a streamed body of known length that are read before its request is submitted
 	discardTimeout = 3 * time.Second
+
+	streamedBodyBuffers = 36 << 10 // bytes of net/http's buffers through which the rest of a streamed body is written to a server
 )
 
 // minRateBody reads a request's body, and fails with a timeout if the body arrives at less than the minimum rate.
@@ -55,6 +58,9 @@
 
 var errRequestEnded = errors.New("the request is over")
 
+// errNoInputMemory is returned for a body if other requests occupy the memory for input.
+var errNoInputMemory = errors.New("the memory for requests is used up")
+
 // errBodyTooLong is returned for a body of more than validation.MaxStreamedBody bytes.
 var errBodyTooLong = errors.New("the body is too long")
 
@@ -113,20 +119,58 @@
 }
 
 // readBody reads a body that is buffered completely, or the first part of a streamed body, and returns the rest of that. It
-// returns an error if the body was incomplete or too slow.
-func (f *Front) readBody(control *http.ResponseController, r *http.Request) (part []byte, rest *bodyRest, err error) {
+// returns an error if the body was incomplete or too slow, or errNoInputMemory. What is buffered counts in the
+// reservation, which a request without a body needs not have.
+func (f *Front) readBody(control *http.ResponseController, r *http.Request, reservation *downstream.InputReservation) (part []byte, rest *bodyRest, err error) {
 	if r.ContentLength == 0 {
 		return nil, nil, nil
 	}
 	start := connOf(r.Context()).requestStartTime()
 	body := &minRateBody{body: r.Body, control: control, grace: f.bodyGrace, elapsed: time.Since(start)}
-	limit := int64(validation.MaxBufferedBody)
-	if r.ContentLength > limit {
+	limit := validation.MaxBufferedBody
+	if r.ContentLength > validation.MaxBufferedBody {
 		limit = firstPartSize
 	}
-	part, err = io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil || int64(len(part)) <= limit {
-		return part, nil, err
+	expected := limit + 1
+	if r.ContentLength > 0 {
+		expected = int(min(r.ContentLength, int64(expected)))
+	}
+	part, complete, err := readPart(body, expected, reservation)
+	switch {
+	case err != nil:
+		return nil, nil, err
+	case !reservation.Complete():
+		return nil, nil, errBodyIncomplete
+	case complete || len(part) <= limit && int64(len(part)) == r.ContentLength:
+		return part, nil, nil
+	case !reservation.Grow(streamedBodyBuffers):
+		return nil, nil, errNoInputMemory
 	}
 	return part, &bodyRest{body: body, failed: make(chan struct{})}, nil
 }
+
+// minBodyBuffer is the first size of the buffer for a body, in bytes.
+const minBodyBuffer = 512
+
+// readPart reads a body up to a number of bytes, and reports whether it ended before. The buffer grows with what has arrived, to at
+// most twice as much.
+func readPart(body io.Reader, limit int, reservation *downstream.InputReservation) (part []byte, complete bool, err error) {
+	for len(part) < limit {
+		if len(part) == cap(part) {
+			size := min(max(minBodyBuffer, 2*cap(part)), limit)
+			if !reservation.Grow(size - cap(part)) {
+				return nil, false, errNoInputMemory
+			}
+			part = append(make([]byte, 0, size), part...)
+		}
+		n, err := body.Read(part[len(part):cap(part)])
+		part = part[:len(part)+n]
+		if err == io.EOF {
+			return part, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return part, false, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -170,6 +170,10 @@
 	return n, nil
 }
 
+// inputMemoryDivisor is the part of the node's memory that heads and buffered bodies of requests may occupy. Twice as much is in use
+// while bodies are written to servers.
+const inputMemoryDivisor = 5
+
 // resize divides the descriptors of a configuration. Connections to servers may use half of the descriptors that the node
 // does not need itself, and clients may use what servers leave. If two processes of the node run, each has half of
 // everything. The caller holds mu or has exclusive access.
@@ -183,7 +187,7 @@
 		spare /= 2
 	}
 	n.serverDescriptors.Resize(capacity / 2)
-	n.clients.Resize(downstream.Limits{Capacity: capacity, ServerMinimum: capacity / 4, Reserve: spare})
+	n.clients.Resize(downstream.Limits{Capacity: capacity, ServerMinimum: capacity / 4, Reserve: spare, InputBytes: int64(limits.Memory) / inputMemoryDivisor})
 	if n.options.SetLimits != nil {
 		n.options.SetLimits(limits)
 	}
