--- a/internal/http1/handover_test.go
+++ b/internal/http1/handover_test.go
@@ -167,3 +167,21 @@
 	}
 	testpeer.Until(t, "the request to be counted as faulted", func() bool { return node.front.counters.Report().Faulted["view"] == 1 })
 }
+
+// Guards against a late final response: a server accepts a connection and reads nothing of a long upload, whose client has written
+// all of it to the kernel's buffers.
+func TestUploadToServerThatReadsNothingIsAnsweredInTime(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // the kernel accepts connections
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	node := startNode(t, testConfig(testpeer.FullSnapshot(entry("s1", ln))), nil)
+	client := testpeer.Dial(t, node.Addr())
+	begin := time.Now()
+	go client.Send("POST", "/note/k", "id", strings.Repeat("x", 20<<20), fmt.Sprint(handoverDeadline.Seconds()))
+	r, _ := client.ReadResponse(t)
+	if took := time.Since(begin); r.StatusCode != 503 || took > handoverDeadline+responseSlack {
+		t.Errorf("status %d after %v; want 503 within %v: the request never ran", r.StatusCode, took, handoverDeadline+responseSlack)
+	}
+}
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -15,7 +15,7 @@
 
 // Limits of an upload.
 const (
-	maxWriteStall    = 5 * time.Second        // longest time in which the server accepts nothing
+	maxWriteStall    = 5 * time.Second        // longest time in which the server accepts nothing, unless the client waits for less
 	writeResultGrace = 200 * time.Millisecond // how long the end of a connection may precede the result of writing its request
 	earlyReplyGrace  = 200 * time.Millisecond // how long a reply that precedes the end of its request may wait for that
 )
@@ -80,15 +80,16 @@
 	return b.consumed, b.failed
 }
 
-// stallLimited is a connection whose writes fail if the server accepts nothing for maxWriteStall.
+// stallLimited is a connection whose writes fail if the server accepts nothing for maxStall.
 type stallLimited struct {
 	*conn
-	pool *Pool
+	pool     *Pool
+	maxStall time.Duration
 }
 
 // Write implements io.Writer.
 func (s stallLimited) Write(p []byte) (int, error) {
-	s.SetWriteDeadline(time.Now().Add(maxWriteStall))
+	s.SetWriteDeadline(time.Now().Add(s.maxStall))
 	return s.pool.write(s.conn, p)
 }
 
@@ -124,9 +125,10 @@
 	c.uploading = true
 	p.mu.Unlock()
 	body := io.MultiReader(bytes.NewReader(message.Body), u.clientBody)
-	go func() {
-		u.writeDone <- newRequest(attempt, attempt.Deadline-attempt.SentAt, body).Write(stallLimited{c, p})
-	}()
+	// The rest of the body may wait in the kernel's buffers, so that the client's time runs while the server accepts nothing.
+	timeout := attempt.Deadline - attempt.SentAt
+	to := stallLimited{c, p, min(maxWriteStall, timeout)}
+	go func() { u.writeDone <- newRequest(attempt, timeout, body).Write(to) }()
 	got := u.await()
 	consumed, failed := u.clientBody.end()
 	outcome := u.outcome(got, failed)
