--- a/internal/faultbench/experiment/model.go
+++ b/internal/faultbench/experiment/model.go
@@ -152,6 +152,7 @@
 	Noise       Kind = "noise"    // sends bytes that are no HTTP behind a Share of replies, after Delay and up to Jitter more
 	Truncate    Kind = "truncate" // ends the connection halfway through a Share of replies
 	LongReplies Kind = "long"     // pads a Share of replies so that nodes stream them
+	StopInReply Kind = "stall"    // sends the head of a Share of replies, padded so that nodes stream them, and nothing more
 
 	RegistryOutage Kind = "mute" // the registry does not reply
 )
@@ -172,7 +173,7 @@
 	Kill: TargetNodes, Stop: TargetNodes, Restart: TargetNodes, ChangeNodeCount: TargetNodes, ClockSkew: TargetNodes,
 	Terminate: TargetNodes, Reload: TargetNodes, Hold: TargetNodes, IdleClients: TargetNodes,
 	Crash: TargetServers, MachineLoss: TargetServers, Hang: TargetServers, Errors: TargetServers, Slowdown: TargetServers, Replace: TargetServers,
-	Repeat: TargetServers, Noise: TargetServers, Truncate: TargetServers, LongReplies: TargetServers,
+	Repeat: TargetServers, Noise: TargetServers, Truncate: TargetServers, LongReplies: TargetServers, StopInReply: TargetServers,
 	RegistryOutage: TargetRegistry}
 
 // Target returns the type of component that faults of the kind affect.
@@ -180,7 +181,7 @@
 
 // SpoilsReplies reports whether servers with a fault of the kind run requests as usual and spoil a Share of the replies.
 func (k Kind) SpoilsReplies() bool {
-	return k == Repeat || k == Noise || k == Truncate || k == LongReplies
+	return k == Repeat || k == Noise || k == Truncate || k == LongReplies || k == StopInReply
 }
 
 // RegistryZone is the name in Fault.ServerZones that selects the links between nodes and the registry.
--- a/internal/faultbench/host.go
+++ b/internal/faultbench/host.go
@@ -240,7 +240,7 @@
 		h.server.Fault = ft.Kind
 	case experiment.Slowdown:
 		h.server.Factor = ft.Factor
-	case experiment.Repeat, experiment.Noise, experiment.Truncate, experiment.LongReplies:
+	case experiment.Repeat, experiment.Noise, experiment.Truncate, experiment.LongReplies, experiment.StopInReply:
 		h.spoiling[ft.Name] = ft
 	case experiment.Replace:
 		h.state = balancer.Draining
@@ -270,7 +270,7 @@
 		h.mu.Lock()
 		h.server.Factor = 1
 		h.mu.Unlock()
-	case experiment.Repeat, experiment.Noise, experiment.Truncate, experiment.LongReplies:
+	case experiment.Repeat, experiment.Noise, experiment.Truncate, experiment.LongReplies, experiment.StopInReply:
 		h.mu.Lock()
 		delete(h.spoiling, ft.Name)
 		h.mu.Unlock()
--- a/internal/faultbench/soak/soak.go
+++ b/internal/faultbench/soak/soak.go
@@ -25,6 +25,12 @@
 	restartSpacing  = 1500 * time.Millisecond
 )
 
+// Streams of random numbers for a seed.
+const (
+	mainStream           = 0x50a4
+	stoppedRepliesStream = 0x57a1
+)
+
 // generator draws an experiment.
 type generator struct {
 	rng        *rand.Rand
@@ -34,7 +40,7 @@
 // Generate returns the experiment of a seed.
 func Generate(seed uint64) *experiment.Experiment {
 	g := &generator{
-		rng:        rand.New(rand.NewPCG(seed, 0x50a4)),
+		rng:        rand.New(rand.NewPCG(seed, mainStream)),
 		experiment: &experiment.Experiment{Name: fmt.Sprintf("soak-%d", seed), Seed: seed, WarmUp: warmUp, Measure: Duration - warmUp},
 	}
 	g.drawFleet()
@@ -43,6 +49,7 @@
 	g.drawServerFaults()
 	g.drawLinkFaults()
 	g.drawNodeFaults()
+	g.drawStoppedReplies()
 	return g.experiment
 }
 
@@ -126,6 +133,15 @@
 	}
 }
 
+// drawStoppedReplies adds servers that stop behind the head of a reply. It draws from numbers of its own, so that the other faults of
+// a seed stay as they were.
+func (g *generator) drawStoppedReplies() {
+	g.rng = rand.New(rand.NewPCG(g.experiment.Seed, stoppedRepliesStream))
+	if g.chance(0.5) {
+		g.add(Duration-2*time.Second, experiment.Fault{Kind: experiment.StopInReply, Fraction: 0.5, Share: 0.05})
+	}
+}
+
 func (g *generator) drawServerFaults() {
 	for _, kind := range []experiment.Kind{experiment.Hang, experiment.Errors, experiment.Crash} {
 		if g.chance(0.3) {
--- a/internal/faultbench/spoil.go
+++ b/internal/faultbench/spoil.go
@@ -14,6 +14,9 @@
 // longReplyBytes is longer than any reply that a node buffers before it responds.
 const longReplyBytes = 80 << 10
 
+// maxStop is how long a server that has stopped within a reply waits for the node to close the connection: longer than any deadline.
+const maxStop = 5 * time.Second
+
 // noise is input that no HTTP parser takes for a reply.
 const noise = "\x00\xfe noise behind a reply\r\n\r\n"
 
@@ -21,6 +24,7 @@
 type spoiler struct {
 	padded    bool
 	truncated bool
+	stopped   bool // behind the head
 	late      []lateInput
 }
 
@@ -44,6 +48,8 @@
 			s.truncated = true
 		case experiment.LongReplies:
 			s.padded = true
+		case experiment.StopInReply:
+			s.padded, s.stopped = true, true
 		case experiment.Repeat, experiment.Noise:
 			s.late = append(s.late, lateInput{ft.Delay + random.DurationUpTo(ft.Jitter), ft.Kind == experiment.Repeat})
 		}
@@ -59,6 +65,16 @@
 		body = strings.Repeat("p", longReplyBytes) + " " + body
 	}
 	text := replyText("200 OK", headers, body)
+	if s.stopped {
+		head, _, _ := strings.Cut(text, "\r\n\r\n")
+		conn.Send([]byte(head+"\r\n\r\n"), nil)
+		select {
+		case <-conn.CloseDelivered():
+			h.fleet.audit.RecordEnd(attempt, h.fleet.runTime(conn.NearClosedAt()), "reply stopped behind its head")
+		case <-time.After(maxStop): // the run has ended
+		}
+		return false
+	}
 	if s.truncated {
 		late.Wait() // nothing may be sent once the connection is closed
 		conn.Send([]byte(text[:len(text)/2]), nil)
--- a/internal/http1/streaming_test.go
+++ b/internal/http1/streaming_test.go
@@ -428,8 +428,12 @@
 	}
 }
 
-// For any input, the result of the scan does not depend on how the input is split, and a request with a transfer coding that
-// net/http accepts and the scan does not report as ambiguous has no Content-Length.
+// minSliceBytes is the size of the smallest buffer that append allocates for some bytes.
+const minSliceBytes = 64
+
+// For any input, the result of the scan does not depend on how the input is split, a request with a transfer coding that
+// net/http accepts and the scan does not report as ambiguous has no Content-Length, and the records that the scan keeps take no more
+// than twice the input.
 func FuzzHeadScan(f *testing.F) {
 	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n"), uint8(1))
 	f.Add([]byte("POST / HTTP/1.1\nHost: h\nContent-Length:5\ntransfer-encoding:chunked\n\n0\r\n\r\n"), uint8(7))
@@ -444,6 +448,9 @@
 		if complete.head.state != pieces.head.state || complete.head.lengthFields() != pieces.head.lengthFields() || complete.requestsStarted != pieces.requestsStarted || !slices.Equal(complete.completeHeads, pieces.completeHeads) {
 			t.Fatalf("%q: %+v in one piece, %+v in pieces of %d bytes", text, complete, pieces, int(size)+1)
 		}
+		if kept := cap(pieces.completeHeads) + cap(pieces.head.line); kept > 2*len(text)+maxScannedLine+minSliceBytes {
+			t.Fatalf("%q: %d bytes of records are kept for %d bytes", text, kept, len(text))
+		}
 		r, err := http.ReadRequest(testpeer.NewClientConn(&readOnlyConn{Reader: bytes.NewReader(text)}).Reader)
 		if err != nil {
 			return
