--- a/cmd/damsontrestle/memory_test.go
+++ b/cmd/damsontrestle/memory_test.go
@@ -157,6 +157,12 @@
 	}},
 }
 
+// chunkedUnreadReplies is an attack by replies without a told length, which the node buffers up to 64 KiB before it streams them.
+var chunkedUnreadReplies = memoryAttack{name: "chunked replies that nobody reads", connections: 900, readNothing: true, send: sendBadView, reply: func(c net.Conn) bool {
+	write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n300000\r\n" + repeated("x", 0x300000) + "\r\n0\r\n\r\n")(c)
+	return false
+}}
+
 func sendBadView(c net.Conn) { write(requestHead("GET", "view") + "\r\n")(c) }
 
 // stall holds a connection until its peer closes it.
@@ -177,6 +183,11 @@
 	}
 }
 
+// Guards against streamed replies that take a node over its memory limit by what was buffered of them before.
+func TestMemoryOfChunkedRepliesThatNobodyReads(t *testing.T) {
+	playMemoryAttack(t, chunkedUnreadReplies)
+}
+
 // playMemoryAttack starts a node, plays an attack beside a usual client, and checks the peak of the node's memory.
 func playMemoryAttack(t *testing.T, attack memoryAttack) {
 	server := testpeer.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
