--- a/internal/http1/memory_test.go
+++ b/internal/http1/memory_test.go
@@ -11,6 +11,7 @@
 
 	"damsontrestle/internal/downstream"
 	"damsontrestle/internal/testpeer"
+	"damsontrestle/internal/testpeer/heap"
 )
 
 // floodLength is how many bytes a client sends behind a request, and maxKeptPerConn how many the node may keep of them: the
@@ -40,7 +41,7 @@
 			client.Get("held")
 			testpeer.Receive(t, got, "the attempt")
 			flood := []byte(strings.Repeat(unit, floodLength/len(unit)))
-			before := heapInUse()
+			before := heap.Reachable()
 			var written atomic.Bool
 			go func() {
 				io.Copy(client, bytes.NewReader(flood))
@@ -49,7 +50,7 @@
 			testpeer.Until(t, "the input to be read or held back", func() bool {
 				return written.Load() || node.front.totalReadAhead.Load() > maxConnReadAhead-2*readAheadChunk
 			})
-			if kept := heapInUse() - before; kept > maxKeptPerConn {
+			if kept := heap.Reachable() - before; kept > maxKeptPerConn {
 				t.Errorf("the node keeps %d bytes, more than %d", kept, maxKeptPerConn)
 			}
 			runtime.KeepAlive(flood)
@@ -57,14 +58,6 @@
 	}
 }
 
-// heapInUse returns the bytes of heap objects that are in use.
-func heapInUse() int64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return int64(stats.HeapAlloc)
-}
-
 // Guards against clients that take the node over its memory limit with heads of thousands of short fields, each of which net/http
 // keeps in a map: such a head is refused at the field beyond the limit, and what was read in front of it is answered.
 func TestHeadOfManyShortFieldsIsRefused(t *testing.T) {
