--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -107,6 +107,7 @@
 	Reply         Reply          // set for Success
 	Load          *balancer.Load // load report of the reply; nil: none
 	NotReplayable bool           // part of the request's Rest was read, so it cannot be sent again
+	EndState      EndState       // set unless Success
 	Reason        string         // rule by which the server rejected the request, as the server reports it
 
 	// Settled is set for an Overloaded that is the request's final outcome, returned to every query about the request: it
--- a/internal/engine/eventloop.go
+++ b/internal/engine/eventloop.go
@@ -118,13 +118,14 @@
 			RetryAfter:   shutdownRetryAfter,
 			TryOtherNode: eng.shutdownAt > 0,
 			NotRun:       request.notRun(),
+			EndState:     EndState{Reason: EndShutdown},
 		}
 		return
 	}
 	if eng.pending[request.ID] != nil {
 		// The balancer ignores a second request with a known id, so the request would get no response.
 		eng.unloggedTraffic.Requests--
-		request.response <- Response{Kind: Duplicate}
+		request.response <- Response{Kind: Duplicate, EndState: EndState{Reason: EndDuplicate}}
 		return
 	}
 	eng.pending[request.ID] = newPendingRequest(request)
@@ -173,6 +174,8 @@
 	latency := outcome.At - attempt.SentAt
 	eng.unloggedTraffic.Results[outcome.Result]++
 	pending.inFlight--
+	pending.ending = outcome.EndState
+	pending.ending.Server = attempt.Host.Server
 	pending.mayHaveRun = pending.mayHaveRun || !outcome.Result.NeverRan()
 	target, listed := eng.servers[attempt.Host.Server]
 	eng.collector.attemptEnded(target, attempt.Host.Server, listed, outcome.Result, latency)
--- a/internal/engine/pending.go
+++ b/internal/engine/pending.go
@@ -6,6 +6,7 @@
 	attempts   []*Attempt // by number; nil: sent by another node
 	inFlight   int        // attempts without an outcome
 	mayHaveRun bool       // an attempt may have run on a server
+	ending     EndState   // of the attempt that ended last
 	responded  bool       // the response was sent, or the client has disconnected
 }
 
@@ -43,6 +44,16 @@
 	}
 }
 
+// lastEnding returns how the attempt that ended last did so, or why there was none.
+func (p *pendingRequest) lastEnding() EndState {
+	ending := p.ending
+	if ending.Reason == "" {
+		ending.Reason = EndNotSent
+	}
+	ending.Attempts = len(p.attempts)
+	return ending
+}
+
 // pendingOf returns the record of a request, or nil if the request is finished, even if another request now has its id.
 func (eng *Engine) pendingOf(request *Request) *pendingRequest {
 	pending := eng.pending[request.ID]
@@ -58,6 +69,9 @@
 	if pending == nil || pending.responded {
 		return
 	}
+	if response.EndState.Reason == "" {
+		response.EndState = pending.lastEnding()
+	}
 	if response.Kind == Rejected {
 		response.NotRun = !pending.mayHaveRun && pending.inFlight == 0
 		eng.unloggedTraffic.Rejected++
--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -14,6 +14,7 @@
 	TryOtherNode bool          // this node is shutting down: the client should use another node
 	NotRun       bool          // set for Rejected: no attempt can have run
 	Reason       string        // the rule that caused a Rejected; empty: none
+	EndState     EndState      // set unless Served: how the last attempt ended, or why there was none
 	Settled      bool          // the request's final outcome, returned to every query about the request
 }
 
--- a/internal/engine/shutdown.go
+++ b/internal/engine/shutdown.go
@@ -54,6 +54,8 @@
 	if len(pending.attempts) == 0 {
 		response = Response{Kind: Rejected, RetryAfter: shutdownRetryAfter, TryOtherNode: eng.shutdownAt > 0}
 	}
+	response.EndState = pending.lastEnding()
+	response.EndState.Reason = EndShutdown
 	eng.respondUnserved(pending.request.ID, response)
 	eng.handleBalancerEvent(eng.clock.Now(), balancer.ClientDisconnected{ID: pending.request.ID})
 }
--- a/internal/fastcgi/client_request.go
+++ b/internal/fastcgi/client_request.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"sync/atomic"
 
@@ -89,7 +90,7 @@
 	f.counters.RequestStarted()
 	snapshot := f.dispatcher.Snapshot()
 	if !f.clients.BeginRequest(c) {
-		c.respond(req, engine.Response{Kind: engine.Rejected, RetryAfter: snapshot.RetryAfter()})
+		c.respond(req, engine.Response{Kind: engine.Rejected, RetryAfter: snapshot.RetryAfter(), EndState: engine.EndState{Reason: engine.EndNoCapacity}})
 		f.clients.EndRequest(c)
 		return
 	}
@@ -97,6 +98,7 @@
 	dispatched, err := validation.Submit(f.dispatcher, snapshot, &req.head, req.checked, req.body, nil, f.clock.Now())
 	if err != nil {
 		f.counters.RequestEnded(req.checked.Class, metrics.Faulted)
+		f.responses.Refused(req.checked.ID, req.checked.Class, http.StatusServiceUnavailable, engine.EndNoCapacity)
 		c.respondText(req, errorResponse(err))
 		f.clients.EndRequest(c)
 		c.updatePhase()
@@ -144,6 +146,7 @@
 func (c *client) respond(req *request, resp engine.Response) {
 	c.front.counters.RequestEnded(req.checked.Class, validation.Result(resp))
 	if resp.Kind != engine.Served {
+		c.front.responses.Unserved(req.checked.ID, req.checked.Class, resp)
 		status, text := validation.ErrorStatus(resp)
 		c.respondText(req, textResponse{status, text, validation.RetryAfter(resp)})
 		return
@@ -185,15 +188,31 @@
 		c.finish(req, End{})
 	default:
 		c.front.counters.RequestEnded(req.checked.Class, metrics.Faulted)
+		c.front.responses.Cut(req.checked.ID, req.checked.Class, cutEnding(resp.Reply, ok))
 		c.finish(req, End{AppStatus: 1})
 	}
 	c.flush()
 }
 
+// cutEnding describes the end of a response that could not be written completely. taken: the web server has taken all of it so far.
+func cutEnding(reply engine.Reply, taken bool) engine.EndState {
+	reporter, reports := reply.Rest.(engine.EndReporter)
+	if !taken || !reports {
+		return engine.EndState{Reason: engine.EndClientNotReading, Stage: engine.StagePassingOn}
+	}
+	return reporter.EndState()
+}
+
 // reject answers an invalid request with its error. Later records of the request are ignored. The caller holds mu.
 func (c *client) reject(req *request, err error) {
 	c.finishReading()
-	c.respondText(req, errorResponse(err))
+	response := errorResponse(err)
+	var id string
+	if len(req.head.RequestIDs) > 0 {
+		id = req.head.RequestIDs[0]
+	}
+	c.front.responses.Refused(id, req.checked.Class, response.status, engine.EndInvalid)
+	c.respondText(req, response)
 }
 
 // respondText writes a plain text response. The caller holds mu.
--- a/internal/fastcgi/front.go
+++ b/internal/fastcgi/front.go
@@ -13,6 +13,7 @@
 	"damsontrestle/internal/dispatch"
 	"damsontrestle/internal/downstream"
 	"damsontrestle/internal/metrics"
+	"damsontrestle/internal/responselog"
 	"damsontrestle/internal/validation"
 )
 
@@ -28,6 +29,7 @@
 	dispatcher      *dispatch.Dispatcher
 	clients         *downstream.Set
 	counters        *metrics.Recorder
+	responses       *responselog.Log
 	log             *slog.Logger
 	limits          ConnLimits
 	unreadTimeout   time.Duration
@@ -38,7 +40,7 @@
 
 // NewFront returns a Front for a listener. It accepts no connections before Serve is called.
 func NewFront(listener string, c clock.Clock, clients *downstream.Set, dispatcher *dispatch.Dispatcher, counters *metrics.Recorder, log *slog.Logger) *Front {
-	return &Front{listener: listener, clock: c, dispatcher: dispatcher, clients: clients, counters: counters, log: log, limits: DefaultConnLimits(), unreadTimeout: unreadTimeout, progressTimeout: progressTimeout}
+	return &Front{listener: listener, clock: c, dispatcher: dispatcher, clients: clients, counters: counters, responses: responselog.New(log, counters), log: log, limits: DefaultConnLimits(), unreadTimeout: unreadTimeout, progressTimeout: progressTimeout}
 }
 
 // Serve accepts web servers until the listener fails, is closed or has a deadline in the past, and returns its
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -90,6 +90,7 @@
 	body, rest, err := front.readBody(x.control, x.request, reservation)
 	x.request.Trailer = nil // not forwarded, and many short fields would occupy far more memory than their bytes
 	if errors.Is(err, errNoInputMemory) {
+		front.responses.Refused(x.requestID(), checked.Class, http.StatusServiceUnavailable, engine.EndNoCapacity)
 		x.write(engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter()})
 		return
 	}
@@ -112,7 +113,7 @@
 		defer rest.stop()
 	}
 	if !front.clients.BeginRequest(x.conn) {
-		x.respond(engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter()})
+		x.respond(engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter(), EndState: engine.EndState{Reason: engine.EndNoCapacity}})
 		return
 	}
 	submitted, err := validation.Submit(front.dispatcher, x.snapshot, &head, checked, body, rest.reader(), receivedAt)
@@ -154,7 +155,9 @@
 func (x *exchange) abandon(submitted *engine.Request) {
 	x.disconnect(submitted)
 	x.writer.Header().Set("Connection", "close")
-	x.write(engine.Response{Kind: engine.Failed})
+	response := engine.Response{Kind: engine.Failed, EndState: engine.EndState{Reason: engine.EndClientGone}}
+	x.front.responses.Unserved(x.requestID(), x.class, response)
+	x.write(response)
 }
 
 // abandonIncompleteBody ends a request whose body was not received completely or in time.
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -14,6 +14,7 @@
 	"damsontrestle/internal/dispatch"
 	"damsontrestle/internal/downstream"
 	"damsontrestle/internal/metrics"
+	"damsontrestle/internal/responselog"
 )
 
 // Limits on how long a client can make the node wait, and on the size of a request's head.
@@ -31,6 +32,7 @@
 	dispatcher         *dispatch.Dispatcher
 	clients            *downstream.Set
 	counters           *metrics.Recorder
+	responses          *responselog.Log
 	notReady           atomic.Bool   // GET /health/ready reports that no clients should be sent here
 	closeAfterResponse atomic.Bool   // each response closes its connection
 	bodyGrace          time.Duration // how far a body may lag behind the minimum rate
@@ -47,6 +49,7 @@
 		dispatcher: dispatcher,
 		clients:    clients,
 		counters:   counters,
+		responses:  responselog.New(log, counters),
 		bodyGrace:  bodyGrace,
 	}
 	f.server = &http.Server{
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -26,12 +27,25 @@
 func (x *exchange) reject(err error) {
 	var rejected *validation.Error
 	if !errors.As(err, &rejected) {
+		x.front.responses.Refused(x.requestID(), x.class, http.StatusServiceUnavailable, engine.EndNoCapacity)
 		x.write(engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter()})
 		return
 	}
+	x.front.responses.Refused(x.requestID(), x.class, rejected.Status, refusalReason(err))
 	http.Error(x.writer, rejected.Reason, rejected.Status)
 }
 
+// refusalReason returns the reason for which a request was refused before it was submitted.
+func refusalReason(err error) engine.EndReason {
+	if errors.Is(err, errBodyIncomplete) {
+		return engine.EndBodyIncomplete
+	}
+	return engine.EndInvalid
+}
+
+// requestID returns the id of the request, which may be invalid.
+func (x *exchange) requestID() string { return x.request.Header.Get("X-Request-Id") }
+
 // rejectCounted responds to a request that was counted as begun but could not be submitted.
 func (x *exchange) rejectCounted(err error) {
 	x.writer.Header().Set("Connection", "close")
@@ -52,18 +66,34 @@
 	counters := x.front.counters
 	if err := x.write(response); err != nil {
 		counters.RequestEnded(x.class, metrics.Faulted)
+		x.front.responses.Cut(x.requestID(), x.class, cutEnding(response.Reply, err))
 		if !x.request.ProtoAtLeast(1, 1) {
 			x.conn.resetOnClose() // a plain close would look like the end of the response
 		}
 		panic(http.ErrAbortHandler) // closes the connection, so that the client can tell that the response is incomplete
 	}
 	counters.RequestEnded(x.class, validation.Result(response))
+	if response.Kind != engine.Served {
+		x.front.responses.Unserved(x.requestID(), x.class, response)
+	}
 	if early {
 		x.control.Flush()
 		x.rest.discard()
 	}
 }
 
+// errNotTaken is wrapped by errors of writing a response to its client.
+var errNotTaken = errors.New("the client does not take the response")
+
+// cutEnding describes the end of a response that could not be written completely.
+func cutEnding(reply engine.Reply, err error) engine.EndState {
+	reporter, reports := reply.Rest.(engine.EndReporter)
+	if errors.Is(err, errNotTaken) || !reports {
+		return engine.EndState{Reason: engine.EndClientNotReading, Stage: engine.StagePassingOn}
+	}
+	return reporter.EndState()
+}
+
 // isLastResponse reports whether a response closes its connection. Requests that were already read behind its own are answered
 // first, or they would be lost.
 func (x *exchange) isLastResponse(response engine.Response) bool {
@@ -146,8 +176,12 @@
 // writePart sends the client a part of a reply without buffering it.
 func (x *exchange) writePart(part []byte) error {
 	x.control.SetWriteDeadline(time.Now().Add(maxWriteStall))
-	if _, err := x.writer.Write(part); err != nil {
-		return err
+	_, err := x.writer.Write(part)
+	if err == nil {
+		err = x.control.Flush()
 	}
-	return x.control.Flush()
+	if err != nil {
+		return fmt.Errorf("%w: %w", errNotTaken, err)
+	}
+	return nil
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -35,6 +35,7 @@
 
 	unattributed map[string]map[string]int64 // by server and kind
 	closed       map[string]int64            // by reason
+	ended        map[string]int64            // responses without a complete reply of a server, by reason
 }
 
 // maxServers is the maximum number of servers with counters of their own; further ones are counted together as otherServers.
@@ -69,6 +70,16 @@
 	s.closed[reason]++
 }
 
+// ResponseEnded records why a response has no complete reply of a server.
+func (s *Recorder) ResponseEnded(reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended == nil {
+		s.ended = map[string]int64{}
+	}
+	s.ended[reason]++
+}
+
 // RegisterClasses includes classes in the metrics, with counts of 0, before their first request ends.
 func (s *Recorder) RegisterClasses(classes ...string) {
 	s.mu.Lock()
@@ -131,6 +142,8 @@
 	UnattributedInput       map[string]map[string]int64 `json:"unattributed_input,omitempty"`        // input that belongs to no request, by server and kind
 	ServerConnectionsClosed map[string]int64            `json:"server_connections_closed,omitempty"` // by reason
 
+	UnservedResponses map[string]int64 `json:"unserved_responses,omitempty"` // without a complete reply of a server, by reason
+
 	Memory *Memory `json:"memory,omitempty"` // of the process; filled in by its owner
 
 	Peers *Peers `json:"peers,omitempty"` // nil: the node has no peers
@@ -156,6 +169,7 @@
 		OpenRequests: s.open,
 	}
 	report.ServerConnectionsClosed = maps.Clone(s.closed)
+	report.UnservedResponses = maps.Clone(s.ended)
 	if len(s.unattributed) > 0 {
 		report.UnattributedInput = map[string]map[string]int64{}
 	}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -32,12 +32,19 @@
 func (p *Pool) try(ctx context.Context, attempt *engine.Attempt) engine.Outcome {
 	c, waiter, result := p.acquire(ctx, attempt)
 	if c == nil {
-		return engine.Outcome{Result: result}
+		return engine.Outcome{Result: result, EndState: endingBeforeStart(result)}
 	}
 	if result, ok := p.tryStart(ctx, attempt, c); !ok {
 		p.abandon(c, waiter, closeAttemptEnded)
-		return engine.Outcome{Result: result}
+		return engine.Outcome{Result: result, EndState: endingBeforeStart(result)}
 	}
+	outcome := p.run(ctx, attempt, c, waiter)
+	outcome.EndState = p.ending(c, outcome.Result)
+	return outcome
+}
+
+// run sends the request on a connection and waits for the reply or the end of the attempt.
+func (p *Pool) run(ctx context.Context, attempt *engine.Attempt, c *conn, waiter chan reply) engine.Outcome {
 	// A timed-out or cancelled attempt closes its connection, which ends the wait for the reply.
 	stop := context.AfterFunc(ctx, func() { p.abandon(c, waiter, closeAttemptEnded) })
 	defer stop()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -33,7 +33,8 @@
 	written   chan struct{} // closed once the current request is written completely, or the connection is closed
 	early     bool          // there was input before the current request was written completely
 	discarded bool
-	uploading bool   // the body of the current request is still being received from its client
+	uploading bool // the body of the current request is still being received from its client
+	progress  progress
 	streaming bool   // a replyStream reads the rest of a reply
 	uses      int    // requests and polls that began to be written
 	requestID string // of the request that was written last; empty for a poll
@@ -109,6 +110,7 @@
 		c.early = false
 		c.writtenAt = 0
 		c.uploading = false
+		c.progress = progress{}
 		c.startedAt = p.clock.Now()
 		c.uses++
 		c.requestID = ""
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -223,6 +223,8 @@
 	if streamed {
 		readBody = firstPart
 	}
+	p.recordHead(c)
+	resp.Body = io.NopCloser(&progressReader{pool: p, conn: c, body: resp.Body})
 	body, err := readBody(c, resp)
 	if err != nil {
 		return reply{err: fmt.Errorf("%w: %w", errIncomplete, err)}, false
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -1,9 +1,13 @@
 package upstream
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"os"
 	"time"
+
+	"damsontrestle/internal/engine"
 )
 
 // Bounds of the time without input while a reply is streamed. Between them, input is awaited until the client's deadline.
@@ -21,6 +25,7 @@
 	remaining int64 // bytes until the maximum length
 	reusable  bool  // the connection may serve another request after the end
 	ended     bool
+	err       error // that ended it early
 
 	clientDeadline time.Duration // clock time
 }
@@ -40,11 +45,29 @@
 		err = fmt.Errorf("%w: %w", errIncomplete, err)
 	}
 	if err != nil {
+		s.err = err
 		s.end(err == io.EOF)
 	}
 	return n, err
 }
 
+// EndState implements engine.EndReporter.
+func (s *replyStream) EndState() engine.EndState {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	ending := engine.EndState{
+		Reason:        engine.EndConnectionLost,
+		Server:        s.conn.host.Server,
+		Stage:         engine.StagePassingOn,
+		Received:      s.conn.progress.received,
+		SinceProgress: s.pool.clock.Now() - s.conn.progress.at,
+	}
+	if errors.Is(s.err, os.ErrDeadlineExceeded) {
+		ending.Reason = engine.EndReplyStopped
+	}
+	return ending
+}
+
 // maxStall returns how long to wait for further input: a client whose deadline has passed must not wait for a server that has
 // stopped.
 func (s *replyStream) maxStall() time.Duration {
