--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -27,17 +27,18 @@
 	set            *downstream.Set
 	totalReadAhead *atomic.Int64 // bytes read ahead by all connections of the front end
 
-	mu               sync.Mutex
-	scanner          requestScanner
-	requestsReceived int       // requests that net/http has passed to the front end
-	requestsAnswered int       // requests whose response has begun
-	requestStart     time.Time // when the first bytes of the current request arrived, or could have been read
-	lastRead         time.Time // when bytes were last read
-	lastWrite        time.Time // when bytes of a response were last written
-	closing          bool
-	cutOff           bool      // AbortRead was called: further bytes don't reverse closing
-	wroteAfterCut    bool      // the last write came after AbortRead
-	deadline         time.Time // the read deadline that net/http has set
+	mu                sync.Mutex
+	scanner           requestScanner
+	requestsReceived  int       // requests that net/http has passed to the front end
+	requestsAnswered  int       // requests whose response has begun
+	responsesFinished int       // requests until whose response, inclusive, all were sent completely
+	requestStart      time.Time // when the first bytes of the current request arrived, or could have been read
+	lastRead          time.Time // when bytes were last read
+	lastWrite         time.Time // when bytes of a response were last written
+	closing           bool
+	cutOff            bool      // AbortRead was called: further bytes don't reverse closing
+	wroteAfterCut     bool      // the last write came after AbortRead
+	deadline          time.Time // the read deadline that net/http has set
 
 	readAheadBuffer   []byte                       // bytes read ahead that Read has not returned yet
 	readAheadDone     chan struct{}                // closed when the read-ahead goroutine has ended; nil: none is running
--- a/internal/http1/readahead.go
+++ b/internal/http1/readahead.go
@@ -34,11 +34,15 @@
 // errInputDropped is returned by reads behind bytes that were dropped: what follows is the end of another request.
 var errInputDropped = errors.New("read from client: bytes were dropped, beyond a limit on what is read ahead or on a head")
 
-// withinReadAheadLimits returns bytes read ahead or, once the limits were exceeded, nil: what is dropped must not be scanned.
+// withinReadAheadLimits returns bytes read ahead or, once the limits were exceeded, nil: what is dropped must not be scanned. Nothing is
+// dropped once the response was sent completely: its client may rightly send the next request.
 func (c *clientConn) withinReadAheadLimits(p []byte) (kept []byte) {
 	totalLimit := c.set.Input().ReadAheadLimit(maxTotalReadAhead)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isResponseFinished() && !c.inputDropped {
+		return p
+	}
 	if len(c.readAheadBuffer)+len(p) > maxConnReadAhead || c.totalReadAhead.Load()+int64(len(p)) > totalLimit {
 		c.inputDropped = true
 	}
@@ -118,7 +122,7 @@
 	}
 }
 
-// readAheadLoop reads ahead until the connection ends or stopReadAhead is called.
+// readAheadLoop reads ahead until the response was sent completely, the connection ends or stopReadAhead is called.
 func (c *clientConn) readAheadLoop(done chan struct{}) {
 	defer close(done)
 	buf := make([]byte, readAheadChunk)
@@ -126,8 +130,25 @@
 		n, err := netio.Read(c.Conn, buf)
 		kept := c.withinReadAheadLimits(buf[:n])
 		c.appendReadAhead(kept[:c.recordRead(kept, err)])
-		if err != nil {
+		if err != nil || c.mayStopReadingAhead() {
 			return
 		}
 	}
 }
+
+// mayStopReadingAhead reports whether no client waits for a response, so that its disconnect need not be detected.
+func (c *clientConn) mayStopReadingAhead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isResponseFinished() && !c.inputDropped
+}
+
+// finishResponse records that the last byte of the current response is about to be written.
+func (c *clientConn) finishResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responsesFinished = c.requestsReceived
+}
+
+// isResponseFinished reports whether the last byte of the current response may have been written. The caller holds mu.
+func (c *clientConn) isResponseFinished() bool { return c.responsesFinished == c.requestsReceived }
--- a/internal/http1/readahead_test.go
+++ b/internal/http1/readahead_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"damsontrestle/internal/testpeer"
 )
@@ -123,3 +125,29 @@
 		t.Error("the second request was not read ahead")
 	}
 }
+
+// Guards against a cut of a sound upload: its client sends it as soon as the response before has come, while the node is still
+// reading ahead behind that one.
+func TestInputBehindFinishedResponseIsNotDropped(t *testing.T) {
+	local, remote := testpeer.Pair(t)
+	conn := newClientConn(local, startNode(t, testConfig(testpeer.FullSnapshot()), nil).clients, new(atomic.Int64))
+	request := "GET /view/k HTTP/1.1\r\nHost: h\r\n\r\n"
+	io.WriteString(remote, request)
+	if _, err := io.ReadFull(conn, make([]byte, len(request))); err != nil {
+		t.Fatal(err)
+	}
+	conn.consumeHead(false)
+	upload := fmt.Appendf(nil, "POST /note/k HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", 4*maxConnReadAhead, randomBytes(4*maxConnReadAhead))
+	remote.Write(upload[:1])
+	if _, err := conn.Read(make([]byte, 1)); err != nil { // as net/http does while the request is served
+		t.Fatal(err)
+	}
+	conn.finishResponse()
+	go remote.Write(upload[1:])
+	testpeer.Until(t, "the upload to be read ahead", func() bool { return conn.totalReadAhead.Load() > 0 })
+	time.Sleep(20 * time.Millisecond) // until the loop would have read it all
+	got := make([]byte, len(upload)-1)
+	if n, err := io.ReadFull(conn, got); err != nil || !bytes.Equal(got, upload[1:]) {
+		t.Errorf("%d of %d bytes of the upload, %v", n, len(got), err)
+	}
+}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -116,6 +116,7 @@
 	if response.Kind == engine.Served {
 		return x.writeReply(response.Reply)
 	}
+	x.conn.finishResponse()
 	status, text := validation.ErrorStatus(response)
 	if response.Kind == engine.Rejected && response.NotRun && response.Reason != "" { // for the partner's gateway, which must know that nothing ran
 		header.Set(validation.HeaderNotRun, "1")
@@ -138,6 +139,7 @@
 	}
 	if reply.Rest == nil {
 		header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+		x.conn.finishResponse()
 		x.writer.Write(reply.Body)
 		return nil
 	}
@@ -156,9 +158,14 @@
 			return err
 		}
 	}
+	written := int64(len(reply.Body))
 	buf := slices.Grow(reply.Body[:0], streamBufferSize)[:streamBufferSize] // what was in it is written
 	for {
 		n, err := reply.Rest.Read(buf)
+		written += int64(n)
+		if written == reply.Length || err == io.EOF {
+			x.conn.finishResponse()
+		}
 		if n > 0 {
 			if err := x.writePart(buf[:n]); err != nil {
 				return err
