--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -38,20 +38,20 @@
 		p.abandon(c, waiter, closeAttemptEnded)
 		return engine.Outcome{Result: result, EndState: endingBeforeStart(result)}
 	}
-	outcome := p.run(ctx, attempt, c, waiter)
+	outcome := p.run(attempt, c, waiter)
 	outcome.EndState = p.ending(c, outcome.Result)
 	return outcome
 }
 
 // run sends the request on a connection and waits for the reply or the end of the attempt.
-func (p *Pool) run(ctx context.Context, attempt *engine.Attempt, c *conn, waiter chan reply) engine.Outcome {
-	// A timed-out or cancelled attempt closes its connection, which ends the wait for the reply.
-	stop := context.AfterFunc(ctx, func() { p.abandon(c, waiter, closeAttemptEnded) })
+func (p *Pool) run(attempt *engine.Attempt, c *conn, waiter chan reply) engine.Outcome {
+	// A cancelled attempt closes its connection, which ends the wait for the reply.
+	stop := context.AfterFunc(attempt.Context(), func() { p.abandon(c, waiter, closeAttemptEnded) })
 	defer stop()
 	if attempt.Request.Message.Rest != nil {
 		return p.upload(attempt, c, waiter)
 	}
-	return p.exchange(ctx, attempt, c, waiter)
+	return p.exchange(attempt, c, waiter)
 }
 
 // acquire returns a connection on which the attempt's request may be written next, and the channel that receives the reply; or,
@@ -107,7 +107,10 @@
 
 // exchange writes a request whose body is complete and waits for its reply. The request goes in one write, whose result tells
 // whether the last byte was sent.
-func (p *Pool) exchange(ctx context.Context, attempt *engine.Attempt, c *conn, waiter chan reply) engine.Outcome {
+func (p *Pool) exchange(attempt *engine.Attempt, c *conn, waiter chan reply) engine.Outcome {
+	request := attempt.Request
+	wait := p.startReplyWait(c, waiter, attempt.Deadline, attempt.Deadline-attempt.SentAt, request.Deadline-request.At)
+	defer wait.stop()
 	text, result := p.requestText(attempt)
 	if text == nil {
 		p.abandon(c, waiter, closeAttemptEnded)
@@ -130,7 +133,7 @@
 	case sent < len(text):
 		// The server did not get the last byte, so it cannot have run the request: a retry is safe.
 		return engine.Outcome{Result: balancer.Unreachable}
-	case ctx.Err() != nil:
+	case wait.timedOut.Load() || attempt.Context().Err() != nil:
 		return engine.Outcome{Result: balancer.TimedOut}
 	}
 	return engine.Outcome{Result: balancer.ConnectionLost}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,9 +35,10 @@
 	discarded bool
 	uploading bool // the body of the current request is still being received from its client
 	progress  progress
-	streaming bool   // a replyStream reads the rest of a reply
-	uses      int    // requests and polls that began to be written
-	requestID string // of the request that was written last; empty for a poll
+	partial   *partialReply // a reply that is being received; nil: none
+	streaming bool          // a replyStream reads the rest of a reply
+	uses      int           // requests and polls that began to be written
+	requestID string        // of the request that was written last; empty for a poll
 
 	clientDeadline time.Duration // clock time until which the client of the current request waits
 }
@@ -111,6 +112,7 @@
 		c.writtenAt = 0
 		c.uploading = false
 		c.progress = progress{}
+		c.partial = nil
 		c.startedAt = p.clock.Now()
 		c.uses++
 		c.requestID = ""
@@ -238,6 +240,11 @@
 func (p *Pool) abandon(c *conn, waiter chan reply, reason closeReason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.abandonLocked(c, waiter, reason)
+}
+
+// abandonLocked is abandon for a caller that holds mu.
+func (p *Pool) abandonLocked(c *conn, waiter chan reply, reason closeReason) {
 	if c.waiter == waiter {
 		c.waiter = nil
 		p.discard(c, reason)
--- a/internal/upstream/progress.go
+++ b/internal/upstream/progress.go
@@ -15,15 +15,6 @@
 	received int64         // bytes of the reply's body
 }
 
-// recordHead records that the head of a reply of 200 was read.
-func (p *Pool) recordHead(c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	c.progress.at = now
-	c.progress.headAt = now
-}
-
 // progressReader reads the body of a reply and records its progress.
 type progressReader struct {
 	pool *Pool
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -19,6 +19,7 @@
 	maxPreallocated  = 16 << 10                   // allocated for a body by its Content-Length, before any of it has arrived
 	maxStreamed      = validation.MaxStreamedBody // a body that is streamed to the client
 	firstPartLength  = 16 << 10                   // of a streamed body of known length, read before the reply is handed over
+	minBodyBuffer    = 512                        // first size of the buffer for a body of unknown length
 	chunkOverhead    = 8                          // per byte of a chunked body, for chunks of any size
 )
 
@@ -35,6 +36,9 @@
 	early bool // it was read before the request was written completely
 }
 
+// errHandedOver is returned for a reply that was handed over while its body was being read: others read on.
+var errHandedOver = errors.New("the reply was handed over")
+
 // limitedReader limits the bytes of each reply. Neither http.ReadResponse nor io.ReadAll has a limit of its own: an endless head
 // would exhaust the memory.
 type limitedReader struct {
@@ -62,6 +66,9 @@
 			return
 		}
 		r, reusable := p.readReply(c)
+		if r.err == errHandedOver {
+			return
+		}
 		if !p.deliverReply(c, r, reusable) {
 			return
 		}
@@ -142,6 +149,7 @@
 	p.mu.Lock()
 	waiter := c.waiter
 	c.waiter = nil
+	c.partial = nil
 	r.early = c.early
 	switch {
 	case waiter != nil && r.Reply.Rest != nil:
@@ -218,28 +226,86 @@
 	r.Result = balancer.Success
 	r.Reply.ContentType = resp.Header.Get("Content-Type")
 	r.Reply.Length = resp.ContentLength
-	streamed := resp.ContentLength > validation.MaxBufferedBody
-	readBody := replyBody
-	if streamed {
-		readBody = firstPart
+	stream := p.newReplyStream(c, resp.Body, reusable)
+	partial := p.beginPartialReply(c, r, stream)
+	limit := validation.MaxBufferedBody + 1
+	c.limited.remaining += chunkOverhead * validation.MaxBufferedBody
+	if resp.ContentLength > validation.MaxBufferedBody {
+		limit = firstPartLength
 	}
-	p.recordHead(c)
-	resp.Body = io.NopCloser(&progressReader{pool: p, conn: c, body: resp.Body})
-	body, err := readBody(c, resp)
-	if err != nil {
+	body, complete, err := p.receiveBody(c, partial, stream.body, resp.ContentLength, limit)
+	switch {
+	case err == errHandedOver:
+		return reply{err: err}, false
+	case err != nil:
 		return reply{err: fmt.Errorf("%w: %w", errIncomplete, err)}, false
 	}
 	r.At = p.clock.Now()
 	r.Reply.Body = body
-	if len(body) > validation.MaxBufferedBody {
-		streamed = true
-		r.Reply.Length = -1
+	if complete {
+		r.Reply.Length = int64(len(body))
+		return r, reusable && c.reader.Buffered() == 0
 	}
-	if streamed {
-		r.Reply.Rest = p.streamRest(c, resp.Body, reusable)
-		return r, false
+	c.limited.remaining = chunkOverhead * maxStreamed
+	r.Reply.Rest = stream
+	return r, false
+}
+
+// beginPartialReply records that the head of a reply was read, and that its body is being received.
+func (p *Pool) beginPartialReply(c *conn, head reply, stream *replyStream) *partialReply {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	c.progress.at = now
+	c.progress.headAt = now
+	head.early = c.early
+	stream.clientDeadline = c.clientDeadline
+	partial := &partialReply{reply: head, remainder: make(chan bodyPart, 1), stream: stream}
+	if c.waiter != nil {
+		c.partial = partial
 	}
-	return r, reusable && c.reader.Buffered() == 0
+	return partial
+}
+
+// receiveBody reads the body of a reply up to its end or a limit, and reports whether it is complete. length: as told; negative:
+// not told.
+func (p *Pool) receiveBody(c *conn, partial *partialReply, source io.Reader, length int64, limit int) (body []byte, complete bool, err error) {
+	size := minBodyBuffer
+	if length >= 0 {
+		size = int(min(length, maxPreallocated))
+	}
+	body = make([]byte, 0, min(size, limit))
+	for {
+		if len(body) == cap(body) {
+			size = min(max(minBodyBuffer, 2*cap(body)), limit)
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := source.Read(body[len(body):cap(body)])
+		part := body[len(body) : len(body)+n]
+		body = body[:len(body)+n]
+		switch {
+		case p.isHandedOver(partial, body):
+			c.limited.remaining = chunkOverhead * maxStreamed
+			partial.remainder <- bodyPart{data: part, err: err}
+			return nil, false, errHandedOver
+		case err == io.EOF:
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		case len(body) == limit:
+			return body, false, nil
+		}
+	}
+}
+
+// isHandedOver reports whether a reply was handed over meanwhile. Otherwise it records the body received so far.
+func (p *Pool) isHandedOver(partial *partialReply, body []byte) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !partial.handedOver {
+		partial.body = body
+	}
+	return partial.handedOver
 }
 
 // readFailure reads a reply other than 200. Its body is read only to make the connection reusable.
@@ -280,19 +346,7 @@
 	return body.Bytes(), err
 }
 
-// firstPart reads the first part of a body that is streamed. Until it has come, the attempt's deadline applies and a failure can
-// still be answered, since no byte of the reply was passed on.
-func firstPart(c *conn, resp *http.Response) ([]byte, error) {
-	c.limited.remaining += firstPartLength
-	part := make([]byte, firstPartLength)
-	_, err := io.ReadFull(resp.Body, part)
-	return part, err
-}
-
-// streamRest returns a reader of the rest of a streamed reply.
-func (p *Pool) streamRest(c *conn, body io.Reader, reusable bool) io.ReadCloser {
-	c.limited.remaining = chunkOverhead * maxStreamed
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return &replyStream{pool: p, conn: c, body: body, remaining: maxStreamed, reusable: reusable, clientDeadline: c.clientDeadline}
+// newReplyStream returns a reader of what is not received of a reply when it is handed over.
+func (p *Pool) newReplyStream(c *conn, body io.Reader, reusable bool) *replyStream {
+	return &replyStream{pool: p, conn: c, body: &progressReader{pool: p, conn: c, body: body}, remaining: maxStreamed, reusable: reusable}
 }
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -28,17 +28,25 @@
 	err       error // that ended it early
 
 	clientDeadline time.Duration // clock time
+	underWay       chan bodyPart // receives the result of a read that was under way at the hand-over; nil: none
+	unread         bodyPart      // that result, as far as it was not returned
+	received       int64         // bytes returned
+	waited         time.Duration // spent waiting for the server
 }
 
+// errReplyTooSlow ends a reply whose server sends less than minReplyRate.
+var errReplyTooSlow = errors.New("the reply comes too slowly")
+
 // Read implements io.Reader. Every error other than io.EOF wraps errIncomplete.
 func (s *replyStream) Read(p []byte) (int, error) {
 	if s.ended {
 		return 0, errIncomplete
 	}
-	s.conn.SetReadDeadline(time.Now().Add(s.maxStall()))
-	n, err := s.body.Read(p)
+	n, err := s.read(p)
 	s.remaining -= int64(n)
 	switch {
+	case err == nil && s.isTooSlow():
+		err = fmt.Errorf("%w: %w", errIncomplete, errReplyTooSlow)
 	case s.remaining < 0:
 		err = fmt.Errorf("%w: %w", errIncomplete, errReplyTooLong)
 	case err != nil && err != io.EOF:
@@ -62,16 +70,53 @@
 		Received:      s.conn.progress.received,
 		SinceProgress: s.pool.clock.Now() - s.conn.progress.at,
 	}
-	if errors.Is(s.err, os.ErrDeadlineExceeded) {
+	if errors.Is(s.err, os.ErrDeadlineExceeded) || errors.Is(s.err, errReplyTooSlow) {
 		ending.Reason = engine.EndReplyStopped
 	}
 	return ending
 }
 
-// maxStall returns how long to wait for further input: a client whose deadline has passed must not wait for a server that has
-// stopped.
-func (s *replyStream) maxStall() time.Duration {
-	return min(max(s.pool.clock.Until(s.clientDeadline), minReadStall), maxReadStall)
+// read reads from the server, or returns what a read has brought that was under way at the hand-over.
+func (s *replyStream) read(p []byte) (n int, err error) {
+	begin := s.pool.clock.Now()
+	switch {
+	case s.underWay != nil:
+		s.setReadDeadline(s.lastProgress())
+		s.unread = <-s.underWay
+		s.underWay = nil
+	case len(s.unread.data) == 0 && s.unread.err == nil:
+		s.setReadDeadline(begin)
+		n, err = s.body.Read(p)
+		s.waited += s.pool.clock.Now() - begin
+		s.received += int64(n)
+		return n, err
+	}
+	n = copy(p, s.unread.data)
+	s.unread.data = s.unread.data[n:]
+	s.received += int64(n)
+	if len(s.unread.data) == 0 {
+		err = s.unread.err
+	}
+	return n, err
+}
+
+// setReadDeadline limits the wait for further input that began at a clock time: a client whose deadline has passed must not wait for
+// a server that has stopped.
+func (s *replyStream) setReadDeadline(begin time.Duration) {
+	stall := min(max(s.clientDeadline-begin, minReadStall), maxReadStall)
+	s.conn.SetReadDeadline(time.Now().Add(s.pool.clock.Until(begin + stall)))
+}
+
+// isTooSlow reports whether the server sends the reply at less than minReplyRate, by more than maxReadStall in all.
+func (s *replyStream) isTooSlow() bool {
+	return s.waited > maxReadStall+time.Duration(s.received)*time.Second/minReplyRate
+}
+
+// lastProgress returns the clock time of the last progress of the server.
+func (s *replyStream) lastProgress() time.Duration {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	return s.conn.progress.at
 }
 
 // Close implements io.Closer. It closes the connection unless the reply was read completely.
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"damsontrestle/internal/balancer"
@@ -100,9 +99,9 @@
 	conn       *conn
 	waiter     chan reply
 	clientBody *attemptBody
-	writeDone  chan error  // receives the result of writing the request
-	complete   bool        // the request was written completely
-	timedOut   atomic.Bool // the deadline passed after complete was set
+	writeDone  chan error // receives the result of writing the request
+	complete   bool       // the request was written completely
+	wait       *replyWait // for the reply, once complete is set
 }
 
 // upload sends a request while its body is received from the client. The attempt's deadline counts from the last byte. A reply
@@ -178,15 +177,13 @@
 	p := u.pool
 	u.complete = true
 	u.conn.SetWriteDeadline(time.Time{})
-	p.setClientDeadline(u.conn, p.clock.Now()+u.Request.Deadline-u.Request.At)
+	clientTime := u.Request.Deadline - u.Request.At
+	p.setClientDeadline(u.conn, p.clock.Now()+clientTime)
 	p.markWritten(u.conn)
 	p.counters.AttemptSent()
 	deadline := u.Uploaded(p.clock.Now())
-	timer := time.AfterFunc(p.clock.Until(deadline), func() {
-		u.timedOut.Store(true)
-		p.abandon(u.conn, u.waiter, closeAttemptEnded)
-	})
-	context.AfterFunc(u.Context(), func() { timer.Stop() })
+	u.wait = p.startReplyWait(u.conn, u.waiter, deadline, u.Deadline-u.SentAt, clientTime)
+	context.AfterFunc(u.Context(), u.wait.stop)
 }
 
 // outcome returns the outcome of the attempt. failed: reading the request's body from the client has failed.
@@ -202,7 +199,7 @@
 		outcome.Result = balancer.NotStarted
 	case !u.complete:
 		outcome.Result = balancer.Unreachable
-	case u.timedOut.Load():
+	case u.wait.timedOut.Load():
 		outcome.Result = balancer.TimedOut
 	default:
 		outcome.Result = balancer.ConnectionLost
