--- a/cmd/damsontrestle/slowpeers_test.go
+++ b/cmd/damsontrestle/slowpeers_test.go
@@ -186,8 +186,6 @@
 	{name: "beyond the buffers", bytes: 9 << 20, readRate: 1_500_000, wait: 1500 * time.Millisecond},
 	{name: "beyond the buffers", chunked: true, bytes: 9 << 20, readRate: 1_500_000, wait: 1500 * time.Millisecond},
 	{name: "beyond the buffers, longer wait", bytes: 9 << 20, readRate: 1_000_000, wait: 2500 * time.Millisecond},
-	{name: "read within the client's time", bytes: 800_000, readRate: 400_000, wait: 2500 * time.Millisecond, served: true},
-	{name: "read within the client's time", chunked: true, bytes: 800_000, readRate: 400_000, wait: 2500 * time.Millisecond, served: true},
 	{name: "small buffers of the client", bytes: 8_000_000, readRate: 4_000_000, smallBuffer: true, wait: 2500 * time.Millisecond, served: true},
 	{name: "small buffers of the client", chunked: true, bytes: 8_000_000, readRate: 4_000_000, smallBuffer: true, wait: 2500 * time.Millisecond, served: true},
 	{name: "client as slow as the server", bytes: 600_000, readRate: 200_000, writeRate: 150_000, wait: 1500 * time.Millisecond, served: true},
@@ -230,52 +228,80 @@
 	return time.Now(), err
 }
 
+// slowlyReadUploads are read completely within their clients' time, but after the time of an attempt.
+var slowlyReadUploads = []slowUpload{
+	{name: "read within the client's time", bytes: 800_000, readRate: 400_000, wait: 2500 * time.Millisecond, served: true},
+	{name: "read within the client's time", chunked: true, bytes: 800_000, readRate: 400_000, wait: 2500 * time.Millisecond, served: true},
+	{name: "large", bytes: 8_000_000, readRate: 4_000_000, wait: 2500 * time.Millisecond, served: true},
+	{name: "large, small buffers", chunked: true, bytes: 3_000_000, readRate: 1_500_000, smallBuffer: true, wait: 2500 * time.Millisecond, served: true},
+}
+
+// Guards against a cut of a sound upload: its server is still reading it when the attempt's time ends, or has freed too little of the
+// kernel's buffer for the node to write on.
+func TestUploadThatServerReadsIsNotCut(t *testing.T) {
+	for _, upload := range slowlyReadUploads {
+		t.Run(upload.String(), func(t *testing.T) {
+			t.Parallel()
+			playSlowUpload(t, upload)
+		})
+	}
+}
+
 // Guards against a final response that is late, or an upload that is cut: its server reads it slowly, while its last bytes wait in
 // buffers or its client goes on writing.
 func TestUploadToSlowServerIsAnsweredInTime(t *testing.T) {
 	for _, upload := range slowUploads {
-		framing := "length"
-		if upload.chunked {
-			framing = "chunked"
-		}
-		t.Run(upload.name+" "+framing, func(t *testing.T) {
+		t.Run(upload.String(), func(t *testing.T) {
 			t.Parallel()
-			address := startNodeWithServer(t, func(c net.Conn) {
-				if upload.smallBuffer {
-					c.(*net.TCPConn).SetReadBuffer(socketBuffer)
-				}
-				request, err := http.ReadRequest(bufio.NewReader(c))
-				if err == nil && readPaced(request.Body, upload.readRate) {
-					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-				}
-			})
-			client := testpeer.Dial(t, address)
-			if upload.smallBuffer {
-				client.Conn.(*net.TCPConn).SetWriteBuffer(socketBuffer)
-			}
-			type sending struct {
-				at  time.Time
-				err error
-			}
-			sent := make(chan sending, 1)
-			go func() {
-				at, err := upload.send(client)
-				sent <- sending{at, err}
-			}()
-			response, err := http.ReadResponse(client.Reader, nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			end := time.Now()
-			last := <-sent
-			took := end.Sub(last.at)
-			t.Logf("status %d, %v after the last byte (%v)", response.StatusCode, took, last.err)
-			if took > upload.wait+lateAnswer {
-				t.Errorf("status %d %v after the last byte; the client waits %v", response.StatusCode, took, upload.wait)
-			}
-			if (response.StatusCode == 200) != upload.served {
-				t.Errorf("status %d, %v after the last byte; served in time: want %v", response.StatusCode, took, upload.served)
-			}
+			playSlowUpload(t, upload)
 		})
 	}
 }
+
+// String returns the name of the upload with its framing.
+func (u slowUpload) String() string {
+	if u.chunked {
+		return u.name + " chunked"
+	}
+	return u.name + " length"
+}
+
+// playSlowUpload sends an upload through a node to a server that reads it slowly, and checks when and how it is answered.
+func playSlowUpload(t *testing.T, upload slowUpload) {
+	address := startNodeWithServer(t, func(c net.Conn) {
+		if upload.smallBuffer {
+			c.(*net.TCPConn).SetReadBuffer(socketBuffer)
+		}
+		request, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil && readPaced(request.Body, upload.readRate) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	client := testpeer.Dial(t, address)
+	if upload.smallBuffer {
+		client.Conn.(*net.TCPConn).SetWriteBuffer(socketBuffer)
+	}
+	type sending struct {
+		at  time.Time
+		err error
+	}
+	sent := make(chan sending, 1)
+	go func() {
+		at, err := upload.send(client)
+		sent <- sending{at, err}
+	}()
+	response, err := http.ReadResponse(client.Reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	end := time.Now()
+	last := <-sent
+	took := end.Sub(last.at)
+	t.Logf("status %d, %v after the last byte (%v)", response.StatusCode, took, last.err)
+	if took > upload.wait+lateAnswer {
+		t.Errorf("status %d %v after the last byte; the client waits %v", response.StatusCode, took, upload.wait)
+	}
+	if (response.StatusCode == 200) != upload.served {
+		t.Errorf("status %d, %v after the last byte; served in time: want %v", response.StatusCode, took, upload.served)
+	}
+}
--- a/internal/balancer/attempts.go
+++ b/internal/balancer/attempts.go
@@ -153,7 +153,7 @@
 	if a.counted {
 		b.uncountAttempt(a, outcome, zoneReachable)
 	} else {
-		b.endUpload(a)
+		b.endUpload(a, outcome.UploadTime)
 	}
 	if zoneReachable && (a.counted || outcome.Result != Success) {
 		b.recordResult(a, outcome)
@@ -171,11 +171,10 @@
 	a.server.open = slices.DeleteFunc(a.server.open, func(o *attempt) bool { return o == a })
 }
 
-// endUpload ends an attempt whose body was not complete. The time that the client took to send it is charged neither
-// to the server nor to the request.
-func (b *Balancer) endUpload(a *attempt) {
+// endUpload ends an attempt whose body the server did not receive completely. The time that the client took to send it
+// is charged neither to the server nor to the request.
+func (b *Balancer) endUpload(a *attempt, uploadTime time.Duration) {
 	a.server.uploading--
-	uploadTime := b.now - a.sent
 	a.request.arrived += uploadTime
 	a.request.deadline += uploadTime
 	a.sent = b.now
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -41,8 +41,9 @@
 		Server        string
 		Result        Result
 		Latency       time.Duration
-		Ended         bool // the client has its response
-		NotReplayable bool // part of the request is no longer buffered: it can't be sent again
+		Ended         bool          // the client has its response
+		NotReplayable bool          // part of the request is no longer buffered: it can't be sent again
+		UploadTime    time.Duration // for how long the client was still sending, if there was no Uploaded
 		Load          *Load
 	}
 	// Started reports that a streamed response has begun: no further attempt may follow.
--- a/internal/balancer/uploads_test.go
+++ b/internal/balancer/uploads_test.go
@@ -98,6 +98,9 @@
 			b.Handle(time.Second, Uploaded{ID: "u", Deadline: 2500 * msec})
 		}
 		c.end.ID, c.end.Server = "u", s.Server
+		if !c.uploaded {
+			c.end.UploadTime = time.Second + msec
+		}
 		got := ""
 		for _, a := range b.Handle(time.Second+msec, c.end) {
 			switch a.(type) {
--- a/internal/downstream/inputbudget.go
+++ b/internal/downstream/inputbudget.go
@@ -57,6 +57,23 @@
 	return true
 }
 
+// spareDivisor is the part of the budget up to which GrowIfSpare adds bytes: the rest stays free for new input.
+const spareDivisor = 2
+
+// GrowIfSpare adds bytes to the reservation and reports whether they may be used. It evicts nothing, and adds nothing once half of the
+// budget is used.
+func (r *InputReservation) GrowIfSpare(bytes int) bool {
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.evicted || b.limit > 0 && b.used+int64(bytes) > b.limit/spareDivisor {
+		return false
+	}
+	b.used += int64(bytes)
+	r.bytes += int64(bytes)
+	return true
+}
+
 // evict frees a number of bytes by ending the reception of other input than r's, and reports whether there were enough. Otherwise it
 // ends none. The caller holds mu.
 func (b *InputBudget) evict(r *InputReservation, bytes int64) bool {
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -19,7 +19,7 @@
 	Zone     string
 	Cell     int
 	SentAt   time.Duration // clock time at which the balancer decided to send it
-	Deadline time.Duration // clock time at which it times out; with a Rest, the timeout is Deadline-SentAt, counted from Uploaded
+	Deadline time.Duration // clock time at which it times out; with a Rest, the timeout is Deadline-SentAt, counted from the write of the last byte
 	NotAfter time.Duration // clock time from which it must not start
 
 	ctx    context.Context // done once the attempt is cancelled
@@ -49,13 +49,12 @@
 // Context is done once the attempt is cancelled.
 func (a *Attempt) Context() context.Context { return a.ctx }
 
-// Uploaded reports to the engine that the last byte of a request with a Rest was written to the server at a clock time.
-// It returns the clock time at which the attempt times out.
-func (a *Attempt) Uploaded(at time.Duration) (deadline time.Duration) {
+// Uploaded reports to the engine that the last byte of a request with a Rest was written to the server at a clock time, after it
+// had been received from the client at another.
+func (a *Attempt) Uploaded(at, receivedAt time.Duration) {
 	if a.Request.owner != nil {
-		a.Request.owner.post(uploadCompleted{attempt: a, at: at})
+		a.Request.owner.post(uploadCompleted{attempt: a, at: at, receivedAt: receivedAt})
 	}
-	return at + a.Deadline - a.SentAt
 }
 
 // Allowed reports whether Request.AllowAttempt permits the attempt, once its connection is established. It may block.
--- a/internal/engine/eventloop.go
+++ b/internal/engine/eventloop.go
@@ -152,15 +152,15 @@
 	e.request.discard()
 }
 
-// handleUpload extends the deadline of a streamed request: its client's wait starts with the last byte of the upload.
+// handleUpload extends the deadline of a streamed request: its client's wait starts with the reception of the last byte.
 func (eng *Engine) handleUpload(e uploadCompleted) {
 	eng.recordLag(e.at)
 	pending := eng.pendingOf(e.attempt.Request)
 	if pending == nil {
 		return
 	}
-	pending.request.Deadline += e.at - pending.request.At
-	pending.request.At = e.at
+	pending.request.Deadline += e.receivedAt - pending.request.At
+	pending.request.At = e.receivedAt
 	eng.handleBalancerEvent(e.at, balancer.Uploaded{ID: pending.request.ID, Attempt: e.attempt.Number, Deadline: pending.request.Deadline})
 }
 
@@ -193,11 +193,21 @@
 		Latency:       latency,
 		Ended:         pending.responded,
 		NotReplayable: outcome.NotReplayable,
+		UploadTime:    uploadTime(attempt, outcome.At),
 		Load:          outcome.Load,
 	})
 	eng.removeIfFinished(pending)
 }
 
+// uploadTime returns for how long the client was still sending its request during an attempt that ended at a clock time.
+func uploadTime(attempt *Attempt, end time.Duration) time.Duration {
+	message := &attempt.Request.Message
+	if message.Rest == nil {
+		return 0
+	}
+	return max(0, min(end, message.Received.At(end))-attempt.SentAt)
+}
+
 // handleLoadReport passes the load of a polled server to the balancer.
 func (eng *Engine) handleLoadReport(e loadReport) {
 	now := eng.clock.Now()
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -20,8 +20,9 @@
 
 	// uploadCompleted reports that the last byte of a streamed request was written to the server of an attempt.
 	uploadCompleted struct {
-		attempt *Attempt
-		at      time.Duration
+		attempt    *Attempt
+		at         time.Duration // of the write of the last byte to the server
+		receivedAt time.Duration // of its reception from the client
 	}
 
 	attemptEnded struct {
--- /dev/null
+++ b/internal/engine/reception.go
@@ -0,0 +1,82 @@
+package engine
+
+import (
+	"sync"
+	"time"
+)
+
+// Reception tells what is known of when a request's Rest was received from its client: the client's time begins with its last byte,
+// whether or not a server has the request yet. Its methods are safe for concurrent use.
+type Reception struct {
+	done chan struct{}
+
+	mu        sync.Mutex
+	at        time.Duration // clock time at which the last byte was received
+	awaiting  bool          // all that the client has sent so far was received
+	awaitedAt time.Duration // clock time at which that held last
+	buffered  int64         // bytes received that no server has read
+}
+
+// NewReception returns a Reception that begins at a clock time.
+func NewReception(at time.Duration) *Reception {
+	return &Reception{done: make(chan struct{}), awaitedAt: at}
+}
+
+// Complete records the clock time at which the last byte was received. It must be called once at most.
+func (r *Reception) Complete(at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.at = at
+	close(r.done)
+}
+
+// SetAwaiting records at a clock time whether the client has sent nothing that was not received.
+func (r *Reception) SetAwaiting(awaiting bool, at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.awaiting || awaiting {
+		r.awaitedAt = at
+	}
+	r.awaiting = awaiting
+}
+
+// SetBuffered records how many bytes are received and not read yet.
+func (r *Reception) SetBuffered(bytes int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.buffered = bytes
+}
+
+// Done is closed once the last byte was received. It is nil for a nil Reception.
+func (r *Reception) Done() <-chan struct{} {
+	if r == nil {
+		return nil
+	}
+	return r.done
+}
+
+// At returns the clock time at which the last byte was received, or now if it was not, or if that is not known.
+func (r *Reception) At(now time.Duration) time.Duration {
+	select {
+	case <-r.Done():
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.at
+	default:
+		return now
+	}
+}
+
+// Backlog returns the clock time since which the client has always had bytes waiting to be received, so that it may have sent its last
+// one at any time since, and the bytes that are received and not read yet.
+func (r *Reception) Backlog(now time.Duration) (since time.Duration, buffered int64) {
+	if r == nil {
+		return now, 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.awaiting {
+		return now, r.buffered
+	}
+	return r.awaitedAt, r.buffered
+}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -39,8 +39,9 @@
 	ExtraHeaders   []Field // for gateways of partners
 	ContentType    string
 	Body           []byte
-	Rest           io.Reader // remaining body after Body, to be read once; nil: none. A read error means that the client aborted the upload
-	Length         int64     // of Body and Rest; negative: unknown until the end
+	Rest           io.Reader  // remaining body after Body, to be read once; nil: none. A read error means that the client aborted the upload
+	Received       *Reception // of Rest; nil: not known
+	Length         int64      // of Body and Rest; negative: unknown until the end
 
 	// ClientDisconnected reports whether the client has disconnected, according to the operating system; nil: unknown. It
 	// may block briefly.
--- a/internal/fastcgi/client_request.go
+++ b/internal/fastcgi/client_request.go
@@ -95,7 +95,7 @@
 		return
 	}
 	req.checked.Message.ClientDisconnected = func() bool { return c.isDisconnected(req) }
-	dispatched, err := validation.Submit(f.dispatcher, snapshot, &req.head, req.checked, req.body, nil, f.clock.Now())
+	dispatched, err := validation.Submit(f.dispatcher, snapshot, &req.head, req.checked, validation.Body{Buffered: req.body, ReadAt: f.clock.Now()})
 	if err != nil {
 		f.counters.RequestEnded(req.checked.Class, metrics.Faulted)
 		f.responses.Refused(req.checked.ID, req.checked.Class, http.StatusServiceUnavailable, engine.EndNoCapacity)
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -98,8 +98,10 @@
 		x.reject(errBodyIncomplete)
 		return
 	}
-	receivedAt := front.clock.Now()
-	x.control.SetReadDeadline(time.Time{}) // the deadline was for reading the request
+	readAt := front.clock.Now()
+	if rest == nil {
+		x.control.SetReadDeadline(time.Time{}) // the deadline was for reading the request
+	}
 	// Bytes behind a body with a transfer coding are never read: they could be a smuggled request.
 	if !x.hasTransferCoding() {
 		x.writer.Header().Del("Connection") // write sets it again for the last response
@@ -109,14 +111,13 @@
 	front.counters.RequestStarted()
 	if rest != nil {
 		x.rest = rest
-		x.control.EnableFullDuplex() // the response may begin before the body has been received
 		defer rest.stop()
 	}
 	if !front.clients.BeginRequest(x.conn) {
 		x.respond(engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter(), EndState: engine.EndState{Reason: engine.EndNoCapacity}})
 		return
 	}
-	submitted, err := validation.Submit(front.dispatcher, x.snapshot, &head, checked, body, rest.reader(), receivedAt)
+	submitted, err := validation.Submit(front.dispatcher, x.snapshot, &head, checked, validation.Body{Buffered: body, Rest: rest.reader(), Received: rest.received(), ReadAt: readAt})
 	if err != nil {
 		x.rejectCounted(err)
 		return
--- a/internal/http1/upload.go
+++ b/internal/http1/upload.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"damsontrestle/internal/downstream"
@@ -19,7 +18,8 @@
 	firstPartSize  = 16 << 10 // bytes of a streamed body of known length that are read before its request is submitted
 	discardTimeout = 3 * time.Second
 
-	streamedBodyBuffers = 36 << 10 // bytes of net/http's buffers through which the rest of a streamed body is written to a server
+	// streamedBodyBuffers are the bytes through which the rest of a streamed body passes: net/http's buffers and one part.
+	streamedBodyBuffers = 36<<10 + bodyPartSize
 )
 
 // minRateBody reads a request's body, and fails with a timeout if the body arrives at less than the minimum rate.
@@ -45,17 +45,6 @@
 	return n, err
 }
 
-// bodyRest is the rest of a streamed body, which the upstream connection reads while the client sends it.
-type bodyRest struct {
-	body   *minRateBody
-	failed chan struct{} // closed when reading fails before the end of the body
-
-	mu       sync.Mutex // held while reading
-	complete bool
-	stopped  bool // Read returns errRequestEnded
-	err      error
-}
-
 var errRequestEnded = errors.New("the request is over")
 
 // errNoInputMemory is returned for a body if other requests occupy the memory for input.
@@ -64,60 +53,6 @@
 // errBodyTooLong is returned for a body of more than validation.MaxStreamedBody bytes.
 var errBodyTooLong = errors.New("the body is too long")
 
-// reader returns u as an io.Reader, or a nil interface if u is nil.
-func (u *bodyRest) reader() io.Reader {
-	if u == nil {
-		return nil
-	}
-	return u
-}
-
-// Read implements io.Reader.
-func (u *bodyRest) Read(p []byte) (int, error) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.stopped {
-		return 0, errRequestEnded
-	}
-	return u.read(p)
-}
-
-func (u *bodyRest) read(p []byte) (int, error) {
-	if u.err != nil {
-		return 0, u.err
-	}
-	n, err := u.body.Read(p)
-	if err != nil {
-		u.err, u.complete = err, err == io.EOF
-		if !u.complete {
-			close(u.failed)
-		}
-	}
-	return n, err
-}
-
-// stop ends reading and reports whether the body was received completely. It interrupts a Read that waits for bytes; the
-// connection can't be used for another request then.
-func (u *bodyRest) stop() (complete bool) {
-	idle := u.mu.TryLock()
-	if !idle {
-		u.body.control.SetReadDeadline(time.Unix(1, 0))
-		u.mu.Lock()
-	}
-	defer u.mu.Unlock()
-	u.stopped = true
-	return u.complete && idle
-}
-
-// discard reads and drops further bytes for a limited time: closing the connection at once would reset it, and a client that
-// is still sending could lose the response.
-func (u *bodyRest) discard() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.body.control.SetReadDeadline(time.Now().Add(discardTimeout))
-	io.CopyN(io.Discard, u.body.body, minBodyRate*8)
-}
-
 // readBody reads a body that is buffered completely, or the first part of a streamed body, and returns the rest of that. It
 // returns an error if the body was incomplete or too slow, or errNoInputMemory. What is buffered counts in the
 // reservation, which a request without a body needs not have.
@@ -125,7 +60,8 @@
 	if r.ContentLength == 0 {
 		return nil, nil, nil
 	}
-	start := connOf(r.Context()).requestStartTime()
+	conn := connOf(r.Context())
+	start := conn.requestStartTime()
 	body := &minRateBody{body: r.Body, control: control, grace: f.bodyGrace, elapsed: time.Since(start)}
 	limit := validation.MaxBufferedBody
 	if r.ContentLength > validation.MaxBufferedBody {
@@ -146,7 +82,8 @@
 	case !reservation.Grow(streamedBodyBuffers):
 		return nil, nil, errNoInputMemory
 	}
-	return part, &bodyRest{body: body, failed: make(chan struct{})}, nil
+	control.EnableFullDuplex() // the response may begin before the body has been received
+	return part, receiveRest(body, conn.Conn, f.clock, reservation), nil
 }
 
 // minBodyBuffer is the first size of the buffer for a body, in bytes.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -39,7 +39,11 @@
 		return engine.Outcome{Result: result, EndState: endingBeforeStart(result)}
 	}
 	outcome := p.run(attempt, c, waiter)
+	reason := outcome.EndState.Reason
 	outcome.EndState = p.ending(c, outcome.Result)
+	if reason != "" {
+		outcome.EndState.Reason = reason
+	}
 	return outcome
 }
 
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -30,6 +30,8 @@
 func newTestAttempt(pool *Pool, endpoint string) *engine.Attempt {
 	now := pool.clock.Now()
 	request := engine.NewRequest("id", engine.Message{Method: "POST", Target: "/note/k", Body: []byte("body")})
+	request.At = now
+	request.Deadline = now + testpeer.Limit
 	return engine.NewAttempt(request, 0, listServer(pool, endpoint), now, now+testpeer.Limit)
 }
 
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -79,7 +79,7 @@
 // attempt that waits for it takes another one or, if its request was written, ends.
 func (p *Pool) expectsReply(c *conn) bool {
 	p.awaitWritten(c)
-	unacknowledged := isUnacknowledged(c.Conn) && inputStateOf(c.Conn, p.recvfrom) == inputPending // a reset leaves some, too
+	unacknowledged := unacknowledgedBytes(c.Conn) > 0 && inputStateOf(c.Conn, p.recvfrom) == inputPending // a reset leaves some, too
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	waiter := c.waiter
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"damsontrestle/internal/balancer"
@@ -84,12 +85,15 @@
 	*conn
 	pool     *Pool
 	maxStall time.Duration
+	written  *atomic.Int64
 }
 
 // Write implements io.Writer.
 func (s stallLimited) Write(p []byte) (int, error) {
 	s.SetWriteDeadline(time.Now().Add(s.maxStall))
-	return s.pool.write(s.conn, p)
+	n, err := s.pool.write(s.conn, p)
+	s.written.Add(int64(n))
+	return n, err
 }
 
 // uploadAttempt is an attempt of a request whose body is still being received from the client.
@@ -99,13 +103,16 @@
 	conn       *conn
 	waiter     chan reply
 	clientBody *attemptBody
-	writeDone  chan error // receives the result of writing the request
-	complete   bool       // the request was written completely
-	wait       *replyWait // for the reply, once complete is set
+	writeDone  chan error    // receives the result of writing the request
+	complete   bool          // the request was written completely
+	wait       *replyWait    // for the reply, once complete is set
+	clientTime time.Duration // how long the client waits once its last byte was received
+	clientOver bool          // that time was over before the request was written completely
+	written    atomic.Int64  // bytes written to conn
 }
 
-// upload sends a request while its body is received from the client. The attempt's deadline counts from the last byte. A reply
-// that arrives before that ends the attempt: it cannot be a reply to the complete request.
+// upload sends a request while its body is received from the client. The client's time counts from the reception of the last byte, the
+// attempt's from its write. A reply that arrives before that ends the attempt: it cannot be a reply to the complete request.
 func (p *Pool) upload(attempt *engine.Attempt, c *conn, waiter chan reply) engine.Outcome {
 	message := &attempt.Request.Message
 	u := &uploadAttempt{
@@ -115,6 +122,7 @@
 		waiter:     waiter,
 		clientBody: &attemptBody{Reader: message.Rest, remaining: message.Length - int64(len(message.Body))},
 		writeDone:  make(chan error, 1),
+		clientTime: attempt.Request.Deadline - attempt.Request.At,
 	}
 	if attempt.Request.IsDisconnected(p.clock.Now) {
 		p.abandon(c, waiter, closeAttemptEnded)
@@ -126,31 +134,63 @@
 	body := io.MultiReader(bytes.NewReader(message.Body), u.clientBody)
 	// The rest of the body may wait in the kernel's buffers, so that the client's time runs while the server accepts nothing.
 	timeout := attempt.Deadline - attempt.SentAt
-	to := stallLimited{c, p, min(maxWriteStall, timeout)}
+	to := stallLimited{c, p, min(maxWriteStall, timeout), &u.written}
 	go func() { u.writeDone <- newRequest(attempt, timeout, body).Write(to) }()
 	got := u.await()
 	consumed, failed := u.clientBody.end()
 	outcome := u.outcome(got, failed)
 	outcome.NotReplayable = consumed
+	if u.clientOver {
+		outcome.EndState.Reason = engine.EndClientTime
+	}
 	return outcome
 }
 
 // await waits for the reply or the end of the connection, and records whether the request was written completely.
 func (u *uploadAttempt) await() reply {
-	select {
-	case err := <-u.writeDone:
-		if err != nil {
-			u.pool.abandon(u.conn, u.waiter, closeWriteFailed)
-		} else {
-			u.markComplete()
+	reception := u.Request.Message.Received
+	received := reception.Done()
+	queue := backlog{clock: u.pool.clock, reception: reception, conn: u.conn, written: &u.written, clientTime: u.clientTime}
+	looks := time.NewTicker(queue.interval())
+	defer looks.Stop()
+	var clientOver <-chan time.Time
+	for {
+		select {
+		case <-received:
+			received = nil
+			clientOver = time.After(u.pool.clock.Until(u.clientDeadline()))
+		case <-clientOver:
+			u.endForClient()
+		case <-looks.C:
+			if queue.isHopeless() {
+				u.endForClient()
+			}
+		case err := <-u.writeDone:
+			if err != nil {
+				u.pool.abandon(u.conn, u.waiter, closeWriteFailed)
+			} else {
+				u.markComplete()
+			}
+			return <-u.waiter
+		case got := <-u.waiter:
+			u.awaitWriter(got)
+			return got
 		}
-		return <-u.waiter
-	case got := <-u.waiter:
-		u.awaitWriter(got)
-		return got
 	}
 }
 
+// endForClient ends the attempt because its client's time is over.
+func (u *uploadAttempt) endForClient() {
+	u.clientOver = true
+	u.pool.abandon(u.conn, u.waiter, closeAttemptEnded)
+}
+
+// clientDeadline returns the clock time until which the client waits, as far as that is known: its time begins once its last byte was
+// received.
+func (u *uploadAttempt) clientDeadline() time.Duration {
+	return u.Request.Message.Received.At(u.pool.clock.Now()) + u.clientTime
+}
+
 // awaitWriter waits for the writer after an early reply or the end of the connection, and records whether the request was written
 // completely.
 func (u *uploadAttempt) awaitWriter(got reply) {
@@ -175,14 +215,15 @@
 // markComplete records that the last byte was written, and starts the attempt's deadline.
 func (u *uploadAttempt) markComplete() {
 	p := u.pool
+	now := p.clock.Now()
 	u.complete = true
 	u.conn.SetWriteDeadline(time.Time{})
-	clientTime := u.Request.Deadline - u.Request.At
-	p.setClientDeadline(u.conn, p.clock.Now()+clientTime)
+	p.setClientDeadline(u.conn, u.clientDeadline())
 	p.markWritten(u.conn)
 	p.counters.AttemptSent()
-	deadline := u.Uploaded(p.clock.Now())
-	u.wait = p.startReplyWait(u.conn, u.waiter, deadline, u.Deadline-u.SentAt, clientTime)
+	u.Uploaded(now, u.Request.Message.Received.At(now))
+	timeout := u.Deadline - u.SentAt
+	u.wait = p.startReplyWait(u.conn, u.waiter, min(now+timeout, u.clientDeadline()), timeout, u.clientTime)
 	context.AfterFunc(u.Context(), u.wait.stop)
 }
 
--- a/internal/validation/validation.go
+++ b/internal/validation/validation.go
@@ -132,20 +132,31 @@
 	return values[0]
 }
 
-// Submit submits a request whose last byte was read at a clock time, or whose body continues with rest. If the snapshot under
+// Body is the body of a request, as far as a front end has read it.
+type Body struct {
+	Buffered []byte
+	Rest     io.Reader         // what follows; nil: nothing
+	Received *engine.Reception // of Rest
+	ReadAt   time.Duration     // clock time at which the last byte of Buffered was read
+}
+
+// Submit submits a request with its body. If the snapshot under
 // which its head was checked is no longer current, the head is checked again, since what is allowed may have changed. If the
 // error is nil, exactly one response is sent on the request's channel.
-func Submit(dispatcher *dispatch.Dispatcher, snapshot *dispatch.Snapshot, head *Head, request Request, body []byte, rest io.Reader,
-	receivedAt time.Duration) (*engine.Request, error) {
+func Submit(dispatcher *dispatch.Dispatcher, snapshot *dispatch.Snapshot, head *Head, request Request, body Body) (*engine.Request, error) {
 	clientDisconnected := request.Message.ClientDisconnected
 	for {
-		request.Message.Body, request.Message.Rest, request.Message.Length, request.Message.ClientDisconnected =
-			body, rest, int64(len(body)), clientDisconnected
-		if rest != nil {
+		message := &request.Message
+		message.Body = body.Buffered
+		message.Rest = body.Rest
+		message.Received = body.Received
+		message.Length = int64(len(body.Buffered))
+		message.ClientDisconnected = clientDisconnected
+		if body.Rest != nil {
 			request.Message.Length = head.ContentLength
 		}
 		submitted := engine.NewRequest(request.ID, request.Message)
-		submitted.Class, submitted.At, submitted.Deadline = request.Class, receivedAt, receivedAt+request.Timeout
+		submitted.Class, submitted.At, submitted.Deadline = request.Class, body.ReadAt, body.ReadAt+request.Timeout
 		err := dispatcher.Dispatch(snapshot, submitted, &request.route)
 		switch {
 		case err == nil:
