--- a/internal/upstream/progress.go
+++ b/internal/upstream/progress.go
@@ -15,7 +15,7 @@
 	received int64         // bytes of the reply's body
 }
 
-// progressReader reads the body of a reply and records its progress.
+// progressReader reads the body of a reply that is passed on, and records its progress.
 type progressReader struct {
 	pool *Pool
 	conn *conn
@@ -25,13 +25,18 @@
 // Read implements io.Reader.
 func (r *progressReader) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
+	r.pool.mu.Lock()
+	defer r.pool.mu.Unlock()
+	r.pool.recordProgress(r.conn, n)
+	return n, err
+}
+
+// recordProgress records that n bytes of a reply's body were received. The caller holds mu.
+func (p *Pool) recordProgress(c *conn, n int) {
 	if n > 0 {
-		r.pool.mu.Lock()
-		r.conn.progress.at = r.pool.clock.Now()
-		r.conn.progress.received += int64(n)
-		r.pool.mu.Unlock()
+		c.progress.at = p.clock.Now()
+		c.progress.received += int64(n)
 	}
-	return n, err
 }
 
 // endReasons are the reasons of results that have only one.
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -226,6 +226,9 @@
 	r.Result = balancer.Success
 	r.Reply.ContentType = resp.Header.Get("Content-Type")
 	r.Reply.Length = resp.ContentLength
+	if resp.ContentLength >= 0 && resp.ContentLength <= min(int64(c.reader.Buffered()), validation.MaxBufferedBody) {
+		return p.readArrivedBody(c, resp, r, reusable)
+	}
 	stream := p.newReplyStream(c, resp.Body, reusable)
 	partial := p.beginPartialReply(c, r, stream)
 	limit := validation.MaxBufferedBody + 1
@@ -233,7 +236,7 @@
 	if resp.ContentLength > validation.MaxBufferedBody {
 		limit = firstPartLength
 	}
-	body, complete, err := p.receiveBody(c, partial, stream.body, resp.ContentLength, limit)
+	body, complete, err := p.receiveBody(c, partial, resp.Body, resp.ContentLength, limit)
 	switch {
 	case err == errHandedOver:
 		return reply{err: err}, false
@@ -251,6 +254,16 @@
 	return r, false
 }
 
+// readArrivedBody reads the body of a reply of which all has arrived with the head.
+func (p *Pool) readArrivedBody(c *conn, resp *http.Response, head reply, reusable bool) (reply, bool) {
+	head.Reply.Body = make([]byte, resp.ContentLength)
+	if _, err := io.ReadFull(resp.Body, head.Reply.Body); err != nil {
+		return reply{err: fmt.Errorf("%w: %w", errIncomplete, err)}, false
+	}
+	head.At = p.clock.Now()
+	return head, reusable && c.reader.Buffered() == 0
+}
+
 // beginPartialReply records that the head of a reply was read, and that its body is being received.
 func (p *Pool) beginPartialReply(c *conn, head reply, stream *replyStream) *partialReply {
 	p.mu.Lock()
@@ -284,7 +297,7 @@
 		part := body[len(body) : len(body)+n]
 		body = body[:len(body)+n]
 		switch {
-		case p.isHandedOver(partial, body):
+		case p.recordBody(c, partial, body, n):
 			c.limited.remaining = chunkOverhead * maxStreamed
 			partial.remainder <- bodyPart{data: part, err: err}
 			return nil, false, errHandedOver
@@ -298,10 +311,12 @@
 	}
 }
 
-// isHandedOver reports whether a reply was handed over meanwhile. Otherwise it records the body received so far.
-func (p *Pool) isHandedOver(partial *partialReply, body []byte) bool {
+// recordBody records the body of a reply received so far, the last n bytes of it now, and reports whether the reply was handed over
+// meanwhile.
+func (p *Pool) recordBody(c *conn, partial *partialReply, body []byte, n int) (handedOver bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordProgress(c, n)
 	if !partial.handedOver {
 		partial.body = body
 	}
