--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -19,8 +19,8 @@
 	return outcome
 }
 
-// attemptContext returns a context that ends at the attempt's deadline or when it is cancelled. The deadline of an upload begins
-// only once its body is written completely, so its context has none.
+// attemptContext returns a context that ends at the attempt's deadline or when it is cancelled. The time of an upload begins
+// only once its body was received completely, so its context has no deadline.
 func (p *Pool) attemptContext(attempt *engine.Attempt) (context.Context, context.CancelFunc) {
 	if attempt.Request.Message.Rest != nil {
 		return context.WithCancel(attempt.Context())
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,7 +81,7 @@
 	return b.consumed, b.failed
 }
 
-// stallLimited is a connection whose writes fail if the server accepts nothing for maxStall.
+// stallLimited is a connection whose writes fail if the server takes nothing for maxStall.
 type stallLimited struct {
 	*conn
 	pool     *Pool
@@ -88,12 +89,20 @@
 	written  *atomic.Int64
 }
 
-// Write implements io.Writer.
-func (s stallLimited) Write(p []byte) (int, error) {
-	s.SetWriteDeadline(time.Now().Add(s.maxStall))
-	n, err := s.pool.write(s.conn, p)
-	s.written.Add(int64(n))
-	return n, err
+// Write implements io.Writer. The kernel accepts further bytes only once much of its buffer is free, so a wait for that tells nothing
+// of the server: what its system acknowledges does.
+func (s stallLimited) Write(p []byte) (written int, err error) {
+	for {
+		queued := unacknowledgedBytes(s.Conn)
+		s.SetWriteDeadline(time.Now().Add(s.maxStall))
+		n, err := s.pool.write(s.conn, p[written:])
+		s.written.Add(int64(n))
+		written += n
+		taken := queued + int64(n) - unacknowledgedBytes(s.Conn)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || taken <= 0 {
+			return written, err
+		}
+	}
 }
 
 // uploadAttempt is an attempt of a request whose body is still being received from the client.
@@ -111,8 +120,8 @@
 	written    atomic.Int64  // bytes written to conn
 }
 
-// upload sends a request while its body is received from the client. The client's time counts from the reception of the last byte, the
-// attempt's from its write. A reply that arrives before that ends the attempt: it cannot be a reply to the complete request.
+// upload sends a request while its body is received from the client. The client's time counts from the reception of the last byte.
+// A reply that arrives before the last byte is written ends the attempt: it cannot be a reply to the complete request.
 func (p *Pool) upload(attempt *engine.Attempt, c *conn, waiter chan reply) engine.Outcome {
 	message := &attempt.Request.Message
 	u := &uploadAttempt{
@@ -222,8 +231,8 @@
 	p.markWritten(u.conn)
 	p.counters.AttemptSent()
 	u.Uploaded(now, u.Request.Message.Received.At(now))
-	timeout := u.Deadline - u.SentAt
-	u.wait = p.startReplyWait(u.conn, u.waiter, min(now+timeout, u.clientDeadline()), timeout, u.clientTime)
+	// The server may still read what is in its system's buffers, so the attempt's time does not bound the wait for the head.
+	u.wait = p.startReplyWait(u.conn, u.waiter, u.clientDeadline(), u.Deadline-u.SentAt, u.clientTime)
 	context.AfterFunc(u.Context(), u.wait.stop)
 }
 
