--- a/internal/http1/handover_test.go
+++ b/internal/http1/handover_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -185,3 +186,21 @@
 		t.Errorf("status %d after %v; want 503 within %v: the request never ran", r.StatusCode, took, handoverDeadline+responseSlack)
 	}
 }
+
+// Guards against a late final response: the connection to the server of an upload comes up late, while all of the upload was received.
+func TestUploadIsAnsweredInTimeDuringConnect(t *testing.T) {
+	server := testpeer.NewServer(t, testpeer.Echo)
+	node := startNode(t, testConfig(testpeer.FullSnapshot(testpeer.Entry("s1", server.Address(), "in_service"))), func(node *testNode) {
+		node.upstream.SetDial(func(ctx context.Context, _, _ string) (net.Conn, error) { // the connection never comes up
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+	})
+	client := testpeer.Dial(t, node.Addr())
+	begin := time.Now()
+	client.Send("POST", "/note/k", "id", strings.Repeat("x", 200_000), fmt.Sprint(handoverDeadline.Seconds()))
+	r, _ := client.ReadResponse(t)
+	if took := time.Since(begin); r.StatusCode != 503 || took > handoverDeadline+responseSlack {
+		t.Errorf("status %d after %v; want 503 within %v: the request never ran", r.StatusCode, took, handoverDeadline+responseSlack)
+	}
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"damsontrestle/internal/balancer"
+	"damsontrestle/internal/clock"
 	"damsontrestle/internal/engine"
 )
 
@@ -19,13 +20,24 @@
 	return outcome
 }
 
-// attemptContext returns a context that ends at the attempt's deadline or when it is cancelled. The time of an upload begins
-// only once its body was received completely, so its context has no deadline.
+// attemptContext returns a context that ends when the attempt is cancelled, or when the time for its start is over: at the attempt's
+// deadline or, for a request whose body is still being received, when its client waits no longer.
 func (p *Pool) attemptContext(attempt *engine.Attempt) (context.Context, context.CancelFunc) {
-	if attempt.Request.Message.Rest != nil {
-		return context.WithCancel(attempt.Context())
+	if attempt.Request.Message.Rest == nil {
+		return context.WithTimeout(attempt.Context(), p.clock.Until(attempt.Deadline))
 	}
-	return context.WithTimeout(attempt.Context(), p.clock.Until(attempt.Deadline))
+	ctx, cancel := context.WithCancel(attempt.Context())
+	reception := attempt.Request.Message.Received
+	clientTime := attempt.Request.Deadline - attempt.Request.At
+	go func() {
+		select {
+		case <-reception.Done():
+			clock.Sleep(ctx, p.clock.Until(reception.At(0)+clientTime))
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
 }
 
 // try makes an attempt on a connection that no other request uses meanwhile.
