netio: the progress of a peer that takes what is written, for both sides of the node

Need: what a peer's system has acknowledged was known to connections to servers only, and clients' connections want the same. Change: netio.Unacknowledged and netio.WriteWhileTaken, used by internal/upstream; behaviour as before.

--- /dev/null
+++ b/internal/netio/progress.go
@@ -0,0 +1,51 @@
+package netio
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Unacknowledged returns how many bytes that were written to a connection its peer's system has not acknowledged (SIOCOUTQ, tcp(7)); 0
+// for a connection without a socket. It neither blocks nor takes the lock of a read or write under way.
+func Unacknowledged(c net.Conn) (bytes int64) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) { bytes = UnacknowledgedOf(fd) })
+	return bytes
+}
+
+// UnacknowledgedOf is Unacknowledged for a descriptor.
+func UnacknowledgedOf(fd uintptr) int64 {
+	n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	if err != nil {
+		return 0
+	}
+	return int64(n)
+}
+
+// WriteWhileTaken writes all of p to a connection by a function, as Write does, for as long as the peer takes something in each stall.
+// The kernel accepts further bytes only once a third of its buffer is free, so a wait for that tells nothing of the peer: what its
+// system acknowledges does. It returns how many bytes the kernel has accepted.
+func WriteWhileTaken(c net.Conn, p []byte, stall time.Duration, write func([]byte) (int, error)) (written int, err error) {
+	for {
+		queued := Unacknowledged(c)
+		c.SetWriteDeadline(time.Now().Add(stall))
+		n, err := write(p[written:])
+		written += n
+		taken := queued + int64(n) - Unacknowledged(c)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || taken <= 0 {
+			return written, err
+		}
+	}
+}
--- a/internal/upstream/backlog.go
+++ b/internal/upstream/backlog.go
@@ -6,6 +6,7 @@
 
 	"damsontrestle/internal/clock"
 	"damsontrestle/internal/engine"
+	"damsontrestle/internal/netio"
 )
 
 // maxBacklogCheck is the longest interval between two looks at the backlog of an upload, and backlogChecks how many of them the time of
@@ -38,7 +39,7 @@
 func (b *backlog) isHopeless() bool {
 	now := b.clock.Now()
 	since, buffered := b.reception.Backlog(now)
-	queued := unacknowledgedBytes(b.conn.Conn)
+	queued := netio.Unacknowledged(b.conn.Conn)
 	taken := b.written.Load() - queued
 	if since > b.since {
 		b.since = since
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -10,6 +10,7 @@
 
 	"damsontrestle/internal/balancer"
 	"damsontrestle/internal/engine"
+	"damsontrestle/internal/netio"
 	"damsontrestle/internal/validation"
 )
 
@@ -79,7 +80,7 @@
 // attempt that waits for it takes another one or, if its request was written, ends.
 func (p *Pool) expectsReply(c *conn) bool {
 	p.awaitWritten(c)
-	unacknowledged := unacknowledgedBytes(c.Conn) > 0 && inputStateOf(c.Conn, p.recvfrom) == inputPending // a reset leaves some, too
+	unacknowledged := netio.Unacknowledged(c.Conn) > 0 && inputStateOf(c.Conn, p.recvfrom) == inputPending // a reset leaves some, too
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	waiter := c.waiter
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -124,7 +124,7 @@
 		if peekInput(fd, receive) != inputPending {
 			return
 		}
-		if unacknowledged(fd) > 0 {
+		if netio.UnacknowledgedOf(fd) > 0 {
 			early = true
 			return
 		}
@@ -137,21 +137,3 @@
 	})
 	return early
 }
-
-// unacknowledged returns how many bytes that were written the peer's system has not acknowledged (SIOCOUTQ, tcp(7)). A reply
-// acknowledges the request that it belongs to.
-func unacknowledged(fd uintptr) int {
-	n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
-// unacknowledgedBytes is unacknowledged for a connection; 0 for one without a socket.
-func unacknowledgedBytes(nc net.Conn) (bytes int64) {
-	if raw := rawConn(nc); raw != nil {
-		raw.Control(func(fd uintptr) { bytes = int64(unacknowledged(fd)) })
-	}
-	return bytes
-}
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -5,13 +5,13 @@
 	"context"
 	"errors"
 	"io"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"damsontrestle/internal/balancer"
 	"damsontrestle/internal/engine"
+	"damsontrestle/internal/netio"
 )
 
 // Limits of an upload.
@@ -89,20 +89,13 @@
 	written  *atomic.Int64
 }
 
-// Write implements io.Writer. The kernel accepts further bytes only once much of its buffer is free, so a wait for that tells nothing
-// of the server: what its system acknowledges does.
-func (s stallLimited) Write(p []byte) (written int, err error) {
-	for {
-		queued := unacknowledgedBytes(s.Conn)
-		s.SetWriteDeadline(time.Now().Add(s.maxStall))
-		n, err := s.pool.write(s.conn, p[written:])
+// Write implements io.Writer.
+func (s stallLimited) Write(p []byte) (int, error) {
+	return netio.WriteWhileTaken(s.Conn, p, s.maxStall, func(part []byte) (int, error) {
+		n, err := s.pool.write(s.conn, part)
 		s.written.Add(int64(n))
-		written += n
-		taken := queued + int64(n) - unacknowledgedBytes(s.Conn)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || taken <= 0 {
-			return written, err
-		}
-	}
+		return n, err
+	})
 }
 
 // uploadAttempt is an attempt of a request whose body is still being received from the client.
