--- a/internal/fastcgi/client.go
+++ b/internal/fastcgi/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"damsontrestle/internal/downstream"
+	"damsontrestle/internal/netio"
 )
 
 // Limits on how long the node waits for a web server.
@@ -155,13 +156,12 @@
 	return n, err
 }
 
-// connWriter sets a new deadline before each write: a response that does not fit into the Writer's buffer is written
-// in part before it is flushed.
+// connWriter limits how long the web server may take nothing of a write: a response that does not fit into the Writer's buffer is
+// written in part before it is flushed.
 type connWriter struct{ c *client }
 
 func (w connWriter) Write(p []byte) (int, error) {
-	w.c.Conn.SetWriteDeadline(time.Now().Add(w.c.writeTimeout))
-	return w.c.Conn.Write(p)
+	return netio.WriteWhileTaken(w.c.Conn, p, w.c.writeTimeout, w.c.Conn.Write)
 }
 
 // setReadDeadline sets the deadline of the next record.
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -36,9 +36,10 @@
 	lastRead          time.Time // when bytes were last read
 	lastWrite         time.Time // when bytes of a response were last written
 	closing           bool
-	cutOff            bool      // AbortRead was called: further bytes don't reverse closing
-	wroteAfterCut     bool      // the last write came after AbortRead
-	deadline          time.Time // the read deadline that net/http has set
+	cutOff            bool          // AbortRead was called: further bytes don't reverse closing
+	wroteAfterCut     bool          // the last write came after AbortRead
+	deadline          time.Time     // the read deadline that net/http has set
+	writeStall        time.Duration // longest time in which the client takes nothing of a write; 0: no limit
 
 	readAheadBuffer   []byte                       // bytes read ahead that Read has not returned yet
 	readAheadDone     chan struct{}                // closed when the read-ahead goroutine has ended; nil: none is running
@@ -147,8 +148,25 @@
 			c.requestStart = c.lastWrite // the node did not wait for the next request until now
 		}
 	}
+	stall := c.writeStall
 	c.mu.Unlock()
-	return netio.Write(c.Conn, p)
+	write := func(part []byte) (int, error) { return netio.Write(c.Conn, part) }
+	if stall == 0 {
+		return write(p)
+	}
+	return netio.WriteWhileTaken(c.Conn, p, stall, write)
+}
+
+// SetWriteDeadline implements net.Conn. The time until the deadline limits how long the client may take nothing, not a write: a client
+// that reads slowly is waited for.
+func (c *clientConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeStall = 0
+	if !t.IsZero() {
+		c.writeStall = max(time.Until(t), time.Nanosecond)
+	}
+	return c.Conn.SetWriteDeadline(t)
 }
 
 // SinceLastRead implements downstream.Conn.
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -14,7 +14,7 @@
 	"damsontrestle/internal/validation"
 )
 
-// maxWriteStall is the timeout for each write of a streamed response.
+// maxWriteStall is the longest time in which a client takes nothing of a streamed response.
 const maxWriteStall = 10 * time.Second
 
 // streamBufferSize is how many bytes of a streamed response are held in memory at a time.
@@ -182,7 +182,7 @@
 
 // writePart sends the client a part of a reply without buffering it.
 func (x *exchange) writePart(part []byte) error {
-	x.control.SetWriteDeadline(time.Now().Add(maxWriteStall))
+	x.control.SetWriteDeadline(time.Now().Add(x.front.writeStall))
 	_, err := x.writer.Write(part)
 	if err == nil {
 		err = x.control.Flush()
--- a/internal/http1/streaming_test.go
+++ b/internal/http1/streaming_test.go
@@ -143,6 +143,48 @@
 	testpeer.Receive(t, serverDone, "the server to send the whole response")
 }
 
+// Guards against a cut of a sound response: its client reads it slowly, and the kernel reports free space only once much of its buffer is
+// free.
+func TestClientThatReadsSlowlyIsNotCut(t *testing.T) {
+	const size, rate, interval = 8 << 20, 2 << 20, 50 * time.Millisecond
+	ln := startRawServer(t, func(conn net.Conn, r *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
+		conn.Write(randomBytes(size))
+	})
+	node := startNode(t, testConfig(testpeer.FullSnapshot(entry("s1", ln))), func(node *testNode) { node.front.writeStall = 200 * time.Millisecond })
+	client := testpeer.Dial(t, node.Addr())
+	client.Get("slow")
+	r, err := http.ReadResponse(client.Reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var received int64
+	for err == nil {
+		var n int64
+		n, err = io.CopyN(io.Discard, r.Body, int64(rate*interval/time.Second))
+		received += n
+		time.Sleep(interval)
+	}
+	if received != size || err != io.EOF {
+		t.Errorf("received %d of %d bytes, %v", received, size, err)
+	}
+}
+
+// Guards against a client that holds a response by reading nothing of it.
+func TestClientThatReadsNothingIsCut(t *testing.T) {
+	ln := startRawServer(t, func(conn net.Conn, r *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 32<<20)
+		conn.Write(randomBytes(32 << 20))
+	})
+	node := startNode(t, testConfig(testpeer.FullSnapshot(entry("s1", ln))), func(node *testNode) { node.front.writeStall = 200 * time.Millisecond })
+	client := testpeer.Dial(t, node.Addr())
+	client.Get("slow")
+	testpeer.Until(t, "the response to be counted as faulted", func() bool { return node.front.counters.Report().Faulted["view"] == 1 })
+	if got := node.front.counters.Report().UnservedResponses["client_not_reading"]; got != 1 {
+		t.Errorf("counted %d times as not read, want 1", got)
+	}
+}
+
 // If a server closes in the middle of its reply, the client can tell that the response is incomplete, whatever its framing, and
 // the request is not sent again.
 func TestTruncatedLongReplyIsDetectableByClient(t *testing.T) {
