--- a/internal/http1/streaming_test.go
+++ b/internal/http1/streaming_test.go
@@ -428,6 +428,43 @@
 	client.Want(t, 200, "")
 }
 
+// Guards against a cut of a sound request: its client sends it slowly, below 64 KiB and beyond. One that stops gets its failure within the
+// grace period, however much it has sent before.
+func TestClientThatSendsSlowlyIsNotCut(t *testing.T) {
+	const grace, interval, stopped = 400 * time.Millisecond, 50 * time.Millisecond, 250_000
+	server := testpeer.NewServer(t, func(conn net.Conn, r *http.Request, body string) bool {
+		return testpeer.Reply200(conn, fmt.Sprint(len(body)))
+	})
+	node := startNode(t, testConfig(testpeer.FullSnapshot(testpeer.Entry("s1", server.Address(), "in_service"))), func(node *testNode) { node.front.bodyGrace = grace })
+	for _, size := range []int{2_000, 20_000, 100_000} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprint(size, " chunked ", chunked), func(t *testing.T) {
+				t.Parallel()
+				client := testpeer.Dial(t, node.Addr())
+				write, end := sendUpload(client, fmt.Sprint("slow", size, chunked), size, chunked)
+				const parts = 40 // over 2 s
+				for range parts {
+					write(randomBytes(size / parts))
+					time.Sleep(interval)
+				}
+				end()
+				client.Want(t, 200, fmt.Sprint(size))
+			})
+		}
+	}
+	t.Run("stops", func(t *testing.T) {
+		t.Parallel()
+		client := testpeer.Dial(t, node.Addr())
+		write, _ := sendUpload(client, "stops", 2*stopped, false)
+		write(randomBytes(stopped))
+		begin := time.Now()
+		client.Want(t, http.StatusBadRequest, "")
+		if took := time.Since(begin); took > grace+responseSlack {
+			t.Errorf("the failure came %v after the last byte, want it within %v", took, grace+responseSlack)
+		}
+	})
+}
+
 // The scan of a head gives the same result however the head is split into pieces.
 func TestHeadScan(t *testing.T) {
 	const get, length, coding = "POST / HTTP/1.1\r\nHost: h\r\n", "content-length : 5\r\n", "Transfer-encoding: chunked\r\n"
--- a/internal/http1/upload.go
+++ b/internal/http1/upload.go
@@ -10,12 +10,13 @@
 	"damsontrestle/internal/validation"
 )
 
-// Limits on how slowly a client may send a body: it may lag behind the minimum rate by the grace period. Only time that the
-// node spends waiting for the client counts, from the first byte of the request.
+// Limits on how slowly a client may send a body: it may send nothing for the grace period, and lag behind the minimum rate by as much in
+// all. Only time that the node spends waiting for the client counts, from the first byte of the request.
 const (
 	bodyGrace      = headTimeout
-	minBodyRate    = 32 << 10 // bytes per second
-	firstPartSize  = 16 << 10 // bytes of a streamed body of known length that are read before its request is submitted
+	minBodyRate    = 512       // bytes per second
+	discardedBytes = 256 << 10 // of a body whose request is over, so that its response is not lost
+	firstPartSize  = 16 << 10  // bytes of a streamed body of known length that are read before its request is submitted
 	discardTimeout = 3 * time.Second
 
 	// streamedBodyBuffers are the bytes through which the rest of a streamed body passes: net/http's buffers and one part.
@@ -31,9 +32,15 @@
 	received int64
 }
 
+// patience returns how long the client may send nothing now.
+func (b *minRateBody) patience() time.Duration {
+	lag := b.elapsed - time.Duration(b.received)*time.Second/minBodyRate
+	return min(b.grace, b.grace-lag)
+}
+
 func (b *minRateBody) Read(p []byte) (int, error) {
 	start := time.Now()
-	b.control.SetReadDeadline(start.Add(b.grace + time.Duration(b.received)*time.Second/minBodyRate - b.elapsed))
+	b.control.SetReadDeadline(start.Add(b.patience()))
 	n, err := b.body.Read(p)
 	b.elapsed += time.Since(start)
 	if b.received += int64(n); b.received > validation.MaxStreamedBody {
