--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,7 +11,9 @@
 	"sync"
 	"sync/atomic"
 
+	"damsontrestle/internal/balancer"
 	"damsontrestle/internal/engine"
+	"damsontrestle/internal/requestids"
 	"damsontrestle/internal/route"
 )
 
@@ -33,13 +35,15 @@
 // Dispatcher holds the current Snapshot. Its methods are safe for concurrent use.
 type Dispatcher struct {
 	snapshot    atomic.Pointer[Snapshot]
-	interceptor Interceptor  // nil: none
+	interceptor Interceptor // nil: none
+	forwarded   *requestids.Set
 	mu          sync.RWMutex // read-locked while a request is submitted, write-locked while the Snapshot is swapped
 }
 
-// New returns a Dispatcher with an initial Snapshot.
-func New(s *Snapshot) *Dispatcher {
-	d := &Dispatcher{}
+// New returns a Dispatcher with an initial Snapshot. It refuses requests whose ids are in forwarded, and adds the ids of those that may
+// have run.
+func New(s *Snapshot, forwarded *requestids.Set) *Dispatcher {
+	d := &Dispatcher{forwarded: forwarded}
 	d.snapshot.Store(s)
 	return d
 }
@@ -62,6 +66,13 @@
 	if !ok {
 		return ErrNoRoute
 	}
+	if class, known := s.Class(request.Class); !known || class.Effect != balancer.Safe {
+		if d.forwarded.Contains(request.ID) {
+			request.Finish(engine.Response{Kind: engine.Duplicate, EndState: engine.EndState{Reason: engine.EndDuplicate}})
+			return nil
+		}
+		request.Forwarded = d.forwarded
+	}
 	s.engines[choice.Pool].Submit(request)
 	return nil
 }
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -69,7 +69,13 @@
 	if pastNotAfter || timedOut {
 		a.stage.CompareAndSwap(attemptNotStarted, attemptCancelled)
 	}
-	return a.stage.CompareAndSwap(attemptNotStarted, attemptRunning)
+	if !a.stage.CompareAndSwap(attemptNotStarted, attemptRunning) {
+		return false
+	}
+	if a.Request.Forwarded != nil {
+		a.Request.Forwarded.Add(a.Request.ID)
+	}
+	return true
 }
 
 // Cancel cancels the attempt. Its Outcome is still delivered.
--- a/internal/engine/pending.go
+++ b/internal/engine/pending.go
@@ -85,7 +85,11 @@
 
 // removeIfFinished removes a request that has its response and no attempt in flight, as the balancer does.
 func (eng *Engine) removeIfFinished(pending *pendingRequest) {
-	if pending.responded && pending.inFlight == 0 {
-		delete(eng.pending, pending.request.ID)
+	if !pending.responded || pending.inFlight > 0 {
+		return
+	}
+	delete(eng.pending, pending.request.ID)
+	if request := pending.request; !pending.mayHaveRun && len(pending.attempts) > 0 && request.Forwarded != nil {
+		request.Forwarded.Remove(request.ID)
 	}
 }
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -23,6 +23,9 @@
 	AllowAttempt  func(*Attempt) bool      // called before the first byte of an attempt is written; false forbids the attempt
 	AttemptEnded  func(*Attempt, *Outcome) // called with the outcome of each attempt
 
+	// Forwarded remembers that the request may have run, so that it is not forwarded again with its id; nil: nothing does.
+	Forwarded ForwardedIDs
+
 	response     chan Response // buffered for the one response
 	disconnected atomic.Bool   // the client has disconnected
 
@@ -31,6 +34,12 @@
 	onDisconnect func(time.Duration) // called instead of the owner when the client disconnects
 }
 
+// ForwardedIDs remembers the ids of requests that may have run. Its methods are safe for concurrent use.
+type ForwardedIDs interface {
+	Add(id string)    // before the first byte of an attempt
+	Remove(id string) // once it is proven that no attempt ran
+}
+
 // Message is the message for a server, in the terms that all protocols share (RFC 9110). Empty fields were not given.
 type Message struct {
 	Method         string
--- a/internal/hotrestart/hotrestart.go
+++ b/internal/hotrestart/hotrestart.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -97,10 +98,31 @@
 	successor *os.File
 }
 
-// Suffixes of the lock files' names. They must not change, because processes of different versions share the files.
+// SharedFile opens a file that the processes of the node share. It is empty unless another process of the node has it.
+func (p *Processes) SharedFile() (*os.File, error) {
+	path := strings.TrimSuffix(p.primary.Name(), primarySuffix) + sharedSuffix
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("hotrestart: open shared file: %w", err)
+	}
+	if !p.isAlone() {
+		return file, nil
+	}
+	if err := file.Truncate(0); err != nil {
+		file.Close()
+		return nil, fmt.Errorf("hotrestart: empty shared file: %w", err)
+	}
+	return file, nil
+}
+
+// isAlone reports whether this is the node's only process.
+func (p *Processes) isAlone() bool { return p.TakePrimary() && !p.HasSuccessor() }
+
+// Suffixes of the files' names. They must not change, because processes of different versions share the files.
 const (
 	primarySuffix   = ".seat"
 	successorSuffix = ".next"
+	sharedSuffix    = ".ids"
 )
 
 // Join adds this process to the processes of a node, whose lock files are named after name, in folder. It fails if a
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -53,7 +53,7 @@
 		}
 	}
 	if n.dispatcher == nil {
-		n.dispatcher = dispatch.New(c.snapshot)
+		n.dispatcher = dispatch.New(c.snapshot, n.forwarded)
 	}
 	now := n.clock.Now()
 	n.dispatcher.Swap(c.snapshot, func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	"damsontrestle/internal/metrics"
 	"damsontrestle/internal/mgmt"
 	"damsontrestle/internal/readiness"
+	"damsontrestle/internal/requestids"
 	"damsontrestle/internal/upstream"
 )
 
@@ -49,6 +50,7 @@
 	gateway           *gateway.Gateway  // nil: the node is not a gateway
 	clients           *downstream.Set
 	dispatcher        *dispatch.Dispatcher
+	forwarded         *requestids.Set // shared with the node's other process, if there can be one
 
 	incarnation context.Context // done once the node is closed
 	stop        context.CancelFunc
@@ -148,6 +150,7 @@
 	if options.Processes != nil {
 		n.sharesLimits = !options.Processes.TakePrimary()
 	}
+	n.forwarded = openForwarded(options.Processes, log)
 	n.resize(cfg)
 	starting, cancel := options.Starting()
 	defer cancel()
@@ -170,6 +173,24 @@
 	return n, nil
 }
 
+// openForwarded returns the ids of forwarded requests that the processes of a node share or, if that fails or there can be no other
+// process, those of this one.
+func openForwarded(processes *hotrestart.Processes, log *slog.Logger) *requestids.Set {
+	if processes == nil {
+		return requestids.New()
+	}
+	file, err := processes.SharedFile()
+	if err == nil {
+		defer file.Close()
+		var shared *requestids.Set
+		if shared, err = requestids.Open(file); err == nil {
+			return shared
+		}
+	}
+	log.Warn("request ids can't be shared with the node's other process", "error", err)
+	return requestids.New()
+}
+
 // inputMemoryDivisor is the part of the node's memory that heads and buffered bodies of requests may occupy. Twice as much is in use
 // while bodies are written to servers.
 const inputMemoryDivisor = 5
