--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -64,6 +64,7 @@
 	clock       clock.Clock
 	serverConns func() int // descriptors that server connections use
 	input       *InputBudget
+	pacer       Pacer
 
 	mu           sync.Mutex
 	limits       Limits
@@ -124,6 +125,9 @@
 	return s
 }
 
+// Pacer returns the rate of work that serves no request, of all front ends.
+func (s *Set) Pacer() *Pacer { return &s.pacer }
+
 // Input returns the budget of the heads and bodies of requests that are buffered.
 func (s *Set) Input() *InputBudget { return s.input }
 
--- a/internal/http1/bodyrest.go
+++ b/internal/http1/bodyrest.go
@@ -36,6 +36,7 @@
 	reception   *engine.Reception
 	failed      chan struct{} // closed when receiving fails before the end of the body
 	ended       chan struct{} // closed when receiving has ended
+	over        chan struct{} // closed by stop
 
 	mu       sync.Mutex
 	changed  *sync.Cond
@@ -56,8 +57,10 @@
 		reception:   engine.NewReception(c.Now()),
 		failed:      make(chan struct{}),
 		ended:       make(chan struct{}),
+		over:        make(chan struct{}),
 	}
 	u.changed = sync.NewCond(&u.mu)
+	body.done = u.over
 	go u.receive()
 	return u
 }
@@ -166,6 +169,9 @@
 // client; the connection can't be used for another request then.
 func (u *bodyRest) stop() (complete bool) {
 	u.mu.Lock()
+	if !u.stopped {
+		close(u.over)
+	}
 	u.stopped = true
 	complete = u.err == io.EOF
 	for _, part := range u.parts {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -25,6 +25,11 @@
 type clientConn struct {
 	net.Conn
 	set            *downstream.Set
+	pace           *downstream.Pace // of work that serves no request
+	received       atomic.Int64     // bytes read from the connection
+	unserved       atomic.Int64     // work that serves no request, in bytes, to be paced before the next read
+	ended          chan struct{}    // closed once the connection is about to be closed
+	markEnded      func()
 	totalReadAhead *atomic.Int64 // bytes read ahead by all connections of the front end
 
 	mu                sync.Mutex
@@ -53,11 +58,25 @@
 }
 
 func newClientConn(conn net.Conn, set *downstream.Set, totalReadAhead *atomic.Int64) *clientConn {
-	return &clientConn{Conn: conn, set: set, totalReadAhead: totalReadAhead, readEnded: make(chan struct{}), disconnected: make(chan struct{})}
+	c := &clientConn{
+		Conn:           conn,
+		set:            set,
+		pace:           set.Pacer().NewPace(),
+		totalReadAhead: totalReadAhead,
+		readEnded:      make(chan struct{}),
+		disconnected:   make(chan struct{}),
+		ended:          make(chan struct{}),
+	}
+	c.markEnded = sync.OnceFunc(func() { close(c.ended) })
+	return c
 }
 
 // Read returns bytes that were read ahead, or else reads from the connection.
 func (c *clientConn) Read(p []byte) (int, error) {
+	if work := c.unserved.Load(); work > 0 && len(p) > 1 { // not for the one-byte read: a request is being served meanwhile
+		c.unserved.Add(-work)
+		c.pace.Spend(int(work), c.ended)
+	}
 	c.stopReadAhead()
 	n, err := c.consumeReadAhead(p)
 	if n == 0 && err == nil && c.hasDroppedInput() {
@@ -79,6 +98,7 @@
 func (c *clientConn) recordRead(p []byte, err error) (accepted int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.received.Add(int64(len(p)))
 	if len(p) > 0 {
 		c.lastRead = time.Now()
 		if !c.hasUnansweredRequest() {
@@ -227,6 +247,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.hasUnansweredRequest() {
+		c.markEnded()
 		c.closing = true
 		c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
@@ -237,6 +258,7 @@
 func (c *clientConn) AbortRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.markEnded()
 	c.closing, c.cutOff = true, true
 	c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -42,6 +42,9 @@
 	x.serve(ambiguousLength)
 }
 
+// unservedCost is the work of a request that no server gets, in bytes of input.
+const unservedCost = 4 << 10
+
 // hasTransferCoding reports whether the request's body has a transfer coding.
 func (x *exchange) hasTransferCoding() bool { return len(x.request.TransferEncoding) > 0 }
 
@@ -59,6 +62,7 @@
 	if draining || !x.front.dispatcher.Snapshot().Ready() {
 		http.Error(x.writer, "not ready", http.StatusServiceUnavailable)
 	}
+	x.conn.unserved.Add(unservedCost)
 }
 
 // keepAlive keeps the connection open after a health response, unless the front end closes connections after each response and
--- a/internal/http1/upload.go
+++ b/internal/http1/upload.go
@@ -27,9 +27,14 @@
 type minRateBody struct {
 	body     io.Reader
 	control  *http.ResponseController
+	conn     *clientConn
+	framing  int64           // bytes of conn beyond those of the body, as far as they were paced
+	done     <-chan struct{} // closed when the request is over; nil: it is not before the body ends
 	grace    time.Duration
 	elapsed  time.Duration
 	received int64
+
+	receivedBefore int64 // bytes of conn before the body, less what was read of it with the head
 }
 
 // patience returns how long the client may send nothing now.
@@ -46,12 +51,22 @@
 	if b.received += int64(n); b.received > validation.MaxStreamedBody {
 		return n, errBodyTooLong
 	}
+	b.paceFraming()
 	if err == io.EOF {
 		b.control.SetReadDeadline(time.Time{}) // otherwise net/http would wait indefinitely for bytes to discard
 	}
 	return n, err
 }
 
+// paceFraming slows down a client whose chunks have more framing than content.
+func (b *minRateBody) paceFraming() {
+	framing := b.conn.received.Load() - b.receivedBefore - 2*b.received
+	if framing > b.framing {
+		b.conn.pace.Spend(int(framing-b.framing), b.done)
+		b.framing = framing
+	}
+}
+
 var errRequestEnded = errors.New("the request is over")
 
 // errNoInputMemory is returned for a body if other requests occupy the memory for input.
@@ -69,7 +84,7 @@
 	}
 	conn := connOf(r.Context())
 	start := conn.requestStartTime()
-	body := &minRateBody{body: r.Body, control: control, grace: f.bodyGrace, elapsed: time.Since(start)}
+	body := &minRateBody{body: r.Body, control: control, conn: conn, receivedBefore: conn.received.Load(), grace: f.bodyGrace, elapsed: time.Since(start)}
 	limit := validation.MaxBufferedBody
 	if r.ContentLength > validation.MaxBufferedBody {
 		limit = firstPartSize
