--- a/internal/balancer/attempts.go
+++ b/internal/balancer/attempts.go
@@ -119,6 +119,18 @@
 	b.countAttempt(a)
 }
 
+// handleReplyBegun removes an attempt from those that show by their wait that a server or its zone does not respond.
+func (b *Balancer) handleReplyBegun(e ReplyBegun) {
+	a := b.openAttempt(e.ID, e.Attempt)
+	if a == nil {
+		return
+	}
+	isAttempt := func(o *attempt) bool { return o == a }
+	a.server.open = slices.DeleteFunc(a.server.open, isAttempt)
+	a.zone.open = slices.DeleteFunc(a.zone.open, isAttempt)
+	a.zone.markReachable(b.now)
+}
+
 // handleOutcome ends an attempt, updates the statistics and retries or responds if needed.
 func (b *Balancer) handleOutcome(outcome Outcome) {
 	a := b.openAttempt(outcome.ID, outcome.Attempt)
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -91,6 +91,8 @@
 		b.handleUploaded(e)
 	case Outcome:
 		b.handleOutcome(e)
+	case ReplyBegun:
+		b.handleReplyBegun(e)
 	case Started:
 		if r := b.requests[e.ID]; r != nil {
 			r.streaming = true
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -46,6 +46,12 @@
 		UploadTime    time.Duration // for how long the client was still sending, if there was no Uploaded
 		Load          *Load
 	}
+	// ReplyBegun reports that the reply to an attempt is arriving, and not complete: its server responds, however long
+	// the rest takes. It occurs at most once per attempt, before its Outcome.
+	ReplyBegun struct {
+		ID      string
+		Attempt int
+	}
 	// Started reports that a streamed response has begun: no further attempt may follow.
 	Started struct {
 		ID      string
@@ -76,6 +82,8 @@
 
 func (Outcome) event() {}
 
+func (ReplyBegun) event() {}
+
 func (Started) event() {}
 
 func (ClientDisconnected) event() {}
--- a/internal/balancer/zones_test.go
+++ b/internal/balancer/zones_test.go
@@ -179,6 +179,33 @@
 	}
 }
 
+// Guards against a cut of a sound reply: a zone whose servers reply slowly is taken for unreachable, and its requests are cancelled while
+// their replies arrive.
+func TestZoneWhoseRepliesHaveBegunIsReachable(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		cancelled := 0
+		for seed := range uint64(20) {
+			b := newZonedFleet(t, seed, 3, 40, nil)
+			b.run("get", 30, 5*time.Second)
+			b.silent["zone1"] = true // replies of its servers take longer than the rest of the test
+			for range 15 {
+				b.run("get", 30, 33*msec)
+				for _, e := range b.pending {
+					if begun && b.silent[b.zone(e.Server)] {
+						b.execute(b.b.Handle(b.now, ReplyBegun{ID: e.ID, Attempt: e.Attempt}))
+					}
+					if e.Result == Cancelled {
+						cancelled++
+					}
+				}
+			}
+		}
+		if begun != (cancelled == 0) {
+			t.Errorf("replies begun: %v, %d requests cancelled", begun, cancelled)
+		}
+	}
+}
+
 // Faults of a single server, of all servers or of this node must not mark a zone as unreachable.
 func TestUnrelatedFaultsMarkNoZoneUnreachable(t *testing.T) {
 	for name, injectFault := range map[string]func(*zonedFleet){
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// ReplyBegun reports to the engine at a clock time that the reply is arriving and not complete. It is called once at most.
+func (a *Attempt) ReplyBegun(at time.Duration) {
+	if a.Request.owner != nil {
+		a.Request.owner.post(replyBegun{attempt: a, at: at})
+	}
+}
+
 // Allowed reports whether Request.AllowAttempt permits the attempt, once its connection is established. It may block.
 func (a *Attempt) Allowed() bool { return a.Request.AllowAttempt == nil || a.Request.AllowAttempt(a) }
 
--- a/internal/engine/eventloop.go
+++ b/internal/engine/eventloop.go
@@ -81,6 +81,8 @@
 		eng.handleDisconnect(event)
 	case uploadCompleted:
 		eng.handleUpload(event)
+	case replyBegun:
+		eng.handleReplyBegun(event)
 	case attemptEnded:
 		eng.handleOutcome(event)
 	case loadReport:
@@ -164,6 +166,14 @@
 	eng.handleBalancerEvent(e.at, balancer.Uploaded{ID: pending.request.ID, Attempt: e.attempt.Number, Deadline: pending.request.Deadline})
 }
 
+// handleReplyBegun tells the balancer that a server responds.
+func (eng *Engine) handleReplyBegun(e replyBegun) {
+	eng.recordLag(e.at)
+	if eng.pendingOf(e.attempt.Request) != nil {
+		eng.handleBalancerEvent(e.at, balancer.ReplyBegun{ID: e.attempt.Request.ID, Attempt: e.attempt.Number})
+	}
+}
+
 // handleOutcome passes the outcome of an attempt to the balancer. The reply of the first success becomes the response.
 func (eng *Engine) handleOutcome(e attemptEnded) {
 	attempt := e.attempt
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -25,6 +25,11 @@
 		receivedAt time.Duration // of its reception from the client
 	}
 
+	replyBegun struct {
+		attempt *Attempt
+		at      time.Duration
+	}
+
 	attemptEnded struct {
 		attempt *Attempt
 		outcome Outcome
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -61,6 +61,9 @@
 
 // run sends the request on a connection and waits for the reply or the end of the attempt.
 func (p *Pool) run(attempt *engine.Attempt, c *conn, waiter chan reply) engine.Outcome {
+	p.mu.Lock()
+	c.attempt = attempt
+	p.mu.Unlock()
 	// A cancelled attempt closes its connection, which ends the wait for the reply.
 	stop := context.AfterFunc(attempt.Context(), func() { p.abandon(c, waiter, closeAttemptEnded) })
 	defer stop()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,7 +28,8 @@
 	exchangeTime time.Duration // from the start of the last request to the end of its reply
 
 	// Guarded by Pool.mu.
-	waiter    chan reply // receives the reply for the current attempt; nil while idle
+	waiter    chan reply      // receives the reply for the current attempt; nil while idle
+	attempt   *engine.Attempt // that wrote the current request; nil: a poll, or not written yet
 	stage     stage
 	written   chan struct{} // closed once the current request is written completely, or the connection is closed
 	early     bool          // there was input before the current request was written completely
@@ -113,6 +114,7 @@
 		c.uploading = false
 		c.progress = progress{}
 		c.partial = nil
+		c.attempt = nil
 		c.startedAt = p.clock.Now()
 		c.uses++
 		c.requestID = ""
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -232,6 +232,9 @@
 	}
 	stream := p.newReplyStream(c, resp.Body, reusable)
 	partial := p.beginPartialReply(c, r, stream)
+	if partial.attempt != nil {
+		partial.attempt.ReplyBegun(p.clock.Now())
+	}
 	limit := validation.MaxBufferedBody + 1
 	c.limited.remaining += chunkOverhead * validation.MaxBufferedBody
 	if resp.ContentLength > validation.MaxBufferedBody {
@@ -277,6 +280,7 @@
 	partial := &partialReply{reply: head, remainder: make(chan bodyPart, 1), stream: stream}
 	if c.waiter != nil {
 		c.partial = partial
+		partial.attempt = c.attempt
 	}
 	return partial
 }
--- a/internal/upstream/replywait.go
+++ b/internal/upstream/replywait.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"sync/atomic"
 	"time"
+
+	"damsontrestle/internal/engine"
 )
 
 // Bounds of the wait for a reply.
@@ -100,7 +102,8 @@
 
 // partialReply is a reply of 200 of which a part is received that is not handed over yet. It is guarded by Pool.mu.
 type partialReply struct {
-	reply      reply // without its body
+	attempt    *engine.Attempt // nil: none waits for it
+	reply      reply           // without its body
 	body       []byte
 	handedOver bool
 	remainder  chan bodyPart // receives the result of the read under way at the hand-over
