--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -86,6 +86,7 @@
 		x.reject(err)
 		return
 	}
+	x.class = checked.Class
 	var reservation *downstream.InputReservation
 	if x.request.ContentLength != 0 {
 		reservation = front.clients.Input().Begin(x.conn.AbortRead)
@@ -93,13 +94,8 @@
 	}
 	body, rest, err := front.readBody(x.control, x.request, reservation)
 	x.request.Trailer = nil // not forwarded, and many short fields would occupy far more memory than their bytes
-	if errors.Is(err, errNoInputMemory) {
-		front.responses.Refused(x.requestID(), checked.Class, http.StatusServiceUnavailable, engine.EndNoCapacity)
-		x.write(engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter()})
-		return
-	}
 	if err != nil {
-		x.reject(errBodyIncomplete)
+		x.rejectIncomplete(err)
 		return
 	}
 	readAt := front.clock.Now()
@@ -111,7 +107,6 @@
 		x.writer.Header().Del("Connection") // write sets it again for the last response
 	}
 	checked.Message.ClientDisconnected = x.conn.hasDisconnected
-	x.class = checked.Class
 	front.counters.RequestStarted()
 	if rest != nil {
 		x.rest = rest
@@ -169,7 +164,18 @@
 func (x *exchange) abandonIncompleteBody(submitted *engine.Request) {
 	x.disconnect(submitted)
 	x.writer.Header().Set("Connection", "close")
-	x.reject(errBodyIncomplete)
+	x.rejectIncomplete(errBodyIncomplete)
+}
+
+// rejectIncomplete responds to a request whose body was not received completely: because of its client, or because this node needs
+// its memory or descriptor or is ending.
+func (x *exchange) rejectIncomplete(err error) {
+	if !errors.Is(err, errNoInputMemory) && !x.conn.ReadAborted() {
+		x.reject(errBodyIncomplete)
+		return
+	}
+	x.front.responses.Refused(x.requestID(), x.class, http.StatusServiceUnavailable, engine.EndNoCapacity)
+	x.write(engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter()})
 }
 
 // disconnect tells the engine that the client has disconnected, so that it starts no further attempts, and counts the
--- a/internal/http1/memory_test.go
+++ b/internal/http1/memory_test.go
@@ -140,8 +140,8 @@
 			t.Fatalf("%d bytes of bodies are kept, more than %d", used, budget)
 		}
 	}
-	if r, _ := incomplete[0].ReadResponse(t); r.StatusCode != 400 {
-		t.Errorf("status %d of the body that gave way, want 400", r.StatusCode)
+	if r, _ := incomplete[0].ReadResponse(t); r.StatusCode != 503 || r.Header.Get("Retry-After") == "" || !r.Close {
+		t.Errorf("status %d, Retry-After %q of the body that gave way; want 503, its client is not at fault", r.StatusCode, r.Header.Get("Retry-After"))
 	}
 	last := testpeer.Dial(t, node.Addr())
 	last.Send("POST", "/note/k", "last", body, "60")
