--- a/cmd/faultbench/soak.go
+++ b/cmd/faultbench/soak.go
@@ -64,14 +64,15 @@
 	return cmd
 }
 
-// warningLog collects the warnings that nodes log.
+// warningLog collects the warnings that nodes log, and the responses that they made themselves or broke off.
 type warningLog struct {
 	mu   sync.Mutex
 	text strings.Builder
 }
 
 func (w *warningLog) add(at time.Duration, node int, line string) {
-	if !strings.Contains(line, "level=WARN") {
+	isEnding := strings.Contains(line, `msg="request refused"`) || strings.Contains(line, `msg="response `)
+	if !isEnding && !strings.Contains(line, "level=WARN") {
 		return
 	}
 	w.mu.Lock()
--- a/internal/faultbench/audit/audit.go
+++ b/internal/faultbench/audit/audit.go
@@ -27,9 +27,10 @@
 	Disconnected                 // the connection ended after the request was accepted
 	WrongResponse                // received a response to another request, or two responses
 	ClientLeft                   // the client disconnected before a response
+	UploadCut                    // the node took a slow upload for an incomplete request
 )
 
-var outcomeNames = [...]string{"nothing", "served", "refused", "failed", "not accepted", "a broken connection", "a wrong response", "nothing before the client disconnected"}
+var outcomeNames = [...]string{"nothing", "served", "refused", "failed", "not accepted", "a broken connection", "a wrong response", "nothing before the client disconnected", "a refusal of its upload"}
 
 func (h Outcome) String() string { return outcomeNames[h] }
 
@@ -60,7 +61,9 @@
 	PriorityWeight   float64       // of a response within the latency objective
 	Outcome          Outcome
 	OutcomeAt        time.Duration
-	Detail           string // Retry-After of a rejection, or the beginning of a wrong response
+	FirstByteAt      time.Duration // of the response; 0: none came
+	SlowClient       bool          // it reads the response slowly
+	Detail           string        // Retry-After of a rejection, or the beginning of a wrong response
 	attempts         []*Attempt
 }
 
@@ -73,6 +76,8 @@
 	SentAt    time.Duration
 	EndedAt   time.Duration // when the node received the reply or closed the connection; 0: never
 	Undated   bool          // it may have been sent earlier than SentAt
+	Slow      bool          // the server sends its reply slowly
+	CutAt     time.Duration // when the node closed the connection while the reply was arriving; 0: it did not
 	Ran       bool          // service started, or may have started
 	EndReason string
 }
@@ -107,6 +112,7 @@
 	orphans       []*Attempt // attempts of unknown requests
 	removals      map[int]map[string]time.Duration
 	outages       []Outage
+	processEnds   map[int][]time.Duration // by node: when processes ended after SIGTERM
 	breaches      []Breach
 	samples       []Sample
 	arrivals      []arrival
@@ -120,7 +126,7 @@
 
 // New returns an empty Audit.
 func New() *Audit {
-	return &Audit{requests: map[string]*Request{}, removals: map[int]map[string]time.Duration{}}
+	return &Audit{requests: map[string]*Request{}, removals: map[int]map[string]time.Duration{}, processEnds: map[int][]time.Duration{}}
 }
 
 // RecordRequest records that a client sends a request.
@@ -144,6 +150,45 @@
 	req.Outcome, req.OutcomeAt, req.Detail = outcome, at, detail
 }
 
+// RecordSent records that the last byte of a request was sent, which its deadline counts from.
+func (a *Audit) RecordSent(id string, at time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if req := a.requests[id]; req != nil {
+		req.At = at
+	}
+}
+
+// RecordFirstByte records that the response to a request has begun.
+func (a *Audit) RecordFirstByte(id string, at time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if req := a.requests[id]; req != nil {
+		req.FirstByteAt = at
+	}
+}
+
+// RecordSlow records that a server sends its reply slowly.
+func (a *Audit) RecordSlow(t *Attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t.Slow = true
+}
+
+// RecordCut records that a node closed the connection to a server while a reply was arriving on it.
+func (a *Audit) RecordCut(t *Attempt, at time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t.CutAt = at
+}
+
+// RecordProcessEnd records that a node's process ended after SIGTERM.
+func (a *Audit) RecordProcessEnd(node int, at time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.processEnds[node] = append(a.processEnds[node], at)
+}
+
 // RecordAttempt records that the last byte of an attempt has reached a relay. The returned Attempt is passed to RecordRun
 // and RecordEnd.
 func (a *Audit) RecordAttempt(request, server string, index int, cross bool, at time.Duration) *Attempt {
@@ -233,6 +278,9 @@
 	for _, req := range a.requests {
 		deadline := req.At + req.Deadline + AnswerSlack + late
 		switch {
+		case req.Outcome == UploadCut && a.mayCut(req, req.OutcomeAt-slowClientLag, late): // the node's last call
+		case req.Outcome == UploadCut:
+			addBreach("answer", req, req.OutcomeAt, "%s: the node cut an upload in progress: %s", req.ID, req.Detail)
 		case req.Outcome == WrongResponse:
 			addBreach("answer", req, req.OutcomeAt, "%s received a wrong response: %s", req.ID, req.Detail)
 		case req.Outcome == ClientLeft: // no response is required
@@ -244,13 +292,18 @@
 		case a.hadOutage(req.Node, req.At-time.Second, deadline):
 		case req.OutcomeAt == 0 || req.Outcome == NoResponse:
 			addBreach("answer", req, deadline, "%s received no response", req.ID)
-		case req.OutcomeAt > deadline:
-			addBreach("answer", req, req.OutcomeAt, "%s received its response %v after its deadline", req.ID, (req.OutcomeAt - req.At - req.Deadline).Round(time.Millisecond))
+		case req.answeredAt() > deadline:
+			addBreach("answer", req, req.OutcomeAt, "%s received its answer more than 0.5 s after its time: %v after its deadline", req.ID, (req.answeredAt() - req.At - req.Deadline).Round(time.Millisecond))
 		case req.Outcome == Disconnected:
 			addBreach("answer", req, req.OutcomeAt, "%s was accepted, but its connection ended without a response", req.ID)
 		case req.Outcome == Refused && req.Detail == "":
 			addBreach("answer", req, req.OutcomeAt, "%s was refused without Retry-After", req.ID)
 		}
+		for _, attempt := range req.attempts {
+			if attempt.CutAt > 0 && !a.mayCut(req, attempt.CutAt, late) {
+				addBreach("answer", req, attempt.CutAt, "%s: the node cut a reply in progress", req.ID)
+			}
+		}
 		runs := 0
 		slices.SortStableFunc(req.attempts, func(x, y *Attempt) int { return int(x.SentAt - y.SentAt) })
 		for i, attempt := range req.attempts {
@@ -284,6 +337,34 @@
 	return out
 }
 
+// slowClientLag is how long after its response a client that sends slowly may see it.
+const slowClientLag = 100 * time.Millisecond
+
+// lastCall is how long before the end of a node's process it may give up what can't be finished.
+const lastCall = 500 * time.Millisecond
+
+// mayCut reports whether a node may close the connection of a reply in progress: nobody waits for it, or the process ends. late is the
+// maximum lag of the fault bench.
+func (a *Audit) mayCut(req *Request, at, late time.Duration) bool {
+	tolerance := ReorderTolerance + late
+	switch {
+	case a.hadOutage(req.Node, req.At, at+tolerance):
+		return true
+	case req.OutcomeAt > 0 && req.OutcomeAt <= at+tolerance && (req.Outcome == ClientLeft || req.Outcome == NoResponse):
+		return true
+	}
+	return slices.ContainsFunc(a.processEnds[req.Node], func(end time.Duration) bool { return at >= end-lastCall-late && at <= end+tolerance })
+}
+
+// answeredAt returns when the client got its answer: its last byte or, where the server sends or the client reads it slowly, its first.
+func (c *Request) answeredAt() time.Duration {
+	slow := c.SlowClient || slices.ContainsFunc(c.attempts, func(t *Attempt) bool { return t.Slow })
+	if slow && c.FirstByteAt > 0 {
+		return c.FirstByteAt
+	}
+	return c.OutcomeAt
+}
+
 // events lists the events of a request in time order.
 func (c *Request) events() []string {
 	type line struct {
--- a/internal/faultbench/audit/audit_test.go
+++ b/internal/faultbench/audit/audit_test.go
@@ -1,6 +1,7 @@
 package audit
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -148,3 +149,72 @@
 		}
 	}
 }
+
+// Guards against an auditor that does not find a node which cuts a reply in progress, or takes one that it may end for that.
+func TestCutOfReplyInProgressIsFound(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(a *Audit)
+		found   bool
+	}{
+		{"while its client waits", func(a *Audit) { a.RecordOutcome("c0.1", Failed, time.Second, "") }, true},
+		{"after its client has left", func(a *Audit) { a.RecordOutcome("c0.1", ClientLeft, 900*time.Millisecond, "") }, false},
+		{"as the process ends", func(a *Audit) { a.RecordProcessEnd(0, 1200*time.Millisecond) }, false},
+		{"long before the process ends", func(a *Audit) { a.RecordProcessEnd(0, 3*time.Second) }, true},
+		{"in an outage", func(a *Audit) { a.RecordOutage(Outage{Node: 0, From: 0, To: 2 * time.Second}) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := New()
+			a.RecordRequest(Request{ID: "c0.1", At: time.Millisecond, Deadline: 2 * time.Second})
+			attempt := a.RecordAttempt("c0.1", "s1", 0, false, 10*time.Millisecond)
+			a.RecordRun(attempt)
+			a.RecordSlow(attempt)
+			a.RecordCut(attempt, time.Second)
+			a.RecordEnd(attempt, time.Second, "closed by the node within a reply")
+			c.prepare(a)
+			found := slices.ContainsFunc(a.Breaches(0), func(b Breach) bool { return strings.Contains(b.Words, "cut a reply in progress") })
+			if found != c.found {
+				t.Errorf("found: %v, want %v; %v", found, c.found, a.Breaches(0))
+			}
+		})
+	}
+}
+
+// Guards against an auditor that does not find a late answer: the time of a slow upload counts from its last byte, and an answer that is
+// sent slowly is in time if it begins in time.
+func TestLateAnswerIsFound(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		slow              bool
+		first, last, sent time.Duration
+		found             bool
+	}{
+		{"in time", false, 900 * time.Millisecond, 900 * time.Millisecond, 0, false},
+		{"within the slack", false, 1500 * time.Millisecond, 1500 * time.Millisecond, 0, false},
+		{"late", false, 1600 * time.Millisecond, 1600 * time.Millisecond, 0, true},
+		{"begun in time, sent slowly", true, 900 * time.Millisecond, 3 * time.Second, 0, false},
+		{"begun late, sent slowly", true, 1600 * time.Millisecond, 3 * time.Second, 0, true},
+		{"in time after a slow upload", false, 2900 * time.Millisecond, 2900 * time.Millisecond, 2 * time.Second, false},
+		{"late after a slow upload", false, 3600 * time.Millisecond, 3600 * time.Millisecond, 2 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := New()
+			a.RecordRequest(Request{ID: "c0.1", At: 0, Deadline: time.Second})
+			attempt := a.RecordAttempt("c0.1", "s1", 0, false, 10*time.Millisecond)
+			a.RecordRun(attempt)
+			if c.slow {
+				a.RecordSlow(attempt)
+			}
+			if c.sent > 0 {
+				a.RecordSent("c0.1", c.sent)
+			}
+			a.RecordFirstByte("c0.1", c.first)
+			a.RecordEnd(attempt, c.last, "served")
+			a.RecordOutcome("c0.1", Served, c.last, "")
+			found := slices.ContainsFunc(a.Breaches(0), func(b Breach) bool { return strings.Contains(b.Words, "more than 0.5 s after its time") })
+			if found != c.found {
+				t.Errorf("found: %v, want %v; %v", found, c.found, a.Breaches(0))
+			}
+		})
+	}
+}
--- a/internal/faultbench/clients.go
+++ b/internal/faultbench/clients.go
@@ -61,8 +61,9 @@
 		if attempt > 0 && remaining < minDeadline { // the fault bench was late
 			return
 		}
-		f.audit.RecordRequest(audit.Request{ID: id, FirstID: request.ID, Node: n.index, Class: request.Class, Unsafe: class.Effect == "unsafe", At: now, LatencyObjective: start + class.LatencyObjective - now, Deadline: remaining, PriorityWeight: class.PriorityWeight})
-		outcome, detail, wait := n.send(id, class, remaining)
+		client := n.drawSlowClient()
+		f.audit.RecordRequest(audit.Request{ID: id, SlowClient: client != nil, FirstID: request.ID, Node: n.index, Class: request.Class, Unsafe: class.Effect == "unsafe", At: now, LatencyObjective: start + class.LatencyObjective - now, Deadline: remaining, PriorityWeight: class.PriorityWeight})
+		outcome, detail, wait := n.send(id, class, client, remaining)
 		f.audit.RecordOutcome(id, outcome, f.now(), detail)
 		retryable := outcome == audit.Refused || outcome == audit.NotAccepted || outcome == audit.Failed && class.Effect == "safe"
 		wait = max(wait, f.experiment.Clients.RetryDelay)
@@ -74,7 +75,7 @@
 }
 
 // send sends one request and returns its outcome. It goes to the node or, under a policy of the fault bench, to a server.
-func (n *node) send(id string, class experiment.Class, remaining time.Duration) (outcome audit.Outcome, detail string, wait time.Duration) {
+func (n *node) send(id string, class experiment.Class, client *slowClient, remaining time.Duration) (outcome audit.Outcome, detail string, wait time.Duration) {
 	addr := n.listen
 	if n.fleet.options.Policy != experiment.Program {
 		if addr = n.pickServer(); addr == "" {
@@ -82,7 +83,11 @@
 		}
 	}
 	for {
-		conn, reused := n.takeIdle(addr)
+		var conn net.Conn
+		reused := false
+		if client == nil {
+			conn, reused = n.takeIdle(addr)
+		}
 		if !reused {
 			if !n.acceptsNewConnections() {
 				return audit.NotAccepted, "the node is ending", 0
@@ -92,7 +97,10 @@
 				return audit.NotAccepted, err.Error(), 0
 			}
 		}
-		outcome, detail, wait, open := n.roundTrip(conn, id, class, remaining)
+		if client != nil {
+			client.prepare(conn)
+		}
+		outcome, detail, wait, open := n.roundTrip(conn, id, class, client, remaining)
 		if open {
 			n.putIdle(addr, conn)
 		} else {
@@ -127,27 +135,48 @@
 }
 
 // roundTrip sends a request on a connection and reads the response. reusable reports whether the connection can be reused.
-func (n *node) roundTrip(conn net.Conn, id string, class experiment.Class, remaining time.Duration) (outcome audit.Outcome, detail string, wait time.Duration, reusable bool) {
+func (n *node) roundTrip(conn net.Conn, id string, class experiment.Class, client *slowClient, remaining time.Duration) (outcome audit.Outcome, detail string, wait time.Duration, reusable bool) {
 	timeout := n.fleet.experiment.Clients.Patience
-	if timeout == 0 || timeout > remaining {
+	if timeout == 0 || timeout > remaining || client != nil {
 		timeout = remaining + audit.AnswerSlack
 	}
 	conn.SetDeadline(time.Now().Add(timeout))
+	if client != nil {
+		conn.SetDeadline(time.Now().Add(slowReadTimeout))
+	}
 	method, body := "GET", ""
 	if class.Effect != "safe" {
 		method, body = "POST", "body of "+id
 	}
+	if client != nil && method == "POST" {
+		body += strings.Repeat(" ", client.upload)
+	}
 	var out strings.Builder
 	fmt.Fprintf(&out, "%s /%s/k HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: %s\r\nX-Deadline: %.4f\r\n", method, class.Name, id, remaining.Seconds())
 	if method == "POST" {
 		fmt.Fprintf(&out, "Content-Length: %d\r\n", len(body))
 	}
-	fmt.Fprintf(&out, "\r\n%s", body)
-	if _, err := io.WriteString(conn, out.String()); err != nil {
-		return audit.Disconnected, err.Error(), 0, false
+	out.WriteString("\r\n")
+	if client == nil {
+		out.WriteString(body)
+		body = ""
+	}
+	_, sendErr := io.WriteString(conn, out.String())
+	if sendErr == nil {
+		sendErr = client.write(conn, body)
+	}
+	if sendErr != nil && client == nil {
+		return audit.Disconnected, sendErr.Error(), 0, false
+	}
+	if client != nil {
+		n.fleet.audit.RecordSent(id, n.fleet.now())
+		conn.SetDeadline(time.Now().Add(timeout))
 	}
 	in := bufio.NewReader(conn)
 	resp, err := http.ReadResponse(in, nil)
+	if err != nil && sendErr != nil {
+		return audit.NotAccepted, sendErr.Error(), 0, false
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		if timeout <= remaining {
 			return audit.ClientLeft, "", 0, false
@@ -157,11 +186,17 @@
 	if err != nil {
 		return audit.Disconnected, err.Error(), 0, false
 	}
-	text, err := io.ReadAll(io.LimitReader(resp.Body, 2*longReplyBytes))
+	n.fleet.audit.RecordFirstByte(id, n.fleet.now())
+	if timeout > remaining { // otherwise the client leaves then
+		conn.SetDeadline(time.Now().Add(slowReadTimeout))
+	}
+	text, err := io.ReadAll(io.LimitReader(client.reader(resp.Body), 2*longReplyBytes))
 	resp.Body.Close()
-	reusable = err == nil && !resp.Close && in.Buffered() == 0
+	reusable = err == nil && !resp.Close && in.Buffered() == 0 && client == nil
 	retryAfter := resp.Header.Get("Retry-After")
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded): // it has waited long enough for a response that has begun
+		return audit.ClientLeft, "", 0, false
 	case err != nil:
 		return audit.Failed, "truncated response", 0, false
 	case resp.StatusCode == http.StatusOK && strings.HasSuffix(string(text), " "+id):
@@ -172,6 +207,8 @@
 		var seconds float64
 		fmt.Sscan(retryAfter, &seconds)
 		return audit.Refused, retryAfter, time.Duration(seconds * float64(time.Second)), reusable
+	case resp.StatusCode == http.StatusBadRequest && client != nil:
+		return audit.UploadCut, resp.Status, 0, false
 	case resp.StatusCode >= 500:
 		return audit.Failed, resp.Status, 0, reusable
 	}
--- a/internal/faultbench/experiment/convert.go
+++ b/internal/faultbench/experiment/convert.go
@@ -197,7 +197,10 @@
 			b.errorf("count", "missing; allowed: the number of idle connections at each node")
 		}
 		if (fault.Share > 0) != fault.Kind.SpoilsReplies() || fault.Share < 0 || fault.Share > 1 {
-			b.errorf("share", "found %v; allowed: above 0 and at most 1, only for repeat, noise, truncate, long and stall", fault.Share)
+			b.errorf("share", "found %v; allowed: above 0 and at most 1, only for repeat, noise, truncate, long, stall, slow_reply, slow_read and slow_clients", fault.Share)
+		}
+		if fault.Kind.IsSlow() && fault.Bandwidth == 0 {
+			b.errorf("bandwidth", "missing; allowed: the bytes per second of slow transfers")
 		}
 		if fault.Kind == Hold && (fault.Delay <= 0 || fault.Delay > time.Second) {
 			b.errorf("delay", "found %v; allowed: above 0 and at most 1s, the longest hold", fault.Delay)
--- a/internal/faultbench/experiment/model.go
+++ b/internal/faultbench/experiment/model.go
@@ -154,6 +154,11 @@
 	LongReplies Kind = "long"     // pads a Share of replies so that nodes stream them
 	StopInReply Kind = "stall"    // sends the head of a Share of replies, padded so that nodes stream them, and nothing more
 
+	SlowReplies Kind = "slow_reply" // sends a Share of replies in parts at Bandwidth, with a length, in chunks or until the close
+	SlowReads   Kind = "slow_read"  // reads the bodies of a Share of requests at Bandwidth, with a small buffer
+
+	SlowClients Kind = "slow_clients" // a Share of the clients of nodes have small buffers and long bodies, which they send, and read replies, at Bandwidth or at once
+
 	RegistryOutage Kind = "mute" // the registry does not reply
 )
 
@@ -174,6 +179,7 @@
 	Terminate: TargetNodes, Reload: TargetNodes, Hold: TargetNodes, IdleClients: TargetNodes,
 	Crash: TargetServers, MachineLoss: TargetServers, Hang: TargetServers, Errors: TargetServers, Slowdown: TargetServers, Replace: TargetServers,
 	Repeat: TargetServers, Noise: TargetServers, Truncate: TargetServers, LongReplies: TargetServers, StopInReply: TargetServers,
+	SlowReplies: TargetServers, SlowReads: TargetServers, SlowClients: TargetNodes,
 	RegistryOutage: TargetRegistry}
 
 // Target returns the type of component that faults of the kind affect.
@@ -181,9 +187,12 @@
 
 // SpoilsReplies reports whether servers with a fault of the kind run requests as usual and spoil a Share of the replies.
 func (k Kind) SpoilsReplies() bool {
-	return k == Repeat || k == Noise || k == Truncate || k == LongReplies || k == StopInReply
+	return k == Repeat || k == Noise || k == Truncate || k == LongReplies || k == StopInReply || k.IsSlow()
 }
 
+// IsSlow reports whether the kind makes a Share of transfers slow.
+func (k Kind) IsSlow() bool { return k == SlowReplies || k == SlowReads || k == SlowClients }
+
 // RegistryZone is the name in Fault.ServerZones that selects the links between nodes and the registry.
 const RegistryZone = "registry"
 
@@ -199,7 +208,7 @@
 	Fraction               float64  // fraction of the links, nodes or servers that is affected
 	Group                  string   // of nodes or servers; empty: all groups
 	Count                  int      // affected targets, overrides Fraction; for ChangeNodeCount: the configured node count; for IdleClients: connections
-	Share                  float64  // fraction of the replies, for kinds that SpoilsReplies
+	Share                  float64  // fraction of the replies or, for SlowClients, requests, for kinds that SpoilsReplies
 
 	Factor        float64       // for Slowdown
 	Offset        time.Duration // for ClockSkew
@@ -207,7 +216,7 @@
 	Loss          float64       // for Slow: fraction of segments delayed by a retransmission and of datagrams dropped
 	Duplicate     float64       // for Slow: fraction of datagrams delivered twice
 	Reorder       float64       // for Slow: fraction of datagrams delayed so that later ones overtake them
-	Bandwidth     int64         // for Slow: bytes per second; 0: unlimited
+	Bandwidth     int64         // for Slow: bytes per second; 0: unlimited. For kinds that are slow: bytes per second
 }
 
 // AffectsLink reports whether the fault affects links from nodes in one zone to servers in another.
@@ -215,6 +224,19 @@
 	return slices.Contains(f.NodeZones, near) && slices.Contains(f.ServerZones, far) || f.BothDirections && slices.Contains(f.ServerZones, near) && slices.Contains(f.NodeZones, far)
 }
 
+// LinksCut reports whether a fault may have silenced links between two run times.
+func (e *Experiment) LinksCut(from, to time.Duration) bool {
+	return slices.ContainsFunc(e.Faults, func(f Fault) bool {
+		switch f.Kind {
+		case Cut, CutForward, CutReturn, Reset, MachineLoss, Crash, Replace:
+			return f.From <= to && from <= f.To+f.OnsetSpread
+		case Slow: // a lost segment comes again after a timeout
+			return f.Loss > 0 && f.From <= to && from <= f.To
+		}
+		return false
+	})
+}
+
 // Select returns the sorted indices of the targets among n candidates. The selection is deterministic for a seed.
 func (f Fault) Select(seed uint64, n int) []int {
 	count := int(f.Fraction*float64(n) + 0.5)
--- a/internal/faultbench/host.go
+++ b/internal/faultbench/host.go
@@ -80,7 +80,7 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		if err := h.readBody(conn, request); err != nil {
 			return
 		}
 		if request.URL.Path == "/stats" {
@@ -95,13 +95,27 @@
 	}
 }
 
+// readBody reads a request's body, slowly if a fault is drawn.
+func (h *host) readBody(conn *link.Conn, request *http.Request) error {
+	rate := int64(0)
+	if request.ContentLength != 0 {
+		rate = h.drawReadRate()
+	}
+	if rate == 0 {
+		_, err := io.Copy(io.Discard, request.Body)
+		return err
+	}
+	conn.SetReadBuffer(smallBuffer)
+	return readSlowly(request.Body, rate)
+}
+
 // handle runs a request and sends its response. It reports whether the connection can be reused.
 func (h *host) handle(conn *link.Conn, request *http.Request, zone string, lateInput *sync.WaitGroup) bool {
 	f, id := h.fleet, request.Header.Get("X-Request-Id")
 	h.mu.Lock()
 	server, incarnation := h.server, h.incarnation
 	attempt := f.audit.RecordAttempt(id, server.ID, h.place, zone != server.Zone, f.runTime(conn.LastArrival()))
-	if conn.HeldByCut() {
+	if conn.HeldByCut() || request.ContentLength > smallBuffer { // or its last bytes have waited in buffers
 		f.audit.RecordUndated(attempt)
 	}
 	if h.down != "" { // the process or machine is gone: requests in transit are lost
@@ -240,7 +254,7 @@
 		h.server.Fault = ft.Kind
 	case experiment.Slowdown:
 		h.server.Factor = ft.Factor
-	case experiment.Repeat, experiment.Noise, experiment.Truncate, experiment.LongReplies, experiment.StopInReply:
+	case experiment.Repeat, experiment.Noise, experiment.Truncate, experiment.LongReplies, experiment.StopInReply, experiment.SlowReplies, experiment.SlowReads:
 		h.spoiling[ft.Name] = ft
 	case experiment.Replace:
 		h.state = balancer.Draining
@@ -270,7 +284,7 @@
 		h.mu.Lock()
 		h.server.Factor = 1
 		h.mu.Unlock()
-	case experiment.Repeat, experiment.Noise, experiment.Truncate, experiment.LongReplies, experiment.StopInReply:
+	case experiment.Repeat, experiment.Noise, experiment.Truncate, experiment.LongReplies, experiment.StopInReply, experiment.SlowReplies, experiment.SlowReads:
 		h.mu.Lock()
 		delete(h.spoiling, ft.Name)
 		h.mu.Unlock()
--- a/internal/faultbench/link/conn.go
+++ b/internal/faultbench/link/conn.go
@@ -48,6 +48,16 @@
 // sent its first bytes at any time in between; LastArrival is the time of the accept then.
 func (c *Conn) HeldByCut() bool { return c.heldByCut }
 
+// Broken reports whether the relay has reset the connection.
+func (c *Conn) Broken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
+}
+
+// SetReadBuffer sets the size of the kernel's buffer for what the near side sends.
+func (c *Conn) SetReadBuffer(bytes int) { c.tcp.SetReadBuffer(bytes) }
+
 // LastArrival returns when the bytes read last entered the link.
 func (c *Conn) LastArrival() time.Time {
 	c.mu.Lock()
--- a/internal/faultbench/link/shape.go
+++ b/internal/faultbench/link/shape.go
@@ -60,6 +60,16 @@
 	return d.rng.Float64() < probability
 }
 
+// Below returns a random number from 0 to n-1; 0 if n is not positive.
+func (d *Random) Below(n int) int {
+	if n <= 0 {
+		return 0
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rng.IntN(n)
+}
+
 // DurationUpTo returns a random duration between 0 and most.
 func (d *Random) DurationUpTo(most time.Duration) time.Duration {
 	if most <= 0 {
--- a/internal/faultbench/node.go
+++ b/internal/faultbench/node.go
@@ -41,7 +41,8 @@
 	rng                *rand.Rand
 	idle               map[string][]net.Conn
 	terminatedAt       time.Time // of the last SIGTERM to the running process; zero: none
-	shortOfDescriptors bool      // idle clients fill its descriptors
+	slowClients        *experiment.Fault
+	shortOfDescriptors bool // idle clients fill its descriptors
 }
 
 // startTimeout limits the time until a node is ready.
--- a/internal/faultbench/nodefaults.go
+++ b/internal/faultbench/nodefaults.go
@@ -70,6 +70,10 @@
 		}
 	case experiment.Hold:
 		n.hold(ctx, ft, p)
+	case experiment.SlowClients:
+		n.setSlowClients(&ft)
+		f.waitUntil(ctx, ft.To)
+		n.setSlowClients(nil)
 	case experiment.IdleClients:
 		n.holdIdleClients(ctx, ft)
 	case experiment.ChangeNodeCount:
@@ -104,6 +108,7 @@
 		}
 	}()
 	n.stop(syscall.SIGTERM, longest+killDelay)
+	f.audit.RecordProcessEnd(n.index, f.now())
 }
 
 // hold stops the process again and again, for up to ft.Delay each time, and lets it run for four times as long on average.
--- a/internal/faultbench/soak/soak.go
+++ b/internal/faultbench/soak/soak.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -23,12 +24,19 @@
 	maxHold         = 150 * time.Millisecond
 	idleClientCount = 600 // more than the descriptors of a node
 	restartSpacing  = 1500 * time.Millisecond
+
+	// Rates of slow transfers, in bytes per second.
+	minSlowRate      = 2 << 10
+	maxSlowReplyRate = 100 << 10
+	minSlowReadRate  = 100 << 10
+	maxSlowReadRate  = 4 << 20
 )
 
 // Streams of random numbers for a seed.
 const (
 	mainStream           = 0x50a4
 	stoppedRepliesStream = 0x57a1
+	slowTransfersStream  = 0x5106
 )
 
 // generator draws an experiment.
@@ -50,6 +58,7 @@
 	g.drawLinkFaults()
 	g.drawNodeFaults()
 	g.drawStoppedReplies()
+	g.drawSlowTransfers()
 	return g.experiment
 }
 
@@ -142,6 +151,26 @@
 	}
 }
 
+// drawSlowTransfers adds servers and clients that send or read slowly. It draws from numbers of its own, as drawStoppedReplies does.
+func (g *generator) drawSlowTransfers() {
+	g.rng = rand.New(rand.NewPCG(g.experiment.Seed, slowTransfersStream))
+	lasts := Duration - 2*time.Second
+	if g.chance(0.7) {
+		g.add(lasts, experiment.Fault{Kind: experiment.SlowReplies, Fraction: 0.5, Share: 0.05, Bandwidth: g.rate(minSlowRate, maxSlowReplyRate)})
+	}
+	if g.chance(0.5) {
+		g.add(lasts, experiment.Fault{Kind: experiment.SlowReads, Fraction: 0.5, Share: 0.3, Bandwidth: g.rate(minSlowReadRate, maxSlowReadRate)})
+	}
+	if g.chance(0.6) {
+		g.add(lasts, experiment.Fault{Kind: experiment.SlowClients, Share: 0.04, Bandwidth: g.rate(minSlowRate, maxSlowReadRate)})
+	}
+}
+
+// rate returns a rate from low to high, in bytes per second, whose logarithm is uniform.
+func (g *generator) rate(low, high float64) int64 {
+	return int64(low * math.Pow(high/low, g.rng.Float64()))
+}
+
 func (g *generator) drawServerFaults() {
 	for _, kind := range []experiment.Kind{experiment.Hang, experiment.Errors, experiment.Crash} {
 		if g.chance(0.3) {
--- a/internal/faultbench/spoil.go
+++ b/internal/faultbench/spoil.go
@@ -24,7 +24,8 @@
 type spoiler struct {
 	padded    bool
 	truncated bool
-	stopped   bool // behind the head
+	stopped   bool       // behind the head
+	slow      *slowReply // nil: it is sent at once
 	late      []lateInput
 }
 
@@ -40,7 +41,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, ft := range h.spoiling {
-		if !random.Occurs(ft.Share) {
+		if ft.Kind == experiment.SlowReads || !random.Occurs(ft.Share) {
 			continue
 		}
 		switch ft.Kind {
@@ -50,6 +51,8 @@
 			s.padded = true
 		case experiment.StopInReply:
 			s.padded, s.stopped = true, true
+		case experiment.SlowReplies:
+			s.slow = drawSlowReply(random, ft.Bandwidth)
 		case experiment.Repeat, experiment.Noise:
 			s.late = append(s.late, lateInput{ft.Delay + random.DurationUpTo(ft.Jitter), ft.Kind == experiment.Repeat})
 		}
@@ -75,6 +78,10 @@
 		}
 		return false
 	}
+	if s.slow != nil {
+		late.Wait() // what belongs behind an earlier reply must not come within this one
+		return h.sendSlowly(conn, attempt, s.slow, headers, body)
+	}
 	if s.truncated {
 		late.Wait() // nothing may be sent once the connection is closed
 		conn.Send([]byte(text[:len(text)/2]), nil)
