--- a/cmd/damsontrestle/memory_test.go
+++ b/cmd/damsontrestle/memory_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -46,6 +47,8 @@
 	send        func(c net.Conn)      // sends the input of one connection
 	reply       func(c net.Conn) bool // what a server answers to requests under /view/bad; nil: 200 after memoryServiceTime
 	readNothing bool                  // the client reads no reply
+	readsNoBody bool                  // servers read no body
+	readRate    int                   // of the client, bytes per second; 0: as fast as it can
 }
 
 // requestHead returns the head of a request for the bad servers, without the empty line at its end.
@@ -152,6 +155,27 @@
 		write("HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n" + repeated("x", 3000000))(c)
 		return false
 	}},
+	{name: "bodies sent slowly", connections: 450, send: func(c net.Conn) {
+		write(requestHead("POST", "note") + "Content-Length: 65000\r\n\r\n")(c)
+		writePaced(c, repeated("x", 64900), 30_000, plain)
+	}},
+	{name: "uploads sent slowly", connections: 450, send: func(c net.Conn) {
+		write(requestHead("POST", "note")+"Content-Length: 6000000\r\n\r\n", repeated("x", 60_000))(c)
+		writePaced(c, repeated("x", 200_000), 100_000, plain)
+	}},
+	{name: "uploads to servers that read nothing", connections: 450, readsNoBody: true, send: func(c net.Conn) {
+		write(requestHead("POST", "note")+"Content-Length: 6000000\r\n\r\n", repeated("x", 5_000_000))(c)
+	}},
+	{name: "replies read slowly", connections: 450, readRate: 50_000, send: sendBadView, reply: func(c net.Conn) bool {
+		return testpeer.Reply200(c, repeated("x", 65000))
+	}},
+	{name: "streamed replies read slowly", connections: 450, readRate: 50_000, send: sendBadView, reply: func(c net.Conn) bool {
+		return testpeer.Reply200(c, repeated("x", 3_000_000))
+	}},
+	{name: "replies sent slowly", connections: 450, send: sendBadView, reply: func(c net.Conn) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		return writePaced(c, repeated("x", 60_000), 30_000, chunk) == nil
+	}},
 	{name: "replies that nobody reads", connections: 900, readNothing: true, send: sendBadView, reply: func(c net.Conn) bool {
 		return testpeer.Reply200(c, repeated("x", 65000))
 	}},
@@ -188,20 +212,19 @@
 	playMemoryAttack(t, chunkedUnreadReplies)
 }
 
+// Guards against a sum of inputs that takes a node over its memory limit, each of which alone does not.
+func TestMemoryOfAllInputsAtOnce(t *testing.T) {
+	var next atomic.Int64
+	playMemoryAttack(t, memoryAttack{name: "all inputs", connections: 900, send: func(c net.Conn) {
+		memoryAttacks[int(next.Add(1))%len(memoryAttacks)].send(c)
+	}})
+}
+
 // playMemoryAttack starts a node, plays an attack beside a usual client, and checks the peak of the node's memory.
 func playMemoryAttack(t *testing.T, attack memoryAttack) {
-	server := testpeer.NewServer(t, func(c net.Conn, r *http.Request, body string) bool {
-		if !strings.HasSuffix(r.URL.Path, "/bad") {
-			return testpeer.Echo(c, r, body)
-		}
-		if attack.reply != nil {
-			return attack.reply(c)
-		}
-		time.Sleep(memoryServiceTime)
-		return testpeer.Reply200(c, "")
-	})
+	server := startMemoryServer(t, attack)
 	agent := testpeer.NewAgent(t)
-	list := testpeer.FullSnapshot(testpeer.Entry("s1", server.Address(), "in_service"), testpeer.Entry("s2", server.Address(), "in_service"))
+	list := testpeer.FullSnapshot(testpeer.Entry("s1", server, "in_service"), testpeer.Entry("s2", server, "in_service"))
 	agent.Tell(false, list)
 	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
 		"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,"settings":%s}`, agent.Address(), *memoryMB, *memorySockets, strings.Replace(list, "%d", "1", 1), memorySettings)
@@ -240,6 +263,34 @@
 	}
 }
 
+// startMemoryServer starts the server of a memory test and returns its address.
+func startMemoryServer(t *testing.T, attack memoryAttack) string {
+	handle := func(c net.Conn, r *http.Request, body string) bool {
+		if !strings.HasSuffix(r.URL.Path, "/bad") {
+			return testpeer.Echo(c, r, body)
+		}
+		if attack.reply != nil {
+			return attack.reply(c)
+		}
+		time.Sleep(memoryServiceTime)
+		return testpeer.Reply200(c, "")
+	}
+	if !attack.readsNoBody {
+		return testpeer.NewServer(t, handle).Address()
+	}
+	return listenWith(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil || request.Method == http.MethodPost {
+				time.Sleep(memoryAttackTime)
+				return
+			}
+			handle(c, request, "")
+		}
+	})
+}
+
 // playBadClient plays an attack on one connection after the other until a time.
 func playBadClient(address string, attack memoryAttack, until time.Time, sent *atomic.Int64) {
 	for time.Now().Before(until) {
@@ -252,9 +303,12 @@
 		c.SetDeadline(until)
 		var sending sync.WaitGroup
 		sending.Go(func() { attack.send(c) })
-		if attack.readNothing {
+		switch {
+		case attack.readNothing:
 			time.Sleep(time.Until(until))
-		} else {
+		case attack.readRate > 0:
+			readPaced(c, attack.readRate)
+		default:
 			io.Copy(io.Discard, c)
 		}
 		c.Close()
--- a/cmd/damsontrestle/slowpeers_test.go
+++ b/cmd/damsontrestle/slowpeers_test.go
@@ -25,8 +25,8 @@
 	"limits":{"max-attempts":3,"conn-idle-ms":60000,"connect-timeout-ms":1000,"cancelling":true,
 	"retry-after":true,"max-retry-after-ms":2000},"tick-ms":5,"balancers":1,"registry-mode":"pushed"}`
 
-// startNodeWithServer starts a node as a process before one server, which handles each connection with a function.
-func startNodeWithServer(t *testing.T, handle func(c net.Conn)) (address string) {
+// listenWith handles each connection to a new address with a function.
+func listenWith(t *testing.T, handle func(c net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -45,8 +45,14 @@
 			}()
 		}
 	}()
+	return listener.Addr().String()
+}
+
+// startNodeWithServer starts a node as a process before one server, which handles each connection with a function.
+func startNodeWithServer(t *testing.T, handle func(c net.Conn)) (address string) {
+	t.Helper()
 	agent := testpeer.NewAgent(t)
-	list := testpeer.FullSnapshot(testpeer.Entry("s1", listener.Addr().String(), "in_service"))
+	list := testpeer.FullSnapshot(testpeer.Entry("s1", listenWith(t, handle), "in_service"))
 	agent.Tell(false, list)
 	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
 		"limits":{"cores":1,"memory_mb":64,"sockets":1024},"known":%s,"settings":%s}`,
--- a/internal/fastcgi/client_request.go
+++ b/internal/fastcgi/client_request.go
@@ -171,6 +171,7 @@
 		return errors.Join(c.out.Stream(Stdout, req.id, p), c.out.Flush()) == nil
 	}
 	ok := write(responseHeader(200, resp.Reply.ContentType, resp.Reply.Length, "")) && write(resp.Reply.Body)
+	resp.Reply.Body = nil // far more than is needed from here on
 	buf := make([]byte, streamBufferSize)
 	var err error
 	for ok && err == nil {
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -113,7 +113,7 @@
 		defer rest.stop()
 	}
 	if !front.clients.BeginRequest(x.conn) {
-		x.respond(engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter(), EndState: engine.EndState{Reason: engine.EndNoCapacity}})
+		x.respond(&engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter(), EndState: engine.EndState{Reason: engine.EndNoCapacity}})
 		return
 	}
 	submitted, err := validation.Submit(front.dispatcher, x.snapshot, &head, checked, validation.Body{Buffered: body, Rest: rest.reader(), Received: rest.received(), ReadAt: readAt})
@@ -134,7 +134,7 @@
 	}
 	select {
 	case response := <-submitted.Response():
-		x.respond(response)
+		x.respond(&response)
 	case <-bodyFailed:
 		x.abandonIncompleteBody(submitted)
 	case <-readEnded:
@@ -157,7 +157,7 @@
 	x.writer.Header().Set("Connection", "close")
 	response := engine.Response{Kind: engine.Failed, EndState: engine.EndState{Reason: engine.EndClientGone}}
 	x.front.responses.Unserved(x.requestID(), x.class, response)
-	x.write(response)
+	x.write(&response)
 }
 
 // abandonIncompleteBody ends a request whose body was not received completely or in time.
@@ -175,7 +175,7 @@
 		return
 	}
 	x.front.responses.Refused(x.requestID(), x.class, http.StatusServiceUnavailable, engine.EndNoCapacity)
-	x.write(engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter()})
+	x.write(&engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter()})
 }
 
 // disconnect tells the engine that the client has disconnected, so that it starts no further attempts, and counts the
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -28,7 +27,7 @@
 	var rejected *validation.Error
 	if !errors.As(err, &rejected) {
 		x.front.responses.Refused(x.requestID(), x.class, http.StatusServiceUnavailable, engine.EndNoCapacity)
-		x.write(engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter()})
+		x.write(&engine.Response{Kind: engine.Rejected, RetryAfter: x.snapshot.RetryAfter()})
 		return
 	}
 	x.front.responses.Refused(x.requestID(), x.class, rejected.Status, refusalReason(err))
@@ -58,7 +57,7 @@
 }
 
 // respond sends the response, also while the rest of the request's body has not been received yet.
-func (x *exchange) respond(response engine.Response) {
+func (x *exchange) respond(response *engine.Response) {
 	early := x.rest != nil && !x.rest.stop()
 	if early {
 		x.writer.Header().Set("Connection", "close")
@@ -72,9 +71,9 @@
 		}
 		panic(http.ErrAbortHandler) // closes the connection, so that the client can tell that the response is incomplete
 	}
-	counters.RequestEnded(x.class, validation.Result(response))
+	counters.RequestEnded(x.class, validation.Result(*response))
 	if response.Kind != engine.Served {
-		x.front.responses.Unserved(x.requestID(), x.class, response)
+		x.front.responses.Unserved(x.requestID(), x.class, *response)
 	}
 	if early {
 		x.control.Flush()
@@ -104,25 +103,25 @@
 }
 
 // write sends the response to the client. After an error, part of the response may have been sent.
-func (x *exchange) write(response engine.Response) error {
+func (x *exchange) write(response *engine.Response) error {
 	x.control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	header := x.writer.Header()
-	if x.isLastResponse(response) {
+	if x.isLastResponse(*response) {
 		header.Set("Connection", "close")
 	}
 	if response.Settled {
 		header.Set(validation.HeaderSettled, "1")
 	}
 	if response.Kind == engine.Served {
-		return x.writeReply(response.Reply)
+		return x.writeReply(&response.Reply)
 	}
 	x.conn.finishResponse()
-	status, text := validation.ErrorStatus(response)
+	status, text := validation.ErrorStatus(*response)
 	if response.Kind == engine.Rejected && response.NotRun && response.Reason != "" { // for the partner's gateway, which must know that nothing ran
 		header.Set(validation.HeaderNotRun, "1")
 		header.Set(validation.HeaderRejectedBy, response.Reason)
 	}
-	if retryAfter := validation.RetryAfter(response); retryAfter != "" {
+	if retryAfter := validation.RetryAfter(*response); retryAfter != "" {
 		header.Set("Retry-After", retryAfter)
 	}
 	http.Error(x.writer, text, status)
@@ -130,7 +129,7 @@
 }
 
 // writeReply sends the client a server's reply.
-func (x *exchange) writeReply(reply engine.Reply) error {
+func (x *exchange) writeReply(reply *engine.Reply) error {
 	header := x.writer.Header()
 	if reply.ContentType == "" {
 		header["Content-Type"] = nil // disables content sniffing by net/http
@@ -151,15 +150,16 @@
 
 // streamReply sends the client a reply as it arrives from the server. After an error the response is incomplete; the caller
 // must abort the connection so that the client can tell.
-func (x *exchange) streamReply(reply engine.Reply) error {
+func (x *exchange) streamReply(reply *engine.Reply) error {
 	defer reply.Rest.Close()
+	written := int64(len(reply.Body))
 	if len(reply.Body) > 0 {
 		if err := x.writePart(reply.Body); err != nil {
 			return err
 		}
 	}
-	written := int64(len(reply.Body))
-	buf := slices.Grow(reply.Body[:0], streamBufferSize)[:streamBufferSize] // what was in it is written
+	reply.Body = nil // far more than is needed from here on
+	buf := make([]byte, streamBufferSize)
 	for {
 		n, err := reply.Rest.Read(buf)
 		written += int64(n)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -96,6 +96,7 @@
 	s.received += int64(n)
 	if len(s.unread.data) == 0 {
 		err = s.unread.err
+		s.unread.data = nil
 	}
 	return n, err
 }
