--- a/cmd/damsontrestle/repeatedids_test.go
+++ b/cmd/damsontrestle/repeatedids_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -93,3 +94,55 @@
 		}
 	}
 }
+
+// Guards against requests that are forwarded after their client has closed its connection: they were written ahead and stand unread.
+func TestRequestsOfClosedConnectionAreNotForwarded(t *testing.T) {
+	const (
+		ahead      = 60
+		grace      = 250 * time.Millisecond // 0.1 s, and 0.15 s for which the node may be held up
+		afterClose = time.Second
+	)
+	counter := &runCounter{runs: map[string]int{}}
+	address := startNodeWithServer(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, request.Body)
+			counter.handle(c, request, "")
+		}
+	})
+	total := func() int {
+		counter.mu.Lock()
+		defer counter.mu.Unlock()
+		return len(counter.runs)
+	}
+	for _, reset := range []bool{false, true} {
+		for _, bodyLength := range []int{1, 3000} {
+			t.Run(fmt.Sprintf("reset %v, bodies of %d bytes", reset, bodyLength), func(t *testing.T) {
+				c, err := net.Dial("tcp", address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				before := total()
+				for i := range ahead {
+					fmt.Fprintf(c, "POST /note/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: ahead-%v-%d-%d\r\nX-Deadline: 2.5\r\nContent-Length: %d\r\n\r\n%s",
+						reset, bodyLength, i, bodyLength, strings.Repeat("x", bodyLength))
+				}
+				testpeer.Until(t, "some requests to run", func() bool { return total() > before+1 })
+				if reset {
+					c.(*net.TCPConn).SetLinger(0)
+				}
+				c.Close()
+				time.Sleep(grace)
+				ran := total()
+				time.Sleep(afterClose)
+				if late := total() - ran; late > 0 {
+					t.Errorf("%d requests began more than %v after the close", late, grace)
+				}
+			})
+		}
+	}
+}
