--- a/internal/http1/handover_test.go
+++ b/internal/http1/handover_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -204,3 +206,30 @@
 		t.Errorf("status %d after %v; want 503 within %v: the request never ran", r.StatusCode, took, handoverDeadline+responseSlack)
 	}
 }
+
+// Guards against a late final response: a body whose request ends is read on, because the read is about to begin as the request ends and
+// sets a deadline of its own.
+func TestReadOfBodyEndsWithItsRequest(t *testing.T) {
+	over := make(chan struct{})
+	close(over)
+	body := &minRateBody{
+		body:    neverReader{},
+		control: http.NewResponseController(httptest.NewRecorder()),
+		done:    over,
+		grace:   time.Hour,
+	}
+	result := make(chan error, 1)
+	go func() {
+		_, err := body.Read(make([]byte, 1))
+		result <- err
+	}()
+	if err := testpeer.Receive(t, result, "the read to end"); !errors.Is(err, errRequestEnded) {
+		t.Errorf("%v, want errRequestEnded", err)
+	}
+}
+
+// neverReader is a body of which nothing comes.
+type neverReader struct{}
+
+// Read implements io.Reader.
+func (neverReader) Read([]byte) (int, error) { select {} }
--- a/internal/http1/upload.go
+++ b/internal/http1/upload.go
@@ -46,6 +46,11 @@
 func (b *minRateBody) Read(p []byte) (int, error) {
 	start := time.Now()
 	b.control.SetReadDeadline(start.Add(b.patience()))
+	select {
+	case <-b.done: // its own deadline may have been set before this one
+		return 0, errRequestEnded
+	default:
+	}
 	n, err := b.body.Read(p)
 	b.elapsed += time.Since(start)
 	if b.received += int64(n); b.received > validation.MaxStreamedBody {
