--- a/internal/upstream/replywait.go
+++ b/internal/upstream/replywait.go
@@ -1,11 +1,8 @@
 package upstream
 
 import (
-	"bytes"
 	"sync/atomic"
 	"time"
-
-	"damsontrestle/internal/engine"
 )
 
 // Bounds of the wait for a reply.
@@ -99,36 +96,3 @@
 	least := time.Duration(c.progress.received) * time.Second / minReplyRate
 	return now-c.progress.at < minReadStall && now-c.progress.headAt <= least
 }
-
-// partialReply is a reply of 200 of which a part is received that is not handed over yet. It is guarded by Pool.mu.
-type partialReply struct {
-	attempt    *engine.Attempt // nil: none waits for it
-	reply      reply           // without its body
-	body       []byte
-	handedOver bool
-	remainder  chan bodyPart // receives the result of the read under way at the hand-over
-	stream     *replyStream  // reads the rest after that
-}
-
-// bodyPart is the result of reading a part of a body.
-type bodyPart struct {
-	data []byte
-	err  error
-}
-
-// handOver delivers a reply in progress to its attempt, with a stream of the rest. The caller holds mu.
-func (p *Pool) handOver(c *conn) {
-	partial := c.partial
-	partial.handedOver = true
-	r := partial.reply
-	r.At = p.clock.Now()
-	r.Reply.Body = bytes.Clone(partial.body) // the read under way continues in the same array
-	partial.stream.clientDeadline = c.clientDeadline
-	partial.stream.underWay = partial.remainder
-	r.Reply.Rest = partial.stream
-	waiter := c.waiter
-	c.waiter = nil
-	c.partial = nil
-	c.streaming = true
-	waiter <- r
-}
