--- a/internal/http1/handover_test.go
+++ b/internal/http1/handover_test.go
@@ -233,3 +233,26 @@
 
 // Read implements io.Reader.
 func (neverReader) Read([]byte) (int, error) { select {} }
+
+// Guards against a rejection that is lost: its server states that the request never ran, and stops within the body of that reply.
+func TestRejectionWithStoppedBodyIsBelieved(t *testing.T) {
+	stopping := startRawServer(t, func(conn net.Conn, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(conn, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 10\r\n\r\nfu")
+		hang(conn)
+	})
+	sound := testpeer.NewServer(t, testpeer.Echo)
+	node := startNode(t, testConfig(testpeer.FullSnapshot(entry("s1", stopping), testpeer.Entry("s2", sound.Address(), "in_service"))), nil)
+	for i := range 10 { // some of them meet the server that stops first
+		client := testpeer.Dial(t, node.Addr())
+		begin := time.Now()
+		id := fmt.Sprint("id-", i)
+		client.Send("POST", "/note/k", id, "x", fmt.Sprint(handoverDeadline.Seconds()))
+		r, text := client.ReadResponse(t)
+		served := r.StatusCode == 200 && text == "for "+id
+		refused := r.StatusCode == 503 && r.Header.Get("Retry-After") != "" // as the balancer decides
+		if took := time.Since(begin); !served && !refused || took > handoverDeadline/2 {
+			t.Errorf("status %d after %v, body %.20q; want the reply of the other server, or a refusal, within %v", r.StatusCode, took, text, handoverDeadline/2)
+		}
+	}
+}
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -24,6 +24,9 @@
 	chunkOverhead    = 8                          // per byte of a chunked body, for chunks of any size
 )
 
+// failureBodyWait is how long the body of a reply other than 200 is waited for: it only serves to use the connection again.
+const failureBodyWait = 50 * time.Millisecond
+
 // Errors of replies.
 var (
 	errReplyTooLong = errors.New("the reply is too long")
@@ -271,8 +274,9 @@
 	if !isFramed(resp) || resp.ContentLength > validation.MaxBufferedBody {
 		return r, false
 	}
+	c.SetReadDeadline(time.Now().Add(failureBodyWait)) // the head says all that matters to the request
 	body, err := replyBody(c, resp)
-	r.At = p.clock.Now()
+	c.SetReadDeadline(time.Time{})
 	complete := err == nil && len(body) <= validation.MaxBufferedBody
 	return r, complete && !resp.Close && c.reader.Buffered() == 0
 }
