Tests: one configuration for platform nodes; bench exchange in short functions

Need: four copies of a platform node's configuration in the tests of the program, and one function of eighty lines in the fault bench. Change: agentConfig; the bench's exchange sends, reads and judges in functions of their own. Nothing else.

Measured: the tests of both pass as before (TestWrongBodyNamesTheRequestItWasMadeFor, TestSlowTransfersAreNeitherCutNorAnsweredLate, the floods and repeated ids).

--- a/cmd/damsontrestle/floods_test.go
+++ b/cmd/damsontrestle/floods_test.go
@@ -54,9 +54,7 @@
 			agent := testpeer.NewAgent(t)
 			list := testpeer.FullSnapshot(testpeer.Entry("s1", server.Address(), "in_service"))
 			agent.Tell(false, list)
-			config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
-				"limits":{"cores":1,"memory_mb":64,"sockets":1024},"known":%s,"settings":%s}`,
-				agent.Address(), strings.Replace(list, "%d", "1", 1), memorySettings)
+			config := agentConfig(agent, list, memorySettings, usualMemoryMB, usualSockets)
 			cmd, address, _ := startNode(t, filepath.Join(t.TempDir(), "config.json"), config)
 			defer cmd.Process.Signal(syscall.SIGKILL)
 			quiet := playNeighbours(t, address, "quiet", time.Now().Add(floodTime/2))
--- a/cmd/damsontrestle/memory_test.go
+++ b/cmd/damsontrestle/memory_test.go
@@ -226,8 +226,7 @@
 	agent := testpeer.NewAgent(t)
 	list := testpeer.FullSnapshot(testpeer.Entry("s1", server, "in_service"), testpeer.Entry("s2", server, "in_service"))
 	agent.Tell(false, list)
-	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,"settings":%s}`, agent.Address(), *memoryMB, *memorySockets, strings.Replace(list, "%d", "1", 1), memorySettings)
+	config := agentConfig(agent, list, memorySettings, *memoryMB, *memorySockets)
 	management := freeAddress(t)
 	cmd, address, _ := startNode(t, filepath.Join(t.TempDir(), "config.json"), config, "BALANCER_MGMT="+management)
 	defer cmd.Process.Signal(syscall.SIGKILL)
--- a/cmd/damsontrestle/repeatedids_test.go
+++ b/cmd/damsontrestle/repeatedids_test.go
@@ -66,9 +66,7 @@
 	agent.Tell(false, list)
 	folder := t.TempDir()
 	start := func(name string) string {
-		config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
-			"limits":{"cores":1,"memory_mb":64,"sockets":1024},"known":%s,"settings":%s}`,
-			agent.Address(), strings.Replace(list, "%d", "1", 1), slowPeerSettings)
+		config := agentConfig(agent, list, slowPeerSettings, usualMemoryMB, usualSockets)
 		cmd, address, _ := startNode(t, filepath.Join(t.TempDir(), name), config, "TMPDIR="+folder)
 		t.Cleanup(func() { cmd.Process.Signal(syscall.SIGKILL) })
 		return address
--- a/cmd/damsontrestle/slowpeers_test.go
+++ b/cmd/damsontrestle/slowpeers_test.go
@@ -48,15 +48,26 @@
 	return listener.Addr().String()
 }
 
+// agentConfig returns the configuration of a platform node that follows an agent and knows its list.
+func agentConfig(agent *testpeer.Agent, list, settings string, memoryMB, sockets int) string {
+	return fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,"settings":%s}`,
+		agent.Address(), memoryMB, sockets, strings.Replace(list, "%d", "1", 1), settings)
+}
+
+// Limits of the nodes of most tests.
+const (
+	usualMemoryMB = 64
+	usualSockets  = 1024
+)
+
 // startNodeWithServer starts a node as a process before one server, which handles each connection with a function.
 func startNodeWithServer(t *testing.T, handle func(c net.Conn)) (address string) {
 	t.Helper()
 	agent := testpeer.NewAgent(t)
 	list := testpeer.FullSnapshot(testpeer.Entry("s1", listenWith(t, handle), "in_service"))
 	agent.Tell(false, list)
-	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1,"memory_mb":64,"sockets":1024},"known":%s,"settings":%s}`,
-		agent.Address(), strings.Replace(list, "%d", "1", 1), slowPeerSettings)
+	config := agentConfig(agent, list, slowPeerSettings, usualMemoryMB, usualSockets)
 	cmd, address, log := startNode(t, filepath.Join(t.TempDir(), "config.json"), config)
 	t.Cleanup(func() { cmd.Process.Signal(syscall.SIGKILL) })
 	go func() {
--- a/internal/faultbench/attribution_test.go
+++ b/internal/faultbench/attribution_test.go
@@ -83,7 +83,7 @@
 	conn := testpeer.Dial(t, server.Address())
 	n := &node{fleet: f}
 	f.audit.RecordRequest(audit.Request{ID: "c0.8", At: f.now(), Deadline: time.Second})
-	outcome, detail, _, reusable := n.roundTrip(conn, "c0.8", e.Classes[0], nil, time.Second)
+	outcome, detail, _, reusable := (&exchange{n, conn, "c0.8", e.Classes[0], nil, time.Second}).roundTrip()
 	f.audit.RecordOutcome("c0.8", outcome, f.now(), detail)
 	if outcome != audit.WrongResponse || detail != "the reply that s1 made for c0.7" || reusable {
 		t.Errorf("outcome %v, detail %q, reusable %v", outcome, detail, reusable)
--- a/internal/faultbench/clients.go
+++ b/internal/faultbench/clients.go
@@ -100,7 +100,7 @@
 		if client != nil {
 			client.prepare(conn)
 		}
-		outcome, detail, wait, open := n.roundTrip(conn, id, class, client, remaining)
+		outcome, detail, wait, open := (&exchange{n, conn, id, class, client, remaining}).roundTrip()
 		if open {
 			n.putIdle(addr, conn)
 		} else {
@@ -134,85 +134,110 @@
 	return n.shortOfDescriptors
 }
 
-// roundTrip sends a request on a connection and reads the response. reusable reports whether the connection can be reused.
-func (n *node) roundTrip(conn net.Conn, id string, class experiment.Class, client *slowClient, remaining time.Duration) (outcome audit.Outcome, detail string, wait time.Duration, reusable bool) {
-	timeout := n.fleet.experiment.Clients.Patience
-	if timeout == 0 || timeout > remaining || client != nil {
-		timeout = remaining + audit.AnswerSlack
+// exchange is one request on a connection of a client.
+type exchange struct {
+	node      *node
+	conn      net.Conn
+	id        string
+	class     experiment.Class
+	client    *slowClient // nil: the client is not slow
+	remaining time.Duration
+}
+
+// patience returns how long the client waits for the beginning of the response, and whether it leaves then, before its deadline.
+func (x *exchange) patience() (timeout time.Duration, leaves bool) {
+	timeout = x.node.fleet.experiment.Clients.Patience
+	if timeout == 0 || timeout > x.remaining || x.client != nil {
+		return x.remaining + audit.AnswerSlack, false
+	}
+	return timeout, true
+}
+
+// roundTrip sends the request and reads the response. reusable reports whether the connection can be reused.
+func (x *exchange) roundTrip() (outcome audit.Outcome, detail string, wait time.Duration, reusable bool) {
+	timeout, leaves := x.patience()
+	x.conn.SetDeadline(time.Now().Add(timeout))
+	if x.client != nil {
+		x.conn.SetDeadline(time.Now().Add(slowReadTimeout))
+	}
+	sendErr := x.send()
+	if sendErr != nil && x.client == nil {
+		return audit.Disconnected, sendErr.Error(), 0, false
+	}
+	if x.client != nil {
+		x.node.fleet.audit.RecordSent(x.id, x.node.fleet.now())
+		x.conn.SetDeadline(time.Now().Add(timeout))
+	}
+	in := bufio.NewReader(x.conn)
+	resp, err := http.ReadResponse(in, nil)
+	switch {
+	case err != nil && sendErr != nil: // the request was not taken
+		return audit.NotAccepted, sendErr.Error(), 0, false
+	case errors.Is(err, os.ErrDeadlineExceeded) && leaves:
+		return audit.ClientLeft, "", 0, false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return audit.NoResponse, "", 0, false
+	case err != nil:
+		return audit.Disconnected, err.Error(), 0, false
 	}
-	conn.SetDeadline(time.Now().Add(timeout))
-	if client != nil {
-		conn.SetDeadline(time.Now().Add(slowReadTimeout))
+	x.node.fleet.audit.RecordFirstByte(x.id, x.node.fleet.now())
+	if !leaves {
+		x.conn.SetDeadline(time.Now().Add(slowReadTimeout))
 	}
+	text, err := io.ReadAll(io.LimitReader(x.client.reader(resp.Body), 2*longReplyBytes))
+	resp.Body.Close()
+	outcome, detail, wait = x.judge(resp, string(text), err)
+	reusable = err == nil && !resp.Close && in.Buffered() == 0 && x.client == nil
+	return outcome, detail, wait, reusable && outcome != audit.WrongResponse
+}
+
+// send writes the request.
+func (x *exchange) send() error {
 	method, body := "GET", ""
-	if class.Effect != "safe" {
-		method, body = "POST", "body of "+id
+	if x.class.Effect != "safe" {
+		method, body = "POST", "body of "+x.id
 	}
-	if client != nil && method == "POST" {
-		body += strings.Repeat(" ", client.upload)
+	if x.client != nil && method == "POST" {
+		body += strings.Repeat(" ", x.client.upload)
 	}
 	var out strings.Builder
-	fmt.Fprintf(&out, "%s /%s/k HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: %s\r\nX-Deadline: %.4f\r\n", method, class.Name, id, remaining.Seconds())
+	fmt.Fprintf(&out, "%s /%s/k HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: %s\r\nX-Deadline: %.4f\r\n", method, x.class.Name, x.id, x.remaining.Seconds())
 	if method == "POST" {
 		fmt.Fprintf(&out, "Content-Length: %d\r\n", len(body))
 	}
 	out.WriteString("\r\n")
-	if client == nil {
+	if x.client == nil {
 		out.WriteString(body)
 		body = ""
 	}
-	_, sendErr := io.WriteString(conn, out.String())
-	if sendErr == nil {
-		sendErr = client.write(conn, body)
-	}
-	if sendErr != nil && client == nil {
-		return audit.Disconnected, sendErr.Error(), 0, false
+	if _, err := io.WriteString(x.conn, out.String()); err != nil {
+		return err
 	}
-	if client != nil {
-		n.fleet.audit.RecordSent(id, n.fleet.now())
-		conn.SetDeadline(time.Now().Add(timeout))
-	}
-	in := bufio.NewReader(conn)
-	resp, err := http.ReadResponse(in, nil)
-	if err != nil && sendErr != nil {
-		return audit.NotAccepted, sendErr.Error(), 0, false
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		if timeout <= remaining {
-			return audit.ClientLeft, "", 0, false
-		}
-		return audit.NoResponse, "", 0, false
-	}
-	if err != nil {
-		return audit.Disconnected, err.Error(), 0, false
-	}
-	n.fleet.audit.RecordFirstByte(id, n.fleet.now())
-	if timeout > remaining { // otherwise the client leaves then
-		conn.SetDeadline(time.Now().Add(slowReadTimeout))
-	}
-	text, err := io.ReadAll(io.LimitReader(client.reader(resp.Body), 2*longReplyBytes))
-	resp.Body.Close()
-	reusable = err == nil && !resp.Close && in.Buffered() == 0 && client == nil
+	return x.client.write(x.conn, body)
+}
+
+// judge returns the outcome of a response whose body was read until an error, if any.
+func (x *exchange) judge(resp *http.Response, text string, err error) (outcome audit.Outcome, detail string, wait time.Duration) {
 	retryAfter := resp.Header.Get("Retry-After")
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded): // it has waited long enough for a response that has begun
-		return audit.ClientLeft, "", 0, false
+		return audit.ClientLeft, "", 0
 	case err != nil:
-		return audit.Failed, "truncated response", 0, false
-	case resp.StatusCode == http.StatusOK && strings.HasSuffix(string(text), " "+id):
-		return audit.Served, "", 0, reusable
+		return audit.Failed, "truncated response", 0
+	case resp.StatusCode == http.StatusOK && strings.HasSuffix(text, " "+x.id):
+		return audit.Served, "", 0
 	case resp.StatusCode == http.StatusOK:
-		return audit.WrongResponse, describeBody(string(text)), 0, false
+		return audit.WrongResponse, describeBody(text), 0
 	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
 		var seconds float64
 		fmt.Sscan(retryAfter, &seconds)
-		return audit.Refused, retryAfter, time.Duration(seconds * float64(time.Second)), reusable
-	case resp.StatusCode == http.StatusBadRequest && client != nil:
-		return audit.UploadCut, resp.Status, 0, false
+		return audit.Refused, retryAfter, time.Duration(seconds * float64(time.Second))
+	case resp.StatusCode == http.StatusBadRequest && x.client != nil:
+		return audit.UploadCut, resp.Status, 0
 	case resp.StatusCode >= 500:
-		return audit.Failed, resp.Status, 0, reusable
+		return audit.Failed, resp.Status, 0
 	}
-	return audit.WrongResponse, resp.Status, 0, false
+	return audit.WrongResponse, resp.Status, 0
 }
 
 // describeBody names the server and the request that a body was made for, which are its last two words.
