--- a/internal/engine/reception.go
+++ b/internal/engine/reception.go
@@ -12,8 +12,8 @@
 
 	mu        sync.Mutex
 	at        time.Duration // clock time at which the last byte was received
-	awaiting  bool          // all that the client has sent so far was received
-	awaitedAt time.Duration // clock time at which that held last
+	awaiting  time.Duration // clock time since which nothing that the client has sent waits to be received; 0: something does
+	awaitedAt time.Duration // clock time until which the client was waited for last
 	buffered  int64         // bytes received that no server has read
 }
 
@@ -30,14 +30,25 @@
 	close(r.done)
 }
 
-// SetAwaiting records at a clock time whether the client has sent nothing that was not received.
-func (r *Reception) SetAwaiting(awaiting bool, at time.Duration) {
+// minAwait is how long nothing comes from a client before it counts as still sending: bytes that wait at the client, because the node did
+// not receive for a while, take a round trip.
+const minAwait = 100 * time.Millisecond
+
+// BeginAwait records at a clock time that all that has come from the client is received, and the next bytes are waited for.
+func (r *Reception) BeginAwait(at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.awaiting = at
+}
+
+// EndAwait records at a clock time that bytes have come.
+func (r *Reception) EndAwait(at time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.awaiting || awaiting {
+	if r.awaiting > 0 && at-r.awaiting >= minAwait {
 		r.awaitedAt = at
 	}
-	r.awaiting = awaiting
+	r.awaiting = 0
 }
 
 // SetBuffered records how many bytes are received and not read yet.
@@ -75,7 +86,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.awaiting {
+	if r.awaiting > 0 && now-r.awaiting >= minAwait {
 		return now, r.buffered
 	}
 	return r.awaitedAt, r.buffered
--- a/internal/http1/bodyrest.go
+++ b/internal/http1/bodyrest.go
@@ -70,9 +70,11 @@
 	defer close(u.ended)
 	for u.awaitRoom() {
 		buffer := bodyParts.Get().(*[bodyPartSize]byte)
-		u.reception.SetAwaiting(downstream.PeekSocket(u.conn) == downstream.SocketOpen, u.clock.Now())
+		if downstream.PeekSocket(u.conn) == downstream.SocketOpen {
+			u.reception.BeginAwait(u.clock.Now())
+		}
 		n, err := u.body.Read(buffer[:])
-		u.reception.SetAwaiting(false, u.clock.Now())
+		u.reception.EndAwait(u.clock.Now())
 		if err == io.EOF {
 			u.reception.Complete(u.clock.Now())
 		}
--- a/internal/http1/readahead.go
+++ b/internal/http1/readahead.go
@@ -14,8 +14,12 @@
 	maxConnReadAhead  = validation.MaxBufferedBody + maxHeaderBytes // of one connection: enough for one complete request
 	maxTotalReadAhead = 4 << 20                                     // of all connections of a front end, or less; see InputBudget.ReadAheadLimit
 	readAheadChunk    = 4 << 10
+	dropBurst         = 64 << 10 // after which dropping pauses, so that a client that floods leaves the processor to others
 )
 
+// dropPause is how long dropping pauses.
+const dropPause = time.Millisecond
+
 // consumeReadAhead returns bytes that were read ahead or, if there are none, the error that ended reading, if any.
 func (c *clientConn) consumeReadAhead(p []byte) (int, error) {
 	c.mu.Lock()
@@ -74,11 +78,25 @@
 		return 0, errInputDropped
 	}
 	buf := make([]byte, readAheadChunk)
+	var pace dropPace
 	for {
-		if _, err := netio.Read(c.Conn, buf); err != nil {
+		n, err := netio.Read(c.Conn, buf)
+		if err != nil {
 			c.recordRead(nil, err)
 			return 0, err
 		}
+		pace.drop(n)
+	}
+}
+
+// dropPace slows down the dropping of input. Its zero value is ready to use.
+type dropPace struct{ bytes int }
+
+// drop counts dropped bytes, and pauses after each burst.
+func (d *dropPace) drop(n int) {
+	if d.bytes += n; d.bytes >= dropBurst {
+		d.bytes = 0
+		time.Sleep(dropPause)
 	}
 }
 
@@ -126,6 +144,7 @@
 func (c *clientConn) readAheadLoop(done chan struct{}) {
 	defer close(done)
 	buf := make([]byte, readAheadChunk)
+	var pace dropPace
 	for {
 		n, err := netio.Read(c.Conn, buf)
 		kept := c.withinReadAheadLimits(buf[:n])
@@ -133,6 +152,9 @@
 		if err != nil || c.mayStopReadingAhead() {
 			return
 		}
+		if len(kept) < n {
+			pace.drop(n)
+		}
 	}
 }
 
