--- a/internal/faultbench/clients.go
+++ b/internal/faultbench/clients.go
@@ -184,7 +184,7 @@
 	if !leaves {
 		x.conn.SetDeadline(time.Now().Add(slowReadTimeout))
 	}
-	text, err := io.ReadAll(io.LimitReader(x.client.reader(resp.Body), 2*longReplyBytes))
+	text, err := io.ReadAll(io.LimitReader(x.client.reader(resp.Body), maxReplyBytes))
 	resp.Body.Close()
 	outcome, detail, wait = x.judge(resp, string(text), err)
 	reusable = err == nil && !resp.Close && in.Buffered() == 0 && x.client == nil
--- a/internal/faultbench/slow.go
+++ b/internal/faultbench/slow.go
@@ -14,13 +14,14 @@
 
 // Bounds of slow transfers.
 const (
-	slowInterval    = 40 * time.Millisecond   // between two parts
-	maxSlowReply    = 120 << 10               // bytes
-	maxSlowTransfer = 2500 * time.Millisecond // of a reply
-	maxUpload       = 3 << 20                 // bytes
-	smallBuffer     = 32 << 10                // bytes of a socket's buffer
-	slowReadTimeout = 15 * time.Second        // of a client for a response that has begun
-	minInProgress   = 150 * time.Millisecond  // for which a reply has been sent before it counts as in progress at the node
+	slowInterval    = 40 * time.Millisecond               // between two parts
+	maxSlowReply    = 120 << 10                           // bytes
+	maxReplyBytes   = 2 * (longReplyBytes + maxSlowReply) // more than any reply of a server
+	maxSlowTransfer = 2500 * time.Millisecond             // of a reply
+	maxUpload       = 3 << 20                             // bytes
+	smallBuffer     = 32 << 10                            // bytes of a socket's buffer
+	slowReadTimeout = 15 * time.Second                    // of a client for a response that has begun
+	minInProgress   = 150 * time.Millisecond              // for which a reply has been sent before it counts as in progress at the node
 )
 
 // framing is how a reply marks the end of its body.
