Fault bench: a reply that was sent to its end is no reply in progress

The server waited for 40 ms behind the last part, and behind that for the end of a chunked reply, as if more were to come. The end now goes with the last part.

--- a/internal/faultbench/slow.go
+++ b/internal/faultbench/slow.go
@@ -66,6 +66,14 @@
 	return fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
 }
 
+// lastFrame returns the last part of the body as it is sent, with the end of the reply.
+func (r *slowReply) lastFrame(part string) string {
+	if r.framing != framedByChunks {
+		return part
+	}
+	return r.frame(part) + "0\r\n\r\n"
+}
+
 // sendSlowly sends a reply at its rate, and reports whether the connection can be reused. If the node closes the connection meanwhile, that
 // is recorded as a cut.
 func (h *host) sendSlowly(conn *link.Conn, attempt *audit.Attempt, reply *slowReply, headers, body string) bool {
@@ -78,6 +86,10 @@
 	for len(body) > 0 {
 		part := body[:min(size, len(body))]
 		body = body[len(part):]
+		if len(body) == 0 {
+			conn.Send([]byte(reply.lastFrame(part)), nil)
+			break // the node may close the connection from here on
+		}
 		conn.Send([]byte(reply.frame(part)), nil)
 		select {
 		case <-conn.CloseDelivered():
@@ -86,9 +98,6 @@
 		case <-time.After(slowInterval):
 		}
 	}
-	if reply.framing == framedByChunks {
-		conn.Send([]byte("0\r\n\r\n"), nil)
-	}
 	f.audit.RecordEnd(attempt, f.now(), "served slowly")
 	return reply.framing != framedByClose
 }
