--- a/cmd/damsontrestle/repeatedids_test.go
+++ b/cmd/damsontrestle/repeatedids_test.go
@@ -59,6 +59,7 @@
 // Guards against an unsafe request that runs twice: its client leaves after it was forwarded, and comes again with the same id, at this
 // process or at the other one of an upgrade.
 func TestRequestThatComesAgainWithItsIDRunsOnce(t *testing.T) {
+	t.Parallel()
 	counter := &runCounter{runs: map[string]int{}}
 	server := testpeer.NewServer(t, counter.handle)
 	agent := testpeer.NewAgent(t)
@@ -95,6 +96,7 @@
 
 // Guards against requests that are forwarded after their client has closed its connection: they were written ahead and stand unread.
 func TestRequestsOfClosedConnectionAreNotForwarded(t *testing.T) {
+	t.Parallel()
 	const (
 		ahead      = 60
 		grace      = 250 * time.Millisecond // 0.1 s, and 0.15 s for which the node may be held up
--- a/cmd/damsontrestle/slowpeers_test.go
+++ b/cmd/damsontrestle/slowpeers_test.go
@@ -138,47 +138,66 @@
 	}
 }
 
+// slowResult is what a client got of a slow reply.
+type slowResult struct {
+	class    string
+	status   int
+	first    time.Duration // until the response began
+	received int64
+	err      error
+}
+
+// readSlowReply reads a response that began to be waited for at a time.
+func readSlowReply(client *testpeer.ClientConn, class string, begin time.Time) slowResult {
+	result := slowResult{class: class}
+	response, err := http.ReadResponse(client.Reader, nil)
+	result.first = time.Since(begin)
+	if err != nil {
+		result.err = err
+		return result
+	}
+	result.status = response.StatusCode
+	result.received, result.err = io.Copy(io.Discard, response.Body)
+	return result
+}
+
 // Guards against a cut of a sound reply: its server goes on writing it when the attempt's or the client's time ends.
 func TestSlowReplyInProgressIsNotCut(t *testing.T) {
+	t.Parallel()
 	const wait = 2500 * time.Millisecond
 	for _, reply := range slowReplies {
-		for _, class := range []string{"note", "view"} {
-			t.Run(fmt.Sprint(reply.name, " ", reply.framing, " ", class), func(t *testing.T) {
-				t.Parallel()
-				var requests atomic.Int64
-				address := startNodeWithServer(t, func(c net.Conn) {
-					request, err := http.ReadRequest(bufio.NewReader(c))
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, request.Body)
-					requests.Add(1)
-					reply.write(c)
-				})
-				client := testpeer.Dial(t, address)
-				begin := time.Now()
-				method, body := "GET", ""
-				if class == "note" {
-					method, body = "POST", "x"
-				}
-				client.Send(method, "/"+class+"/k", "slow-reply", body, fmt.Sprint(wait.Seconds()))
-				response, err := http.ReadResponse(client.Reader, nil)
+		t.Run(fmt.Sprint(reply.name, " ", reply.framing), func(t *testing.T) {
+			t.Parallel()
+			var requests atomic.Int64
+			address := startNodeWithServer(t, func(c net.Conn) {
+				request, err := http.ReadRequest(bufio.NewReader(c))
 				if err != nil {
-					t.Fatalf("no response after %v: %v", time.Since(begin), err)
+					return
 				}
-				first := time.Since(begin)
-				received, err := io.Copy(io.Discard, response.Body)
-				if response.StatusCode != 200 || received != int64(reply.bytes) || err != nil {
-					t.Errorf("status %d after %v, %d bytes, %v after %v; want 200 with %d bytes", response.StatusCode, first, received, err, time.Since(begin), reply.bytes)
-				}
-				if first > wait+lateAnswer {
-					t.Errorf("the response began after %v; the client waits %v", first, wait)
+				io.Copy(io.Discard, request.Body)
+				requests.Add(1)
+				reply.write(c)
+			})
+			results := make(chan slowResult)
+			for class, method := range map[string]string{"note": "POST", "view": "GET"} {
+				client := testpeer.Dial(t, address)
+				begin := time.Now()
+				client.Send(method, "/"+class+"/k", "slow-"+class, "", fmt.Sprint(wait.Seconds()))
+				go func() { results <- readSlowReply(client, class, begin) }()
+			}
+			for range 2 {
+				r := <-results
+				if r.status != 200 || r.received != int64(reply.bytes) || r.err != nil {
+					t.Errorf("%s: status %d after %v, %d bytes, %v; want 200 with %d bytes", r.class, r.status, r.first, r.received, r.err, reply.bytes)
 				}
-				if requests.Load() != 1 {
-					t.Errorf("%d requests reached the server, want 1", requests.Load())
+				if r.first > wait+lateAnswer {
+					t.Errorf("%s: the response began after %v; the client waits %v", r.class, r.first, wait)
 				}
-			})
-		}
+			}
+			if requests.Load() != 2 {
+				t.Errorf("%d requests reached the server, want 2", requests.Load())
+			}
+		})
 	}
 }
 
@@ -256,6 +275,7 @@
 // Guards against a cut of a sound upload: its server is still reading it when the attempt's time ends, or has freed too little of the
 // kernel's buffer for the node to write on.
 func TestUploadThatServerReadsIsNotCut(t *testing.T) {
+	t.Parallel()
 	for _, upload := range slowlyReadUploads {
 		t.Run(upload.String(), func(t *testing.T) {
 			t.Parallel()
@@ -267,6 +287,7 @@
 // Guards against a final response that is late, or an upload that is cut: its server reads it slowly, while its last bytes wait in
 // buffers or its client goes on writing.
 func TestUploadToSlowServerIsAnsweredInTime(t *testing.T) {
+	t.Parallel()
 	for _, upload := range slowUploads {
 		t.Run(upload.String(), func(t *testing.T) {
 			t.Parallel()
