Upstream: dial no more once the attempt's deadline has passed

Traced: the pause between two dials and the attempt's deadline were over when the process was held up; a context's deadline ends it by a timer of its own that had not run yet. The deadline itself is looked at now.

The test, eight processes on one core, 1,200 plays: 255 failed before, none after.

--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -98,6 +98,12 @@
 	return p.remainingSettleDelay(c, p.clock.Now())
 }
 
+// isOver reports whether a context is done or its deadline has passed: in a process that is held up, that takes a while to end it.
+func isOver(ctx context.Context) bool {
+	deadline, has := ctx.Deadline()
+	return ctx.Err() != nil || has && !time.Now().Before(deadline)
+}
+
 // dialWithRetries opens a connection for which reserve has taken a place, and releases the place if it fails. A lack of local
 // resources is retried after a pause: dialing other servers would fail as well.
 func (p *Pool) dialWithRetries(ctx, attemptCtx context.Context, host discovery.Host) dialResult {
@@ -105,7 +111,7 @@
 	backoff := dialBackoff
 	for dials := 1; dials < MaxDials && isLocalShortage(result.err); dials++ {
 		clock.Sleep(ctx, backoff)
-		if ctx.Err() != nil || attemptCtx.Err() != nil { // the end of the attempt takes a moment to cancel ctx
+		if isOver(ctx) || isOver(attemptCtx) { // the end of the attempt takes a moment to cancel ctx
 			break
 		}
 		backoff *= 2
