--- a/cmd/damsontrestle/floods_test.go
+++ b/cmd/damsontrestle/floods_test.go
@@ -21,8 +21,9 @@
 const (
 	floodServiceTime  = 10 * time.Millisecond // of the server
 	floodTime         = 1200 * time.Millisecond
-	floodNeighbours   = 4   // usual clients beside the flood
-	floodMedianFactor = 2.5 // by which a flood may lengthen the median answer of the usual clients
+	floodBurst        = 300 * time.Millisecond // in which the connections use what they may cause at once
+	floodNeighbours   = 4                      // usual clients beside the flood
+	floodMedianFactor = 2.5                    // by which a flood may lengthen the median answer of the usual clients
 	floodLongestDelay = 500 * time.Millisecond
 )
 
@@ -63,6 +64,7 @@
 			for i := range flood.connections {
 				flooding.Go(func() { sendFlood(address, flood.head, flood.part, i, until) })
 			}
+			time.Sleep(floodBurst)
 			flooded := playNeighbours(t, address, "flooded", until)
 			flooding.Wait()
 			t.Logf("median and longest: quiet %v %v of %d, flooded %v %v of %d", median(quiet), slices.Max(quiet), len(quiet),
