--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -136,6 +136,8 @@
 	select {
 	case <-c.readEnded:
 		return true
+	case <-c.disconnected: // the end was not read yet
+		return true
 	default:
 		return false
 	}
--- a/internal/http1/disconnect_test.go
+++ b/internal/http1/disconnect_test.go
@@ -251,3 +251,16 @@
 func hasReadAhead(n *testNode) bool {
 	return n.front.totalReadAhead.Load() > 0
 }
+
+// Guards against a request that is taken though its client has left: the end of the connection stands behind unread bytes, and was seen by
+// the request before.
+func TestEndBehindUnreadBytesEndsTheConnection(t *testing.T) {
+	local, remote := testpeer.Pair(t)
+	conn := newClientConn(local, startNode(t, testConfig(testpeer.FullSnapshot()), nil).clients, new(atomic.Int64))
+	io.WriteString(remote, getRequest("behind"))
+	remote.Close()
+	testpeer.Until(t, "the close to be seen", conn.hasDisconnected)
+	if !conn.hasEnded() {
+		t.Error("the connection goes on after its client has left")
+	}
+}
