--- a/cmd/damsontrestle/memory_test.go
+++ b/cmd/damsontrestle/memory_test.go
@@ -231,6 +231,21 @@
 	}})
 }
 
+// leastMemoryMB is the least memory limit of a node that operators use, in MiB.
+const leastMemoryMB = 32
+
+// Guards against a node with little memory that goes over its limit, with all of its descriptors in use.
+func TestMemoryAtTheLeastLimit(t *testing.T) {
+	defer func(usual int) { *memoryMB = usual }(*memoryMB)
+	*memoryMB = leastMemoryMB
+	t.Run("all inputs", TestMemoryOfAllInputsAtOnce)
+	for _, attack := range memoryAttacks {
+		if attack.name == "half uploads" {
+			t.Run(attack.name, func(t *testing.T) { playMemoryAttack(t, attack) })
+		}
+	}
+}
+
 // playMemoryAttack starts a node, plays an attack beside a usual client, and checks the peak of the node's memory.
 func playMemoryAttack(t *testing.T, attack memoryAttack) {
 	server := startMemoryServer(t, attack)
--- a/cmd/damsontrestle/slowpeers_test.go
+++ b/cmd/damsontrestle/slowpeers_test.go
@@ -276,24 +276,14 @@
 // kernel's buffer for the node to write on.
 func TestUploadThatServerReadsIsNotCut(t *testing.T) {
 	t.Parallel()
-	for _, upload := range slowlyReadUploads {
-		t.Run(upload.String(), func(t *testing.T) {
-			t.Parallel()
-			playSlowUpload(t, upload)
-		})
-	}
+	playSlowUploads(t, slowlyReadUploads)
 }
 
 // Guards against a final response that is late, or an upload that is cut: its server reads it slowly, while its last bytes wait in
 // buffers or its client goes on writing.
 func TestUploadToSlowServerIsAnsweredInTime(t *testing.T) {
 	t.Parallel()
-	for _, upload := range slowUploads {
-		t.Run(upload.String(), func(t *testing.T) {
-			t.Parallel()
-			playSlowUpload(t, upload)
-		})
-	}
+	playSlowUploads(t, slowUploads)
 }
 
 // String returns the name of the upload with its framing.
@@ -304,6 +294,16 @@
 	return u.name + " length"
 }
 
+// playSlowUploads plays each upload in a test of its own, beside each other.
+func playSlowUploads(t *testing.T, uploads []slowUpload) {
+	for _, upload := range uploads {
+		t.Run(upload.String(), func(t *testing.T) {
+			t.Parallel()
+			playSlowUpload(t, upload)
+		})
+	}
+}
+
 // playSlowUpload sends an upload through a node to a server that reads it slowly, and checks when and how it is answered.
 func playSlowUpload(t *testing.T, upload slowUpload) {
 	address := startNodeWithServer(t, func(c net.Conn) {
