--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,6 +8,7 @@
 )
 
 var cases = map[string]func(*world) error{
+	"short-length":     shortLength,
 	"late-pipeline":    latePipeline,
 	"dropped-pipeline": droppedPipeline,
 	"endless-answer":   endlessAnswer,
