--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -12,7 +12,8 @@
 // clientConn is a client's connection to a node.
 type clientConn struct {
 	net.Conn
-	reader *bufio.Reader
+	reader  *bufio.Reader
+	closing bool // the last response said that the node closes the connection
 }
 
 func dial(address string) (*clientConn, error) {
@@ -20,7 +21,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{c, bufio.NewReaderSize(c, 64<<10)}, nil
+	return &clientConn{Conn: c, reader: bufio.NewReaderSize(c, 64<<10)}, nil
 }
 
 func (c *clientConn) write(text string) error {
@@ -37,6 +38,7 @@
 		return 0, "", err
 	}
 	defer response.Body.Close()
+	c.closing = response.Close
 	text, err := io.ReadAll(response.Body)
 	return response.StatusCode, string(text), err
 }
--- a/review/standin/common.go
+++ b/review/standin/common.go
@@ -25,7 +25,7 @@
 }
 
 // startFleet starts a fleet whose servers reply in the same way.
-func (w *world) startFleet(reply func(*server, net.Conn, *http.Request, string) bool, o nodeOptions) (*fleet, error) {
+func (w *world) startFleet(reply func(*server, net.Conn, *http.Request) bool, o nodeOptions) (*fleet, error) {
 	f := &fleet{}
 	var targets []target
 	for i, zone := range []string{"chavara", "chavara", "karunagappally", "karunagappally"} {
--- a/review/standin/endlessanswer.go
+++ b/review/standin/endlessanswer.go
@@ -20,10 +20,10 @@
 		watched  = 20 * time.Second // how long the client looks on
 	)
 	sound := serveAfter(service)
-	reply := func(s *server, c net.Conn, r *http.Request, body string) bool {
+	reply := func(s *server, c net.Conn, r *http.Request) bool {
 		id := r.Header.Get("X-Request-Id")
 		if !w.trouble || id != requestID(0) && id != requestID(1) {
-			return sound(s, c, r, body)
+			return sound(s, c, r)
 		}
 		time.Sleep(service)
 		if _, err := fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"strconv"
+	"time"
 )
 
 var cases = map[string]func(*world) error{
@@ -14,9 +16,16 @@
 	"endless-answer":   endlessAnswer,
 	"memory-limit":     memoryLimit,
 	"chunked-pipeline": chunkedPipeline,
+	"flood":            flood,
 }
 
 func main() {
+	if len(os.Args) == 5 && os.Args[1] == "bad-clients" {
+		clients, _ := strconv.Atoi(os.Args[3])
+		length, _ := time.ParseDuration(os.Args[4])
+		badClients(os.Args[2], clients, length)
+		return
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -24,7 +24,7 @@
 	uid      string
 	listener net.Listener
 	// reply answers a request: it returns the text to write and whether the connection stays open.
-	reply func(s *server, c net.Conn, r *http.Request, body string) (keep bool)
+	reply func(s *server, c net.Conn, r *http.Request) (keep bool)
 
 	mu       sync.Mutex
 	attempts []*attempt
@@ -32,7 +32,7 @@
 }
 
 // startServer starts a server that answers each request after a service time.
-func (w *world) startServer(uid string, reply func(*server, net.Conn, *http.Request, string) bool) (*server, error) {
+func (w *world) startServer(uid string, reply func(*server, net.Conn, *http.Request) bool) (*server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errCannotRun, err)
@@ -65,8 +65,7 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
 		a := &attempt{id: r.Header.Get("X-Request-Id"), class: classOf(r), server: s.uid, at: time.Now(), deadline: r.Header.Get("X-Deadline")}
@@ -74,7 +73,7 @@
 		s.attempts = append(s.attempts, a)
 		s.mu.Unlock()
 		s.w.logf("%s runs %s %s, X-Deadline %s", s.uid, a.class, a.id, a.deadline)
-		keep := s.reply(s, c, r, string(body))
+		keep := s.reply(s, c, r)
 		s.mu.Lock()
 		a.ended = time.Now()
 		s.mu.Unlock()
@@ -99,8 +98,8 @@
 func answerText(uid, id string) string { return "annotation of " + id + " by " + uid }
 
 // serveAfter returns a reply that comes after a service time.
-func serveAfter(service time.Duration) func(*server, net.Conn, *http.Request, string) bool {
-	return func(s *server, c net.Conn, r *http.Request, body string) bool {
+func serveAfter(service time.Duration) func(*server, net.Conn, *http.Request) bool {
+	return func(s *server, c net.Conn, r *http.Request) bool {
 		time.Sleep(service)
 		text := answerText(s.uid, r.Header.Get("X-Request-Id"))
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Load: TEXT eps=0.0, util=0.30\r\n\r\n%s", len(text), text)
--- a/review/standin/shortlength.go
+++ b/review/standin/shortlength.go
@@ -21,7 +21,7 @@
 	)
 	var mu sync.Mutex
 	answers, spoiltIDs := 0, map[string]bool{}
-	reply := func(s *server, c net.Conn, r *http.Request, body string) bool {
+	reply := func(s *server, c net.Conn, r *http.Request) bool {
 		time.Sleep(service)
 		id := r.Header.Get("X-Request-Id")
 		text := longAnswer(id)
