--- a/review/standin/flood.go
+++ b/review/standin/flood.go
@@ -16,8 +16,8 @@
 // flood: bad clients send bodies of 60 MB at full speed. The usual clients have their final answers in their time.
 func flood(w *world) error {
 	const (
-		bad      = 200 // clients, each with one body at a time
-		usual    = 12  // clients
+		bad      = 300 // clients, each with one body at a time
+		usual    = 40  // clients
 		length   = 20 * time.Second
 		lead     = time.Second // before the usual clients begin
 		deadline = 2 * time.Second
