Refuse a reply behind whose length more follows than a further reply

Cause: a reply was complete once as many bytes as its length had come. What came with them was judged apart, as a property of the connection, and behind bodies read past the reader's 4 KiB not looked at before the reply was served.

Fix: before a reply with a length is delivered, the pool looks at what has arrived behind it, in the reader's buffer and the kernel's. Nothing, or a status line: the length fits, served as before. Anything else may be the rest of the body: the attempt has failed and may have run. A reply that is being passed on ends before its last part, so that the client can tell. Behind chunks, whose end is marked in the body, noise changes nothing.

--- a/internal/engine/ending.go
+++ b/internal/engine/ending.go
@@ -19,6 +19,7 @@
 	EndNotStarted       EndReason = "not_started"        // the attempt found no connection, or had no time left
 	EndUnreachable      EndReason = "unreachable"        // the server did not receive the request completely
 	EndConnectionLost   EndReason = "connection_lost"    // the connection ended before the reply did
+	EndBeyondLength     EndReason = "beyond_length"      // more followed the reply than its length tells
 	EndServerRejected   EndReason = "server_rejected"    // the server states that it has not run the request
 	EndServerFailed     EndReason = "server_failed"      // the server replied with a failure
 	EndReplyStopped     EndReason = "reply_stopped"      // the server stopped within a reply that was being passed on
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -155,5 +155,5 @@
 	case wait.timedOut.Load() || attempt.Context().Err() != nil:
 		return engine.Outcome{Result: balancer.TimedOut}
 	}
-	return engine.Outcome{Result: balancer.ConnectionLost}
+	return engine.Outcome{Result: balancer.ConnectionLost, EndState: engine.EndState{Reason: lostReason(got.err)}}
 }
--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -9,6 +9,7 @@
 // Values of inputKind.
 const (
 	inputBehindReply    inputKind = "behind_reply"   // directly behind a reply
+	inputBeyondLength   inputKind = "beyond_length"  // directly behind the length of a reply, and no further reply: the reply was refused
 	inputWhileIdle      inputKind = "while_idle"     // after a reply, before the next request
 	inputBeforeWrite    inputKind = "before_write"   // as the next request is about to be written
 	inputDuringWrite    inputKind = "during_write"   // before the next request was written completely
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"damsontrestle/internal/discovery"
@@ -17,6 +18,7 @@
 // server is removed from the idle ones at once.
 type conn struct {
 	net.Conn
+	raw          syscall.RawConn // of Conn; nil: it has no socket
 	host         discovery.Host
 	number       int64 // identifies the connection in the log
 	limited      *limitedReader
@@ -83,7 +85,7 @@
 // newConn starts the reader of a new connection. waiter belongs to the attempt that waits for the connection, and is nil if there
 // is none yet.
 func (p *Pool) newConn(nc net.Conn, host discovery.Host, waiter chan reply) *conn {
-	c := &conn{Conn: nc, host: host, waiter: waiter, number: p.connNumbers.Add(1)}
+	c := &conn{Conn: nc, raw: rawConn(nc), host: host, waiter: waiter, number: p.connNumbers.Add(1)}
 	c.limited = &limitedReader{Reader: c}
 	c.reader = bufio.NewReader(c.limited)
 	go p.watchReplies(c)
@@ -100,7 +102,7 @@
 	if c.waiter != waiter {
 		return errUnsolicited
 	}
-	state := inputStateOf(c.Conn, p.recvfrom)
+	state := inputStateOf(c.raw, p.recvfrom)
 	if state == inputNone && p.remainingSettleDelay(c, p.clock.Now()) > 0 {
 		c.waiter = nil
 		p.putIdle(c)
@@ -151,9 +153,9 @@
 // arrives before the last byte of a request is written does not belong to it.
 func (p *Pool) write(c *conn, text []byte) (int, error) {
 	lookedAt := p.clock.Now()
-	before := inputStateOf(c.Conn, p.recvfrom)
+	before := inputStateOf(c.raw, p.recvfrom)
 	n, err := c.Write(text)
-	if before == inputPending || hasEarlyInput(c.Conn, p.recvfrom, p.clock.Now()-lookedAt) {
+	if before == inputPending || hasEarlyInput(c.raw, p.recvfrom, p.clock.Now()-lookedAt) {
 		p.recordEarlyInput(c)
 	}
 	return n, err
@@ -170,7 +172,7 @@
 // closed, it writes nothing and returns errUnsolicited.
 func (p *Pool) writeRequest(c *conn, waiter chan reply, text []byte) (sent int, err error) {
 	lookedAt := p.clock.Now()
-	switch inputStateOf(c.Conn, p.recvfrom) {
+	switch inputStateOf(c.raw, p.recvfrom) {
 	case inputPending:
 		p.refuseInput(c, waiter, inputBeforeWrite)
 		return 0, errUnsolicited
@@ -179,7 +181,7 @@
 		return 0, errUnsolicited
 	}
 	sent, err = c.Write(text)
-	if hasEarlyInput(c.Conn, p.recvfrom, p.clock.Now()-lookedAt) {
+	if hasEarlyInput(c.raw, p.recvfrom, p.clock.Now()-lookedAt) {
 		p.recordEarlyInput(c)
 	}
 	if err != nil {
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -68,7 +68,7 @@
 			host := listServer(pool, server.Address())
 			pool.open = 1
 			pool.share.TryAcquire()
-			pool.idle[host] = []*conn{{Conn: nc, host: host}} // without a reader goroutine
+			pool.idle[host] = []*conn{{Conn: nc, raw: rawConn(nc), host: host}} // without a reader goroutine
 			if input == "" {
 				peer.Close()
 			} else {
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -57,6 +57,6 @@
 
 // hasInput reports whether a connection has unread input or was closed.
 func hasInput(nc net.Conn) bool {
-	state := inputStateOf(nc, syscall.Recvfrom)
+	state := inputStateOf(rawConn(nc), syscall.Recvfrom)
 	return state == inputPending || state == inputEnded
 }
--- a/internal/upstream/reply.go
+++ b/internal/upstream/reply.go
@@ -65,7 +65,7 @@
 // it.
 func (p *Pool) watchReplies(c *conn) {
 	for {
-		awaitInput(c.Conn, p.recvfrom)
+		awaitInput(c.raw, p.recvfrom)
 		if !p.expectsReply(c) {
 			return
 		}
@@ -83,13 +83,13 @@
 // attempt that waits for it takes another one or, if its request was written, ends.
 func (p *Pool) expectsReply(c *conn) bool {
 	p.awaitWritten(c)
-	unacknowledged := netio.Unacknowledged(c.Conn) > 0 && inputStateOf(c.Conn, p.recvfrom) == inputPending // a reset leaves some, too
+	unacknowledged := netio.Unacknowledged(c.Conn) > 0 && inputStateOf(c.raw, p.recvfrom) == inputPending // a reset leaves some, too
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	waiter := c.waiter
 	if waiter == nil || c.stage == stageIdle {
 		c.waiter = nil
-		p.discardUnsolicited(c, inputStateOf(c.Conn, p.recvfrom))
+		p.discardUnsolicited(c, inputStateOf(c.raw, p.recvfrom))
 		if waiter != nil {
 			waiter <- reply{err: errUnsolicited}
 		}
@@ -137,7 +137,7 @@
 		<-written
 		return
 	}
-	if inputStateOf(c.Conn, p.recvfrom) != inputPending {
+	if inputStateOf(c.raw, p.recvfrom) != inputPending {
 		return
 	}
 	timer := time.NewTimer(earlyReplyGrace)
@@ -189,8 +189,8 @@
 }
 
 // readReply reads one reply, and reports whether the connection is reusable. Only a complete 200 is a success; if a reply can't
-// be read, the request may have run. A reply is valid even if unsolicited bytes follow it, but then the connection is not
-// reusable: they could not be told from the next reply.
+// be read, the request may have run. A reply is valid even if a further one follows it, but then the connection is not reusable: it
+// could not be told from the next reply. What else may follow depends on how the end of the body is told; see checkLength.
 func (p *Pool) readReply(c *conn) (r reply, reusable bool) {
 	resp, err := readFinalHead(c)
 	if err != nil {
@@ -233,7 +233,7 @@
 	if resp.ContentLength >= 0 && resp.ContentLength <= min(int64(c.reader.Buffered()), validation.MaxBufferedBody) {
 		return p.readArrivedBody(c, resp, r, reusable)
 	}
-	stream := p.newReplyStream(c, resp.Body, reusable)
+	stream := p.newReplyStream(c, resp, reusable)
 	partial := p.beginPartialReply(c, r, stream)
 	if partial.attempt != nil {
 		partial.attempt.ReplyBegun(p.clock.Now())
@@ -253,6 +253,11 @@
 	r.At = p.clock.Now()
 	r.Reply.Body = body
 	if complete {
+		if hasLength(resp) {
+			if err := p.checkLength(c); err != nil {
+				return reply{err: err}, false
+			}
+		}
 		r.Reply.Length = int64(len(body))
 		return r, reusable && c.reader.Buffered() == 0
 	}
--- a/internal/upstream/replybody.go
+++ b/internal/upstream/replybody.go
@@ -48,6 +48,9 @@
 	if _, err := io.ReadFull(resp.Body, head.Reply.Body); err != nil {
 		return reply{err: fmt.Errorf("%w: %w", errIncomplete, err)}, false
 	}
+	if err := p.checkLength(c); err != nil {
+		return reply{err: err}, false
+	}
 	head.At = p.clock.Now()
 	return head, reusable && c.reader.Buffered() == 0
 }
@@ -113,6 +116,13 @@
 }
 
 // newReplyStream returns a reader of what is not received of a reply when it is handed over.
-func (p *Pool) newReplyStream(c *conn, body io.Reader, reusable bool) *replyStream {
-	return &replyStream{pool: p, conn: c, body: &progressReader{pool: p, conn: c, body: body}, remaining: maxStreamed, reusable: reusable}
+func (p *Pool) newReplyStream(c *conn, resp *http.Response, reusable bool) *replyStream {
+	return &replyStream{
+		pool:      p,
+		conn:      c,
+		body:      &progressReader{pool: p, conn: c, body: resp.Body},
+		remaining: maxStreamed,
+		hasLength: hasLength(resp),
+		reusable:  reusable,
+	}
 }
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -75,8 +75,7 @@
 }
 
 // awaitInput waits until a connection has bytes to read, was closed by either side, or has failed.
-func awaitInput(nc net.Conn, receive recvfromFunc) {
-	raw := rawConn(nc)
+func awaitInput(raw syscall.RawConn, receive recvfromFunc) {
 	if raw == nil {
 		return
 	}
@@ -95,8 +94,7 @@
 
 // inputStateOf returns the current state of a connection's input. If the descriptor is not accessible it returns inputEnded,
 // and inputNone for a connection without a socket.
-func inputStateOf(nc net.Conn, receive recvfromFunc) inputState {
-	raw := rawConn(nc)
+func inputStateOf(raw syscall.RawConn, receive recvfromFunc) inputState {
 	if raw == nil {
 		return inputNone
 	}
@@ -115,8 +113,7 @@
 // write; elapsed is the time since the last look at the input before it. A process that is held up between the write and this call
 // may find the reply itself, so the dates that the kernel keeps decide. They are exact to a tick: input of the tick of the write
 // passes. Without dates, input is early if the process was held up.
-func hasEarlyInput(nc net.Conn, receive recvfromFunc, elapsed time.Duration) (early bool) {
-	raw := rawConn(nc)
+func hasEarlyInput(raw syscall.RawConn, receive recvfromFunc, elapsed time.Duration) (early bool) {
 	if raw == nil {
 		return false
 	}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -23,6 +23,7 @@
 	conn      *conn
 	body      io.Reader
 	remaining int64 // bytes until the maximum length
+	hasLength bool  // the end is told by a Content-Length
 	reusable  bool  // the connection may serve another request after the end
 	ended     bool
 	err       error // that ended it early
@@ -37,13 +38,19 @@
 // errReplyTooSlow ends a reply whose server sends less than minReplyRate.
 var errReplyTooSlow = errors.New("the reply comes too slowly")
 
-// Read implements io.Reader. Every error other than io.EOF wraps errIncomplete.
+// Read implements io.Reader. Every error other than io.EOF wraps errIncomplete. The last part of a reply whose length turns out to be
+// wrong is not returned, so that the client can tell by the missing bytes.
 func (s *replyStream) Read(p []byte) (int, error) {
 	if s.ended {
 		return 0, errIncomplete
 	}
 	n, err := s.read(p)
 	s.remaining -= int64(n)
+	if err == io.EOF && s.hasLength {
+		if lengthErr := s.pool.checkLength(s.conn); lengthErr != nil {
+			n, err = 0, lengthErr
+		}
+	}
 	switch {
 	case err == nil && s.isTooSlow():
 		err = fmt.Errorf("%w: %w", errIncomplete, errReplyTooSlow)
@@ -70,6 +77,9 @@
 		Received:      s.conn.progress.received,
 		SinceProgress: s.pool.clock.Now() - s.conn.progress.at,
 	}
+	if errors.Is(s.err, errBeyondLength) {
+		ending.Reason = engine.EndBeyondLength
+	}
 	if errors.Is(s.err, os.ErrDeadlineExceeded) || errors.Is(s.err, errReplyTooSlow) {
 		ending.Reason = engine.EndReplyStopped
 	}
--- a/internal/upstream/syscall_test.go
+++ b/internal/upstream/syscall_test.go
@@ -99,7 +99,7 @@
 	local, remote := testpeer.Pair(t)
 	peek := func(errnos ...syscall.Errno) inputState {
 		receive, _ := failingRecvfrom(errnos...)
-		return inputStateOf(local, receive)
+		return inputStateOf(rawConn(local), receive)
 	}
 	if got := peek(syscall.EINTR); got != inputNone {
 		t.Errorf("no input, interrupted: input state %v, want none", got)
@@ -131,7 +131,7 @@
 		}
 		receive, calls := failingRecvfrom(syscall.ENOMEM, syscall.EINTR, syscall.ENOBUFS)
 		ready := make(chan struct{})
-		go func() { awaitInput(local, receive); close(ready) }()
+		go func() { awaitInput(rawConn(local), receive); close(ready) }()
 		if !early {
 			testpeer.Until(t, "the failed peeks and a successful one", func() bool { return calls.Load() == 4 })
 			select {
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -246,6 +246,7 @@
 		outcome.Result = balancer.TimedOut
 	default:
 		outcome.Result = balancer.ConnectionLost
+		outcome.EndState.Reason = lostReason(got.err)
 	}
 	return outcome
 }
