Copy long bodies part by part in turn, so that they delay no small request

Cause: the scheduler runs goroutines in turn. Each of some ten steps of a small request waited until every upload had copied two parts.

Fix: with more than four transfers a processor under way, each waits in a queue before each 16 KiB; one is released after everything else that was ready has run and the network was looked at. What an upload waits is bounded (4 s, then 503) and counts against neither client nor server. Short bodies first, longer ones by their begin, one turn in four: of too many some are served in time.

--- a/cmd/damsontrestle/memory_test.go
+++ b/cmd/damsontrestle/memory_test.go
@@ -361,19 +361,24 @@
 
 // readMemoryCounters returns the memory that a management endpoint reports.
 func readMemoryCounters(address string) (metrics.Memory, error) {
-	c, err := net.DialTimeout("tcp", address, time.Second)
+	report, err := readCounters(address)
 	if err != nil {
 		return metrics.Memory{}, err
 	}
+	return *report.Memory, nil
+}
+
+// readCounters returns the report of a management endpoint.
+func readCounters(address string) (report metrics.Report, err error) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return report, err
+	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(time.Second))
 	fmt.Fprintln(c, "counters")
-	var report metrics.Report
 	err = json.NewDecoder(c).Decode(&report)
-	if err != nil {
-		return metrics.Memory{}, err
-	}
-	return *report.Memory, nil
+	return report, err
 }
 
 // anonymousMemory returns the resident anonymous memory of a process in bytes, or 0 once it has ended.
--- a/internal/fastcgi/client_request.go
+++ b/internal/fastcgi/client_request.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"damsontrestle/internal/engine"
+	"damsontrestle/internal/fairqueue"
 	"damsontrestle/internal/metrics"
 	"damsontrestle/internal/validation"
 )
@@ -173,8 +174,13 @@
 	ok := write(responseHeader(200, resp.Reply.ContentType, resp.Reply.Length, "")) && write(resp.Reply.Body)
 	resp.Reply.Body = nil // far more than is needed from here on
 	buf := make([]byte, streamBufferSize)
+	transfer := fairqueue.Process.Begin(0)
+	defer transfer.End()
 	var err error
 	for ok && err == nil {
+		if err = transfer.Wait(len(buf), req.done); err != nil {
+			break
+		}
 		var n int
 		n, err = resp.Reply.Rest.Read(buf)
 		ok = write(buf[:n])
--- a/internal/http1/bodyrest.go
+++ b/internal/http1/bodyrest.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -9,6 +10,7 @@
 	"damsontrestle/internal/clock"
 	"damsontrestle/internal/downstream"
 	"damsontrestle/internal/engine"
+	"damsontrestle/internal/fairqueue"
 )
 
 // Limits of receiving a streamed body ahead of the server that reads it, in bytes.
@@ -17,6 +19,10 @@
 	maxReceivedAhead = 4 << 20 // of one body; the input budget allows less if much of it is used
 )
 
+// maxUploadQueueing is the longest time for which a body waits for other transfers in all: clients with much to send are owed an end
+// within 6 s.
+const maxUploadQueueing = 4 * time.Second
+
 // bodyParts holds buffers of bodyPartSize that are free.
 var bodyParts = sync.Pool{New: func() any { return new([bodyPartSize]byte) }}
 
@@ -34,6 +40,7 @@
 	clock       clock.Clock
 	reservation *downstream.InputReservation
 	reception   *engine.Reception
+	transfer    *fairqueue.Transfer
 	failed      chan struct{} // closed when receiving fails before the end of the body
 	ended       chan struct{} // closed when receiving has ended
 	over        chan struct{} // closed by stop
@@ -47,14 +54,15 @@
 	err      error          // that ended receiving; io.EOF: the body is complete
 }
 
-// receiveRest starts to receive the rest of a body. The reservation has room for one part.
-func receiveRest(body *minRateBody, conn net.Conn, c clock.Clock, reservation *downstream.InputReservation) *bodyRest {
+// receiveRest starts to receive the rest of a body, and ends its transfer. The reservation has room for one part.
+func receiveRest(body *minRateBody, conn net.Conn, c clock.Clock, reservation *downstream.InputReservation, transfer *fairqueue.Transfer) *bodyRest {
 	u := &bodyRest{
 		body:        body,
 		conn:        conn,
 		clock:       c,
 		reservation: reservation,
 		reception:   engine.NewReception(c.Now()),
+		transfer:    transfer,
 		failed:      make(chan struct{}),
 		ended:       make(chan struct{}),
 		over:        make(chan struct{}),
@@ -68,7 +76,12 @@
 // receive receives the body until its end, a failure or stop.
 func (u *bodyRest) receive() {
 	defer close(u.ended)
+	defer u.transfer.End()
 	for u.awaitRoom() {
+		if err := u.transfer.Wait(bodyPartSize, u.over); err != nil {
+			u.fail(err)
+			return
+		}
 		buffer := bodyParts.Get().(*[bodyPartSize]byte)
 		if downstream.PeekSocket(u.conn) == downstream.SocketOpen {
 			u.reception.BeginAwait(u.clock.Now())
@@ -117,6 +130,18 @@
 	} else {
 		bodyParts.Put(part.buffer)
 	}
+	u.end(err)
+}
+
+// fail ends receiving before the end of the body.
+func (u *bodyRest) fail(err error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.end(err)
+}
+
+// end records the error that ended receiving, if any. The caller holds mu.
+func (u *bodyRest) end(err error) {
 	u.err = err
 	if err != nil && err != io.EOF {
 		close(u.failed)
@@ -124,6 +149,16 @@
 	u.changed.Broadcast()
 }
 
+// failure returns the error that ended receiving before the end of the body: it came too slowly, or the node is too busy to receive it.
+func (u *bodyRest) failure() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if errors.Is(u.err, fairqueue.ErrBusy) {
+		return errTooBusy
+	}
+	return errBodyIncomplete
+}
+
 // Read implements io.Reader. It waits for bytes from the client.
 func (u *bodyRest) Read(p []byte) (n int, err error) {
 	u.mu.Lock()
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -164,13 +164,13 @@
 func (x *exchange) abandonIncompleteBody(submitted *engine.Request) {
 	x.disconnect(submitted)
 	x.writer.Header().Set("Connection", "close")
-	x.rejectIncomplete(errBodyIncomplete)
+	x.rejectIncomplete(x.rest.failure())
 }
 
 // rejectIncomplete responds to a request whose body was not received completely: because of its client, or because this node needs
 // its memory or descriptor or is ending.
 func (x *exchange) rejectIncomplete(err error) {
-	if !errors.Is(err, errNoInputMemory) && !x.conn.ReadAborted() {
+	if !errors.Is(err, errNoInputMemory) && !errors.Is(err, errTooBusy) && !x.conn.ReadAborted() {
 		x.reject(errBodyIncomplete)
 		return
 	}
--- a/internal/http1/front.go
+++ b/internal/http1/front.go
@@ -36,6 +36,7 @@
 	notReady           atomic.Bool   // GET /health/ready reports that no clients should be sent here
 	closeAfterResponse atomic.Bool   // each response closes its connection
 	bodyGrace          time.Duration // how far a body may lag behind the minimum rate
+	uploadQueueing     time.Duration // longest time for which a streamed body waits for other transfers in all
 	writeStall         time.Duration // longest time in which a client takes nothing of a streamed response
 	totalReadAhead     atomic.Int64  // bytes read ahead by all connections while requests are served
 	server             *http.Server
@@ -53,6 +54,8 @@
 		responses:  responselog.New(log, counters),
 		bodyGrace:  bodyGrace,
 		writeStall: maxWriteStall,
+
+		uploadQueueing: maxUploadQueueing,
 	}
 	f.server = &http.Server{
 		Handler:                      f,
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"damsontrestle/internal/engine"
+	"damsontrestle/internal/fairqueue"
 	"damsontrestle/internal/metrics"
 	"damsontrestle/internal/validation"
 )
@@ -159,8 +160,13 @@
 		}
 	}
 	reply.Body = nil // far more than is needed from here on
+	transfer := fairqueue.Process.Begin(0)
+	defer transfer.End()
 	buf := make([]byte, streamBufferSize)
 	for {
+		if err := transfer.Wait(streamBufferSize, x.request.Context().Done()); err != nil {
+			return err
+		}
 		n, err := reply.Rest.Read(buf)
 		written += int64(n)
 		if written == reply.Length || err == io.EOF {
--- a/internal/http1/upload.go
+++ b/internal/http1/upload.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damsontrestle/internal/downstream"
+	"damsontrestle/internal/fairqueue"
 	"damsontrestle/internal/validation"
 )
 
@@ -77,6 +78,9 @@
 // errNoInputMemory is returned for a body if other requests occupy the memory for input.
 var errNoInputMemory = errors.New("the memory for requests is used up")
 
+// errTooBusy is returned for a body that has waited too long for other transfers.
+var errTooBusy = errors.New("the node is too busy to receive the body")
+
 // errBodyTooLong is returned for a body of more than validation.MaxStreamedBody bytes.
 var errBodyTooLong = errors.New("the body is too long")
 
@@ -110,7 +114,7 @@
 		return nil, nil, errNoInputMemory
 	}
 	control.EnableFullDuplex() // the response may begin before the body has been received
-	return part, receiveRest(body, conn.Conn, f.clock, reservation), nil
+	return part, receiveRest(body, conn.Conn, f.clock, reservation, fairqueue.Process.Begin(f.uploadQueueing)), nil
 }
 
 // minBodyBuffer is the first size of the buffer for a body, in bytes.
--- /dev/null
+++ b/internal/http1/uploadqueue_test.go
@@ -0,0 +1,39 @@
+package http1
+
+import (
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"damsontrestle/internal/fairqueue"
+	"damsontrestle/internal/testpeer"
+)
+
+// occupyQueue begins so many transfers that all of this process wait for one another until the test ends.
+func occupyQueue(t *testing.T) {
+	const transfersPerProcessor = 10
+	for range transfersPerProcessor * runtime.GOMAXPROCS(0) {
+		transfer := fairqueue.Process.Begin(0)
+		t.Cleanup(transfer.End)
+	}
+}
+
+// Guards against a client that gets 400 for a body that the node itself was too busy to receive.
+func TestUploadThatWaitsTooLongIsRejected(t *testing.T) {
+	occupyQueue(t)
+	server := testpeer.NewServer(t, testpeer.Echo)
+	node := startNode(t, testConfig(testpeer.FullSnapshot(testpeer.Entry("s1", server.Address(), "in_service"))), func(node *testNode) {
+		node.front.uploadQueueing = time.Nanosecond
+	})
+	client := testpeer.Dial(t, node.Addr())
+	write, _ := sendUpload(client, "id", longBodySize, false)
+	go write(randomBytes(longBodySize))
+	r, _ := client.ReadResponse(t)
+	if r.StatusCode != http.StatusServiceUnavailable || r.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q; want 503 with one", r.StatusCode, r.Header.Get("Retry-After"))
+	}
+	if server.RequestCount() != 0 {
+		t.Errorf("the request ran %d times", server.RequestCount())
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -144,7 +144,8 @@
 
 	UnservedResponses map[string]int64 `json:"unserved_responses,omitempty"` // without a complete reply of a server, by reason
 
-	Memory *Memory `json:"memory,omitempty"` // of the process; filled in by its owner
+	Memory     *Memory     `json:"memory,omitempty"`     // of the process; filled in by its owner
+	Scheduling *Scheduling `json:"scheduling,omitempty"` // the same
 
 	Peers *Peers `json:"peers,omitempty"` // nil: the node has no peers
 }
--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -64,6 +64,8 @@
 	}
 	memory := n.memory()
 	report.Memory = &memory
+	scheduling := metrics.ReadScheduling()
+	report.Scheduling = &scheduling
 	report.Peers = n.peerMetrics()
 	return report
 }
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -11,6 +11,7 @@
 
 	"damsontrestle/internal/balancer"
 	"damsontrestle/internal/engine"
+	"damsontrestle/internal/fairqueue"
 	"damsontrestle/internal/netio"
 )
 
@@ -18,6 +19,7 @@
 const (
 	maxWriteStall    = 5 * time.Second        // longest time in which the server accepts nothing, unless the client waits for less
 	writeResultGrace = 200 * time.Millisecond // how long the end of a connection may precede the result of writing its request
+	maxQueueing      = 4 * time.Second        // longest time for which it waits for other transfers in all
 	earlyReplyGrace  = 200 * time.Millisecond // how long a reply that precedes the end of its request may wait for that
 )
 
@@ -87,10 +89,19 @@
 	pool     *Pool
 	maxStall time.Duration
 	written  *atomic.Int64
+	transfer *fairqueue.Transfer
+	over     <-chan struct{} // closed with the connection
+	unqueued int             // bytes since it last waited in the queue of transfers
 }
 
 // Write implements io.Writer.
-func (s stallLimited) Write(p []byte) (int, error) {
+func (s *stallLimited) Write(p []byte) (int, error) {
+	if s.unqueued += len(p); s.unqueued >= fairqueue.PartSize {
+		if err := s.transfer.Wait(s.unqueued, s.over); err != nil {
+			return 0, err
+		}
+		s.unqueued = 0
+	}
 	return netio.WriteWhileTaken(s.Conn, p, s.maxStall, func(part []byte) (int, error) {
 		n, err := s.pool.write(s.conn, part)
 		s.written.Add(int64(n))
@@ -109,6 +120,7 @@
 	complete   bool          // the request was written completely
 	wait       *replyWait    // for the reply, once complete is set
 	clientTime time.Duration // how long the client waits once its last byte was received
+	tooBusy    bool          // the node, not the server, has delayed the body for too long
 	clientOver bool          // that time was over before the request was written completely
 	written    atomic.Int64  // bytes written to conn
 }
@@ -132,12 +144,16 @@
 	}
 	p.mu.Lock()
 	c.uploading = true
+	over := c.written
 	p.mu.Unlock()
 	body := io.MultiReader(bytes.NewReader(message.Body), u.clientBody)
 	// The rest of the body may wait in the kernel's buffers, so that the client's time runs while the server accepts nothing.
 	timeout := attempt.Deadline - attempt.SentAt
-	to := stallLimited{c, p, min(maxWriteStall, timeout), &u.written}
-	go func() { u.writeDone <- newRequest(attempt, timeout, body).Write(to) }()
+	to := &stallLimited{conn: c, pool: p, maxStall: min(maxWriteStall, timeout), written: &u.written, transfer: fairqueue.Process.Begin(maxQueueing), over: over}
+	go func() {
+		defer to.transfer.End()
+		u.writeDone <- newRequest(attempt, timeout, body).Write(to)
+	}()
 	got := u.await()
 	consumed, failed := u.clientBody.end()
 	outcome := u.outcome(got, failed)
@@ -169,6 +185,7 @@
 			}
 		case err := <-u.writeDone:
 			if err != nil {
+				u.tooBusy = errors.Is(err, fairqueue.ErrBusy)
 				u.pool.abandon(u.conn, u.waiter, closeWriteFailed)
 			} else {
 				u.markComplete()
@@ -238,7 +255,7 @@
 		return u.earlyReply(got)
 	case u.Cancelled():
 		outcome.Result = balancer.Cancelled
-	case failed:
+	case failed, u.tooBusy && !u.complete:
 		outcome.Result = balancer.NotStarted
 	case !u.complete:
 		outcome.Result = balancer.Unreachable
