Blame no server for an upload that the node itself delays

Cause: the check for a hopeless upload takes what is queued in front of the last byte for the server's fault, wherever it is queued.

Fix: if the server has taken all that it got when the upload ends, the attempt counts as not started. It is not replayable, and its last byte was not written: 503, as before.

TestUploadDelayedByNodeIsNotBlamedOnServer, without the change: result 4 (Unreachable), want NotStarted.

--- a/internal/upstream/backlog.go
+++ b/internal/upstream/backlog.go
@@ -27,6 +27,7 @@
 	clientTime time.Duration
 	since      time.Duration // clock time at which the window began
 	takenThen  int64         // bytes that the server had taken then
+	queued     int64         // bytes that it had not taken at the last look
 }
 
 // interval returns the time between two looks.
@@ -39,8 +40,8 @@
 func (b *backlog) isHopeless() bool {
 	now := b.clock.Now()
 	since, buffered := b.reception.Backlog(now)
-	queued := netio.Unacknowledged(b.conn.Conn)
-	taken := b.written.Load() - queued
+	b.queued = netio.Unacknowledged(b.conn.Conn)
+	taken := b.written.Load() - b.queued
 	if since > b.since {
 		b.since = since
 		b.takenThen = taken
@@ -48,7 +49,7 @@
 	if now < b.since+b.clientTime {
 		return false
 	}
-	if taken-b.takenThen < buffered+queued {
+	if taken-b.takenThen < buffered+b.queued {
 		return true
 	}
 	b.since = now
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -181,6 +181,7 @@
 			u.endForClient()
 		case <-looks.C:
 			if queue.isHopeless() {
+				u.tooBusy = queue.queued == 0 // the server has taken all that it got
 				u.endForClient()
 			}
 		case err := <-u.writeDone:
