Drop what refused clients still send part by part, in turn with transfers

Usual clients got responses after up to 2.2 s (median 0.3 s, 20 waits for a processor of over 1 s) while 300 others were refused bodies of 60 MB: when many are refused at once, up to 1.25 MB of each is read and dropped without a pause, so that their close does not reset the response.

Fix: both places drop 16 KiB at a time, each in turn with the transfers. TestDiscardedInputTakesTurns: no part waits where the plain copy is used.

--- a/internal/http1/bodyrest.go
+++ b/internal/http1/bodyrest.go
@@ -228,7 +228,7 @@
 // is still sending could lose the response.
 func (u *bodyRest) discard() {
 	u.body.control.SetReadDeadline(time.Now().Add(discardTimeout))
-	io.CopyN(io.Discard, u.body.body, discardedBytes)
+	discardInTurn(u.body.body, discardedBytes)
 }
 
 // reader returns u as an io.Reader, or a nil interface if u is nil.
--- a/internal/http1/linger.go
+++ b/internal/http1/linger.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damsontrestle/internal/downstream"
+	"damsontrestle/internal/fairqueue"
 )
 
 // Limits on reading and discarding bytes after the last response, before the connection is closed.
@@ -30,11 +31,27 @@
 	c.mu.Unlock()
 	if linger && c.CloseWrite() == nil {
 		c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+		discardInTurn(c.Conn, maxLingerBytes)
 	}
 	return c.Conn.Close()
 }
 
+// discardInTurn reads and drops a number of bytes, part by part in turn with other transfers, until the first error.
+func discardInTurn(source io.Reader, bytes int) {
+	transfer := fairqueue.Process.Begin(0)
+	defer transfer.End()
+	buffer := bodyParts.Get().(*[bodyPartSize]byte)
+	defer bodyParts.Put(buffer)
+	for bytes > 0 {
+		transfer.Wait(bodyPartSize, nil)
+		n, err := source.Read(buffer[:min(bytes, bodyPartSize)])
+		if err != nil {
+			return
+		}
+		bytes -= n
+	}
+}
+
 // mayLoseResponse reports whether an immediate close could lose a response in flight. The caller holds mu.
 func (c *clientConn) mayLoseResponse() bool {
 	if time.Since(c.lastWrite) >= responseDeliveryTime || c.readErr != nil {
--- a/internal/http1/uploadqueue_test.go
+++ b/internal/http1/uploadqueue_test.go
@@ -1,8 +1,10 @@
 package http1
 
 import (
+	"bytes"
 	"net/http"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -37,3 +39,19 @@
 		t.Errorf("the request ran %d times", server.RequestCount())
 	}
 }
+
+// Guards against responses that are late because what hundreds of refused clients still send is dropped all at once.
+func TestDiscardedInputTakesTurns(t *testing.T) {
+	const discarding, length = 20, 1 << 20
+	occupyQueue(t)
+	before := fairqueue.Process.Stats().Parts
+	var all sync.WaitGroup
+	for range discarding {
+		all.Go(func() { discardInTurn(bytes.NewReader(make([]byte, length)), length) })
+	}
+	all.Wait()
+	const parts = discarding * length / bodyPartSize
+	if waited := fairqueue.Process.Stats().Parts - before; waited < parts/2 { // a part that comes when none waits needs no turn
+		t.Errorf("%d of %d parts waited for others", waited, parts)
+	}
+}
