End an upload in time whose last bytes wait to be received by a busy node

Cause: a client's time began when the node had received the last byte. While bytes always wait, a busy node comes to it late, and the check for hopeless uploads sees a server that takes all that it gets.

Fix: the system dates the last input (TCP_INFO). An upload ends once input that waits is older than its client's time, and its last byte counts from when it came. Requests of up to 64 KiB still count from when they are read.

TestUploadEndsWhenItsInputIsOverdue fails without the check: no outcome in 30 s.

--- a/internal/engine/reception.go
+++ b/internal/engine/reception.go
@@ -8,7 +8,8 @@
 // Reception tells what is known of when a request's Rest was received from its client: the client's time begins with its last byte,
 // whether or not a server has the request yet. Its methods are safe for concurrent use.
 type Reception struct {
-	done chan struct{}
+	done       chan struct{}
+	sinceInput func() time.Duration // how long ago the last of the client's bytes came that wait to be received; 0: none wait, or not known
 
 	mu        sync.Mutex
 	at        time.Duration // clock time at which the last byte was received
@@ -17,9 +18,16 @@
 	buffered  int64         // bytes received that no server has read
 }
 
-// NewReception returns a Reception that begins at a clock time.
-func NewReception(at time.Duration) *Reception {
-	return &Reception{done: make(chan struct{}), awaitedAt: at}
+// NewReception returns a Reception that begins at a clock time. sinceInput returns how long ago the last bytes came that wait to be
+// received from the client; 0: none wait, or it is not known.
+func NewReception(at time.Duration, sinceInput func() time.Duration) *Reception {
+	return &Reception{done: make(chan struct{}), awaitedAt: at, sinceInput: sinceInput}
+}
+
+// IsOverdue reports whether bytes wait to be received of which the last came longer ago than the time for which the client waits: it may
+// have sent all of its request by then.
+func (r *Reception) IsOverdue(clientTime time.Duration) bool {
+	return r != nil && r.sinceInput() >= clientTime
 }
 
 // Complete records the clock time at which the last byte was received. It must be called once at most.
--- a/internal/http1/bodyrest.go
+++ b/internal/http1/bodyrest.go
@@ -11,6 +11,7 @@
 	"damsontrestle/internal/downstream"
 	"damsontrestle/internal/engine"
 	"damsontrestle/internal/fairqueue"
+	"damsontrestle/internal/netio"
 )
 
 // Limits of receiving a streamed body ahead of the server that reads it, in bytes.
@@ -61,7 +62,7 @@
 		conn:        conn,
 		clock:       c,
 		reservation: reservation,
-		reception:   engine.NewReception(c.Now()),
+		reception:   engine.NewReception(c.Now(), func() time.Duration { return sinceUnreadInput(conn) }),
 		transfer:    transfer,
 		failed:      make(chan struct{}),
 		ended:       make(chan struct{}),
@@ -73,6 +74,14 @@
 	return u
 }
 
+// sinceUnreadInput returns how long ago the last bytes of a connection came, or 0 if all were read.
+func sinceUnreadInput(conn net.Conn) time.Duration {
+	if downstream.PeekSocket(conn) != downstream.SocketUnread {
+		return 0
+	}
+	return netio.SinceInput(conn)
+}
+
 // receive receives the body until its end, a failure or stop.
 func (u *bodyRest) receive() {
 	defer close(u.ended)
@@ -89,7 +98,7 @@
 		n, err := u.body.Read(buffer[:])
 		u.reception.EndAwait(u.clock.Now())
 		if err == io.EOF {
-			u.reception.Complete(u.clock.Now())
+			u.reception.Complete(u.clock.Now() - netio.SinceInput(u.conn))
 		}
 		u.add(receivedPart{buffer, buffer[:n]}, err)
 		if err != nil {
--- a/internal/http1/uploadqueue_test.go
+++ b/internal/http1/uploadqueue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"runtime"
 	"sync"
@@ -55,3 +56,18 @@
 		t.Errorf("%d of %d parts waited for others", waited, parts)
 	}
 }
+
+// Guards against a late answer to an upload whose last bytes have waited in the system's buffer while the node was slow to receive them.
+func TestReceptionDatesLastByteByItsArrival(t *testing.T) {
+	const delay = 200 * time.Millisecond
+	local, remote := testpeer.Pair(t)
+	io.WriteString(remote, "unread")
+	time.Sleep(delay)
+	if since := sinceUnreadInput(local); since < delay/2 {
+		t.Errorf("unread input came %v ago, want about %v", since, delay)
+	}
+	io.ReadFull(local, make([]byte, len("unread")))
+	if since := sinceUnreadInput(local); since != 0 {
+		t.Errorf("input came %v ago, and none waits", since)
+	}
+}
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"damsontrestle/internal/testpeer"
 )
@@ -49,3 +50,17 @@
 		})
 	}
 }
+
+// Guards against a time of a client that begins only when the process comes to read what it sent.
+func TestSinceInputCountsFromArrival(t *testing.T) {
+	const wait = 100 * time.Millisecond
+	local, remote := testpeer.Pair(t)
+	io.WriteString(remote, "early")
+	begin := time.Now()
+	time.Sleep(wait)
+	if since := SinceInput(local); since < wait/2 || since > time.Since(begin)+wait {
+		t.Errorf("the last bytes came %v ago, want about %v", since, time.Since(begin))
+	}
+	io.WriteString(remote, "late")
+	testpeer.Until(t, "the late bytes", func() bool { return SinceInput(local) < wait/2 })
+}
--- a/internal/netio/progress.go
+++ b/internal/netio/progress.go
@@ -34,6 +34,28 @@
 	return int64(n)
 }
 
+// TickLength is the longest period of the clock by which the kernel dates the traffic of a connection.
+const TickLength = 4 * time.Millisecond
+
+// SinceInput returns how long ago the system received the last bytes of a connection, read or not, less one tick of its clock (TCP_INFO,
+// tcp(7)); 0 if that is not known.
+func SinceInput(c net.Conn) (since time.Duration) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return max(0, since-TickLength)
+}
+
 // WriteWhileTaken writes all of p to a connection by a function, as Write does, for as long as the peer takes something in each stall.
 // The kernel accepts further bytes only once a third of its buffer is free, so a wait for that tells nothing of the peer: what its
 // system acknowledges does. It returns how many bytes the kernel has accepted.
--- a/internal/upstream/backlog.go
+++ b/internal/upstream/backlog.go
@@ -35,7 +35,7 @@
 	return max(time.Millisecond, min(maxBacklogCheck, b.clientTime/backlogChecks))
 }
 
-// isHopeless reports whether the client's time has passed since the client may have sent its last byte, and the server would need as
+// isHopeless reports whether the client's last bytes have waited for its time, or whether the client's time has passed since the client may have sent its last byte, and the server would need as
 // much again for what is queued.
 func (b *backlog) isHopeless() bool {
 	now := b.clock.Now()
@@ -46,6 +46,9 @@
 		b.since = since
 		b.takenThen = taken
 	}
+	if b.reception.IsOverdue(b.clientTime) {
+		return true
+	}
 	if now < b.since+b.clientTime {
 		return false
 	}
--- a/internal/upstream/early_test.go
+++ b/internal/upstream/early_test.go
@@ -14,6 +14,7 @@
 
 	"damsontrestle/internal/balancer"
 	"damsontrestle/internal/engine"
+	"damsontrestle/internal/netio"
 	"damsontrestle/internal/testpeer"
 )
 
@@ -46,7 +47,7 @@
 		n, _, _ := syscall.Recvfrom(fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return n == 1
 	})
-	time.Sleep(3 * tickLength)
+	time.Sleep(3 * netio.TickLength)
 }
 
 // Guards against serving a late second reply that arrives while the process is held up between its last look at the connection and
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -106,9 +106,6 @@
 	return state
 }
 
-// tickLength is the longest period of the clock by which the kernel dates the traffic of a connection.
-const tickLength = 4 * time.Millisecond
-
 // hasEarlyInput reports whether a connection has input that came before the last byte of a write. It is called right after the
 // write; elapsed is the time since the last look at the input before it. A process that is held up between the write and this call
 // may find the reply itself, so the dates that the kernel keeps decide. They are exact to a tick: input of the tick of the write
@@ -127,7 +124,7 @@
 		}
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err != nil {
-			early = elapsed > tickLength
+			early = elapsed > netio.TickLength
 			return
 		}
 		early = info.Last_data_recv > info.Last_data_sent
--- a/internal/upstream/uploadqueue_test.go
+++ b/internal/upstream/uploadqueue_test.go
@@ -11,29 +11,54 @@
 	"damsontrestle/internal/testpeer"
 )
 
-// Guards against a server that is taken for unreachable because the node itself did not pass on an upload: the server has taken all that
-// it got.
-func TestUploadDelayedByNodeIsNotBlamedOnServer(t *testing.T) {
-	const clientTime = 200 * time.Millisecond
+// startReadingServer starts a server that reads all that it gets and never replies.
+func startReadingServer(t *testing.T) (address string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
+	t.Cleanup(func() { ln.Close() })
 	go func() {
 		if c, err := ln.Accept(); err == nil {
 			io.Copy(io.Discard, c)
 			c.Close()
 		}
 	}()
+	return ln.Addr().String()
+}
+
+// Guards against a late answer to an upload that goes on, since its server takes what it gets, though the client's last bytes have waited in
+// the system's buffer for as long as the client does.
+func TestUploadEndsWhenItsInputIsOverdue(t *testing.T) {
+	const clientTime, limit = 400 * time.Millisecond, 350 * time.Millisecond
+	pool := newTestPool(10)
+	attempt := newTestAttempt(pool, startReadingServer(t))
+	rest, unblock := io.Pipe() // from which nothing comes
+	defer unblock.Close()
+	message := &attempt.Request.Message
+	message.Rest = rest
+	message.Length = 1 << 20
+	message.Received = engine.NewReception(pool.clock.Now(), func() time.Duration { return clientTime })
+	attempt.Request.Deadline = attempt.Request.At + clientTime
+	begin := time.Now()
+	r := runAttempt(t, pool, attempt)
+	if took := time.Since(begin); r.Result != balancer.NotStarted || r.EndState.Reason != engine.EndClientTime || took > limit {
+		t.Errorf("%+v after %v; want NotStarted because of the client's time, at once", r, took)
+	}
+}
+
+// Guards against a server that is taken for unreachable because the node itself did not pass on an upload: the server has taken all that
+// it got.
+func TestUploadDelayedByNodeIsNotBlamedOnServer(t *testing.T) {
+	const clientTime = 200 * time.Millisecond
 	pool := newTestPool(10)
-	attempt := newTestAttempt(pool, ln.Addr().String())
+	attempt := newTestAttempt(pool, startReadingServer(t))
 	rest, unblock := io.Pipe() // from which nothing comes
 	defer unblock.Close()
 	message := &attempt.Request.Message
 	message.Rest = rest
 	message.Length = 1 << 20
-	message.Received = engine.NewReception(pool.clock.Now())
+	message.Received = engine.NewReception(pool.clock.Now(), func() time.Duration { return 0 })
 	message.Received.SetBuffered(1 << 10)
 	attempt.Request.Deadline = attempt.Request.At + clientTime
 	r := runAttempt(t, pool, attempt)
