Bound a test of overdue uploads by the client's time, not by this machine's speed

Its bound of 350 ms was near the 250 ms that the look and the grace take. It asks for half of a client's time of 4 s now; without the check it still fails (no outcome in 30 s).

--- a/internal/upstream/uploadqueue_test.go
+++ b/internal/upstream/uploadqueue_test.go
@@ -30,7 +30,7 @@
 // Guards against a late answer to an upload that goes on, since its server takes what it gets, though the client's last bytes have waited in
 // the system's buffer for as long as the client does.
 func TestUploadEndsWhenItsInputIsOverdue(t *testing.T) {
-	const clientTime, limit = 400 * time.Millisecond, 350 * time.Millisecond
+	const clientTime = 4 * time.Second
 	pool := newTestPool(10)
 	attempt := newTestAttempt(pool, startReadingServer(t))
 	rest, unblock := io.Pipe() // from which nothing comes
@@ -42,7 +42,7 @@
 	attempt.Request.Deadline = attempt.Request.At + clientTime
 	begin := time.Now()
 	r := runAttempt(t, pool, attempt)
-	if took := time.Since(begin); r.Result != balancer.NotStarted || r.EndState.Reason != engine.EndClientTime || took > limit {
+	if took := time.Since(begin); r.Result != balancer.NotStarted || r.EndState.Reason != engine.EndClientTime || took > clientTime/2 {
 		t.Errorf("%+v after %v; want NotStarted because of the client's time, at once", r, took)
 	}
 }
