--- a/internal/netio/progress.go
+++ b/internal/netio/progress.go
@@ -13,16 +13,19 @@
 // Unacknowledged returns how many bytes that were written to a connection its peer's system has not acknowledged (SIOCOUTQ, tcp(7)); 0
 // for a connection without a socket. It neither blocks nor takes the lock of a read or write under way.
 func Unacknowledged(c net.Conn) (bytes int64) {
+	control(c, func(fd uintptr) { bytes = UnacknowledgedOf(fd) })
+	return bytes
+}
+
+// control calls a function with the descriptor of a connection, unless it has none or is closed.
+func control(c net.Conn, f func(fd uintptr)) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return 0
+		return
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0
+	if raw, err := sc.SyscallConn(); err == nil {
+		raw.Control(f)
 	}
-	raw.Control(func(fd uintptr) { bytes = UnacknowledgedOf(fd) })
-	return bytes
 }
 
 // UnacknowledgedOf is Unacknowledged for a descriptor.
@@ -40,15 +43,7 @@
 // SinceInput returns how long ago the system received the last bytes of a connection, read or not, less one tick of its clock (TCP_INFO,
 // tcp(7)); 0 if that is not known.
 func SinceInput(c net.Conn) (since time.Duration) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	raw.Control(func(fd uintptr) {
+	control(c, func(fd uintptr) {
 		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			since = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
--- a/internal/upstream/uploadqueue_test.go
+++ b/internal/upstream/uploadqueue_test.go
@@ -27,19 +27,26 @@
 	return ln.Addr().String()
 }
 
-// Guards against a late answer to an upload that goes on, since its server takes what it gets, though the client's last bytes have waited in
-// the system's buffer for as long as the client does.
-func TestUploadEndsWhenItsInputIsOverdue(t *testing.T) {
-	const clientTime = 4 * time.Second
-	pool := newTestPool(10)
+// newStoppedUpload returns an attempt to upload a body of which nothing comes from the node's front end, at a server that reads all. The
+// last input of its client has waited for a time.
+func newStoppedUpload(t *testing.T, pool *Pool, clientTime, waited time.Duration) *engine.Attempt {
 	attempt := newTestAttempt(pool, startReadingServer(t))
-	rest, unblock := io.Pipe() // from which nothing comes
-	defer unblock.Close()
+	rest, unblock := io.Pipe()
+	t.Cleanup(func() { unblock.Close() })
 	message := &attempt.Request.Message
 	message.Rest = rest
 	message.Length = 1 << 20
-	message.Received = engine.NewReception(pool.clock.Now(), func() time.Duration { return clientTime })
+	message.Received = engine.NewReception(pool.clock.Now(), func() time.Duration { return waited })
 	attempt.Request.Deadline = attempt.Request.At + clientTime
+	return attempt
+}
+
+// Guards against a late answer to an upload that goes on, since its server takes what it gets, though the client's last bytes have waited in
+// the system's buffer for as long as the client does.
+func TestUploadEndsWhenItsInputIsOverdue(t *testing.T) {
+	const clientTime = 4 * time.Second
+	pool := newTestPool(10)
+	attempt := newStoppedUpload(t, pool, clientTime, clientTime)
 	begin := time.Now()
 	r := runAttempt(t, pool, attempt)
 	if took := time.Since(begin); r.Result != balancer.NotStarted || r.EndState.Reason != engine.EndClientTime || took > clientTime/2 {
@@ -52,15 +59,8 @@
 func TestUploadDelayedByNodeIsNotBlamedOnServer(t *testing.T) {
 	const clientTime = 200 * time.Millisecond
 	pool := newTestPool(10)
-	attempt := newTestAttempt(pool, startReadingServer(t))
-	rest, unblock := io.Pipe() // from which nothing comes
-	defer unblock.Close()
-	message := &attempt.Request.Message
-	message.Rest = rest
-	message.Length = 1 << 20
-	message.Received = engine.NewReception(pool.clock.Now(), func() time.Duration { return 0 })
-	message.Received.SetBuffered(1 << 10)
-	attempt.Request.Deadline = attempt.Request.At + clientTime
+	attempt := newStoppedUpload(t, pool, clientTime, 0)
+	attempt.Request.Message.Received.SetBuffered(1 << 10)
 	r := runAttempt(t, pool, attempt)
 	if r.Result != balancer.NotStarted || !r.NotReplayable || r.EndState.Reason != engine.EndClientTime {
 		t.Errorf("%+v; want NotStarted because of the client's time, not replayable", r)
