--- a/cmd/damsontrestle/uploadfloods_test.go
+++ b/cmd/damsontrestle/uploadfloods_test.go
@@ -2,15 +2,17 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -35,58 +37,130 @@
 
 // uploadFlood is a long body that each of some clients sends at full speed, on one connection after the other.
 type uploadFlood struct {
-	name     string
-	clients  int
-	length   int // bytes
-	chunked  bool
-	mustEnd  bool // each is owed a response or a close within uploadFloodPatience
-	requests atomic.Int64
+	Name    string
+	Clients int
+	Length  int // bytes
+	Chunked bool
+	Address string // of the node
 }
 
+// longFlood is of bodies that no node takes.
+var longFlood = uploadFlood{Name: "in chunks, too long", Clients: 100, Length: 60 * uploadFloodPart, Chunked: true}
+
 // uploadEndings counts how the uploads of a flood ended for their clients.
-type uploadEndings struct{ served, refused, closed, unanswered atomic.Int64 }
+type uploadEndings struct{ Served, Refused, Closed, Unanswered int }
+
+// uploadFloodVariable is the environment variable that holds the flood, as JSON, in the process of its clients.
+const uploadFloodVariable = "DAMSONTRESTLE_UPLOAD_FLOOD"
+
+// TestUploadFloodClients is the process of a flood's clients: beside the usual clients they would make these late themselves. It does
+// nothing in a usual run.
+func TestUploadFloodClients(t *testing.T) {
+	text := os.Getenv(uploadFloodVariable)
+	if text == "" {
+		return
+	}
+	var flood uploadFlood
+	if err := json.Unmarshal([]byte(text), &flood); err != nil {
+		t.Fatal(err)
+	}
+	endings := flood.play(time.Now().Add(uploadFloodTime))
+	json.NewEncoder(os.Stdout).Encode(endings)
+}
+
+// start starts the process of a flood's clients. The returned function waits for its end and returns how the uploads ended.
+func (f uploadFlood) start(t *testing.T) (wait func() uploadEndings) {
+	text, err := json.Marshal(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "-test.run=^TestUploadFloodClients$")
+	cmd.Env = append(os.Environ(), uploadFloodVariable+"="+string(text), "GOMAXPROCS=2")
+	var out bytes.Buffer
+	cmd.Stdout = &out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return func() (endings uploadEndings) {
+		cmd.Wait()
+		if err := json.NewDecoder(&out).Decode(&endings); err != nil {
+			t.Fatalf("the clients of the flood: %v", err)
+		}
+		return endings
+	}
+}
+
+// play sends the uploads of all clients until a time.
+func (f uploadFlood) play(until time.Time) (endings uploadEndings) {
+	var mu sync.Mutex
+	var clients sync.WaitGroup
+	for i := range f.Clients {
+		clients.Go(func() {
+			for n := 0; time.Now().Before(until); n++ {
+				status, err := f.sendOne(fmt.Sprint("flood-", i, "-", n))
+				mu.Lock()
+				endings.add(status, err)
+				mu.Unlock()
+			}
+		})
+	}
+	clients.Wait()
+	return endings
+}
+
+// add counts the end of one upload.
+func (e *uploadEndings) add(status int, err error) {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		e.Unanswered++
+	case err != nil:
+		e.Closed++
+	case status == http.StatusOK:
+		e.Served++
+	default:
+		e.Refused++
+	}
+}
 
 // Guards against responses that are late, or never come, because hundreds of other clients send long bodies at full speed (review/6).
 func TestUploadFloodDelaysNoOtherClient(t *testing.T) {
-	for _, flood := range []*uploadFlood{
-		{name: "in chunks, too long", clients: 100, length: 60 * uploadFloodPart, chunked: true, mustEnd: true},
-		{name: "with a length that is taken", clients: 100, length: 30 * uploadFloodPart},
+	for _, flood := range []uploadFlood{
+		longFlood,
+		{Name: "with a length that is taken", Clients: 100, Length: 30 * uploadFloodPart},
 	} {
-		t.Run(flood.name, func(t *testing.T) { playUploadFlood(t, flood) })
+		t.Run(flood.Name, func(t *testing.T) { playUploadFlood(t, flood) })
+	}
+}
+
+// Guards against clients with bodies that are too long who have neither an answer nor a close after 6 s, since a busy node never comes to
+// the end of what it takes.
+func TestUploadFloodIsEndedInTime(t *testing.T) {
+	if endings := playUploadFlood(t, longFlood); endings.Unanswered > 0 {
+		t.Errorf("%d clients have neither an answer nor a close after %v", endings.Unanswered, uploadFloodPatience)
 	}
 }
 
 // playUploadFlood plays usual clients alone and then beside a flood.
-func playUploadFlood(t *testing.T, flood *uploadFlood) {
+func playUploadFlood(t *testing.T, flood uploadFlood) uploadEndings {
 	address, management := startUploadNode(t)
+	flood.Address = address
 	alone := playUsualClients(address, "alone", time.Now().Add(uploadFloodTime-uploadFloodLead))
 	before := schedulingOf(t, management)
 	until := time.Now().Add(uploadFloodTime)
-	var endings uploadEndings
-	var flooding sync.WaitGroup
-	for range flood.clients {
-		flooding.Go(func() {
-			for time.Now().Before(until) {
-				flood.sendOne(address, &endings)
-			}
-		})
-	}
+	wait := flood.start(t)
 	time.Sleep(uploadFloodLead)
 	flooded := playUsualClients(address, "flooded", until)
 	after := schedulingOf(t, management)
-	flooding.Wait()
-	t.Logf("alone %v, flooded %v; uploads: %d served, %d refused, %d closed, %d without an answer", alone, flooded,
-		endings.served.Load(), endings.refused.Load(), endings.closed.Load(), endings.unanswered.Load())
+	endings := wait()
+	t.Logf("alone %+v, flooded %+v; uploads %+v", alone, flooded, endings)
 	t.Logf("waits for a processor: %+v, before the flood %+v", after, before)
 	if flooded.late > 0 || flooded.served < alone.served/uploadFloodServed {
-		t.Errorf("usual clients: %v; alone %v", flooded, alone)
-	}
-	if flood.mustEnd && endings.unanswered.Load() > 0 {
-		t.Errorf("%d clients with bodies that are too long have neither an answer nor a close after %v", endings.unanswered.Load(), uploadFloodPatience)
+		t.Errorf("usual clients: %+v; alone %+v", flooded, alone)
 	}
 	if after.Over1s > before.Over1s {
 		t.Errorf("goroutines waited for over a second %d times", after.Over1s-before.Over1s)
 	}
+	return endings
 }
 
 // startUploadNode starts a node as a process before servers that read whatever they are sent.
@@ -134,38 +208,33 @@
 }
 
 // sendOne sends one body and waits for its end.
-func (f *uploadFlood) sendOne(address string, endings *uploadEndings) {
-	c, err := net.DialTimeout("tcp", address, time.Second)
+func (f uploadFlood) sendOne(id string) (status int, err error) {
+	c, err := net.DialTimeout("tcp", f.Address, time.Second)
 	if err != nil {
 		time.Sleep(memoryRetryInterval)
-		return
+		return 0, errNotConnected
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(uploadFloodPatience))
 	part := repeated("n", uploadFloodPart)
-	framing := fmt.Sprintf("Content-Length: %d", f.length)
-	if f.chunked {
+	framing := fmt.Sprintf("Content-Length: %d", f.Length)
+	if f.Chunked {
 		part = chunk(part)
 		framing = "Transfer-Encoding: chunked"
 	}
-	fmt.Fprintf(c, "POST /note/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: flood-%d\r\nX-Deadline: %v\r\n%s\r\n\r\n",
-		f.requests.Add(1), uploadFloodDeadline.Seconds(), framing)
-	for sent := 0; sent < f.length && err == nil; sent += uploadFloodPart {
+	fmt.Fprintf(c, "POST /note/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline: %v\r\n%s\r\n\r\n", id, uploadFloodDeadline.Seconds(), framing)
+	for sent := 0; sent < f.Length && err == nil; sent += uploadFloodPart {
 		_, err = io.WriteString(c, part)
 	}
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
-	switch {
-	case err == nil && response.StatusCode == http.StatusOK:
-		endings.served.Add(1)
-	case err == nil:
-		endings.refused.Add(1)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		endings.unanswered.Add(1)
-	default:
-		endings.closed.Add(1)
+	if err != nil {
+		return 0, err
 	}
+	return response.StatusCode, nil
 }
 
+var errNotConnected = errors.New("no connection to the node")
+
 // usualResult counts how requests of usual clients ended.
 type usualResult struct {
 	served, unserved, late, closed int
